Add design page, shared base and runtime, and module interfaces

The base folder holds errors, digests, metrics, logs and settings; runtime holds the event loop, the peer transport over ZeroMQ, the HTTP client and server, workers on oneTBB and the client of the key-value service. Driver headers fix the interfaces between modules so that they can be built side by side.

Ruled out: decision logic inside I/O code (testable only with sleeps), and a direct path from entry to engine (no single place that knows whether an attempt arrived).

--- /dev/null
+++ b/src/base/histogram.h
@@ -0,0 +1,33 @@
+// Histogram of durations.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace savory {
+
+// Durations in seconds, in logarithmic buckets from 100 us to 100 s, with
+// count, sum, maximum and quantiles from Boost.Accumulators. Thread-safe.
+class Histogram {
+ public:
+  Histogram();
+  ~Histogram();
+
+  // Adds one observation, in seconds.
+  void Observe(double seconds);
+
+  // Estimate of the quantile 0.5, 0.95 or 0.99, in seconds; 0 without
+  // observations.
+  double Quantile(double probability) const;
+  std::uint64_t Count() const;
+
+  // The series in the Prometheus text format.
+  std::string Render(std::string_view name, std::string_view labels) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,91 @@
+#include "base/log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <nlohmann/json.hpp>
+
+namespace savory {
+namespace {
+
+struct LogState {
+  log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("savoryrouter");
+  LogOptions options;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+log4cxx::LevelPtr ToLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::kInfo:
+      return log4cxx::Level::getInfo();
+    case LogLevel::kWarn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::kError:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+// Quotes a value that contains blanks, quotes or control characters.
+std::string Quote(const std::string& text) {
+  if (!text.empty() && text.find_first_of(" \t\r\n\"=") == std::string::npos) return text;
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string FormatKeyValue(const LogOptions& options, std::string_view event,
+                           std::initializer_list<LogField> fields) {
+  std::string line = "event=" + std::string(event);
+  if (!options.vm.empty()) line += " vm=" + Quote(options.vm);
+  for (const LogField& field : fields) {
+    line += " " + std::string(field.name) + "=" + Quote(field.text);
+  }
+  return line;
+}
+
+std::string FormatJson(const LogOptions& options, std::string_view event,
+                       std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json line = {{"event", event}};
+  if (!options.vm.empty()) line["vm"] = options.vm;
+  for (const LogField& field : fields) line[std::string(field.name)] = field.text;
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+LogField::LogField(std::string_view name, std::string_view text) : name(name), text(text) {}
+LogField::LogField(std::string_view name, const char* text) : name(name), text(text) {}
+LogField::LogField(std::string_view name, const std::string& text) : name(name), text(text) {}
+LogField::LogField(std::string_view name, bool value)
+    : name(name), text(value ? "true" : "false") {}
+LogField::LogField(std::string_view name, double value)
+    : name(name), text(nlohmann::json(value).dump()) {}
+
+void ConfigureLog(const LogOptions& options) {
+  State().options = options;
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %m%n");
+  const auto appender =
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  State().logger->setLevel(ToLevel(options.level));
+}
+
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  const LogState& state = State();
+  const log4cxx::LevelPtr log_level = ToLevel(level);
+  if (!state.logger->isEnabledFor(log_level)) return;
+  const std::string line = state.options.form == LogForm::kJson
+                               ? FormatJson(state.options, event, fields)
+                               : FormatKeyValue(state.options, event, fields);
+  LOG4CXX_LOG(state.logger, log_level, line);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/base/settings_test.cc
@@ -0,0 +1,42 @@
+#include "base/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace savory {
+namespace {
+
+SettingsReader Read(std::string_view text) {
+  return std::move(SettingsReader::FromText(text, "agent.yaml").value());
+}
+
+// Guards against an unknown key that is silently ignored.
+TEST(SettingsTest, UnknownKeyNamesFileLineAndField) {
+  SettingsReader reader = Read("vm: a1\nlisten:\n  peer: 127.0.0.1:1\n  pier: x\n");
+  EXPECT_EQ(reader.Text("vm"), "a1");
+  SettingsReader listen = reader.Section("listen");
+  EXPECT_EQ(listen.Address("peer"), "127.0.0.1:1");
+  const auto result = reader.Finish();
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error().detail, "agent.yaml:4: listen.pier: is not a known setting");
+}
+
+// Guards against values out of range and missing values being replaced by a
+// default.
+TEST(SettingsTest, ReportsTheFirstError) {
+  SettingsReader reader = Read("rate: 0\n");
+  reader.Number("rate", {.low = 1, .high = 10});
+  reader.Text("vm");
+  EXPECT_EQ(reader.Finish().error().detail, "agent.yaml:1: rate: must be from 1 to 10");
+}
+
+// Guards against host names, which would need a resolver.
+TEST(SettingsTest, AddressesAreNumeric) {
+  EXPECT_TRUE(IsAddress("127.0.0.1:80"));
+  EXPECT_FALSE(IsAddress("localhost:80"));
+  EXPECT_FALSE(IsAddress("127.0.0.1:0"));
+  EXPECT_FALSE(IsAddress("127.0.0.1:65536"));
+  EXPECT_FALSE(IsAddress("127.0.0.1"));
+}
+
+}  // namespace
+}  // namespace savory
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,44 @@
+// Time types. Decision logic receives the current Instant and never reads a
+// clock.
+#pragma once
+
+#include <chrono>
+
+namespace savory {
+
+// Length of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+// Monotonic clock of one process; instants of two processes are not comparable.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
+
+  // Reads the monotonic clock of the operating system.
+  static time_point now() noexcept {  // NOLINT(readability-identifier-naming)
+    return time_point(
+        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+  }
+};
+
+using Instant = MonotonicClock::time_point;
+
+// Milliseconds in `duration`, rounded down.
+constexpr std::int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// Seconds in `duration`.
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Duration of `seconds`.
+constexpr Duration FromSeconds(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/distribution_driver.h
@@ -0,0 +1,81 @@
+// Runs the distribution of weights and the load order of one agent.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/digest.h"
+#include "base/settings.h"
+#include "runtime/node.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+
+class HttpServer;
+class MembershipDriver;
+
+struct DistributionDriverOptions {
+  std::string engine;                    // IP:PORT of the local engine
+  std::string weights_address;           // IP:PORT where the engine fetches /weights/DIGEST
+  std::string origin;                    // IP:PORT of the origin of weights
+  std::string origin_region;             // region that reads from the origin
+  double link_bytes_per_second = 125e6;  // of the VM's link, each way
+  double weights_share = 0.8;            // of that link for weights when no request bytes flow
+  double inter_region_bytes_per_second = 3e6;  // of the region's link, each way
+  std::uint64_t memory_bytes = 0;              // kept chunks; 0: two versions of any size
+};
+
+// Reads the section `distribution`; errors stay in `reader`.
+DistributionDriverOptions ReadDistributionOptions(SettingsReader reader);
+
+enum class RolloutPhase {
+  kIdle,              // no pool row names weights for this VM
+  kFetchingManifest,  // waiting for the manifest
+  kCopying,
+  kStopped,  // the origin does not hold the pinned bytes; the old version serves on
+  kWaitingForLease,
+  kLoading,
+  kReady,  // the engine reports the pinned manifest
+};
+
+struct RolloutStatus {
+  RolloutPhase phase = RolloutPhase::kIdle;
+  Digest wanted = {};       // manifest pinned by the pool row
+  Digest serving = {};      // manifest that the engine reports; zero: none
+  std::uint64_t bytes = 0;  // verified bytes of `wanted`
+  std::uint64_t total_bytes = 0;
+  std::uint64_t origin_bytes = 0;  // read from the origin by this agent
+  std::string detail = {};         // reason when stopped
+};
+
+// All calls on the loop's thread.
+class DistributionDriver {
+ public:
+  DistributionDriver(Node& node, MembershipDriver& members, DistributionDriverOptions options);
+  ~DistributionDriver();
+
+  // Registers GET /weights/DIGEST; call before the server starts.
+  void Mount(HttpServer& server);
+  void Start();
+
+  // The pool row that this VM belongs to; one without a manifest ends the distribution.
+  void ApplyPool(const wire::Pool& pool);
+
+  RolloutStatus Status() const;
+  // Calls `listener` when the engine becomes ready with `serving`, or stops being ready (while it
+  // loads, or after it was restarted).
+  void OnReadyChange(std::function<void(const Digest& serving, bool ready)> listener);
+
+  // Asks the gate whether no request runs; a load order waits for it. Unset: always idle.
+  void SetIdleCheck(std::function<bool()> idle);
+  // Adds request bytes seen on the VM's link; weights yield to them.
+  void AddRequestBytes(std::uint64_t bytes);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/http.h
@@ -0,0 +1,75 @@
+// Plain structs of the HTTP client and server.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace savory {
+
+// Header names compare without regard to case.
+struct HeaderLess {
+  bool operator()(std::string_view left, std::string_view right) const;
+  using is_transparent = void;  // NOLINT(readability-identifier-naming)
+};
+using HttpHeaders = std::multimap<std::string, std::string, HeaderLess>;
+
+// Value of the first header `name`, or "".
+std::string_view HeaderValue(const HttpHeaders& headers, std::string_view name);
+
+// A call by HttpClient.
+struct HttpCall {
+  std::string method = "GET";
+  std::string target = "/";  // path and query
+  HttpHeaders headers = {};
+  std::string body = {};
+  std::string content_type = "application/octet-stream";
+  Duration connect_timeout = std::chrono::seconds(1);
+  Duration read_timeout = std::chrono::seconds(10);  // longest gap between two reads
+};
+
+// An answer received by HttpClient.
+struct HttpAnswer {
+  int status = 0;
+  HttpHeaders headers = {};
+  std::string body = {};
+};
+
+// Consumers of a streamed answer; return false to cancel the call.
+struct HttpStream {
+  std::function<bool(const HttpAnswer& head)> on_head = {};
+  std::function<bool(std::span<const std::byte> part)> on_part = {};
+};
+
+// A request received by HttpServer.
+struct HttpRequest {
+  std::string method;
+  std::string path;    // without the query
+  std::string target;  // with the query
+  HttpHeaders headers;
+  std::multimap<std::string, std::string> query;
+  std::string body;
+};
+
+// Writes bytes of a streamed reply; returns false when the caller has hung up.
+using HttpSink = std::function<bool(std::span<const std::byte> part)>;
+
+// Reply of a handler of HttpServer: `body`, or a stream when `stream` is set.
+struct HttpReply {
+  int status = 200;
+  std::string content_type = "application/json";
+  HttpHeaders headers = {};
+  std::string body = {};
+  // Called once on the connection's thread; returns false to end the stream as
+  // broken, so that the caller can tell it from a complete answer.
+  std::function<bool(const HttpSink& sink)> stream = {};
+  // Length of the stream in bytes; 0: unknown, sent in HTTP chunks.
+  std::size_t stream_length = 0;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/http_client.h
@@ -0,0 +1,35 @@
+// Blocking HTTP client.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/error.h"
+#include "runtime/http.h"
+
+namespace savory {
+
+// Keeps one connection to `address`; use one object for each thread. Blocks:
+// call it from Workers.
+class HttpClient {
+ public:
+  explicit HttpClient(std::string address);
+  ~HttpClient();
+  HttpClient(HttpClient&&) noexcept;
+  HttpClient& operator=(HttpClient&&) noexcept;
+
+  // Performs `call`. With `stream`, the body is handed to it and not kept.
+  // Errors: kUnavailable when no connection could be made (the call was
+  // certainly not sent), kTimeout when it broke off or got no answer in time,
+  // kCancelled when `stream` returned false.
+  Result<HttpAnswer> Call(const HttpCall& call, const HttpStream& stream = {});
+
+  // Ends a running Call from another thread.
+  void Cancel();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/http_server.cc
@@ -0,0 +1,137 @@
+#include "runtime/http_server.h"
+
+#include <httplib.h>
+
+#include <cstdlib>
+#include <thread>
+
+#include "base/log.h"
+
+namespace savory {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 64u << 20;
+constexpr time_t kKeepAliveSeconds = 60;
+constexpr std::size_t kKeepAliveRequests = 100'000;
+constexpr time_t kReadTimeoutSeconds = 30;
+
+// Threads grow with the load up to a maximum; connections beyond the waiting
+// line are refused by closing them, before any byte of a request is read.
+class BoundedTaskQueue : public httplib::ThreadPool {
+ public:
+  BoundedTaskQueue(int threads, int max_waiting)
+      : httplib::ThreadPool(static_cast<std::size_t>(threads)), max_waiting(max_waiting) {}
+
+  void enqueue(std::function<void()> task) override {  // NOLINT(readability-identifier-naming)
+    this->waiting.fetch_add(1);
+    httplib::ThreadPool::enqueue([this, task = std::move(task)] {
+      this->waiting.fetch_sub(1);
+      task();
+    });
+  }
+
+  bool IsFull() const { return this->waiting.load() > this->max_waiting; }
+
+ private:
+  std::atomic<int> waiting = 0;
+  int max_waiting;
+};
+
+HttpRequest FromLibrary(const httplib::Request& request) {
+  return HttpRequest{.method = request.method,
+                     .path = request.path,
+                     .target = request.target,
+                     .headers = HttpHeaders(request.headers.begin(), request.headers.end()),
+                     .query = std::multimap<std::string, std::string>(request.params.begin(),
+                                                                      request.params.end()),
+                     .body = request.body};
+}
+
+void SetStream(HttpReply reply, httplib::Response& response) {
+  auto shared = std::make_shared<HttpReply>(std::move(reply));
+  const auto run = [shared](httplib::DataSink& sink) {
+    return shared->stream([&sink](std::span<const std::byte> part) {
+      return sink.write(reinterpret_cast<const char*>(part.data()), part.size());
+    });
+  };
+  if (shared->stream_length > 0) {
+    response.set_content_provider(
+        shared->stream_length, shared->content_type,
+        [run](std::size_t, std::size_t, httplib::DataSink& sink) { return run(sink); });
+    return;
+  }
+  response.set_chunked_content_provider(shared->content_type,
+                                        [run](std::size_t, httplib::DataSink& sink) {
+                                          if (!run(sink)) return false;
+                                          sink.done();
+                                          return true;
+                                        });
+}
+
+void ToLibrary(HttpReply reply, httplib::Response& response) {
+  response.status = reply.status;
+  for (const auto& [name, value] : reply.headers) response.headers.emplace(name, value);
+  if (reply.stream) {
+    SetStream(std::move(reply), response);
+    return;
+  }
+  response.set_content(reply.body, reply.content_type);
+}
+
+}  // namespace
+
+struct HttpServer::Impl {
+  explicit Impl(HttpServerOptions options) : options(std::move(options)) {}
+
+  HttpServerOptions options;
+  httplib::Server server = {};
+  std::thread thread = {};
+};
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : impl(std::make_unique<Impl>(std::move(options))) {
+  httplib::Server& server = this->impl->server;
+  const int threads = this->impl->options.max_requests;
+  const int waiting = this->impl->options.max_waiting;
+  server.new_task_queue = [threads, waiting] { return new BoundedTaskQueue(threads, waiting); };
+  server.set_payload_max_length(kMaxBodyBytes);
+  server.set_keep_alive_timeout(kKeepAliveSeconds);
+  server.set_keep_alive_max_count(kKeepAliveRequests);
+  server.set_read_timeout(kReadTimeoutSeconds);
+  server.set_tcp_nodelay(true);
+}
+
+HttpServer::~HttpServer() { this->Stop(); }
+
+void HttpServer::Handle(const std::string& method, const std::string& pattern, Handler handler) {
+  const auto adapter = [handler = std::move(handler)](const httplib::Request& request,
+                                                      httplib::Response& response) {
+    ToLibrary(handler(FromLibrary(request)), response);
+  };
+  httplib::Server& server = this->impl->server;
+  const bool all = method == "*";
+  if (all || method == "GET") server.Get(pattern, adapter);
+  if (all || method == "POST") server.Post(pattern, adapter);
+  if (all || method == "PUT") server.Put(pattern, adapter);
+  if (all || method == "PATCH") server.Patch(pattern, adapter);
+  if (all || method == "DELETE") server.Delete(pattern, adapter);
+}
+
+void HttpServer::Start() {
+  const std::string& listen = this->impl->options.listen;
+  const std::size_t colon = listen.rfind(':');
+  const int port = std::atoi(listen.substr(colon + 1).c_str());
+  if (!this->impl->server.bind_to_port(listen.substr(0, colon), port)) {
+    Log(LogLevel::kError, "http_bind_failed", {{"address", listen}});
+    std::exit(EXIT_FAILURE);
+  }
+  this->impl->thread = std::thread([this] { this->impl->server.listen_after_bind(); });
+}
+
+void HttpServer::Stop() {
+  if (!this->impl->thread.joinable()) return;
+  this->impl->server.stop();
+  this->impl->thread.join();
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/peer_transport.cc
@@ -0,0 +1,175 @@
+#include "runtime/peer_transport.h"
+
+#include <cstdlib>
+#include <map>
+#include <zmq.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/time.h"
+#include "runtime/event_loop.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+namespace {
+
+// ZMTP heartbeats: a connection without an answer for the timeout is closed and
+// reopened, so a connection that has gone silent for good is replaced.
+constexpr int kHeartbeatIntervalMs = 2000;
+constexpr int kHeartbeatTimeoutMs = 6000;
+constexpr int kReconnectMinMs = 50;
+constexpr int kReconnectMaxMs = 2000;
+constexpr int kSendQueueMessages = 4096;
+// An idle connection is closed, so that the number of sockets follows the peers
+// in use.
+constexpr Duration kIdleClose = std::chrono::seconds(120);
+// Messages read in one round of the loop before timers get their turn.
+constexpr int kReadBatch = 256;
+
+struct Connection {
+  zmq::socket_t socket;
+  Instant last_used;
+};
+
+void SetCommonOptions(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  socket.set(zmq::sockopt::heartbeat_ttl, kHeartbeatTimeoutMs);
+}
+
+}  // namespace
+
+struct PeerTransport::Impl {
+  EventLoop& loop;
+  PeerTransportOptions options;
+  zmq::context_t context{1};
+  zmq::socket_t router{context, zmq::socket_type::router};
+  std::map<std::pair<std::string, Lane>, Connection> connections = {};
+  std::map<int, std::vector<Handler>> handlers = {};
+  TransportBytes bytes = {};
+  Counter& dropped;
+  Counter& malformed;
+
+  Impl(EventLoop& loop, Metrics& metrics, PeerTransportOptions given)
+      : loop(loop),
+        options(std::move(given)),
+        dropped(metrics.CounterFor("savory_peer_messages_dropped_total")),
+        malformed(metrics.CounterFor("savory_peer_messages_malformed_total")) {
+    SetCommonOptions(this->router);
+    this->router.set(zmq::sockopt::rcvhwm, kSendQueueMessages);
+    try {
+      this->router.bind("tcp://" + this->options.listen);
+    } catch (const zmq::error_t& error) {
+      Log(LogLevel::kError, "peer_bind_failed",
+          {{"address", this->options.listen}, {"reason", error.what()}});
+      std::exit(EXIT_FAILURE);
+    }
+  }
+
+  zmq::socket_t& SocketFor(std::string_view peer, Lane lane) {
+    const auto key = std::pair(std::string(peer), lane);
+    auto found = this->connections.find(key);
+    if (found == this->connections.end()) {
+      zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+      SetCommonOptions(socket);
+      socket.set(zmq::sockopt::sndhwm, kSendQueueMessages);
+      socket.set(zmq::sockopt::reconnect_ivl, kReconnectMinMs);
+      socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+      socket.connect("tcp://" + key.first);
+      found = this->connections.emplace(key, Connection{std::move(socket), {}}).first;
+    }
+    found->second.last_used = this->loop.Now();
+    return found->second.socket;
+  }
+
+  void CloseIdle() {
+    std::erase_if(this->connections, [this](const auto& row) {
+      return this->loop.Now() - row.second.last_used > kIdleClose;
+    });
+  }
+
+  bool SendFrames(std::string_view peer, Lane lane, wire::Envelope& message, zmq::message_t body) {
+    message.set_from_vm(this->options.vm);
+    message.set_from_peer(this->options.listen);
+    message.set_from_incarnation(this->options.incarnation);
+    zmq::message_t head(message.ByteSizeLong());
+    message.SerializeToArray(head.data(), static_cast<int>(head.size()));
+    const std::size_t total = head.size() + body.size();
+    zmq::socket_t& socket = this->SocketFor(peer, lane);
+    const bool has_body = !body.empty();
+    const auto flags = zmq::send_flags::dontwait;
+    if (!socket.send(head, has_body ? flags | zmq::send_flags::sndmore : flags)) {
+      this->dropped.Add();
+      return false;
+    }
+    if (has_body) socket.send(body, flags);
+    (lane == Lane::kBulk ? this->bytes.bulk_sent : this->bytes.control_sent) += total;
+    return true;
+  }
+
+  void Receive() {
+    for (int i = 0; i < kReadBatch; ++i) {
+      zmq::message_t identity;
+      if (!this->router.recv(identity, zmq::recv_flags::dontwait)) return;
+      zmq::message_t head;
+      zmq::message_t body;
+      if (identity.more()) (void)this->router.recv(head);
+      if (head.more()) (void)this->router.recv(body);
+      for (bool more = body.more(); more;) {
+        zmq::message_t rest;
+        (void)this->router.recv(rest);
+        more = rest.more();
+      }
+      this->Dispatch(head, body);
+    }
+  }
+
+  void Dispatch(const zmq::message_t& head, const zmq::message_t& body) {
+    wire::Envelope message;
+    if (!message.ParseFromArray(head.data(), static_cast<int>(head.size()))) {
+      this->malformed.Add();
+      return;
+    }
+    const std::size_t total = head.size() + body.size();
+    const bool bulk = message.body_case() == wire::Envelope::kChunkData;
+    (bulk ? this->bytes.bulk_received : this->bytes.control_received) += total;
+    const auto found = this->handlers.find(message.body_case());
+    if (found == this->handlers.end()) return;
+    const std::span payload(static_cast<const std::byte*>(body.data()), body.size());
+    for (const Handler& handler : found->second) handler(message, payload);
+  }
+};
+
+PeerTransport::PeerTransport(EventLoop& loop, Metrics& metrics, PeerTransportOptions options)
+    : impl(std::make_unique<Impl>(loop, metrics, std::move(options))) {
+  loop.Watch(this->impl->router.handle(), [this] { this->impl->Receive(); });
+  loop.Every(kIdleClose / 4, [this] { this->impl->CloseIdle(); });
+}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::Subscribe(int body_case, Handler handler) {
+  this->impl->handlers[body_case].push_back(std::move(handler));
+}
+
+bool PeerTransport::Send(std::string_view peer, Lane lane, wire::Envelope message,
+                         std::span<const std::byte> payload) {
+  return this->impl->SendFrames(peer, lane, message,
+                                zmq::message_t(payload.data(), payload.size()));
+}
+
+bool PeerTransport::SendShared(std::string_view peer, Lane lane, wire::Envelope message,
+                               SharedBytes payload, std::span<const std::byte> part) {
+  auto* owner = new SharedBytes(std::move(payload));
+  const auto release = [](void*, void* hint) { delete static_cast<SharedBytes*>(hint); };
+  // ZeroMQ takes a non-const pointer but does not write through it.
+  zmq::message_t body(const_cast<std::byte*>(part.data()), part.size(), release, owner);
+  return this->impl->SendFrames(peer, lane, message, std::move(body));
+}
+
+const PeerTransportOptions& PeerTransport::Options() const { return this->impl->options; }
+
+TransportBytes PeerTransport::Bytes() const { return this->impl->bytes; }
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/peer_transport.h
@@ -0,0 +1,71 @@
+// Messages between the project's own processes, over ZeroMQ.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+
+class EventLoop;
+class Metrics;
+
+// Weight chunks use a connection of their own, so that they do not delay other
+// messages.
+enum class Lane { kControl, kBulk };
+
+struct PeerTransportOptions {
+  std::string listen;             // IP:PORT of the ROUTER socket; also the sender address
+  std::string vm;                 // name of this VM, sent with every message
+  std::uint64_t incarnation = 0;  // distinguishes starts of this process
+};
+
+// Bytes moved since the start, for the control budget of a node.
+struct TransportBytes {
+  std::uint64_t control_sent = 0;
+  std::uint64_t control_received = 0;
+  std::uint64_t bulk_sent = 0;
+  std::uint64_t bulk_received = 0;
+};
+
+// One-way messages: they can be lost, but not duplicated. All calls on the
+// loop's thread.
+class PeerTransport {
+ public:
+  // `payload` is only valid during the call.
+  using Handler =
+      std::function<void(const wire::Envelope& message, std::span<const std::byte> payload)>;
+  using SharedBytes = std::shared_ptr<const std::vector<std::byte>>;
+
+  // Binds the listening socket. Aborts the process when the address is in use.
+  PeerTransport(EventLoop& loop, Metrics& metrics, PeerTransportOptions options);
+  ~PeerTransport();
+
+  // Calls `handler` for every message whose body is `body_case`
+  // (wire::Envelope::BodyCase).
+  void Subscribe(int body_case, Handler handler);
+
+  // Sends to `peer` (IP:PORT) after filling in the sender's fields. Never
+  // blocks: a full queue drops the message, counts it, and returns false.
+  bool Send(std::string_view peer, Lane lane, wire::Envelope message,
+            std::span<const std::byte> payload = {});
+  // As above; `payload` is kept alive until it is sent instead of being copied.
+  bool SendShared(std::string_view peer, Lane lane, wire::Envelope message, SharedBytes payload,
+                  std::span<const std::byte> part);
+
+  const PeerTransportOptions& Options() const;
+  TransportBytes Bytes() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory
