--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -17,8 +17,9 @@
   std::string region;
   std::string data_centre;
   MemberRole role = MemberRole::kAgent;
-  std::string service = {};  // agents only
-  std::uint64_t incarnation = 0;
+  std::string service = {};       // agents only
+  std::uint64_t incarnation = 0;  // of the process; grows with each start
+  std::uint64_t update = 0;       // grows with each change the member makes in one incarnation
   MemberState state = MemberState::kAlive;
   std::uint64_t tables_revision = 0;
   Digest loaded_manifest = {};  // agents only; zero when nothing is ready
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,672 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <tuple>
+
+#include "membership/member_update.h"
+#include "membership/update_queue.h"
+
+namespace savory {
+namespace {
+
+// An update is sent this often times log2(members); with 3, a gossip round that loses some messages
+// still reaches every member.
+constexpr double kSpreadFactor = 3;
+// Pings in one period to VMs of the platform's list that are not members yet.
+constexpr std::size_t kCandidatePings = 3;
+// Pings in one period to members that this process suspects.
+constexpr std::size_t kSuspectPings = 10;
+// Pings after one page of a peer that counts members as alive which are dead here.
+constexpr std::size_t kDisputedPings = 20;
+constexpr std::size_t kJoinPeers = 3;
+constexpr Duration kRelayLife = std::chrono::seconds(2);
+
+// Order of states of one (incarnation, update); only the member itself can go back, with a new
+// update.
+int Rank(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return 0;
+    case MemberState::kSuspect:
+      return 1;
+    case MemberState::kLeaving:
+      return 2;
+    case MemberState::kDead:
+      return 3;
+  }
+  return 0;
+}
+
+bool IsNewer(const Member& left, const Member& right) {
+  return std::tuple(left.incarnation, left.update, Rank(left.state)) >
+         std::tuple(right.incarnation, right.update, Rank(right.state));
+}
+
+struct Entry {
+  Member member;
+  Instant suspected_at = {};
+  Instant dead_at = {};
+  bool suspected_here = false;   // found by a ping of this process
+  bool doubted = false;          // a leaving member that does not answer
+  bool listed_leaving = false;   // the VM list says "leaving" ...
+  std::uint64_t listed_for = 0;  // ... about this incarnation
+};
+
+// The ping of the current period.
+struct Probe {
+  std::string vm;
+  std::string peer;
+  std::uint64_t sequence = 0;
+  Instant sent_at = {};
+  bool indirect = false;
+};
+
+// A ping on behalf of another member.
+struct Relay {
+  std::string requester;  // IP:PORT
+  std::uint64_t sequence = 0;
+  std::string target;
+  Instant expires = {};
+};
+
+}  // namespace
+
+struct Membership::Impl {
+  Member self;
+  MembershipOptions options;
+  Random& random;
+
+  std::map<std::string, Entry, std::less<>> entries = {};  // without this process
+  std::vector<Member> view = {};
+  bool view_stale = true;
+  bool change_pending = true;
+
+  UpdateQueue updates = {};
+  std::vector<std::string> eager = {};  // members whose leaving is pushed at the next tick
+
+  std::vector<std::string> round = {};  // members still to be pinged, in reverse
+  std::vector<std::string> dead_round = {};
+  std::optional<Probe> probe = std::nullopt;
+  std::map<std::uint64_t, Relay> relays = {};
+  std::uint64_t sequence = 0;
+
+  std::map<std::string, std::string, std::less<>> candidates = {};  // listed VMs: name -> peer
+  std::vector<std::string> seeds = {};
+  bool joined = false;
+  std::string full_sync = {};  // peer whose pages are read to the end
+  std::string sync_cursor = {};
+
+  std::optional<Instant> last_tick = std::nullopt;
+  Instant next_ping = {};
+  Instant next_dead_ping = {};
+  Instant next_sync = {};
+  Instant next_full_sync = {};
+
+  std::vector<Action> actions = {};
+
+  // ---- sending ----
+
+  void Send(const std::string& peer, wire::Envelope message) {
+    if (peer.empty() || peer == this->self.peer) return;
+    this->actions.push_back(SendMessage{.peer = peer, .message = std::move(message)});
+  }
+
+  // This process's own update comes first; `about` names a member that the receiver must hear of.
+  template <typename Message>
+  void AddUpdates(Message& message, std::string_view about = {}) {
+    *message.add_updates() = ToUpdate(this->self);
+    std::size_t room = this->options.max_updates - 1;
+    const auto told = this->entries.find(about);
+    if (told != this->entries.end()) {
+      *message.add_updates() = ToUpdate(told->second.member);
+      --room;
+    }
+    for (const std::string& vm : this->updates.Take(room)) {
+      const auto found = this->entries.find(vm);
+      if (found != this->entries.end() && vm != about) {
+        *message.add_updates() = ToUpdate(found->second.member);
+      }
+    }
+  }
+
+  // A member that others believe to be gone is told, so that it can refute.
+  std::string_view ToRefute(std::string_view vm) const {
+    const auto found = this->entries.find(vm);
+    if (found == this->entries.end()) return {};
+    const MemberState state = found->second.member.state;
+    const bool doubtful = state == MemberState::kSuspect || state == MemberState::kDead;
+    return doubtful ? vm : std::string_view();
+  }
+
+  void SendPing(const std::string& peer, std::string_view vm, std::uint64_t number) {
+    wire::Envelope message;
+    wire::Ping& ping = *message.mutable_ping();
+    ping.set_sequence(number);
+    ping.set_tables_revision(this->self.tables_revision);
+    this->AddUpdates(ping, this->ToRefute(vm));
+    this->Send(peer, std::move(message));
+  }
+
+  void SendPull(const std::string& peer, const std::string& after) {
+    wire::Envelope message;
+    message.mutable_members_pull()->set_after_vm(after);
+    this->Send(peer, std::move(message));
+  }
+
+  // ---- state ----
+
+  std::size_t SpreadTimes() const {
+    const double members = static_cast<double>(this->entries.size() + 2);
+    return static_cast<std::size_t>(std::ceil(kSpreadFactor * std::log2(members)));
+  }
+
+  void Spread(const Member& member) {
+    this->updates.Push(member.vm, this->SpreadTimes(), member.state != MemberState::kAlive);
+  }
+
+  void NoteChange() {
+    this->view_stale = true;
+    this->change_pending = true;
+  }
+
+  void Store(Entry& entry, const Member& member, Instant now) {
+    entry.member = member;
+    entry.suspected_here = false;
+    entry.doubted = false;
+    if (member.state == MemberState::kSuspect) entry.suspected_at = now;
+    if (member.state == MemberState::kDead) entry.dead_at = now;
+    this->NoteChange();
+  }
+
+  void SetState(Entry& entry, MemberState state, Instant now) {
+    Member changed = entry.member;
+    changed.state = state;
+    this->Store(entry, changed, now);
+    this->Spread(changed);
+  }
+
+  void Refute(const Member& heard) {
+    if (heard.incarnation > this->self.incarnation) return;
+    const bool about_this_start = heard.incarnation == this->self.incarnation;
+    const bool current = about_this_start && heard.update >= this->self.update;
+    if (current && (heard.state != this->self.state || heard.update > this->self.update)) {
+      this->self.update = heard.update + 1;
+      this->NoteChange();
+    }
+  }
+
+  void Insert(const Member& member, Instant now) {
+    Entry entry;
+    this->Store(entry, member, now);
+    this->entries.emplace(member.vm, std::move(entry));
+    this->candidates.erase(member.vm);
+    const auto place = static_cast<std::ptrdiff_t>(
+        UniformBelow(this->random, static_cast<std::uint64_t>(this->round.size()) + 1));
+    this->round.insert(this->round.begin() + place, member.vm);
+  }
+
+  // Takes over `heard` when it is newer than what is known. `spread`: passes news on.
+  void Merge(const Member& heard, Instant now, bool spread) {
+    if (heard.vm.empty() || heard.peer.empty()) return;
+    if (heard.vm == this->self.vm) return this->Refute(heard);
+    const auto found = this->entries.find(heard.vm);
+    if (found == this->entries.end()) {
+      // A dead member that is no longer kept must not come back through late messages.
+      if (heard.state == MemberState::kDead) return;
+      this->Insert(heard, now);
+    } else {
+      if (!IsNewer(heard, found->second.member)) return;
+      this->Store(found->second, heard, now);
+    }
+    if (heard.state == MemberState::kLeaving) this->eager.push_back(heard.vm);
+    if (spread) this->Spread(heard);
+  }
+
+  template <typename Updates>
+  void MergeAll(const Updates& received, Instant now, bool spread) {
+    for (const wire::MemberUpdate& update : received) this->Merge(FromUpdate(update), now, spread);
+  }
+
+  bool IsDead(std::string_view vm) const {
+    const auto found = this->entries.find(vm);
+    return found != this->entries.end() && found->second.member.state == MemberState::kDead;
+  }
+
+  void NoteRevision(const wire::Envelope& message, std::uint64_t revision) {
+    const auto found = this->entries.find(message.from_vm());
+    if (found == this->entries.end()) return;
+    if (found->second.member.tables_revision != revision) this->view_stale = true;
+    found->second.member.tables_revision = revision;
+    if (revision <= this->self.tables_revision) return;
+    this->actions.push_back(HigherRevisionSeen{.vm = message.from_vm()});
+  }
+
+  // Merges the updates of a message; a dead member that turns out to have lived through a partition
+  // is asked for its whole list, since it probably knows of more that are alive.
+  template <typename Message>
+  void MergeMessage(const wire::Envelope& envelope, const Message& message, Instant now) {
+    const bool was_dead = this->IsDead(envelope.from_vm());
+    this->MergeAll(message.updates(), now, true);
+    if (!was_dead || this->IsDead(envelope.from_vm()) || now < this->next_full_sync) return;
+    this->next_full_sync = now + this->options.dead_ping_period;
+    this->full_sync = envelope.from_peer();
+    this->SendPull(this->full_sync, "");
+  }
+
+  // ---- messages ----
+
+  void OnPing(const wire::Envelope& envelope, Instant now) {
+    const wire::Ping& ping = envelope.ping();
+    this->MergeMessage(envelope, ping, now);
+    this->NoteRevision(envelope, ping.tables_revision());
+    if (ping.sequence() == 0) return;
+    wire::Envelope answer;
+    wire::PingAck& ack = *answer.mutable_ping_ack();
+    ack.set_sequence(ping.sequence());
+    ack.set_tables_revision(this->self.tables_revision);
+    this->AddUpdates(ack, this->ToRefute(envelope.from_vm()));
+    this->Send(envelope.from_peer(), std::move(answer));
+  }
+
+  void OnPingAck(const wire::Envelope& envelope, Instant now) {
+    const wire::PingAck& ack = envelope.ping_ack();
+    this->MergeMessage(envelope, ack, now);
+    if (ack.target_vm().empty()) this->NoteRevision(envelope, ack.tables_revision());
+    const auto sender = this->entries.find(envelope.from_vm());
+    if (sender != this->entries.end()) sender->second.doubted = false;
+    if (this->probe && this->probe->sequence == ack.sequence()) this->probe.reset();
+    const auto relay = this->relays.find(ack.sequence());
+    if (relay == this->relays.end()) return;
+    wire::Envelope answer;
+    wire::PingAck& relayed = *answer.mutable_ping_ack();
+    relayed.set_sequence(relay->second.sequence);
+    relayed.set_target_vm(relay->second.target);
+    relayed.set_tables_revision(this->self.tables_revision);
+    this->AddUpdates(relayed, relay->second.target);
+    this->Send(relay->second.requester, std::move(answer));
+    this->relays.erase(relay);
+  }
+
+  void OnPingRequest(const wire::Envelope& envelope, Instant now) {
+    const wire::PingRequest& request = envelope.ping_request();
+    this->MergeMessage(envelope, request, now);
+    const std::uint64_t number = ++this->sequence;
+    this->relays.emplace(number, Relay{.requester = envelope.from_peer(),
+                                       .sequence = request.sequence(),
+                                       .target = request.target_vm(),
+                                       .expires = now + kRelayLife});
+    this->SendPing(request.target_peer(), request.target_vm(), number);
+  }
+
+  void OnMembersPull(const wire::Envelope& envelope) {
+    wire::Envelope answer;
+    wire::MembersPush& push = *answer.mutable_members_push();
+    *push.add_updates() = ToUpdate(this->self);
+    auto next = this->entries.upper_bound(envelope.members_pull().after_vm());
+    std::size_t room = this->options.page_members;
+    for (; next != this->entries.end() && room > 0; ++next) {
+      if (next->second.member.state == MemberState::kDead) continue;
+      *push.add_updates() = ToUpdate(next->second.member);
+      push.set_last_vm(next->first);
+      --room;
+    }
+    if (next == this->entries.end()) push.clear_last_vm();
+    this->Send(envelope.from_peer(), std::move(answer));
+  }
+
+  void OnMembersPush(const wire::Envelope& envelope, Instant now) {
+    const wire::MembersPush& push = envelope.members_push();
+    this->PingDisputed(push);
+    this->MergeAll(push.updates(), now, false);
+    const bool complete = push.last_vm().empty();
+    if (complete) this->joined = true;
+    if (this->full_sync != envelope.from_peer()) {
+      this->sync_cursor = push.last_vm();
+      return;
+    }
+    if (complete) {
+      this->full_sync.clear();
+      return;
+    }
+    this->SendPull(this->full_sync, push.last_vm());
+  }
+
+  // Members that are dead here and alive there are asked themselves; they refute with a new update.
+  void PingDisputed(const wire::MembersPush& push) {
+    std::vector<std::string> disputed;
+    for (const wire::MemberUpdate& update : push.updates()) {
+      const auto found = this->entries.find(update.vm());
+      if (found == this->entries.end()) continue;
+      const Member& known = found->second.member;
+      if (known.state == MemberState::kDead && known.incarnation == update.incarnation() &&
+          known.update >= update.update()) {
+        disputed.push_back(update.vm());
+      }
+    }
+    std::shuffle(disputed.begin(), disputed.end(), this->random);
+    if (disputed.size() > kDisputedPings) disputed.resize(kDisputedPings);
+    for (const std::string& vm : disputed) {
+      this->SendPing(this->entries.find(vm)->second.member.peer, vm, ++this->sequence);
+    }
+  }
+
+  // ---- timers ----
+
+  std::vector<std::string> RandomMembers(std::size_t count, std::string_view except) {
+    std::vector<std::string> names;
+    for (const auto& [vm, entry] : this->entries) {
+      if (entry.member.state != MemberState::kDead && vm != except) names.push_back(vm);
+    }
+    // Partial Fisher-Yates shuffle.
+    const std::size_t taken = std::min(count, names.size());
+    for (std::size_t i = 0; i < taken; ++i) {
+      std::swap(names[i], names[i + UniformBelow(this->random, names.size() - i)]);
+    }
+    names.resize(taken);
+    return names;
+  }
+
+  // Next member of a shuffled round; empty when there is none.
+  std::string NextOf(std::vector<std::string>& names, bool dead) {
+    for (int pass = 0; pass < 2; ++pass) {
+      while (!names.empty()) {
+        std::string vm = std::move(names.back());
+        names.pop_back();
+        if (this->entries.contains(vm) && this->IsDead(vm) == dead) return vm;
+      }
+      for (const auto& [vm, entry] : this->entries) {
+        if ((entry.member.state == MemberState::kDead) == dead) names.push_back(vm);
+      }
+      std::shuffle(names.begin(), names.end(), this->random);
+    }
+    return {};
+  }
+
+  // While this process was paused, no answer could be read: a running probe says nothing, and
+  // suspects get the paused time back.
+  void ForgivePause(Instant now) {
+    if (!this->last_tick || now - *this->last_tick <= this->options.pause_threshold) return;
+    const Duration gap = now - *this->last_tick;
+    this->probe.reset();
+    this->relays.clear();
+    for (auto& [vm, entry] : this->entries) entry.suspected_at += gap;
+    this->next_ping = now + this->options.ack_timeout;
+  }
+
+  void PingIndirectly(Instant now) {
+    if (!this->probe || this->probe->indirect) return;
+    if (now - this->probe->sent_at < this->options.ack_timeout) return;
+    this->probe->indirect = true;
+    for (const std::string& vm :
+         this->RandomMembers(this->options.indirect_pings, this->probe->vm)) {
+      wire::Envelope message;
+      wire::PingRequest& request = *message.mutable_ping_request();
+      request.set_sequence(this->probe->sequence);
+      request.set_target_vm(this->probe->vm);
+      request.set_target_peer(this->probe->peer);
+      this->AddUpdates(request);
+      this->Send(this->entries.find(vm)->second.member.peer, std::move(message));
+    }
+  }
+
+  void EndProbe(Instant now) {
+    if (!this->probe) return;
+    const auto found = this->entries.find(this->probe->vm);
+    this->probe.reset();
+    if (found == this->entries.end()) return;
+    Entry& entry = found->second;
+    if (entry.member.state == MemberState::kAlive) {
+      this->SetState(entry, MemberState::kSuspect, now);
+      entry.suspected_here = true;
+    }
+    if (entry.member.state == MemberState::kLeaving && !entry.doubted) {
+      entry.doubted = true;
+      entry.suspected_at = now;
+    }
+  }
+
+  void StartProbe(Instant now) {
+    const std::string vm = this->NextOf(this->round, false);
+    if (vm.empty()) return;
+    const std::string& peer = this->entries.find(vm)->second.member.peer;
+    this->probe = Probe{.vm = vm, .peer = peer, .sequence = ++this->sequence, .sent_at = now};
+    this->SendPing(peer, vm, this->probe->sequence);
+  }
+
+  void PingSuspects() {
+    std::size_t room = kSuspectPings;
+    for (const auto& [vm, entry] : this->entries) {
+      if (room == 0) return;
+      if (!entry.suspected_here && !entry.doubted) continue;
+      this->SendPing(entry.member.peer, vm, ++this->sequence);
+      --room;
+    }
+  }
+
+  void PingCandidates() {
+    std::vector<std::pair<std::string, std::string>> rows(this->candidates.begin(),
+                                                          this->candidates.end());
+    std::shuffle(rows.begin(), rows.end(), this->random);
+    if (rows.size() > kCandidatePings) rows.resize(kCandidatePings);
+    for (const auto& [vm, peer] : rows) this->SendPing(peer, vm, ++this->sequence);
+  }
+
+  // Asks seeds, listed VMs and members for their list until one has answered.
+  void Join() {
+    if (this->joined) return;
+    std::vector<std::string> peers = this->seeds;
+    for (const auto& [vm, peer] : this->candidates) peers.push_back(peer);
+    for (const auto& [vm, entry] : this->entries) peers.push_back(entry.member.peer);
+    std::shuffle(peers.begin(), peers.end(), this->random);
+    if (peers.size() > kJoinPeers) peers.resize(kJoinPeers);
+    for (const std::string& peer : peers) this->SendPull(peer, "");
+    if (!peers.empty()) this->full_sync = peers.front();
+  }
+
+  void RunPeriod(Instant now) {
+    if (now < this->next_ping) return;
+    this->EndProbe(now);
+    this->StartProbe(now);
+    this->PingSuspects();
+    this->PingCandidates();
+    this->Join();
+    this->next_ping = now + this->options.ping_period;
+  }
+
+  void PingDead(Instant now) {
+    if (now < this->next_dead_ping) return;
+    this->next_dead_ping = now + this->options.dead_ping_period;
+    const std::string vm = this->NextOf(this->dead_round, true);
+    if (vm.empty()) return;
+    this->SendPing(this->entries.find(vm)->second.member.peer, vm, ++this->sequence);
+  }
+
+  void Sync(Instant now) {
+    if (now < this->next_sync) return;
+    this->next_sync = now + this->options.sync_period;
+    for (const std::string& vm : this->RandomMembers(1, "")) {
+      this->SendPull(this->entries.find(vm)->second.member.peer, this->sync_cursor);
+    }
+  }
+
+  void ExpireMembers(Instant now) {
+    for (auto row = this->entries.begin(); row != this->entries.end();) {
+      Entry& entry = row->second;
+      const bool suspected = entry.member.state == MemberState::kSuspect || entry.doubted;
+      if (suspected && now - entry.suspected_at >= this->options.suspicion) {
+        this->SetState(entry, MemberState::kDead, now);
+      }
+      const bool expired = entry.member.state == MemberState::kDead &&
+                           now - entry.dead_at >= this->options.dead_retention;
+      if (!expired) {
+        ++row;
+        continue;
+      }
+      this->updates.Remove(row->first);
+      row = this->entries.erase(row);
+    }
+  }
+
+  void PushLeaving() {
+    if (this->eager.empty()) return;
+    for (const std::string& vm : this->eager) {
+      const auto found = this->entries.find(vm);
+      if (found != this->entries.end()) this->Spread(found->second.member);
+    }
+    this->eager.clear();
+    for (const std::string& vm : this->RandomMembers(this->options.leave_fan_out, "")) {
+      this->SendPing(this->entries.find(vm)->second.member.peer, vm, 0);
+    }
+  }
+
+  void OnTick(Instant now) {
+    this->ForgivePause(now);
+    this->last_tick = now;
+    std::erase_if(this->relays, [now](const auto& row) { return row.second.expires <= now; });
+    this->PingIndirectly(now);
+    this->ExpireMembers(now);
+    this->RunPeriod(now);
+    this->PingDead(now);
+    this->Sync(now);
+    this->PushLeaving();
+    if (this->change_pending) this->actions.push_back(MembersChanged{});
+    this->change_pending = false;
+  }
+
+  // ---- other events ----
+
+  void On(const Start& event, Instant now) {
+    this->seeds = event.seeds;
+    // Processes that start together do not ping in step.
+    this->next_ping =
+        now + Duration(UniformBelow(this->random,
+                                    static_cast<std::uint64_t>(this->options.ping_period.count())));
+    this->next_dead_ping = now + this->options.dead_ping_period;
+    this->next_sync = now + this->options.sync_period;
+    this->Join();
+  }
+
+  void On(const MessageArrived& event, Instant now) {
+    const wire::Envelope& message = event.message;
+    switch (message.body_case()) {
+      case wire::Envelope::kPing:
+        return this->OnPing(message, now);
+      case wire::Envelope::kPingAck:
+        return this->OnPingAck(message, now);
+      case wire::Envelope::kPingRequest:
+        return this->OnPingRequest(message, now);
+      case wire::Envelope::kMembersPull:
+        return this->OnMembersPull(message);
+      case wire::Envelope::kMembersPush:
+        return this->OnMembersPush(message, now);
+      default:
+        return;
+    }
+  }
+
+  // The list lags, so "leaving" counts only for the incarnation it was first read for: a VM that
+  // has come back under its name is not leaving.
+  void On(const VmListArrived& event, Instant) {
+    this->candidates.clear();
+    for (const ListedVm& listed : event.vms) {
+      if (listed.vm == this->self.vm) continue;
+      const auto found = this->entries.find(listed.vm);
+      if (found == this->entries.end()) {
+        this->candidates.emplace(listed.vm, listed.peer);
+        continue;
+      }
+      Entry& entry = found->second;
+      if (listed.leaving && !entry.listed_leaving) {
+        entry.listed_for = entry.member.incarnation;
+      }
+      if (listed.leaving != entry.listed_leaving) this->NoteChange();
+      entry.listed_leaving = listed.leaving;
+    }
+    this->Join();
+  }
+
+  void On(const ReadyChanged& event, Instant) {
+    if (this->self.ready == event.ready && this->self.loaded_manifest == event.loaded_manifest) {
+      return;
+    }
+    this->self.ready = event.ready;
+    this->self.loaded_manifest = event.loaded_manifest;
+    ++this->self.update;
+    this->SpreadSelf();
+  }
+
+  void On(const RevisionChanged& event, Instant) {
+    this->self.tables_revision = event.revision;
+    this->view_stale = true;
+  }
+
+  void On(const LeaveOrdered&, Instant) {
+    if (this->self.state == MemberState::kLeaving) return;
+    this->self.state = MemberState::kLeaving;
+    ++this->self.update;
+    this->SpreadSelf();
+    for (const std::string& vm : this->RandomMembers(this->options.leave_fan_out, "")) {
+      this->SendPing(this->entries.find(vm)->second.member.peer, vm, 0);
+    }
+  }
+
+  void On(const Tick&, Instant now) { this->OnTick(now); }
+
+  // Every message carries this process's own update, so it needs no place in the queue.
+  void SpreadSelf() { this->NoteChange(); }
+
+  // ---- view ----
+
+  Member Effective(const Entry& entry) const {
+    Member member = entry.member;
+    const bool listed = entry.listed_leaving && entry.listed_for == member.incarnation;
+    if (listed && member.state != MemberState::kDead) member.state = MemberState::kLeaving;
+    return member;
+  }
+
+  void RebuildView() {
+    if (!this->view_stale) return;
+    this->view_stale = false;
+    this->view.clear();
+    this->view.push_back(this->self);
+    for (const auto& [vm, entry] : this->entries) {
+      if (entry.member.state != MemberState::kDead) this->view.push_back(this->Effective(entry));
+    }
+    std::sort(this->view.begin(), this->view.end(),
+              [](const Member& left, const Member& right) { return left.vm < right.vm; });
+  }
+};
+
+Membership::Membership(Member self, MembershipOptions options, Random& random)
+    : impl(std::make_unique<Impl>(
+          Impl{.self = std::move(self), .options = options, .random = random})) {
+  this->impl->RebuildView();
+}
+Membership::~Membership() = default;
+
+std::vector<Membership::Action> Membership::Handle(const Event& event, Instant now) {
+  std::visit([this, now](const auto& typed) { this->impl->On(typed, now); }, event);
+  this->impl->RebuildView();
+  return std::exchange(this->impl->actions, {});
+}
+
+const std::vector<Member>& Membership::Members() const { return this->impl->view; }
+
+const Member* Membership::Find(std::string_view vm) const {
+  const auto& view = this->impl->view;
+  const auto found = std::lower_bound(
+      view.begin(), view.end(), vm,
+      [](const Member& member, std::string_view name) { return member.vm < name; });
+  return found != view.end() && found->vm == vm ? &*found : nullptr;
+}
+
+std::size_t Membership::DeadCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->impl->entries.begin(), this->impl->entries.end(),
+                    [](const auto& row) { return row.second.member.state == MemberState::kDead; }));
+}
+
+}  // namespace savory
