Add the replica of the tables and its driver

A new revision is offered and then pulled, so that its bytes cross each link about once even when several peers tell the same process.

--- a/src/tables/table_driver.h
+++ b/src/tables/table_driver.h
@@ -5,20 +5,14 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 #include "runtime/node.h"
+#include "tables/table_peer.h"
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
 
-// Another process that may hold the tables; the composition of the process fills the list from the
-// member list.
-struct TablePeer {
-  std::string vm;
-  std::string peer;  // IP:PORT
-  std::string data_centre;
-};
-
 // All calls on the loop's thread.
 class TableDriver {
  public:
--- /dev/null
+++ b/src/tables/table_keys.h
@@ -0,0 +1,17 @@
+// Keys of the tables in the key-value service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace savory {
+
+inline constexpr std::string_view kTablesKey = "tables";
+
+// Key of the overwritten revision `revision`.
+inline std::string TablesHistoryKey(std::uint64_t revision) {
+  return "tables-history/" + std::to_string(revision);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/tables/table_peer.h
@@ -0,0 +1,14 @@
+// Another process that may hold the tables.
+#pragma once
+
+#include <string>
+
+namespace savory {
+
+struct TablePeer {
+  std::string vm;
+  std::string peer;  // IP:PORT
+  std::string data_centre;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/tables/table_replica.cc
@@ -0,0 +1,245 @@
+#include "tables/table_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace savory {
+namespace {
+
+constexpr std::string_view kWatchKey = "tables-watch";
+constexpr std::string_view kRingKey = "tables-ring";
+
+// The call to the service that is in progress.
+enum class Call { kNone, kRead, kWatch };
+
+}  // namespace
+
+struct TableReplica::Impl {
+  std::string vm;
+  TableReplicaOptions options;
+  Random& random;
+
+  wire::Tables tables = {};
+  std::uint64_t version = 0;          // of the key, as last read
+  std::vector<TablePeer> peers = {};  // without this process, in ring order from its successor
+  bool watcher = false;
+  Instant watcher_since = {};
+
+  bool started = false;
+  Call call = Call::kNone;
+  bool in_sync = false;    // the last call to the service succeeded
+  bool start_read = true;  // the read at the start has not succeeded, and no peer has answered
+  int failures = 0;
+  Instant next_call = {};
+  Instant pull_until = {};  // a pull is in progress until then
+  // Offer that came while a pull was in progress; pulled when that one brings nothing.
+  std::string offering_peer = {};
+  std::uint64_t offered_revision = 0;
+  Instant next_start_pull = {};
+
+  std::vector<Action> actions = {};
+
+  void Apply(const wire::Tables& given) {
+    if (given.revision() <= this->tables.revision()) return;
+    this->tables = given;
+    this->pull_until = {};
+    this->start_read = false;
+    this->actions.push_back(Applied{});
+    for (const std::string& peer : this->OfferTargets()) {
+      this->actions.push_back(SendOffer{.peer = peer, .revision = given.revision()});
+    }
+  }
+
+  // The ring successor and random others.
+  std::vector<std::string> OfferTargets() {
+    std::vector<std::string> targets;
+    if (this->peers.empty() || this->options.fan_out == 0) return targets;
+    targets.push_back(this->peers.front().peer);
+    for (const std::string& peer : this->RandomPeers(this->options.fan_out)) {
+      if (targets.size() == this->options.fan_out) break;
+      if (peer != targets.front()) targets.push_back(peer);
+    }
+    return targets;
+  }
+
+  std::vector<std::string> RandomPeers(std::size_t count) {
+    std::vector<std::size_t> order(this->peers.size());
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+    const std::size_t taken = std::min(count, order.size());
+    std::vector<std::string> chosen;
+    for (std::size_t i = 0; i < taken; ++i) {
+      std::swap(order[i], order[i + UniformBelow(this->random, order.size() - i)]);
+      chosen.push_back(this->peers[order[i]].peer);
+    }
+    return chosen;
+  }
+
+  // ---- the service ----
+
+  void FinishCall(bool succeeded, Instant now) {
+    this->call = Call::kNone;
+    this->in_sync = succeeded;
+    if (succeeded) {
+      this->failures = 0;
+      this->next_call = now;
+      return;
+    }
+    ++this->failures;
+    this->next_call = now + this->Backoff();
+  }
+
+  // Jitter over the whole range keeps the watchers from calling together after an outage.
+  Duration Backoff() {
+    const Duration limit =
+        this->watcher ? this->options.backoff_max : this->options.start_backoff_max;
+    const int doublings = std::min(this->failures - 1, 16);
+    const Duration step = std::min(limit, this->options.backoff_first * (1 << doublings));
+    const double factor = 0.5 + UniformUnit(this->random);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(step.count()) * factor));
+  }
+
+  void TakeAnswer(const std::optional<KvTables>& answer) {
+    if (!answer) return;
+    this->version = std::max(this->version, answer->version);
+    this->Apply(answer->tables);
+  }
+
+  // Watching begins with a read, which fails soon while the service is away; a long poll would not
+  // notice the end of an outage before its own timeout.
+  void CallService(Instant now) {
+    if (!this->started || this->call != Call::kNone || now < this->next_call) return;
+    const bool settled = now - this->watcher_since >= this->options.watcher_settle;
+    if (!this->start_read && !(this->watcher && settled)) return;
+    if (this->in_sync && this->watcher) {
+      this->call = Call::kWatch;
+      this->actions.push_back(
+          WatchService{.after = this->version, .wait = this->options.watch_wait});
+      return;
+    }
+    this->call = Call::kRead;
+    this->actions.push_back(ReadService{});
+  }
+
+  void AskPeersAtStart(Instant now) {
+    if (!this->start_read || this->failures == 0 || now < this->next_start_pull) return;
+    this->next_start_pull = now + this->options.pull_timeout;
+    for (const std::string& peer : this->RandomPeers(this->options.start_peers)) {
+      this->actions.push_back(SendPull{.peer = peer, .above_revision = this->tables.revision()});
+    }
+  }
+
+  void Pull(const std::string& peer, Instant now) {
+    if (now < this->pull_until) return;
+    this->pull_until = now + this->options.pull_timeout;
+    this->actions.push_back(SendPull{.peer = peer, .above_revision = this->tables.revision()});
+  }
+
+  // ---- peers ----
+
+  void SetPeers(std::vector<TablePeer> given, Instant now) {
+    std::string data_centre;
+    for (const TablePeer& peer : given) {
+      if (peer.vm == this->vm) data_centre = peer.data_centre;
+    }
+    const bool chosen = this->RankInDataCentre(given, data_centre) < this->options.watchers;
+    if (chosen && !this->watcher) this->watcher_since = now;
+    this->watcher = chosen;
+    const std::uint64_t own = RendezvousScore(kRingKey, this->vm);
+    const auto place = [own](const TablePeer& peer) {
+      return RendezvousScore(kRingKey, peer.vm) - own;  // distance on the ring, modulo 2^64
+    };
+    std::erase_if(given, [this](const TablePeer& peer) { return peer.vm == this->vm; });
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < given.size(); ++i) order.emplace_back(place(given[i]), i);
+    std::sort(order.begin(), order.end());
+    this->peers.clear();
+    for (const auto& [distance, index] : order) this->peers.push_back(std::move(given[index]));
+  }
+
+  std::size_t RankInDataCentre(const std::vector<TablePeer>& given,
+                               const std::string& data_centre) const {
+    const std::uint64_t own = RendezvousScore(kWatchKey, this->vm);
+    return static_cast<std::size_t>(
+        std::count_if(given.begin(), given.end(), [&](const TablePeer& peer) {
+          return peer.vm != this->vm && peer.data_centre == data_centre &&
+                 RendezvousScore(kWatchKey, peer.vm) > own;
+        }));
+  }
+
+  // ---- events ----
+
+  void On(const Start&, Instant now) {
+    this->started = true;
+    this->next_call = now;
+    // Until the member list is known this process counts on itself alone.
+    this->watcher = true;
+    this->watcher_since = now;
+    this->CallService(now);
+  }
+
+  void On(const PeersChanged& event, Instant now) {
+    this->SetPeers(event.peers, now);
+    this->CallService(now);
+  }
+
+  void On(const ReadAnswered& event, Instant now) {
+    this->FinishCall(event.answer.has_value(), now);
+    if (event.answer.has_value()) {
+      this->start_read = false;
+      this->TakeAnswer(event.answer.value());
+    }
+    this->AskPeersAtStart(now);
+    this->CallService(now);
+  }
+
+  void On(const WatchAnswered& event, Instant now) {
+    this->FinishCall(event.answer.has_value(), now);
+    if (event.answer.has_value()) this->TakeAnswer(event.answer.value());
+    this->CallService(now);
+  }
+
+  void On(const OfferArrived& event, Instant now) {
+    if (event.revision <= this->tables.revision()) return;
+    if (now >= this->pull_until) return this->Pull(event.peer, now);
+    this->offering_peer = event.peer;
+    this->offered_revision = event.revision;
+  }
+
+  void PullOffered(Instant now) {
+    if (this->offering_peer.empty() || now < this->pull_until) return;
+    if (this->offered_revision > this->tables.revision()) this->Pull(this->offering_peer, now);
+    this->offering_peer.clear();
+  }
+
+  void On(const PullArrived& event, Instant) {
+    if (this->tables.revision() <= event.above_revision) return;
+    this->actions.push_back(SendPush{.peer = event.peer});
+  }
+
+  void On(const PushArrived& event, Instant) { this->Apply(event.tables); }
+
+  void On(const PullWanted& event, Instant now) { this->Pull(event.peer, now); }
+
+  void On(const Tick&, Instant now) {
+    this->PullOffered(now);
+    this->AskPeersAtStart(now);
+    this->CallService(now);
+  }
+};
+
+TableReplica::TableReplica(std::string vm, TableReplicaOptions options, Random& random)
+    : impl(new Impl{.vm = std::move(vm), .options = options, .random = random}) {}
+TableReplica::~TableReplica() = default;
+
+std::vector<TableReplica::Action> TableReplica::Handle(const Event& event, Instant now) {
+  std::visit([this, now](const auto& typed) { this->impl->On(typed, now); }, event);
+  return std::exchange(this->impl->actions, {});
+}
+
+const wire::Tables& TableReplica::Current() const { return this->impl->tables; }
+
+bool TableReplica::IsWatcher() const { return this->impl->watcher; }
+
+}  // namespace savory
