--- /dev/null
+++ b/src/apps/daemon_main.h
@@ -0,0 +1,38 @@
+// Start of a daemon: command line and settings.
+#pragma once
+
+#include <functional>
+#include <iostream>
+#include <string_view>
+
+#include "base/command_line.h"
+#include "base/settings.h"
+
+namespace savory {
+
+// Reads the settings of a daemon and passes them to `run`; returns the exit status.
+// `read` turns a reader into settings; its errors stay in the reader.
+template <typename Settings>
+int RunDaemon(int argc, const char* const* argv, std::string_view program, std::string_view summary,
+              std::function<Settings(SettingsReader&)> read,
+              std::function<int(const Settings&)> run) {
+  const auto fail = [](const Error& error) {
+    std::cerr << error.detail << '\n';
+    return kExitUsage;
+  };
+  const auto command = ParseDaemonCommand(argc, argv, program, summary);
+  if (!command) return fail(command.error());
+  if (!command.value()) return 0;
+  auto reader = SettingsReader::FromFile(command.value()->config_file);
+  if (!reader) return fail(reader.error());
+  const Settings settings = read(reader.value());
+  const auto checked = reader.value().Finish();
+  if (!checked) return fail(checked.error());
+  if (command.value()->check_config) {
+    std::cout << "ok\n";
+    return 0;
+  }
+  return run(settings);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/process_host.cc
@@ -0,0 +1,183 @@
+#include "apps/process_host.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <random>
+#include <thread>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "membership/membership_driver.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_server.h"
+#include "runtime/kv_client.h"
+#include "runtime/peer_transport.h"
+#include "runtime/workers.h"
+#include "tables/table_driver.h"
+
+namespace savory {
+namespace {
+
+constexpr std::chrono::seconds kAskTimeout(1);
+constexpr Duration kGaugePeriod = std::chrono::seconds(1);
+// The engine and operators' tools are the only callers of the operator port.
+constexpr int kOperatorThreads = 8;
+
+// The signals are taken by one thread, so that no handler runs inside the loop.
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+HttpReply TextReply(int status, std::string text) {
+  return HttpReply{.status = status, .content_type = "text/plain", .body = std::move(text)};
+}
+
+TablePeer ToTablePeer(const Member& member) {
+  return TablePeer{.vm = member.vm, .peer = member.peer, .data_centre = member.data_centre};
+}
+
+}  // namespace
+
+struct ProcessHost::Impl {
+  ProcessSettings settings;
+  Metrics metrics;
+  Random random{std::random_device{}()};
+  EventLoop loop;
+  Workers workers;
+  PeerTransport peers;
+  KvClient kv;
+  Node node;
+  HttpServer operator_server;
+  std::function<bool()> ready_check = [] { return true; };
+  std::function<void(std::function<void()>)> drain = [](const auto& done) { done(); };
+  bool stopping = false;
+
+  explicit Impl(const ProcessSettings& settings)
+      : settings(settings),
+        workers(loop, settings.workers),
+        peers(loop, metrics,
+              {.listen = settings.identity.peer,
+               .vm = settings.identity.vm,
+               .incarnation = settings.identity.incarnation}),
+        kv(workers, metrics, settings.kv, settings.kv_timeout),
+        node{.identity = settings.identity,
+             .loop = loop,
+             .peers = peers,
+             .workers = workers,
+             .kv = kv,
+             .metrics = metrics,
+             .random = random},
+        operator_server({.listen = settings.operator_listen, .max_requests = kOperatorThreads}) {}
+
+  void UpdateGauges() {
+    const TransportBytes bytes = this->peers.Bytes();
+    const auto set = [this](std::string_view labels, std::uint64_t value) {
+      this->metrics.GaugeFor("savory_peer_bytes", labels).Set(static_cast<double>(value));
+    };
+    set(R"(lane="control",direction="sent")", bytes.control_sent);
+    set(R"(lane="control",direction="received")", bytes.control_received);
+    set(R"(lane="bulk",direction="sent")", bytes.bulk_sent);
+    set(R"(lane="bulk",direction="received")", bytes.bulk_received);
+  }
+
+  void BeginStop() {
+    if (this->stopping) return;
+    this->stopping = true;
+    Log(LogLevel::kInfo, "drain_started");
+    this->drain([this] { this->loop.Stop(); });
+  }
+
+  void WaitForSignal() {
+    const sigset_t signals = StopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+    this->loop.Post([this] { this->BeginStop(); });
+  }
+};
+
+ProcessHost::ProcessHost(const ProcessSettings& settings) {
+  BlockStopSignals();
+  ConfigureLog(settings.log);
+  this->impl = std::make_unique<Impl>(settings);
+  HttpServer& server = this->impl->operator_server;
+  server.Handle("GET", "/metrics", [this](const HttpRequest&) {
+    return TextReply(200, this->impl->metrics.Render());
+  });
+  server.Handle("GET", "/healthz", [this](const HttpRequest&) {
+    const std::string answer = this->AskLoop([] { return std::string("ok\n"); });
+    return answer.empty() ? TextReply(503, "the event loop does not answer\n")
+                          : TextReply(200, answer);
+  });
+  server.Handle("GET", "/readyz", [this](const HttpRequest&) {
+    const std::string answer = this->AskLoop([this] {
+      const bool ready = !this->impl->stopping && this->impl->ready_check();
+      return std::string(ready ? "ready\n" : "not ready\n");
+    });
+    return TextReply(answer == "ready\n" ? 200 : 503, answer);
+  });
+  this->impl->loop.Every(kGaugePeriod, [this] { this->impl->UpdateGauges(); });
+}
+
+ProcessHost::~ProcessHost() = default;
+
+Node& ProcessHost::SharedNode() { return this->impl->node; }
+
+HttpServer& ProcessHost::OperatorServer() { return this->impl->operator_server; }
+
+std::string ProcessHost::AskLoop(std::function<std::string()> ask) {
+  auto promise = std::make_shared<std::promise<std::string>>();
+  auto future = promise->get_future();
+  this->impl->loop.Post([promise, ask = std::move(ask)] { promise->set_value(ask()); });
+  if (future.wait_for(kAskTimeout) != std::future_status::ready) return {};
+  return future.get();
+}
+
+void ProcessHost::SetReadyCheck(std::function<bool()> ready) {
+  this->impl->ready_check = std::move(ready);
+}
+
+void ProcessHost::OnStop(std::function<void(std::function<void()> done)> drain) {
+  this->impl->drain = std::move(drain);
+}
+
+void ProcessHost::Connect(MembershipDriver& members, TableDriver& tables) {
+  const auto update_peers = [&members, &tables] {
+    std::vector<TablePeer> peers;
+    for (const Member& member : members.Members()) peers.push_back(ToTablePeer(member));
+    tables.SetPeers(std::move(peers));
+  };
+  update_peers();
+  members.OnChange(update_peers);
+  members.OnHigherRevision([&tables](const Member& peer) { tables.PullFrom(peer.peer); });
+  tables.OnChange([&members](const wire::Tables& current) {
+    members.SetTablesRevision(current.revision());
+    Log(LogLevel::kInfo, "tables_in_force", {{"revision", current.revision()}});
+  });
+}
+
+void ProcessHost::Run() {
+  this->impl->operator_server.Start();
+  std::thread([this] { this->impl->WaitForSignal(); }).detach();
+  Log(LogLevel::kInfo, "started",
+      {{"peer", this->impl->settings.identity.peer},
+       {"operator", this->impl->settings.operator_listen},
+       {"incarnation", this->impl->settings.identity.incarnation}});
+  this->impl->loop.Run();
+  Log(LogLevel::kInfo, "stopped");
+  // Long polls of the key-value service may last seconds longer; nothing depends on their end.
+  std::quick_exit(EXIT_SUCCESS);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/process_settings.cc
@@ -0,0 +1,58 @@
+#include "apps/process_settings.h"
+
+#include <chrono>
+
+namespace savory {
+namespace {
+
+constexpr Range kTimeoutMs = {.low = 10, .high = 60'000};
+constexpr Range kWorkers = {.low = 4, .high = 1024};
+constexpr int kEntryWorkers = 32;
+// Each attempt at an engine occupies one worker for as long as its stream lasts.
+constexpr int kAgentWorkers = 160;
+
+// Time of the start: a later start of the same VM has a higher incarnation.
+std::uint64_t StartIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+LogOptions ReadLogOptions(SettingsReader reader) {
+  LogOptions options;
+  options.level = static_cast<LogLevel>(
+      reader.Choice("level", {"debug", "info", "warn", "error"}, std::size_t{1}));
+  options.form = static_cast<LogForm>(reader.Choice("form", {"key-value", "json"}, std::size_t{0}));
+  return options;
+}
+
+}  // namespace
+
+ProcessSettings ReadProcessSettings(SettingsReader& reader, bool agent) {
+  ProcessSettings settings;
+  settings.identity.vm = reader.Text("vm");
+  settings.identity.region = reader.Text("region");
+  settings.identity.data_centre = reader.Text("data_centre");
+  settings.identity.agent = agent;
+  settings.identity.incarnation = StartIncarnation();
+  if (agent) settings.identity.service = reader.Section("upstream").Text("service");
+
+  SettingsReader listen = reader.Section("listen");
+  settings.identity.peer = listen.Address("peer");
+  settings.operator_listen = listen.Address("operator");
+
+  SettingsReader platform = reader.Section("platform");
+  settings.kv = platform.Address("kv");
+  settings.kv_timeout =
+      std::chrono::milliseconds(platform.Integer("kv_timeout_ms", kTimeoutMs, 1000));
+
+  settings.membership = ReadMembershipOptions(reader.Section("membership"));
+  settings.membership.vm_list = platform.Address("vm_list", "");
+  settings.log = ReadLogOptions(reader.Section("log"));
+  settings.log.vm = settings.identity.vm;
+  settings.workers =
+      static_cast<int>(reader.Integer("workers", kWorkers, agent ? kAgentWorkers : kEntryWorkers));
+  return settings;
+}
+
+}  // namespace savory
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -188,14 +188,18 @@
 }
 
 SettingsReader SettingsReader::Section(std::string_view key) {
+  const std::string path = this->impl->path + std::string(key) + ".";
+  // One reader for each section: keys that two callers read must add up.
+  for (const auto& child : this->impl->children) {
+    if (child->path == path) return SettingsReader(child);
+  }
   YAML::Node found = this->impl->Find(key);
   if (found.IsDefined() && !found.IsNull() && !found.IsMap()) {
     this->Fail(key, "must be a mapping");
   }
   if (!found.IsDefined() || !found.IsMap()) found = YAML::Node(YAML::NodeType::Map);
-  auto child = std::make_shared<Impl>(Impl{.report = this->impl->report,
-                                           .node = found,
-                                           .path = this->impl->path + std::string(key) + "."});
+  auto child =
+      std::make_shared<Impl>(Impl{.report = this->impl->report, .node = found, .path = path});
   this->impl->children.push_back(child);
   return SettingsReader(std::move(child));
 }
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -20,6 +20,14 @@
   EXPECT_EQ(result.error().detail, "agent.yaml:4: listen.pier: is not a known setting");
 }
 
+// Guards against a section whose keys are read by two callers being reported as unknown.
+TEST(SettingsTest, SectionCanBeReadTwice) {
+  SettingsReader reader = Read("listen: {peer: 127.0.0.1:1, http: 127.0.0.1:2}\n");
+  reader.Section("listen").Address("peer");
+  reader.Section("listen").Address("http");
+  EXPECT_TRUE(reader.Finish());
+}
+
 // Guards against values out of range and missing values being replaced by a
 // default.
 TEST(SettingsTest, ReportsTheFirstError) {
