--- a/src/apps/process_host.cc
+++ b/src/apps/process_host.cc
@@ -22,7 +22,7 @@
 constexpr std::chrono::seconds kAskTimeout(1);
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 // The engine and operators' tools are the only callers of the operator port.
-constexpr int kOperatorThreads = 8;
+constexpr int kOperatorThreads = 16;
 
 // The signals are taken by one thread, so that no handler runs inside the loop.
 sigset_t StopSignals() {
@@ -79,7 +79,8 @@
              .kv = kv,
              .metrics = metrics,
              .random = random},
-        operator_server({.listen = settings.operator_listen, .max_requests = kOperatorThreads}) {}
+        operator_server({.listen = settings.operator_listen, .max_connections = kOperatorThreads}) {
+  }
 
   void UpdateGauges() {
     const TransportBytes bytes = this->peers.Bytes();
--- /dev/null
+++ b/src/runtime/event_loop_test.cc
@@ -0,0 +1,38 @@
+#include "runtime/event_loop.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+#include <vector>
+
+namespace savory {
+namespace {
+
+// Guards against timers that run out of order or after being cancelled.
+TEST(EventLoopTest, TimersRunInOrderOfDueTime) {
+  EventLoop loop;
+  std::vector<int> order;
+  loop.After(std::chrono::milliseconds(2), [&] { order.push_back(2); });
+  const auto cancelled = loop.After(std::chrono::milliseconds(1), [&] { order.push_back(9); });
+  loop.After(Duration(0), [&] { order.push_back(1); });
+  loop.After(std::chrono::milliseconds(3), [&] { loop.Stop(); });
+  loop.Cancel(cancelled);
+  loop.Run();
+  EXPECT_EQ(order, (std::vector{1, 2}));
+}
+
+// Guards against a closure that is posted from another thread being lost.
+TEST(EventLoopTest, PostedClosuresAllRun) {
+  EventLoop loop;
+  int runs = 0;
+  std::thread poster([&] {
+    for (int i = 0; i < 1000; ++i) loop.Post([&runs] { ++runs; });
+    loop.Stop();
+  });
+  loop.Run();
+  poster.join();
+  EXPECT_EQ(runs, 1000);
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -1,6 +1,7 @@
 #include "runtime/http_server.h"
 
 #include <httplib.h>
+#include <sys/socket.h>
 
 #include <cstdlib>
 #include <thread>
@@ -11,30 +12,16 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 64u << 20;
-constexpr time_t kKeepAliveSeconds = 60;
 constexpr std::size_t kKeepAliveRequests = 100'000;
 constexpr time_t kReadTimeoutSeconds = 30;
 
-// Threads grow with the load up to a maximum; connections beyond the waiting
-// line are refused by closing them, before any byte of a request is read.
-class BoundedTaskQueue : public httplib::ThreadPool {
- public:
-  BoundedTaskQueue(int threads, int max_waiting)
-      : httplib::ThreadPool(static_cast<std::size_t>(threads)), max_waiting(max_waiting) {}
-
-  void enqueue(std::function<void()> task) override {  // NOLINT(readability-identifier-naming)
-    this->waiting.fetch_add(1);
-    httplib::ThreadPool::enqueue([this, task = std::move(task)] {
-      this->waiting.fetch_sub(1);
-      task();
-    });
-  }
+// Callers arrive in bursts; the library's own backlog of 5 refuses connections under load.
+constexpr int kListenBacklog = 512;
 
-  bool IsFull() const { return this->waiting.load() > this->max_waiting; }
-
- private:
-  std::atomic<int> waiting = 0;
-  int max_waiting;
+class Server : public httplib::Server {
+ public:
+  // Call after the socket was bound.
+  void EnlargeBacklog() { listen(this->svr_sock_, kListenBacklog); }
 };
 
 HttpRequest FromLibrary(const httplib::Request& request) {
@@ -84,18 +71,17 @@
   explicit Impl(HttpServerOptions options) : options(std::move(options)) {}
 
   HttpServerOptions options;
-  httplib::Server server = {};
+  Server server = {};
   std::thread thread = {};
 };
 
 HttpServer::HttpServer(HttpServerOptions options)
     : impl(std::make_unique<Impl>(std::move(options))) {
   httplib::Server& server = this->impl->server;
-  const int threads = this->impl->options.max_requests;
-  const int waiting = this->impl->options.max_waiting;
-  server.new_task_queue = [threads, waiting] { return new BoundedTaskQueue(threads, waiting); };
+  const auto threads = static_cast<std::size_t>(this->impl->options.max_connections);
+  server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
   server.set_payload_max_length(kMaxBodyBytes);
-  server.set_keep_alive_timeout(kKeepAliveSeconds);
+  server.set_keep_alive_timeout(this->impl->options.keep_alive / std::chrono::seconds(1));
   server.set_keep_alive_max_count(kKeepAliveRequests);
   server.set_read_timeout(kReadTimeoutSeconds);
   server.set_tcp_nodelay(true);
@@ -125,6 +111,7 @@
     Log(LogLevel::kError, "http_bind_failed", {{"address", listen}});
     std::exit(EXIT_FAILURE);
   }
+  this->impl->server.EnlargeBacklog();
   this->impl->thread = std::thread([this] { this->impl->server.listen_after_bind(); });
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -10,9 +10,12 @@
 namespace savory {
 
 struct HttpServerOptions {
-  std::string listen;     // IP:PORT
-  int max_requests = 64;  // handled at the same time; one thread each
-  int max_waiting = 64;   // connections that wait for a thread; more are closed
+  std::string listen;  // IP:PORT
+  // Connections served at the same time, one thread each. A connection occupies its thread while it
+  // is open, so handlers must refuse load well below this number for callers to get an answer.
+  int max_connections = 64;
+  // An idle connection is closed after this time, which frees its thread.
+  Duration keep_alive = std::chrono::seconds(5);
 };
 
 // Handlers run on the server's threads, several at a time.
