--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -21,7 +21,7 @@
 class Server : public httplib::Server {
  public:
   // Call after the socket was bound.
-  void EnlargeBacklog() { listen(this->svr_sock_, kListenBacklog); }
+  void EnlargeBacklog() { ::listen(this->svr_sock_, kListenBacklog); }
 };
 
 HttpRequest FromLibrary(const httplib::Request& request) {
