--- /dev/null
+++ b/src/tables/table_merge.cc
@@ -0,0 +1,108 @@
+#include "tables/table_merge.h"
+
+#include <map>
+#include <optional>
+
+namespace savory {
+namespace {
+
+// Serialized rows by name; equal bytes mean equal rows, since the messages hold no maps.
+using RowBytes = std::map<std::string, std::string, std::less<>>;
+
+template <typename Rows>
+RowBytes BytesOf(const Rows& rows) {
+  RowBytes bytes;
+  for (const auto& row : rows) bytes.emplace(row.name(), row.SerializeAsString());
+  return bytes;
+}
+
+std::optional<std::string_view> Lookup(const RowBytes& rows, std::string_view name) {
+  const auto found = rows.find(name);
+  if (found == rows.end()) return std::nullopt;
+  return found->second;
+}
+
+void DiffRows(TableRowKind kind, const RowBytes& before, const RowBytes& after,
+              std::vector<RowDifference>& differences) {
+  for (const auto& [name, bytes] : before) {
+    const auto other = Lookup(after, name);
+    if (!other) differences.push_back({kind, name, RowChange::kRemoved});
+    if (other && *other != bytes) differences.push_back({kind, name, RowChange::kChanged});
+  }
+  for (const auto& [name, bytes] : after) {
+    if (!before.contains(name)) differences.push_back({kind, name, RowChange::kAdded});
+  }
+}
+
+template <typename Rows>
+void RemoveRow(Rows& rows, std::string_view name) {
+  for (int i = 0; i < rows.size(); ++i) {
+    if (rows.Get(i).name() != name) continue;
+    rows.DeleteSubrange(i, 1);
+    return;
+  }
+}
+
+template <typename Rows>
+void SetRow(Rows& rows, const Rows& source, std::string_view name) {
+  for (const auto& wanted : source) {
+    if (wanted.name() != name) continue;
+    for (auto& row : rows) {
+      if (row.name() != name) continue;
+      row = wanted;
+      return;
+    }
+    *rows.Add() = wanted;
+    return;
+  }
+}
+
+template <typename Rows>
+void ApplyDifference(Rows& rows, const Rows& source, const RowDifference& difference) {
+  if (difference.change == RowChange::kRemoved) return RemoveRow(rows, difference.row);
+  SetRow(rows, source, difference.row);
+}
+
+// True when both sides changed the row since `base`, in different ways.
+bool Conflicts(const RowBytes& base, const RowBytes& mine, const RowBytes& theirs,
+               std::string_view name) {
+  const auto wanted = Lookup(mine, name);
+  const auto current = Lookup(theirs, name);
+  return current != Lookup(base, name) && current != wanted;
+}
+
+}  // namespace
+
+std::vector<RowDifference> DiffTables(const wire::Tables& before, const wire::Tables& after) {
+  std::vector<RowDifference> differences;
+  DiffRows(TableRowKind::kRoute, BytesOf(before.routes()), BytesOf(after.routes()), differences);
+  DiffRows(TableRowKind::kPool, BytesOf(before.pools()), BytesOf(after.pools()), differences);
+  return differences;
+}
+
+Result<wire::Tables> MergeTables(const wire::Tables& base, const wire::Tables& mine,
+                                 const wire::Tables& theirs) {
+  wire::Tables merged = theirs;
+  for (const RowDifference& difference : DiffTables(base, mine)) {
+    const bool route = difference.kind == TableRowKind::kRoute;
+    const bool conflict = route ? Conflicts(BytesOf(base.routes()), BytesOf(mine.routes()),
+                                            BytesOf(theirs.routes()), difference.row)
+                                : Conflicts(BytesOf(base.pools()), BytesOf(mine.pools()),
+                                            BytesOf(theirs.pools()), difference.row);
+    if (conflict) {
+      return Error{.kind = ErrorKind::kEditConflict,
+                   .detail = std::string(TableRowKindName(difference.kind)) + " " + difference.row +
+                             " was changed by " + theirs.author() +
+                             " in a later revision (now at " + std::to_string(theirs.revision()) +
+                             ")"};
+    }
+    if (route) {
+      ApplyDifference(*merged.mutable_routes(), mine.routes(), difference);
+    } else {
+      ApplyDifference(*merged.mutable_pools(), mine.pools(), difference);
+    }
+  }
+  return merged;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/tables/table_merge.h
@@ -0,0 +1,31 @@
+// Differences between tables, and the merge of two operators' changes.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "tables/table_check.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+
+enum class RowChange { kAdded, kChanged, kRemoved };
+
+// One row that differs between two tables.
+struct RowDifference {
+  TableRowKind kind = TableRowKind::kRoute;
+  std::string row;
+  RowChange change = RowChange::kChanged;
+};
+
+// Rows in which `after` differs from `before`: routes, then pools, each by name.
+std::vector<RowDifference> DiffTables(const wire::Tables& before, const wire::Tables& after);
+
+// Applies the changes between `base` and `mine` to `theirs`, which may have changed since `base`.
+// Rows keep their places and added rows follow. Errors: kEditConflict, which names the row that
+// both changed in different ways.
+Result<wire::Tables> MergeTables(const wire::Tables& base, const wire::Tables& mine,
+                                 const wire::Tables& theirs);
+
+}  // namespace savory
