--- /dev/null
+++ b/src/savoryrouter.h
@@ -0,0 +1,34 @@
+// The public headers in reading order: read this file from top to bottom to learn the system.
+#pragma once
+
+// Types, the closed list of errors, settings.
+#include "base/digest.h"
+#include "base/error.h"
+#include "base/histogram.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/settings.h"
+#include "base/time.h"
+
+// One event loop for each process, and the only code that does I/O.
+#include "runtime/event_loop.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+#include "runtime/kv_client.h"
+#include "runtime/node.h"
+#include "runtime/peer_transport.h"
+#include "runtime/workers.h"
+
+// The two tables that operators edit, and who is alive.
+#include "membership/membership_driver.h"
+#include "tables/pool_members.h"
+#include "tables/table_driver.h"
+
+// New weights to every VM of a pool.
+#include "distribution/distribution_driver.h"
+
+// Requests: the entry's side, the agent's side, at most once.
+#include "claims/claim_driver.h"
+#include "gate/gate_driver.h"
+#include "routing/entry_driver.h"
