--- /dev/null
+++ b/src/claims/claim_batcher.cc
@@ -0,0 +1,546 @@
+#include "claims/claim_batcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <sstream>
+#include <utility>
+
+namespace savory {
+namespace {
+
+constexpr std::uint32_t kMaxDoublings = 16;
+
+Digest KeyOf(const wire::Claim& claim) { return DigestFromRaw(claim.key()); }
+
+Error Unavailable(std::string_view detail, std::optional<Duration> retry_after = std::nullopt) {
+  return Error{.kind = ErrorKind::kClaimUnavailable,
+               .detail = std::string(detail),
+               .retry_after = retry_after};
+}
+
+std::size_t AnswerBytes(const RecordedAnswer& answer) {
+  return answer.body.size() + answer.content_type.size();
+}
+
+bool IsGrant(const Result<ClaimAnswer>& answer) {
+  return answer.has_value() && std::holds_alternative<ClaimGranted>(answer.value());
+}
+
+}  // namespace
+
+bool ClaimBatcher::Shard::IsIdle() const {
+  return this->claims.empty() && this->finishes.empty() && this->releases.empty();
+}
+
+Instant ClaimBatcher::Shard::Due() const {
+  Instant due = Instant::max();
+  for (const PendingClaim& pending : this->claims) due = std::min(due, pending.ready);
+  for (const PendingFinish& pending : this->finishes) due = std::min(due, pending.ready);
+  for (const PendingRelease& pending : this->releases) due = std::min(due, pending.ready);
+  return std::max(due, this->backoff_until);
+}
+
+bool ClaimBatcher::Shard::NeedsRead() const {
+  if (!this->base || this->must_read) return true;
+  // While others write this shard too, a write from a cached value would only find a conflict.
+  return !this->uncontended && !this->just_read;
+}
+
+ClaimBatcher::ClaimBatcher(ClaimBatcherOptions options, Random& random)
+    : options(std::move(options)), random(random) {
+  assert(this->options.nonce_prefix.size() == ClaimShard::kNonceBytes / 2);
+}
+
+std::vector<ClaimAction> ClaimBatcher::Handle(const ClaimEvent& event, Instant now,
+                                              std::uint64_t unix_s) {
+  this->now = now;
+  this->unix_s = unix_s;
+  this->ExpireClaims();
+  std::visit([this](const auto& typed) { this->On(typed); }, event);
+  this->Pump();
+  return std::exchange(this->actions, {});
+}
+
+Instant ClaimBatcher::NextTick() const {
+  Instant next = Instant::max();
+  const bool blocked =
+      this->calls >= this->options.max_calls || (this->InOutage() && this->calls > 0);
+  for (const auto& [number, shard] : this->shards) {
+    for (const PendingClaim& pending : shard.claims) next = std::min(next, pending.deadline);
+    if (shard.call != Call::kNone) continue;
+    if (shard.IsIdle()) {
+      next = std::min(next, shard.used + this->options.cache_for);
+    } else if (!blocked) {
+      next = std::min(next, std::max(shard.Due(), this->retry_at));
+    }
+  }
+  return next;
+}
+
+std::uint32_t ClaimBatcher::ShardOf(const Digest& key, std::uint32_t shards) {
+  std::uint64_t head = 0;
+  for (std::size_t i = 0; i < sizeof(head); ++i) head = head << 8 | key.bytes[i];
+  return static_cast<std::uint32_t>(head % shards);
+}
+
+bool ClaimBatcher::InOutage() const { return this->failures >= this->options.outage_failures; }
+
+std::size_t ClaimBatcher::Unwritten() const {
+  std::size_t count = 0;
+  for (const auto& [number, shard] : this->shards) {
+    count += shard.finishes.size() + shard.releases.size();
+  }
+  return count;
+}
+
+std::size_t ClaimBatcher::DamagedShards() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->shards.begin(), this->shards.end(),
+                    [](const auto& row) { return row.second.damaged; }));
+}
+
+// ---- events ----
+
+void ClaimBatcher::On(const ClaimRequest& event) {
+  const bool probe = this->InOutage();
+  if (probe && (this->now < this->retry_at || this->calls > 0)) {
+    const Duration wait = std::max(this->retry_at - this->now, this->options.outage_backoff);
+    this->Reply(event.id, Unavailable("the key-value service is unavailable", wait));
+    return;
+  }
+  if (event.deadline <= this->now) {
+    this->Reply(event.id, Unavailable("the deadline has passed"));
+    return;
+  }
+  Shard& shard = this->ShardFor(KeyOf(event.claim));
+  if (shard.claims.size() >= this->options.max_waiting_claims) {
+    this->Reply(event.id, Unavailable("too many claims wait", this->options.outage_backoff));
+    return;
+  }
+  if (shard.damaged && this->now < shard.backoff_until) {
+    this->Reply(event.id, Unavailable("the value of the claim shard is damaged"));
+    return;
+  }
+  PendingClaim pending{.id = event.id,
+                       .claim = event.claim,
+                       .replaces = event.replaces,
+                       .arrived = this->now,
+                       .ready = this->now + (probe ? Duration(0) : this->options.batch_delay),
+                       .deadline = event.deadline};
+  if (pending.claim.nonce().empty()) pending.claim.set_nonce(this->MakeNonce());
+  pending.claim.set_claimed_unix_s(this->unix_s);
+  shard.claims.push_back(std::move(pending));
+}
+
+void ClaimBatcher::On(const ClaimFinish& event) {
+  Shard& shard = this->ShardFor(event.key);
+  PendingFinish pending{.key = event.key,
+                        .nonce = event.nonce,
+                        .answer = event.answer,
+                        .arrived = this->now,
+                        .ready = this->now + this->options.outcome_delay};
+  RecordedAnswer& answer = pending.answer;
+  const std::size_t bytes = AnswerBytes(answer);
+  if (!answer.record || bytes > this->options.limits.max_recorded_answer_bytes ||
+      this->answer_bytes + bytes > this->options.max_answer_bytes) {
+    answer = RecordedAnswer{.status = answer.status, .record = false};
+  }
+  this->answer_bytes += AnswerBytes(answer);
+  shard.finishes.push_back(std::move(pending));
+  this->BoundUnwritten();
+}
+
+void ClaimBatcher::On(const ClaimRelease& event) {
+  Shard& shard = this->ShardFor(event.key);
+  const auto same = std::find_if(
+      shard.claims.begin(), shard.claims.end(),
+      [&](const PendingClaim& pending) { return pending.claim.nonce() == event.nonce; });
+  if (same != shard.claims.end()) {
+    this->Reply(same->id, Unavailable("the claim was released"));
+    this->Abandon(shard, *same);
+    shard.claims.erase(same);
+    return;
+  }
+  shard.releases.push_back(PendingRelease{
+      .key = event.key, .nonce = event.nonce, .ready = this->now + this->options.batch_delay});
+  this->BoundUnwritten();
+}
+
+void ClaimBatcher::On(const ClaimReadDone& event) {
+  Shard& shard = this->shards.at(event.shard);
+  assert(shard.call == Call::kRead);
+  this->CallEnded(shard);
+  this->failures = 0;
+  auto decoded = ClaimShard::Decode(event.bytes, this->options.limits);
+  shard.damaged = !decoded;
+  if (!decoded) {
+    shard.backoff_until = this->now + this->options.max_outage_backoff;
+    this->RefuseClaims(shard, "the value of the claim shard is damaged");
+    return;
+  }
+  shard.base = std::move(decoded.value());
+  shard.version = event.version;
+  shard.base_current = shard.call_started;
+  shard.must_read = false;
+  shard.just_read = true;
+  shard.uncontended = event.version == shard.written_version;
+}
+
+void ClaimBatcher::On(const ClaimReadFailed& event) {
+  Shard& shard = this->shards.at(event.shard);
+  assert(shard.call == Call::kRead);
+  this->CallEnded(shard);
+  this->CallFailed();
+}
+
+void ClaimBatcher::On(const ClaimWriteDone& event) {
+  Shard& shard = this->shards.at(event.shard);
+  assert(shard.call == Call::kWrite);
+  this->CallEnded(shard);
+  switch (event.result) {
+    case ClaimWriteResult::kWritten:
+      this->failures = 0;
+      this->WriteConfirmed(shard, event.version);
+      return;
+    case ClaimWriteResult::kConflict:
+      this->failures = 0;
+      this->WriteNotConfirmed(shard);
+      shard.backoff_until =
+          this->now + this->Jittered(this->options.conflict_backoff,
+                                     this->options.max_conflict_backoff, shard.conflicts);
+      ++shard.conflicts;
+      return;
+    case ClaimWriteResult::kUnavailable:
+    case ClaimWriteResult::kOutcomeUnknown:
+      this->WriteNotConfirmed(shard);
+      this->CallFailed();
+      return;
+  }
+}
+
+// ---- claims that end without a grant ----
+
+ClaimBatcher::Shard& ClaimBatcher::ShardFor(const Digest& key) {
+  Shard& shard = this->shards[ShardOf(key, this->options.shards)];
+  shard.used = this->now;
+  return shard;
+}
+
+void ClaimBatcher::Reply(std::uint64_t id, Result<ClaimAnswer> answer) {
+  this->actions.emplace_back(ClaimReply{.id = id, .answer = std::move(answer)});
+}
+
+std::string ClaimBatcher::MakeNonce() {
+  std::string nonce = this->options.nonce_prefix;
+  const std::uint64_t number = ++this->nonces;
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    nonce.push_back(static_cast<char>(number >> shift & 0xff));
+  }
+  return nonce;
+}
+
+void ClaimBatcher::ExpireClaims() {
+  for (auto& [number, shard] : this->shards) {
+    for (PendingClaim& pending : shard.claims) {
+      if (this->now < pending.deadline) continue;
+      this->Reply(pending.id, Unavailable("the claim was not confirmed in time"));
+      this->Abandon(shard, pending);
+      pending.answered = true;
+    }
+    std::erase_if(shard.claims, [](const PendingClaim& pending) { return pending.answered; });
+  }
+  this->BoundUnwritten();
+}
+
+void ClaimBatcher::Abandon(Shard& shard, const PendingClaim& pending) {
+  if (!pending.sent) return;
+  shard.releases.push_back(PendingRelease{.key = KeyOf(pending.claim),
+                                          .nonce = pending.claim.nonce(),
+                                          .arrived = this->now,
+                                          .ready = this->now + this->options.batch_delay,
+                                          .may_appear = true,
+                                          .sent_expected = pending.sent_expected});
+}
+
+void ClaimBatcher::RefuseWaiting() {
+  for (auto& [number, shard] : this->shards) {
+    if (shard.call != Call::kNone) continue;
+    this->RefuseClaims(shard, "the key-value service is unavailable");
+  }
+}
+
+void ClaimBatcher::RefuseClaims(Shard& shard, std::string_view detail) {
+  for (const PendingClaim& pending : shard.claims) {
+    this->Reply(pending.id, Unavailable(detail, this->options.outage_backoff));
+    this->Abandon(shard, pending);
+  }
+  shard.claims.clear();
+  this->BoundUnwritten();
+}
+
+void ClaimBatcher::BoundUnwritten() {
+  for (std::size_t count = this->Unwritten(); count > this->options.max_unwritten; --count) {
+    const auto largest = std::max_element(
+        this->shards.begin(), this->shards.end(), [](const auto& a, const auto& b) {
+          return a.second.finishes.size() + a.second.releases.size() <
+                 b.second.finishes.size() + b.second.releases.size();
+        });
+    this->DropOldest(largest->second);
+    ++this->dropped;
+  }
+}
+
+void ClaimBatcher::DropOldest(Shard& shard) {
+  if (shard.finishes.empty()) {
+    shard.releases.erase(shard.releases.begin());
+    return;
+  }
+  this->answer_bytes -= AnswerBytes(shard.finishes.front().answer);
+  shard.finishes.erase(shard.finishes.begin());
+}
+
+// ---- calls ----
+
+void ClaimBatcher::CallEnded(Shard& shard) {
+  shard.call = Call::kNone;
+  shard.used = this->now;
+  --this->calls;
+}
+
+void ClaimBatcher::CallFailed() {
+  this->retry_at = this->now + this->Jittered(this->options.outage_backoff,
+                                              this->options.max_outage_backoff, this->failures);
+  ++this->failures;
+  if (this->InOutage()) this->RefuseWaiting();
+}
+
+bool ClaimBatcher::MayCall() const {
+  if (this->calls >= this->options.max_calls) return false;
+  if (this->failures == 0) return true;
+  if (this->now < this->retry_at) return false;
+  return !this->InOutage() || this->calls == 0;
+}
+
+void ClaimBatcher::Pump() {
+  // Starts behind the shard that was served last, so that one shard cannot take every call.
+  std::vector<std::uint32_t> order;
+  const auto middle = this->shards.lower_bound(this->next_shard);
+  for (auto row = middle; row != this->shards.end(); ++row) order.push_back(row->first);
+  for (auto row = this->shards.begin(); row != middle; ++row) order.push_back(row->first);
+  for (const std::uint32_t number : order) {
+    if (!this->MayCall()) break;
+    this->PumpShard(number, this->shards.at(number));
+  }
+  this->ForgetIdle();
+}
+
+void ClaimBatcher::PumpShard(std::uint32_t number, Shard& shard) {
+  if (shard.call != Call::kNone || this->now < shard.Due()) return;
+  if (shard.NeedsRead()) {
+    this->StartRead(number, shard);
+    return;
+  }
+  if (this->Apply(shard)) {
+    this->StartWrite(number, shard);
+  } else if (shard.must_read) {
+    this->StartRead(number, shard);
+  }
+}
+
+void ClaimBatcher::ForgetIdle() {
+  std::erase_if(this->shards, [this](const auto& row) {
+    const Shard& shard = row.second;
+    return shard.call == Call::kNone && shard.IsIdle() &&
+           shard.used + this->options.cache_for <= this->now;
+  });
+}
+
+void ClaimBatcher::StartRead(std::uint32_t number, Shard& shard) {
+  shard.call = Call::kRead;
+  shard.call_started = this->now;
+  shard.base.reset();
+  ++this->calls;
+  this->next_shard = number + 1;
+  this->actions.emplace_back(ClaimRead{.shard = number});
+}
+
+void ClaimBatcher::StartWrite(std::uint32_t number, Shard& shard) {
+  for (PendingClaim& pending : shard.claims) {
+    if (!pending.outcome || !IsGrant(*pending.outcome)) continue;
+    pending.sent = true;
+    pending.sent_expected = shard.version;
+  }
+  shard.call = Call::kWrite;
+  shard.call_started = this->now;
+  shard.just_read = false;
+  ++this->calls;
+  this->next_shard = number + 1;
+  this->actions.emplace_back(
+      ClaimWrite{.shard = number, .bytes = shard.base->Encode(), .expected = shard.version});
+}
+
+void ClaimBatcher::WriteConfirmed(Shard& shard, std::uint64_t version) {
+  shard.version = version;
+  shard.written_version = version;
+  shard.base_current = shard.call_started;
+  shard.conflicts = 0;
+  for (PendingClaim& pending : shard.claims) {
+    if (!pending.outcome) continue;
+    const bool granted = IsGrant(*pending.outcome);
+    this->Reply(pending.id, std::move(*pending.outcome));
+    if (!granted) this->Abandon(shard, pending);
+    pending.answered = true;
+  }
+  std::erase_if(shard.claims, [](const PendingClaim& pending) { return pending.answered; });
+  std::erase_if(shard.releases, [](const PendingRelease& pending) { return pending.in_write; });
+  std::erase_if(shard.finishes, [this](const PendingFinish& pending) {
+    if (!pending.in_write) return false;
+    this->answer_bytes -= AnswerBytes(pending.answer);
+    return true;
+  });
+}
+
+void ClaimBatcher::WriteNotConfirmed(Shard& shard) {
+  shard.base.reset();
+  shard.uncontended = false;
+  for (PendingClaim& pending : shard.claims) pending.outcome.reset();
+  for (PendingFinish& pending : shard.finishes) pending.in_write = false;
+  for (PendingRelease& pending : shard.releases) pending.in_write = false;
+}
+
+// ---- merging ----
+
+bool ClaimBatcher::Apply(Shard& shard) {
+  std::unordered_set<Digest> touched;
+  shard.base->Expire(this->unix_s);
+  bool changed = this->ApplyReleases(shard, touched);
+  changed = this->ApplyFinishes(shard, touched) || changed;
+  changed = this->ApplyClaims(shard, touched) || changed;
+  if (changed) return true;
+  // What is left waits for a value that is known to be current.
+  for (PendingClaim& pending : shard.claims) pending.outcome.reset();
+  shard.must_read = !shard.IsIdle();
+  shard.just_read = false;
+  return false;
+}
+
+bool ClaimBatcher::ApplyReleases(Shard& shard, std::unordered_set<Digest>& touched) {
+  bool changed = false;
+  std::erase_if(shard.releases, [&](PendingRelease& pending) {
+    const bool released = shard.base->Release(pending.key, pending.nonce);
+    if (released) touched.insert(pending.key);
+    // A write that expected this version may still be on its way; the next version rules it out.
+    const bool may_appear = pending.may_appear && shard.version <= pending.sent_expected;
+    pending.in_write = released || may_appear;
+    changed = changed || pending.in_write;
+    return !pending.in_write && shard.base_current >= pending.arrived;
+  });
+  return changed;
+}
+
+bool ClaimBatcher::ApplyFinishes(Shard& shard, std::unordered_set<Digest>& touched) {
+  bool changed = false;
+  std::erase_if(shard.finishes, [&](PendingFinish& pending) {
+    pending.in_write = shard.base->Finish(pending.key, pending.nonce, pending.answer);
+    if (pending.in_write) {
+      touched.insert(pending.key);
+      changed = true;
+      return false;
+    }
+    if (shard.base_current < pending.arrived) return false;
+    // Already recorded, or the claim is gone.
+    this->answer_bytes -= AnswerBytes(pending.answer);
+    return true;
+  });
+  return changed;
+}
+
+bool ClaimBatcher::ApplyClaims(Shard& shard, std::unordered_set<Digest>& touched) {
+  bool changed = false;
+  for (PendingClaim& pending : shard.claims) {
+    changed = this->ApplyClaim(shard, pending, touched) || changed;
+  }
+  std::erase_if(shard.claims, [](const PendingClaim& pending) { return pending.answered; });
+  return changed;
+}
+
+bool ClaimBatcher::ApplyClaim(Shard& shard, PendingClaim& pending,
+                              std::unordered_set<Digest>& touched) {
+  const Digest key = KeyOf(pending.claim);
+  const wire::Claim* found = shard.base->Find(key);
+  if (found != nullptr && found->nonce() == pending.claim.nonce()) {
+    // An earlier write took effect although its reply was lost.
+    this->Reply(pending.id, ClaimAnswer(ClaimGranted{.nonce = pending.claim.nonce()}));
+    pending.answered = true;
+    return false;
+  }
+  const bool replaces = found != nullptr && found->state() == wire::CLAIM_PENDING &&
+                        found->nonce() == pending.replaces;
+  if (found != nullptr && (!replaces || !ClaimShard::IsSameRequest(*found, pending.claim))) {
+    this->SettleTaken(shard, pending, *found, touched.contains(key));
+    return false;
+  }
+  auto added = replaces ? shard.base->Replace(pending.claim) : shard.base->Add(pending.claim);
+  if (!added) {
+    this->Reply(pending.id, added.error());
+    this->Abandon(shard, pending);
+    pending.answered = true;
+    return false;
+  }
+  pending.outcome = ClaimAnswer(ClaimGranted{.nonce = pending.claim.nonce()});
+  touched.insert(key);
+  return true;
+}
+
+void ClaimBatcher::SettleTaken(Shard& shard, PendingClaim& pending, const wire::Claim& found,
+                               bool touched) {
+  wire::Claim claim = found;
+  claim.set_key(pending.claim.key());
+  Result<ClaimAnswer> answer = ClaimAnswer(ClaimFound{.claim = std::move(claim)});
+  if (!ClaimShard::IsSameRequest(found, pending.claim)) {
+    answer = Error{.kind = ErrorKind::kKeyReused,
+                   .detail = "the idempotency key was used with another request"};
+  }
+  // A finished claim stays as it is; an unfinished one may have changed since an older read.
+  const bool current = found.state() == wire::CLAIM_DONE || shard.base_current >= pending.arrived;
+  if (touched || !current) {
+    pending.outcome = std::move(answer);
+    return;
+  }
+  this->Reply(pending.id, std::move(answer));
+  this->Abandon(shard, pending);
+  pending.answered = true;
+}
+
+Duration ClaimBatcher::Jittered(Duration base, Duration max, std::uint32_t doublings) {
+  const Duration whole = std::min(max, base * (1 << std::min(doublings, kMaxDoublings)));
+  if (whole.count() < 2) return whole;
+  const auto half = static_cast<std::uint64_t>(whole.count() / 2);
+  return Duration(static_cast<Duration::rep>(half + UniformBelow(this->random, half)));
+}
+
+std::string ClaimBatcher::DebugState() const {
+  std::ostringstream out;
+  out << "calls=" << this->calls << " failures=" << this->failures << '\n';
+  for (const auto& [number, shard] : this->shards) {
+    out << "shard=" << number << " call=" << static_cast<int>(shard.call)
+        << " version=" << (shard.base ? static_cast<std::int64_t>(shard.version) : -1)
+        << " must_read=" << shard.must_read << " just_read=" << shard.just_read
+        << " uncontended=" << shard.uncontended << " conflicts=" << shard.conflicts << '\n';
+    if (shard.base) out << shard.base->Encode() << '\n';
+    for (const PendingClaim& pending : shard.claims) {
+      out << "claim " << pending.id << ' ' << pending.sent << pending.sent_expected << ' '
+          << pending.outcome.has_value() << '\n';
+    }
+    for (const PendingFinish& pending : shard.finishes) {
+      out << "finish " << pending.nonce << ' ' << pending.in_write << '\n';
+    }
+    for (const PendingRelease& pending : shard.releases) {
+      out << "release " << pending.nonce << ' ' << pending.in_write << pending.may_appear
+          << pending.sent_expected << '\n';
+    }
+  }
+  return out.str();
+}
+
+}  // namespace savory
--- a/src/claims/claim_driver.h
+++ b/src/claims/claim_driver.h
@@ -5,11 +5,11 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <variant>
 
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/settings.h"
+#include "claims/claim_answer.h"
 #include "runtime/node.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -17,34 +17,18 @@
 
 struct ClaimDriverOptions {
   std::uint32_t shards = 64;
-  Duration batch_delay = std::chrono::milliseconds(5);   // collects claims of one shard
-  Duration confirm_deadline = std::chrono::seconds(2);   // then the caller is told "not run"
-  Duration retention = std::chrono::hours(24);           // of finished and unfinished claims
-  std::uint32_t max_recorded_answer_bytes = 4096;        // larger answers: "already done" only
-  std::uint32_t max_value_bytes = 900'000;               // a full shard refuses new claims
-  std::uint32_t max_value_bytes_with_answers = 450'000;  // above: answers are not recorded
+  Duration batch_delay = std::chrono::milliseconds(5);      // collects claims of one shard
+  Duration outcome_delay = std::chrono::milliseconds(500);  // waits for a claim to share its write
+  Duration confirm_deadline = std::chrono::seconds(2);      // then the caller is told "not run"
+  Duration retention = std::chrono::hours(24);              // of finished and unfinished claims
+  std::uint32_t max_recorded_answer_bytes = 4096;           // larger answers: "already done" only
+  std::uint32_t max_value_bytes = 900'000;                  // a full shard refuses new claims
+  std::uint32_t max_value_bytes_with_answers = 450'000;     // above: answers are not recorded
 };
 
 // Reads the section `claims`; errors stay in `reader`.
 ClaimDriverOptions ReadClaimOptions(SettingsReader reader);
 
-// The claim was written with this process's nonce: the attempt may be sent, once.
-struct ClaimGranted {
-  std::string nonce;
-};
-// Another receipt of the same key came first; `claim` tells how far it got.
-struct ClaimFound {
-  wire::Claim claim;
-};
-using ClaimAnswer = std::variant<ClaimGranted, ClaimFound>;
-
-// The answer of a finished call.
-struct RecordedAnswer {
-  std::uint32_t status = 0;
-  std::string content_type = {};
-  std::string body = {};
-};
-
 // All calls on the loop's thread.
 class ClaimDriver {
  public:
