--- /dev/null
+++ b/src/gate/gate_driver.cc
@@ -0,0 +1,467 @@
+#include "gate/gate_driver.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "gate/upstream_call.h"
+#include "gate/upstream_gate.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_client.h"
+#include "runtime/peer_transport.h"
+#include "runtime/tcp_probe.h"
+#include "runtime/workers.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
+constexpr Duration kSubscriptionLifetime = std::chrono::seconds(15);
+constexpr Duration kEngineProbePeriod = std::chrono::seconds(1);
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+// A call without any byte for this long is given up; the deadline usually ends it before.
+constexpr Duration kUpstreamReadTimeout = std::chrono::seconds(300);
+// The transport discards what is unsent when the process exits, so the last parts get this long.
+constexpr Duration kFlushTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxIdleClients = 64;
+
+using SharedBytes = PeerTransport::SharedBytes;
+
+// What the driver holds for one attempt.
+struct AttemptData {
+  wire::AttemptStart start = {};
+  std::string body = {};
+  std::uint32_t status = 0;
+  HttpHeaders headers = {};
+  std::map<std::uint32_t, SharedBytes> parts = {};
+  std::shared_ptr<UpstreamCall> call = {};
+};
+
+AttemptKey KeyOf(const wire::AttemptId& id) {
+  return AttemptKey{.entry_vm = id.entry_vm(),
+                    .entry_incarnation = id.entry_incarnation(),
+                    .sequence = id.sequence()};
+}
+
+void FillId(const AttemptKey& key, wire::AttemptId& id) {
+  id.set_entry_vm(key.entry_vm);
+  id.set_entry_incarnation(key.entry_incarnation);
+  id.set_sequence(key.sequence);
+}
+
+Lane LaneOf(bool bulk) { return bulk ? Lane::kBulk : Lane::kControl; }
+
+bool IsHopHeader(std::string_view name) {
+  static const std::set<std::string, HeaderLess> kHop = {
+      "Connection", "Content-Length", "Host",       "Keep-Alive", "Transfer-Encoding",
+      "TE",         "Upgrade",        "Accept-Encoding"};
+  return kHop.contains(std::string(name));
+}
+
+}  // namespace
+
+GateDriverOptions ReadGateOptions(SettingsReader reader) {
+  GateDriverOptions options;
+  options.upstream = reader.Address("upstream");
+  options.kind = reader.Choice("kind", {"engine", "plain"}, 0) == 0 ? UpstreamKind::kEngine
+                                                                    : UpstreamKind::kPlainService;
+  const Range bounds = {.low = 1, .high = 4096};
+  options.max_running =
+      static_cast<int>(reader.Integer("max_running", bounds, options.max_running));
+  options.max_queued = static_cast<int>(reader.Integer("max_queued", bounds, options.max_queued));
+  return options;
+}
+
+struct GateDriver::Impl {
+  Node& node;
+  GateDriverOptions options;
+  UpstreamGate gate;
+  std::map<AttemptKey, AttemptData> attempts = {};
+  std::map<std::string, Instant> subscribers = {};  // peer -> end of the subscription
+  std::vector<std::unique_ptr<HttpClient>> idle_clients = {};
+  std::vector<std::byte> incoming = {};  // bytes of the part being handled
+  std::function<void()> drained = {};
+  std::function<void(std::uint64_t)> on_bytes = {};
+  bool engine_probing = false;
+
+  Impl(Node& node, GateDriverOptions given)
+      : node(node),
+        options(std::move(given)),
+        gate(UpstreamGateOptions{.incarnation = node.identity.incarnation,
+                                 .engine = this->IsEngine(),
+                                 .max_running = static_cast<std::size_t>(this->options.max_running),
+                                 .max_queued = static_cast<std::size_t>(this->options.max_queued)}) {
+  }
+
+  bool IsEngine() const { return this->options.kind == UpstreamKind::kEngine; }
+
+  void Start();
+  void Feed(const GateEvent& event);
+  void CountBytes(std::size_t bytes) const {
+    if (this->on_bytes) this->on_bytes(bytes);
+  }
+
+  void OnStart(const wire::Envelope& message, std::span<const std::byte> payload);
+  void OnCancel(const wire::Envelope& message);
+  void OnQuery(const wire::Envelope& message);
+  void OnSubscribe(const wire::Envelope& message);
+  void OnHead(const AttemptKey& key, HttpAnswer head);
+  void OnPart(const AttemptKey& key, std::vector<std::byte> part);
+  void OnEnd(const AttemptKey& key, CallResult result);
+
+  void Do(const CallUpstream& action);
+  void Do(const CancelCall& action);
+  void Do(const SendPart& action);
+  void Do(const SendEnd& action);
+  void Do(const SendStatus& action);
+  void Do(const DropRequest& action);
+  void Do(const DropParts& action);
+  void Do(const ProbeUpstream& action);
+  void Do(const NotifyCrash& action);
+  void Do(const ReportLoad& action);
+  void Do(const GateDrained& action);
+
+  HttpCall CallFor(const CallUpstream& action, AttemptData& data) const;
+  std::unique_ptr<HttpClient> TakeClient();
+  void CancelAtEngine(const AttemptKey& key);
+  UpstreamProbed Probe() const;
+  void SendReport(const std::string& peer);
+  wire::LoadReport Report() const;
+};
+
+void GateDriver::Impl::Start() {
+  PeerTransport& peers = this->node.peers;
+  peers.Subscribe(wire::Envelope::kAttemptStart,
+                  [this](const wire::Envelope& message, std::span<const std::byte> payload) {
+                    this->OnStart(message, payload);
+                  });
+  peers.Subscribe(wire::Envelope::kAttemptCancel,
+                  [this](const wire::Envelope& message, std::span<const std::byte>) {
+                    this->OnCancel(message);
+                  });
+  peers.Subscribe(wire::Envelope::kAttemptQuery,
+                  [this](const wire::Envelope& message, std::span<const std::byte>) {
+                    this->OnQuery(message);
+                  });
+  peers.Subscribe(wire::Envelope::kLoadSubscribe,
+                  [this](const wire::Envelope& message, std::span<const std::byte>) {
+                    this->OnSubscribe(message);
+                  });
+  this->node.loop.Every(kTickPeriod, [this] { this->Feed(GateTick{}); });
+  this->node.loop.Every(kReportPeriod, [this] { this->Do(ReportLoad{}); });
+  if (this->IsEngine()) {
+    this->node.loop.Every(kEngineProbePeriod, [this] { this->Do(ProbeUpstream{}); });
+  }
+}
+
+void GateDriver::Impl::Feed(const GateEvent& event) {
+  for (const GateAction& action : this->gate.Handle(event, this->node.loop.Now())) {
+    std::visit([this](const auto& typed) { this->Do(typed); }, action);
+  }
+}
+
+void GateDriver::Impl::OnStart(const wire::Envelope& message, std::span<const std::byte> payload) {
+  const wire::AttemptStart& start = message.attempt_start();
+  const AttemptKey key = KeyOf(start.id());
+  this->CountBytes(payload.size());
+  AttemptData& data = this->attempts[key];
+  // A repeated start must not touch the data of the first.
+  if (data.start.method().empty()) {
+    data.start = start;
+    data.body = std::string(AsText(payload));
+  }
+  this->Feed(StartReceived{.id = key,
+                           .reply_to = message.from_peer(),
+                           .agent_incarnation = start.agent_incarnation(),
+                           .manifest = DigestFromRaw(start.manifest()),
+                           .time_left = std::chrono::milliseconds(start.deadline_ms()),
+                           .priority = start.priority(),
+                           .idempotent = start.idempotent(),
+                           .fingerprint = DigestFromRaw(start.fingerprint()),
+                           .resume_from = start.resume_from()});
+}
+
+void GateDriver::Impl::OnCancel(const wire::Envelope& message) {
+  this->Feed(CancelReceived{.id = KeyOf(message.attempt_cancel().id()),
+                            .reply_to = message.from_peer()});
+}
+
+void GateDriver::Impl::OnQuery(const wire::Envelope& message) {
+  const wire::AttemptQuery& query = message.attempt_query();
+  this->Feed(QueryReceived{.id = KeyOf(query.id()),
+                           .reply_to = message.from_peer(),
+                           .agent_incarnation = query.agent_incarnation(),
+                           .next_part = query.next_part(),
+                           .bulk_lane = query.bulk_lane()});
+}
+
+void GateDriver::Impl::OnSubscribe(const wire::Envelope& message) {
+  this->subscribers[message.from_peer()] = this->node.loop.Now() + kSubscriptionLifetime;
+  this->SendReport(message.from_peer());
+}
+
+void GateDriver::Impl::OnHead(const AttemptKey& key, HttpAnswer head) {
+  const auto found = this->attempts.find(key);
+  if (found == this->attempts.end()) return;
+  const Result<Digest> weights = ParseDigest(HeaderValue(head.headers, "X-Weights"));
+  found->second.status = static_cast<std::uint32_t>(head.status);
+  found->second.headers = std::move(head.headers);
+  this->incoming.clear();
+  this->Feed(HeadReceived{.id = key, .weights = weights.has_value() ? weights.value() : Digest{}});
+}
+
+void GateDriver::Impl::OnPart(const AttemptKey& key, std::vector<std::byte> part) {
+  const std::size_t bytes = part.size();
+  this->CountBytes(bytes);
+  this->incoming = std::move(part);
+  this->Feed(BodyReceived{.id = key, .bytes = bytes});
+}
+
+void GateDriver::Impl::OnEnd(const AttemptKey& key, CallResult result) {
+  const auto found = this->attempts.find(key);
+  if (found != this->attempts.end() && found->second.call) {
+    std::unique_ptr<HttpClient> client = found->second.call->TakeClient();
+    found->second.call.reset();
+    const bool reusable =
+        result == CallResult::kComplete && this->idle_clients.size() < kMaxIdleClients;
+    if (reusable) this->idle_clients.push_back(std::move(client));
+  }
+  this->Feed(CallEnded{.id = key, .result = result});
+}
+
+std::unique_ptr<HttpClient> GateDriver::Impl::TakeClient() {
+  if (this->idle_clients.empty()) return std::make_unique<HttpClient>(this->options.upstream);
+  std::unique_ptr<HttpClient> client = std::move(this->idle_clients.back());
+  this->idle_clients.pop_back();
+  return client;
+}
+
+HttpCall GateDriver::Impl::CallFor(const CallUpstream& action, AttemptData& data) const {
+  HttpCall call = {.method = data.start.method(),
+                   .target = data.start.target(),
+                   .body = data.body,
+                   .read_timeout = kUpstreamReadTimeout};
+  for (const wire::Header& header : data.start.headers()) {
+    if (!IsHopHeader(header.name())) call.headers.emplace(header.name(), header.value());
+  }
+  if (!this->IsEngine()) return call;
+  call.method = "POST";
+  call.target = "/v1/generate";
+  call.headers.emplace("X-Request-Id", action.id.Text());
+  call.headers.emplace("X-Priority", std::to_string(action.priority));
+  if (action.resume_from > 0) {
+    // Part 0 of an attempt is the head, which the engine does not count.
+    call.headers.emplace("X-Resume-From", std::to_string(action.resume_from - 1));
+  }
+  return call;
+}
+
+void GateDriver::Impl::Do(const CallUpstream& action) {
+  AttemptData& data = this->attempts[action.id];
+  EventLoop& loop = this->node.loop;
+  const AttemptKey key = action.id;
+  UpstreamCallListener listener = {
+      .on_head =
+          [this, &loop, key](HttpAnswer head) {
+            loop.Post([this, key, head = std::move(head)]() mutable {
+              this->OnHead(key, std::move(head));
+            });
+          },
+      .on_part =
+          [this, &loop, key](std::vector<std::byte> part) {
+            loop.Post([this, key, part = std::move(part)]() mutable {
+              this->OnPart(key, std::move(part));
+            });
+          },
+      .on_end =
+          [this, &loop, key](CallResult result) {
+            loop.Post([this, key, result] { this->OnEnd(key, result); });
+          }};
+  data.call = std::make_shared<UpstreamCall>(this->TakeClient(), this->CallFor(action, data),
+                                             std::move(listener));
+  this->node.workers.Run([call = data.call] { call->Run(); });
+}
+
+void GateDriver::Impl::Do(const CancelCall& action) {
+  const auto found = this->attempts.find(action.id);
+  if (found == this->attempts.end() || !found->second.call) return;
+  found->second.call->Cancel();
+  if (this->IsEngine()) this->CancelAtEngine(action.id);
+}
+
+void GateDriver::Impl::CancelAtEngine(const AttemptKey& key) {
+  this->node.workers.Run([upstream = this->options.upstream, id = key.Text()] {
+    HttpClient client(upstream);
+    (void)client.Call(HttpCall{.method = "POST",
+                               .target = "/v1/cancel",
+                               .body = nlohmann::json{{"id", id}}.dump(),
+                               .content_type = "application/json",
+                               .read_timeout = kProbeTimeout});
+  });
+}
+
+void GateDriver::Impl::Do(const SendPart& action) {
+  const auto found = this->attempts.find(action.id);
+  if (found == this->attempts.end()) return;
+  AttemptData& data = found->second;
+  auto part = data.parts.find(action.number);
+  if (part == data.parts.end()) {
+    auto bytes = std::make_shared<const std::vector<std::byte>>(std::move(this->incoming));
+    this->incoming = {};
+    part = data.parts.emplace(action.number, std::move(bytes)).first;
+  }
+  wire::Envelope envelope;
+  wire::AttemptPart& message = *envelope.mutable_attempt_part();
+  FillId(action.id, *message.mutable_id());
+  message.set_number(action.number);
+  if (action.number == 0) {
+    message.set_status(data.status);
+    for (const auto& [name, value] : data.headers) {
+      if (IsHopHeader(name) && name != "Content-Length") continue;
+      wire::Header& header = *message.add_headers();
+      header.set_name(name);
+      header.set_value(value);
+    }
+  }
+  const SharedBytes& bytes = part->second;
+  this->node.peers.SendShared(action.reply_to, LaneOf(action.bulk_lane), std::move(envelope), bytes,
+                              *bytes);
+}
+
+void GateDriver::Impl::Do(const SendEnd& action) {
+  wire::Envelope envelope;
+  wire::AttemptEnd& message = *envelope.mutable_attempt_end();
+  FillId(action.id, *message.mutable_id());
+  message.set_outcome(action.outcome);
+  message.set_parts(action.parts);
+  message.set_reason(std::string(AnswerFor(action.reason).name));
+  this->node.peers.Send(action.reply_to, LaneOf(action.bulk_lane), std::move(envelope));
+  this->node.metrics
+      .CounterFor("savory_gate_attempts_total",
+                  "outcome=\"" + wire::AttemptOutcome_Name(action.outcome) + "\"")
+      .Add();
+}
+
+void GateDriver::Impl::Do(const SendStatus& action) {
+  wire::Envelope envelope;
+  wire::AttemptStatus& message = *envelope.mutable_attempt_status();
+  FillId(action.id, *message.mutable_id());
+  message.set_knowledge(action.knowledge);
+  message.set_outcome(action.outcome);
+  message.set_parts(action.parts);
+  this->node.peers.Send(action.reply_to, LaneOf(action.bulk_lane), std::move(envelope));
+}
+
+void GateDriver::Impl::Do(const DropRequest& action) {
+  const auto found = this->attempts.find(action.id);
+  if (found == this->attempts.end()) return;
+  if (found->second.parts.empty()) {
+    this->attempts.erase(found);
+    return;
+  }
+  found->second.body = {};
+}
+
+void GateDriver::Impl::Do(const DropParts& action) {
+  const auto found = this->attempts.find(action.id);
+  if (found == this->attempts.end()) return;
+  std::map<std::uint32_t, SharedBytes>& parts = found->second.parts;
+  parts.erase(parts.begin(), parts.lower_bound(action.before));
+  if (parts.empty() && !found->second.call) this->attempts.erase(found);
+}
+
+UpstreamProbed GateDriver::Impl::Probe() const {
+  if (!this->IsEngine()) {
+    return UpstreamProbed{.reachable = AcceptsConnections(this->options.upstream, kProbeTimeout)};
+  }
+  HttpClient client(this->options.upstream);
+  const Result<HttpAnswer> answer = client.Call(
+      HttpCall{.target = "/v1/state", .connect_timeout = kProbeTimeout, .read_timeout = kProbeTimeout});
+  if (!answer.has_value()) {
+    return UpstreamProbed{.reachable = answer.error().kind != ErrorKind::kUnavailable};
+  }
+  const auto state = nlohmann::json::parse(answer.value().body, nullptr, false);
+  if (!state.is_object()) return UpstreamProbed{.reachable = true};
+  return UpstreamProbed{.reachable = true, .incarnation = state.value("incarnation", 0UL)};
+}
+
+void GateDriver::Impl::Do(const ProbeUpstream&) {
+  this->node.workers.RunThen([this] { return this->Probe(); },
+                             [this](UpstreamProbed probed) { this->Feed(probed); });
+}
+
+void GateDriver::Impl::Do(const NotifyCrash& action) {
+  this->node.metrics.CounterFor("savory_gate_upstream_crashes_total").Add();
+  wire::Envelope envelope;
+  wire::CrashNotice& notice = *envelope.mutable_crash_notice();
+  notice.set_fingerprint(std::string(action.fingerprint.View()));
+  notice.set_vm(this->node.identity.vm);
+  notice.set_upstream_incarnation(action.upstream_incarnation);
+  for (const auto& [peer, until] : this->subscribers) {
+    this->node.peers.Send(peer, Lane::kControl, envelope);
+  }
+}
+
+wire::LoadReport GateDriver::Impl::Report() const {
+  wire::LoadReport report;
+  report.set_vm(this->node.identity.vm);
+  report.set_incarnation(this->node.identity.incarnation);
+  report.set_running(static_cast<std::uint32_t>(this->gate.Running()));
+  report.set_queued(static_cast<std::uint32_t>(this->gate.Queued()));
+  report.set_ready(this->gate.IsReady());
+  report.set_leaving(this->gate.IsLeaving());
+  const Digest& serving = this->gate.Serving();
+  if (!serving.IsZero()) report.set_loaded_manifest(std::string(serving.View()));
+  return report;
+}
+
+void GateDriver::Impl::SendReport(const std::string& peer) {
+  wire::Envelope envelope;
+  *envelope.mutable_load_report() = this->Report();
+  this->node.peers.Send(peer, Lane::kControl, std::move(envelope));
+}
+
+void GateDriver::Impl::Do(const ReportLoad&) {
+  const Instant now = this->node.loop.Now();
+  std::erase_if(this->subscribers, [now](const auto& row) { return row.second <= now; });
+  for (const auto& [peer, until] : this->subscribers) this->SendReport(peer);
+}
+
+void GateDriver::Impl::Do(const GateDrained&) {
+  Log(LogLevel::kInfo, "gate_drained");
+  this->node.loop.After(kFlushTime, [this] {
+    if (this->drained) this->drained();
+  });
+}
+
+GateDriver::GateDriver(Node& node, GateDriverOptions options)
+    : impl(std::make_unique<Impl>(node, std::move(options))) {}
+
+GateDriver::~GateDriver() = default;
+
+void GateDriver::Start() { this->impl->Start(); }
+
+void GateDriver::SetReady(const Digest& serving, bool ready) {
+  this->impl->Feed(ReadinessSet{.serving = serving, .ready = ready});
+}
+
+bool GateDriver::IsIdle() const { return this->impl->gate.IsIdle(); }
+
+void GateDriver::Drain(std::function<void()> done) {
+  this->impl->drained = std::move(done);
+  Log(LogLevel::kInfo, "gate_draining", {{"running", this->impl->gate.Running()}});
+  this->impl->Feed(DrainRequested{});
+}
+
+void GateDriver::OnRequestBytes(std::function<void(std::uint64_t bytes)> listener) {
+  this->impl->on_bytes = std::move(listener);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/gate/gate_events.h
@@ -0,0 +1,133 @@
+// Events and actions of UpstreamGate.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "base/attempt_key.h"
+#include "base/digest.h"
+#include "base/error.h"
+#include "base/time.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+
+// ---- events ----
+
+struct StartReceived {
+  AttemptKey id;
+  std::string reply_to;  // IP:PORT of the entry
+  std::uint64_t agent_incarnation = 0;
+  Digest manifest = {};  // pinned by the pool row; zero for plain services
+  Duration time_left = {};
+  int priority = 0;  // higher first
+  bool idempotent = false;
+  Digest fingerprint = {};
+  std::uint32_t resume_from = 0;
+};
+struct CancelReceived {
+  AttemptKey id;
+  std::string reply_to;
+};
+struct QueryReceived {
+  AttemptKey id;
+  std::string reply_to;
+  std::uint64_t agent_incarnation = 0;
+  std::uint32_t next_part = 0;  // first part that the entry lacks
+  bool bulk_lane = false;       // answer over the other connection
+};
+// The upstream's status line and headers; they become part 0.
+struct HeadReceived {
+  AttemptKey id;
+  Digest weights = {};  // of the header X-Weights; zero when absent
+};
+struct BodyReceived {
+  AttemptKey id;
+  std::size_t bytes = 0;
+};
+enum class CallResult {
+  kComplete,
+  kNotSent,    // no connection could be made
+  kBroken,     // the connection broke off or no answer came in time
+  kCancelled,  // ended by CancelCall
+};
+struct CallEnded {
+  AttemptKey id;
+  CallResult result = CallResult::kComplete;
+};
+// What a look at the upstream showed. `incarnation` is 0 for plain services.
+struct UpstreamProbed {
+  bool reachable = false;
+  std::uint64_t incarnation = 0;
+};
+struct ReadinessSet {
+  Digest serving = {};
+  bool ready = false;
+};
+struct DrainRequested {};
+struct GateTick {};
+
+using GateEvent =
+    std::variant<StartReceived, CancelReceived, QueryReceived, HeadReceived, BodyReceived,
+                 CallEnded, UpstreamProbed, ReadinessSet, DrainRequested, GateTick>;
+
+// ---- actions ----
+
+// Calls the upstream; its answer comes back as HeadReceived, BodyReceived and CallEnded.
+struct CallUpstream {
+  AttemptKey id;
+  std::uint32_t resume_from = 0;
+  int priority = 0;
+};
+struct CancelCall {
+  AttemptKey id;
+};
+// Sends the stored part `number`.
+struct SendPart {
+  AttemptKey id;
+  std::string reply_to;
+  std::uint32_t number = 0;
+  bool bulk_lane = false;
+};
+struct SendEnd {
+  AttemptKey id;
+  std::string reply_to;
+  wire::AttemptOutcome outcome = wire::ATTEMPT_COMPLETE;
+  std::uint32_t parts = 0;
+  ErrorKind reason = ErrorKind::kNotRun;  // without meaning when complete
+  bool bulk_lane = false;
+};
+struct SendStatus {
+  AttemptKey id;
+  std::string reply_to;
+  wire::AttemptKnowledge knowledge = wire::KNOWLEDGE_UNKNOWN;
+  wire::AttemptOutcome outcome = wire::ATTEMPT_COMPLETE;
+  std::uint32_t parts = 0;
+  bool bulk_lane = false;
+};
+// The request's bytes are no longer needed.
+struct DropRequest {
+  AttemptKey id;
+};
+// The parts below `before` are no longer needed.
+struct DropParts {
+  AttemptKey id;
+  std::uint32_t before = 0;
+};
+// Looks at the upstream; the result comes back as UpstreamProbed.
+struct ProbeUpstream {};
+struct NotifyCrash {
+  Digest fingerprint = {};
+  std::uint64_t upstream_incarnation = 0;
+};
+// Readiness or leaving changed: a load report is due at once.
+struct ReportLoad {};
+struct GateDrained {};
+
+using GateAction = std::variant<CallUpstream, CancelCall, SendPart, SendEnd, SendStatus,
+                                DropRequest, DropParts, ProbeUpstream, NotifyCrash, ReportLoad,
+                                GateDrained>;
+
+}  // namespace savory
--- /dev/null
+++ b/src/gate/upstream_gate.h
@@ -0,0 +1,128 @@
+// The agent's decisions for the attempts at its upstream.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gate/gate_events.h"
+
+namespace savory {
+
+struct UpstreamGateOptions {
+  std::uint64_t incarnation = 0;  // of the agent
+  bool engine = true;             // false: plain service
+  std::size_t max_running = 64;
+  std::size_t max_queued = 64;
+  Duration memory = std::chrono::minutes(10);  // of attempts seen or barred
+  Duration result_lifetime = std::chrono::seconds(60);
+  std::size_t max_result_bytes = 1u << 20;       // kept of one answer, for a repeated send
+  std::size_t max_kept_bytes = 64u << 20;        // kept of all answers
+  Duration probe_period = std::chrono::milliseconds(200);  // while the upstream is away
+  // A non-idempotent call may finish this long after its deadline, so that a query learns of it.
+  Duration overrun = std::chrono::seconds(30);
+};
+
+// Sends each attempt to the upstream at most once, and only while the upstream serves the pinned
+// weights. Keeps a record of every attempt it has seen or barred.
+class UpstreamGate {
+ public:
+  explicit UpstreamGate(UpstreamGateOptions options);
+
+  std::vector<GateAction> Handle(const GateEvent& event, Instant now);
+
+  bool IsIdle() const { return this->running == 0 && this->queue.empty(); }
+  bool IsReady() const { return this->ready && !this->upstream_down; }
+  bool IsLeaving() const { return this->draining; }
+  std::size_t Running() const { return this->running; }
+  std::size_t Queued() const { return this->queue.size(); }
+  const Digest& Serving() const { return this->serving; }
+
+ private:
+  enum class State { kQueued, kRunning, kSettling, kEnded, kBarred };
+
+  struct Record {
+    State state = State::kQueued;
+    StartReceived start;
+    Instant deadline = {};
+    Instant started = {};
+    Instant forget_at = {};
+    std::uint32_t parts = 0;       // produced so far, part 0 included
+    std::uint32_t first_kept = 0;  // parts below are gone
+    std::deque<std::size_t> kept_bytes = {};
+    std::size_t kept_total = 0;
+    wire::AttemptOutcome outcome = wire::ATTEMPT_COMPLETE;
+    ErrorKind reason = ErrorKind::kNotRun;
+    bool cancelled = false;
+    bool wrong_weights = false;
+  };
+
+  void On(const StartReceived& event);
+  void On(const CancelReceived& event);
+  void On(const QueryReceived& event);
+  void On(const HeadReceived& event);
+  void On(const BodyReceived& event);
+  void On(const CallEnded& event);
+  void On(const UpstreamProbed& event);
+  void On(const ReadinessSet& event);
+  void On(const DrainRequested& event);
+  void On(const GateTick& event);
+
+  // The reason to refuse a start, or nullopt.
+  std::optional<ErrorKind> RefusalOf(const StartReceived& start) const;
+  bool MakeRoomFor(const StartReceived& start);
+  void Bar(const AttemptKey& id);
+  void Dispatch();
+  void Run(const AttemptKey& id, Record& record);
+  void AddPart(const AttemptKey& id, Record& record, std::size_t bytes);
+  void TrimParts(const AttemptKey& id, Record& record);
+  void End(const AttemptKey& id, Record& record, wire::AttemptOutcome outcome, ErrorKind reason);
+  void LeaveRunning(const AttemptKey& id, Record& record);
+  void RefuseQueued(const AttemptKey& id, ErrorKind reason);
+  void RefuseAllQueued(ErrorKind reason);
+  void SendKept(const AttemptKey& id, const Record& record, const QueryReceived& query);
+  void MarkDown();
+  void Probe();
+  void Forget();
+  void CancelOverdue();
+  void FinishDrain();
+  bool WasForgotten(const AttemptKey& id) const;
+  Duration ExpectedWait() const;
+
+  UpstreamGateOptions options;
+  std::map<AttemptKey, Record> records = {};
+  std::multimap<Instant, AttemptKey> expiry = {};
+  // Highest forgotten sequence for each entry incarnation: nothing certain can be said about an
+  // attempt at or below it.
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> forgotten = {};
+  // (-priority, order of arrival) -> attempt.
+  std::map<std::pair<int, std::uint64_t>, AttemptKey> queue = {};
+  std::set<AttemptKey> active = {};  // running or settling
+  std::deque<AttemptKey> results = {};  // ended with kept parts, oldest first
+  std::uint64_t arrivals = 0;
+  std::size_t running = 0;
+  std::size_t kept_total = 0;
+  Digest serving = {};
+  bool ready = false;
+  bool draining = false;
+  bool drained = false;
+  bool upstream_down = false;
+  bool probing = false;
+  bool probe_again = false;
+  Instant next_probe = {};
+  std::uint64_t upstream_incarnation = 0;  // engines
+  std::uint64_t crashes = 0;  // times the upstream went away; plain services report no incarnation
+  double mean_service_seconds = 0;
+
+  // Valid during Handle().
+  Instant now = {};
+  std::vector<GateAction> actions = {};
+};
+
+}  // namespace savory
