--- /dev/null
+++ b/src/apps/ctl_fleet.h
@@ -0,0 +1,22 @@
+// Commands that read the fleet: status, watch, and the waiting of --wait.
+#pragma once
+
+#include <cstdint>
+
+#include "apps/ctl_options.h"
+#include "base/error.h"
+
+namespace savory {
+
+// Prints one line for each process. Errors: kInvalidSettings, kUnavailable.
+Result<void> RunStatus(const CtlOptions& options);
+
+// Prints the progress of a pool's rollout until every agent of the pool serves the pinned manifest.
+// Errors: kRowNotFound, kTimeout, and those of the key-value service.
+Result<void> RunWatch(const CtlOptions& options);
+
+// Waits until every process has `revision` or a higher one. Errors: kTimeout, with the names of the
+// processes that lag or do not answer.
+Result<void> WaitInForce(const CtlOptions& options, std::uint64_t revision);
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/ctl_main.cc
@@ -0,0 +1,80 @@
+// savoryrouterctl: operators' command line.
+#include <iostream>
+#include <map>
+
+#include "apps/ctl_edit.h"
+#include "apps/ctl_fleet.h"
+#include "apps/ctl_manifest.h"
+#include "apps/ctl_options.h"
+#include "apps/ctl_tables.h"
+#include "base/command_line.h"
+#include "base/log.h"
+
+namespace savory {
+namespace {
+
+// Exit statuses beside 0 and kExitUsage.
+constexpr int kExitFailed = 1;
+constexpr int kExitConflict = 3;
+constexpr int kExitUnknown = 4;  // the write may have taken effect
+
+using Command = Result<void> (*)(const CtlOptions& options);
+
+const std::map<std::string, Command, std::less<>>& Commands() {
+  static const std::map<std::string, Command, std::less<>> commands = {
+      {"check", RunCheck},
+      {"get", RunGet},
+      {"diff", RunDiff},
+      {"apply", RunApply},
+      {"set-pool", RunSetPool},
+      {"set-route", RunSetRoute},
+      {"remove-pool", RunRemovePool},
+      {"remove-route", RunRemoveRoute},
+      {"history", RunHistory},
+      {"rollback", RunRollback},
+      {"status", RunStatus},
+      {"watch", RunWatch},
+      {"manifest", RunManifest},
+  };
+  return commands;
+}
+
+int ExitStatusOf(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kInvalidSettings:
+    case ErrorKind::kInvalidTable:
+    case ErrorKind::kRowNotFound:
+    case ErrorKind::kNotFound:
+      return kExitUsage;
+    case ErrorKind::kEditConflict:
+      return kExitConflict;
+    case ErrorKind::kWriteOutcomeUnknown:
+      return kExitUnknown;
+    default:
+      return kExitFailed;
+  }
+}
+
+int Fail(const Error& error) {
+  const int status = ExitStatusOf(error.kind);
+  std::cerr << (status == kExitUsage ? error.detail : Describe(error)) << '\n';
+  return status;
+}
+
+int RunCtl(int argc, const char* const* argv) {
+  const auto options = ParseCtlOptions(argc, argv);
+  if (!options) return Fail(options.error());
+  if (!options.value()) return 0;
+  const auto command = Commands().find(options.value()->command);
+  if (command == Commands().end()) {
+    return Fail(Error{.kind = ErrorKind::kInvalidSettings,
+                      .detail = "unknown command " + options.value()->command + "; see --help"});
+  }
+  const auto result = command->second(*options.value());
+  return result ? 0 : Fail(result.error());
+}
+
+}  // namespace
+}  // namespace savory
+
+int main(int argc, char** argv) { return savory::RunCtl(argc, argv); }
--- /dev/null
+++ b/src/apps/ctl_options.cc
@@ -0,0 +1,128 @@
+#include "apps/ctl_options.h"
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "base/settings.h"
+
+namespace savory {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::string_view kCommands = R"(Usage: savoryrouterctl COMMAND [ARGUMENTS] [OPTIONS]
+
+Tables:
+  check FILE                     check a table file
+  get                            print the tables; the file can be edited and applied
+  diff FILE                      rows in which FILE differs from the tables
+  apply FILE                     write the rows of FILE
+  set-pool NAME FIELD=VALUE...   change fields of a pool, or add it
+  set-route NAME FIELD=VALUE...  change fields of a route, or add it
+  remove-pool NAME               remove a pool that no route uses
+  remove-route NAME              remove a route
+  history                        latest revisions
+  rollback REVISION              write an old content as a new revision
+Fleet:
+  status                         state of every process
+  watch POOL                     progress of a rollout until it is complete
+Weights:
+  manifest FILE --name NAME --out FILE
+                                 compute the manifest of a weights file, print its digest
+)";
+
+constexpr double kMaxTimeoutSeconds = 86'400;
+
+Error UsageError(std::string detail) {
+  return Error{.kind = ErrorKind::kInvalidSettings, .detail = std::move(detail)};
+}
+
+std::string DefaultAuthor() {
+  const char* user = std::getenv("USER");
+  return user == nullptr ? "unknown" : user;
+}
+
+Result<void> CheckAddresses(const CtlOptions& options) {
+  if (!options.kv.empty() && !IsAddress(options.kv)) {
+    return UsageError("--kv must be IP:PORT with a numeric IP address");
+  }
+  if (!options.vm_list.empty() && !IsAddress(options.vm_list)) {
+    return UsageError("--vm-list must be IP:PORT with a numeric IP address");
+  }
+  for (const std::string& address : options.operators) {
+    if (!IsAddress(address)) return UsageError("--operators: " + address + " is not IP:PORT");
+  }
+  return success();
+}
+
+}  // namespace
+
+Result<std::optional<CtlOptions>> ParseCtlOptions(int argc, const char* const* argv) {
+  CtlOptions options;
+  double timeout = ToSeconds(options.timeout);
+  po::options_description shown("Options");
+  shown.add_options()("kv", po::value(&options.kv), "key-value service (IP:PORT)")(
+      "operators", po::value(&options.operators)->multitoken(), "operator ports (IP:PORT ...)")(
+      "vm-list", po::value(&options.vm_list),
+      "VM list (IP:PORT) whose field `operator` names the operator ports")(
+      "author", po::value(&options.author)->default_value(DefaultAuthor()), "author of the edit")(
+      "wait", po::bool_switch(&options.wait), "return when the revision is in force everywhere")(
+      "replace", po::bool_switch(&options.replace),
+      "apply: remove the rows that FILE does not name")(
+      "timeout", po::value(&timeout)->default_value(timeout), "seconds until the command gives up")(
+      "name", po::value(&options.name), "manifest: name of the weights at the origin")(
+      "out", po::value(&options.out), "manifest: output file")(
+      "chunk-size", po::value(&options.chunk_size)->default_value(options.chunk_size),
+      "manifest: bytes in a chunk")("limit",
+                                    po::value(&options.limit)->default_value(options.limit),
+                                    "history: number of revisions")(
+      "json", po::bool_switch(&options.json), "print JSON")("help", "print this help")(
+      "version", "print the version");
+  po::options_description hidden;
+  hidden.add_options()("command", po::value(&options.command))(
+      "argument", po::value(&options.arguments));
+  po::options_description all;
+  all.add(shown).add(hidden);
+  po::positional_options_description positions;
+  positions.add("command", 1).add("argument", -1);
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    return UsageError(error.what());
+  }
+  if (values.contains("help")) {
+    std::cout << kCommands << '\n' << shown;
+    return std::optional<CtlOptions>();
+  }
+  if (values.contains("version")) {
+    std::cout << "savoryrouterctl " << SAVORY_VERSION << '\n';
+    return std::optional<CtlOptions>();
+  }
+  if (options.command.empty()) return UsageError("a command is required; see --help");
+  if (!(timeout > 0 && timeout <= kMaxTimeoutSeconds)) {
+    return UsageError("--timeout must be from 0 to 86400 seconds");
+  }
+  options.timeout = FromSeconds(timeout);
+  BOOST_OUTCOME_TRY(CheckAddresses(options));
+  return std::optional(std::move(options));
+}
+
+Result<void> ExpectArguments(const CtlOptions& options, std::size_t least, std::size_t most) {
+  if (options.arguments.size() < least) {
+    return UsageError(options.command + ": an argument is missing; see --help");
+  }
+  if (options.arguments.size() > most) {
+    return UsageError(options.command + ": unexpected argument " + options.arguments[most]);
+  }
+  return success();
+}
+
+Result<void> ExpectKv(const CtlOptions& options) {
+  if (options.kv.empty()) return UsageError(options.command + ": the option --kv is required");
+  return success();
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/ctl_options.h
@@ -0,0 +1,40 @@
+// Command line of savoryrouterctl.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+
+namespace savory {
+
+struct CtlOptions {
+  std::string command;
+  std::vector<std::string> arguments;
+  std::string kv;                      // IP:PORT
+  std::vector<std::string> operators;  // IP:PORT of operator ports
+  std::string vm_list;                 // IP:PORT
+  std::string author;
+  std::string name;             // weights name of a manifest
+  std::string out;              // output file of a manifest
+  std::uint32_t chunk_size = 1 << 20;  // bytes
+  std::uint32_t limit = 20;            // rows of the history
+  Duration timeout = std::chrono::seconds(10);
+  bool json = false;
+  bool wait = false;
+  bool replace = false;
+};
+
+// Parses the command line; --help and --version print and return nullopt.
+// Errors: kInvalidSettings.
+Result<std::optional<CtlOptions>> ParseCtlOptions(int argc, const char* const* argv);
+
+// Errors: kInvalidSettings when the number of arguments is not from `least` to `most`.
+Result<void> ExpectArguments(const CtlOptions& options, std::size_t least, std::size_t most);
+// Errors: kInvalidSettings when --kv is missing.
+Result<void> ExpectKv(const CtlOptions& options);
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/ctl_row.cc
@@ -0,0 +1,134 @@
+#include "apps/ctl_row.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <regex>
+#include <sstream>
+
+#include "tables/table_file.h"
+
+namespace savory {
+namespace {
+
+struct FieldChange {
+  std::string field;
+  std::string value;
+};
+
+Error RowError(const std::string& row, const std::string& detail) {
+  return Error{.kind = ErrorKind::kInvalidTable, .detail = row + ": " + detail};
+}
+
+Result<FieldChange> SplitChange(const std::string& row, const std::string& text) {
+  const std::size_t equals = text.find('=');
+  if (equals == std::string::npos || equals == 0) {
+    return RowError(row, text + ": must be FIELD=VALUE");
+  }
+  return FieldChange{.field = text.substr(0, equals), .value = text.substr(equals + 1)};
+}
+
+void SetOrRemove(YAML::Node node, const std::string& key, const std::string& value) {
+  if (value.empty()) {
+    node.remove(key);
+  } else {
+    node[key] = value;
+  }
+}
+
+// A selector replaces the other one.
+void SetMembers(YAML::Node row, const FieldChange& change) {
+  YAML::Node members(YAML::NodeType::Map);
+  if (change.field == "service") {
+    members["service"] = change.value;
+  } else {
+    std::istringstream names(change.value);
+    for (std::string vm; std::getline(names, vm, ',');) members["vms"].push_back(vm);
+  }
+  row["members"] = members;
+}
+
+void ChangePoolField(YAML::Node row, const FieldChange& change) {
+  if (change.field == "service" || change.field == "vms") return SetMembers(row, change);
+  SetOrRemove(row, change.field, change.value);
+}
+
+// `path` is ACCOUNT or ACCOUNT.FIELD; an account may hold dots itself.
+void SetLimit(YAML::Node row, const std::string& path, const std::string& value) {
+  const std::size_t dot = path.rfind('.');
+  const bool whole = dot == std::string::npos || value.empty();
+  const std::string account = whole ? path : path.substr(0, dot);
+  YAML::Node kept(YAML::NodeType::Sequence);
+  YAML::Node limit(YAML::NodeType::Map);
+  limit["account"] = account;
+  for (const YAML::Node& old : row["limits"]) {
+    if (old["account"].Scalar() == account) {
+      limit = old;
+    } else {
+      kept.push_back(old);
+    }
+  }
+  if (!value.empty()) {
+    if (!whole) limit[path.substr(dot + 1)] = value;
+    kept.push_back(limit);
+  }
+  row["limits"] = kept;
+}
+
+void ChangeRouteField(YAML::Node row, const FieldChange& change) {
+  constexpr std::string_view kLimits = "limits.";
+  if (change.field == "path_prefix" || change.field == "method") {
+    return SetOrRemove(row["match"], change.field, change.value);
+  }
+  if (change.field.starts_with(kLimits)) {
+    return SetLimit(row, change.field.substr(kLimits.size()), change.value);
+  }
+  SetOrRemove(row, change.field, change.value);
+}
+
+template <typename Rows>
+YAML::Node RowNode(const Rows& rows, const std::string& name) {
+  for (const auto& row : rows) {
+    if (row.name() == name) return YAML::Load(WriteRow(row));
+  }
+  YAML::Node node(YAML::NodeType::Map);
+  node["name"] = name;
+  return node;
+}
+
+// Applies `changes` and reads the row with the checks of the table file.
+template <typename Change, typename Read>
+auto ReadChanged(const std::string& row, YAML::Node node, std::span<const std::string> changes,
+                 Change change_field, Read read_row)
+    -> Result<decltype(read_row(std::declval<SettingsReader&>()))> {
+  for (const std::string& text : changes) {
+    BOOST_OUTCOME_TRY(change, SplitChange(row, text));
+    if (change.field == "name") return RowError(row, "name: a row cannot be renamed");
+    change_field(node, change);
+  }
+  auto reader = SettingsReader::FromText(YAML::Dump(node), row);
+  if (!reader) return RowError(row, reader.error().detail);
+  auto read = read_row(reader.value());
+  const auto finished = reader.value().Finish();
+  if (finished) return read;
+  // The line is one of the dumped row, which the operator has not seen.
+  static const std::regex line(R"(:\d+: )");
+  return Error{.kind = ErrorKind::kInvalidTable,
+               .detail = std::regex_replace(finished.error().detail, line, ": ",
+                                            std::regex_constants::format_first_only)};
+}
+
+}  // namespace
+
+Result<wire::Pool> ChangePoolRow(const wire::Tables& tables, const std::string& name,
+                                 std::span<const std::string> changes) {
+  return ReadChanged("pool " + name, RowNode(tables.pools(), name), changes, ChangePoolField,
+                     ReadPoolRow);
+}
+
+Result<wire::Route> ChangeRouteRow(const wire::Tables& tables, const std::string& name,
+                                   std::span<const std::string> changes) {
+  return ReadChanged("route " + name, RowNode(tables.routes(), name), changes, ChangeRouteField,
+                     ReadRouteRow);
+}
+
+}  // namespace savory
