--- /dev/null
+++ b/src/distribution/chunk_spreader.cc
@@ -0,0 +1,837 @@
+#include "distribution/chunk_spreader.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "distribution/chunk_store.h"
+#include "distribution/manifest.h"
+#include "distribution/spread_neighbour.h"
+#include "distribution/token_bucket.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kNoChunk = UINT32_MAX;
+// Tokens that a paced direction can save up; covers the period of the tick.
+constexpr double kBurstSeconds = 0.05;
+// Time for the neighbours' maps to arrive before a chunk counts as absent among them.
+constexpr Duration kMapGrace = milliseconds(500);
+// A chunk whose first-ranked agent left may be held by agents that are not neighbours; it usually
+// reaches the neighbours within this time, which saves a second read.
+constexpr Duration kRankGrace = seconds(1);
+constexpr Duration kMapRetry = seconds(2);
+constexpr Duration kMapRefresh = seconds(5);
+constexpr Duration kScanPause = milliseconds(20);
+constexpr Duration kTakeoverScanPause = milliseconds(100);
+constexpr Duration kMinRequestDeadline = seconds(2);
+constexpr Duration kMinRemoteDeadline = seconds(10);
+constexpr Duration kRemoteRetry = milliseconds(200);
+constexpr Duration kMaxAvoidance = seconds(30);
+constexpr Duration kRecheckDelay = milliseconds(500);
+constexpr Duration kFirstProbe = seconds(2);
+constexpr Duration kMaxProbe = seconds(60);
+constexpr Duration kFirstBackoff = milliseconds(250);
+// Below the takeover time of the same metric, so that the first-ranked agent retries first after
+// an outage.
+constexpr Duration kMaxBackoffTime = seconds(2);
+constexpr Duration kMaxBackoffOriginBytes = seconds(5);
+// A hold is forwarded only when it extends the known one by this much, which ends the forwarding.
+constexpr Duration kHoldStep = milliseconds(250);
+constexpr std::size_t kMaxRemoteRequests = 2;
+constexpr std::size_t kCandidatesPerLevel = 16;
+constexpr std::size_t kLevels = 22;  // number of holders among at most 20 neighbours
+constexpr int kStoppingMismatches = 2;
+
+struct Pending {
+  std::string peer;
+  std::uint64_t request_id = 0;
+  Instant sent = {};
+  Instant deadline = {};
+  bool remote = false;  // asked in another region
+};
+
+struct Upload {
+  std::string to;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+};
+
+}  // namespace
+
+struct ChunkSpreader::Impl {
+  SpreadOptions options;
+  ChunkStore& store;
+  Random& random;
+  LinkPacer up;
+  LinkPacer down;
+  TokenBucket region_pacer;
+  std::vector<SpreadAction> actions = {};
+  std::vector<SpreadNeighbour> neighbours = {};
+  std::deque<Upload> uploads = {};
+  std::uint64_t next_request = 1;
+
+  // The copy in progress.
+  std::shared_ptr<const Manifest> manifest = {};
+  bool favour_origin_bytes = false;
+  bool complete = false;
+  OriginRanks ranks = {};
+  bool ranked = false;
+  bool reads_all = false;  // baseline strategies: this agent reads every chunk from the origin
+  std::vector<std::uint8_t> availability = {};  // number of neighbours that hold a chunk
+  std::unordered_map<std::uint32_t, Pending> pending = {};
+  std::size_t remote_pending = 0;
+  std::set<std::uint32_t> origin_reads = {};
+  std::set<std::uint32_t> takeover_reads = {};
+  std::deque<std::uint32_t> owned = {};  // chunks of rank 0, in random order
+  std::unordered_map<std::uint32_t, std::size_t> remote_attempts = {};
+  std::vector<std::uint32_t> candidates = {};  // rarest last
+  std::vector<std::uint32_t> fresh = {};       // stored but not yet announced
+  Instant started = {};
+  Instant last_progress = {};
+  Instant next_scan = {};
+  Instant next_takeover_scan = {};
+  Instant owned_ready = {};
+  Instant remote_ready = {};
+  Instant next_refresh = {};
+  Duration round_trip = {};  // smoothed time from request to chunk
+
+  // The origin.
+  Instant hold_until = {};
+  Instant origin_ready = {};
+  int origin_failures = 0;
+  int mismatches = 0;  // in a row
+  bool stopped = false;
+  bool probing = false;
+  Instant next_probe = {};
+  Duration probe_interval = kFirstProbe;
+
+  Impl(SpreadOptions given, ChunkStore& store, Random& random)
+      : options(std::move(given)),
+        store(store),
+        random(random),
+        up(PacerOptions()),
+        down(PacerOptions()),
+        region_pacer(this->options.inter_region_bytes_per_second,
+                     this->options.inter_region_bytes_per_second * kBurstSeconds) {}
+
+  LinkPacerOptions PacerOptions() const {
+    return LinkPacerOptions{
+        .link_bytes_per_second = this->options.link_bytes_per_second,
+        .weights_share = this->options.weights_share,
+        .burst_bytes = this->options.link_bytes_per_second * kBurstSeconds};
+  }
+
+  // ---- lookups ----
+
+  Duration Jittered(Duration base) {
+    return Duration(static_cast<Duration::rep>(static_cast<double>(base.count()) *
+                                               (0.5 + UniformUnit(this->random))));
+  }
+
+  SpreadNeighbour* FindNeighbour(const std::string& peer) {
+    for (SpreadNeighbour& neighbour : this->neighbours) {
+      if (neighbour.peer == peer) return &neighbour;
+    }
+    return nullptr;
+  }
+
+  bool IsCurrent(const Digest& id) const { return this->manifest && this->manifest->Id() == id; }
+
+  bool IsCopying() const { return this->manifest != nullptr && !this->complete; }
+
+  bool IsInOriginRegion() const { return this->options.region == this->options.origin_region; }
+
+  // Neither held nor on its way.
+  bool IsMissing(const WeightsCopy& copy, std::uint32_t chunk) const {
+    return !copy.Holds(chunk) && !this->pending.contains(chunk) &&
+           !this->origin_reads.contains(chunk);
+  }
+
+  const WeightsCopy& Copy() const { return *this->store.Find(this->manifest->Id()); }
+
+  double ChunkLength(std::uint32_t chunk) const { return this->manifest->RangeOf(chunk).length; }
+
+  Duration TakeoverDelay() const {
+    return this->favour_origin_bytes ? this->options.takeover_origin_bytes
+                                     : this->options.takeover_time;
+  }
+
+  // ---- members and maps ----
+
+  void On(Instant now, const MembersChanged& event) {
+    std::vector<SpreadPeer> wanted;
+    bool has_parent = true;
+    if (this->options.strategy == SpreadStrategy::kSwarm) {
+      wanted = RingNeighbours(event.members, this->options.vm, this->options.region);
+    } else if (this->options.strategy == SpreadStrategy::kTree) {
+      TreePlace place = TreeNeighbours(event.members, this->options.vm, this->options.region);
+      has_parent = place.has_parent;
+      wanted = std::move(place.neighbours);
+    }
+    this->reads_all = this->options.strategy == SpreadStrategy::kOriginOnly || !has_parent;
+    this->ReplaceNeighbours(now, wanted);
+    if (this->options.strategy == SpreadStrategy::kTree) this->RestrictToParent(has_parent);
+    if (this->manifest) this->Rank(now, event.members);
+  }
+
+  void ReplaceNeighbours(Instant now, const std::vector<SpreadPeer>& wanted) {
+    std::vector<SpreadNeighbour> kept;
+    for (const SpreadPeer& peer : wanted) {
+      const auto found =
+          std::find_if(this->neighbours.begin(), this->neighbours.end(), [&](const auto& old) {
+            return old.vm == peer.vm && old.peer == peer.peer;
+          });
+      if (found != this->neighbours.end()) {
+        kept.push_back(std::move(*found));
+        found->peer.clear();
+        continue;
+      }
+      kept.push_back(SpreadNeighbour{.vm = peer.vm, .peer = peer.peer});
+      if (this->manifest) this->AskMap(now, kept.back());
+    }
+    const std::vector<SpreadNeighbour> dropped = std::exchange(this->neighbours, std::move(kept));
+    for (const SpreadNeighbour& old : dropped) {
+      if (!old.peer.empty()) this->DropRequestsTo(old.peer);
+    }
+    this->CountAvailability();
+  }
+
+  void RestrictToParent(bool has_parent) {
+    for (std::size_t i = 0; i < this->neighbours.size(); ++i) {
+      this->neighbours[i].is_source = has_parent && i == 0;
+    }
+  }
+
+  void DropRequestsTo(const std::string& peer) {
+    for (auto entry = this->pending.begin(); entry != this->pending.end();) {
+      const bool drop = !entry->second.remote && entry->second.peer == peer;
+      if (drop) this->down.RefundWeights(this->ChunkLength(entry->first));
+      entry = drop ? this->pending.erase(entry) : std::next(entry);
+    }
+    std::erase_if(this->uploads, [&](const Upload& upload) { return upload.to == peer; });
+  }
+
+  void Rank(Instant now, const std::vector<SpreadPeer>& members) {
+    this->ranks = OriginRanks(OriginRanksInput{.manifest = this->manifest->Id(),
+                                               .chunk_count = this->manifest->ChunkCount(),
+                                               .vm = this->options.vm,
+                                               .region = this->options.region,
+                                               .origin_region = this->options.origin_region,
+                                               .members = members});
+    const double sharers = std::max<double>(1, static_cast<double>(this->ranks.RegionSize()));
+    this->region_pacer.SetRate(now, this->options.inter_region_bytes_per_second / sharers);
+    this->owned_ready = this->ranked ? now + kRankGrace : now;
+    this->ranked = true;
+    this->ListOwned();
+  }
+
+  std::uint8_t RankOf(std::uint32_t chunk) const {
+    if (this->options.strategy == SpreadStrategy::kSwarm) return this->ranks.RankOf(chunk);
+    return this->reads_all ? 0 : OriginRanks::kUnranked;
+  }
+
+  void ListOwned() {
+    this->owned.clear();
+    const WeightsCopy& copy = this->Copy();
+    for (std::uint32_t chunk = 0; chunk < this->manifest->ChunkCount(); ++chunk) {
+      if (this->RankOf(chunk) == 0 && !copy.Holds(chunk)) this->owned.push_back(chunk);
+    }
+    std::shuffle(this->owned.begin(), this->owned.end(), this->random);
+  }
+
+  void CountAvailability() {
+    if (!this->manifest) return;
+    this->availability.assign(this->manifest->ChunkCount(), 0);
+    for (const SpreadNeighbour& neighbour : this->neighbours) {
+      if (!neighbour.map_known) continue;
+      for (std::uint32_t i = 0; i < this->availability.size(); ++i) {
+        this->availability[i] += neighbour.holds[i] ? 1 : 0;
+      }
+    }
+    this->next_scan = {};
+    this->candidates.clear();
+  }
+
+  void AskMap(Instant now, SpreadNeighbour& neighbour) {
+    neighbour.map_asked = now;
+    this->actions.push_back(SendMap{.to = neighbour.peer,
+                                    .manifest = this->manifest->Id(),
+                                    .reply_wanted = !this->complete});
+  }
+
+  void On(Instant now, const MapReceived& event) {
+    if (event.reply_wanted && this->store.Find(event.manifest) != nullptr) {
+      this->actions.push_back(
+          SendMap{.to = event.from, .manifest = event.manifest, .reply_wanted = false});
+    }
+    SpreadNeighbour* neighbour = this->FindNeighbour(event.from);
+    if (neighbour == nullptr || !this->IsCurrent(event.manifest)) return;
+    const std::uint32_t count = this->manifest->ChunkCount();
+    if (event.bits.size() != (count + 7) / 8) return;
+    neighbour->holds.resize(count, false);
+    neighbour->map_known = true;
+    for (std::uint32_t i = 0; i < count; ++i) {
+      const bool bit = (static_cast<unsigned char>(event.bits[i / 8]) >> (i % 8) & 1u) != 0;
+      if (bit) {
+        this->NoteHolder(now, *neighbour, i);
+      } else {
+        // A neighbour that was restarted has lost its chunks.
+        this->ForgetHolder(*neighbour, i);
+      }
+    }
+  }
+
+  void On(Instant now, const HaveReceived& event) {
+    SpreadNeighbour* neighbour = this->FindNeighbour(event.from);
+    if (neighbour == nullptr || !neighbour->map_known || !this->IsCurrent(event.manifest)) return;
+    for (const std::uint32_t chunk : event.chunks) {
+      if (chunk < neighbour->holds.size()) this->NoteHolder(now, *neighbour, chunk);
+    }
+  }
+
+  void NoteHolder(Instant now, SpreadNeighbour& neighbour, std::uint32_t chunk) {
+    if (neighbour.holds[chunk]) return;
+    neighbour.holds[chunk] = true;
+    ++neighbour.held;
+    if (this->availability[chunk]++ == 0 && !this->Copy().Holds(chunk)) this->last_progress = now;
+    this->next_scan = {};
+  }
+
+  void ForgetHolder(SpreadNeighbour& neighbour, std::uint32_t chunk) {
+    if (!neighbour.map_known || !neighbour.holds[chunk]) return;
+    neighbour.holds[chunk] = false;
+    --neighbour.held;
+    --this->availability[chunk];
+  }
+
+  // ---- the wanted version ----
+
+  void On(Instant now, const CopyWanted& event) {
+    this->Reset(now);
+    this->manifest = event.manifest;
+    this->favour_origin_bytes = event.favour_origin_bytes;
+    this->availability.assign(this->manifest->ChunkCount(), 0);
+    this->complete = this->Copy().IsWhole();
+    this->started = now + event.origin_delay;
+    this->last_progress = this->started;
+    this->next_refresh = now + kMapRefresh;
+    for (SpreadNeighbour& neighbour : this->neighbours) this->AskMap(now, neighbour);
+    if (this->complete) this->actions.push_back(CopyComplete{});
+  }
+
+  void On(Instant now, const CopyEnded&) { this->Reset(now); }
+
+  void Reset(Instant) {
+    for (const auto& [chunk, request] : this->pending) this->SendCancelOf(chunk, request);
+    this->manifest.reset();
+    this->complete = false;
+    this->ranked = false;
+    this->ranks = {};
+    this->availability.clear();
+    this->pending.clear();
+    this->remote_pending = 0;
+    this->origin_reads.clear();
+    this->takeover_reads.clear();
+    this->owned.clear();
+    this->remote_attempts.clear();
+    this->candidates.clear();
+    this->fresh.clear();
+    this->mismatches = 0;
+    this->stopped = false;
+    this->probing = false;
+    this->probe_interval = kFirstProbe;
+    for (SpreadNeighbour& neighbour : this->neighbours) {
+      neighbour.map_known = false;
+      neighbour.holds.clear();
+      neighbour.held = 0;
+      neighbour.in_flight = 0;
+    }
+  }
+
+  void Stored(Instant now, std::uint32_t chunk, bool by_takeover) {
+    if (!by_takeover) this->last_progress = now;
+    this->fresh.push_back(chunk);
+    if (!this->Copy().IsWhole()) return;
+    this->complete = true;
+    this->stopped = false;
+    this->AnnounceFresh();
+    this->actions.push_back(CopyComplete{});
+  }
+
+  void AnnounceFresh() {
+    if (this->fresh.empty()) return;
+    for (const SpreadNeighbour& neighbour : this->neighbours) {
+      if (!neighbour.map_known) continue;
+      SendHave have{.to = neighbour.peer, .manifest = this->manifest->Id(), .chunks = {}};
+      for (const std::uint32_t chunk : this->fresh) {
+        if (!neighbour.holds[chunk]) have.chunks.push_back(chunk);
+      }
+      if (!have.chunks.empty()) this->actions.push_back(std::move(have));
+    }
+    this->fresh.clear();
+  }
+
+  // ---- requests to peers ----
+
+  void SendCancelOf(std::uint32_t chunk, const Pending& request) {
+    this->actions.push_back(SendCancel{.to = request.peer,
+                                       .manifest = this->manifest->Id(),
+                                       .chunk = chunk,
+                                       .request_id = request.request_id});
+  }
+
+  // Forgets the request for `chunk`; returns it if there was one.
+  std::optional<Pending> EndRequest(std::uint32_t chunk, bool refund) {
+    const auto found = this->pending.find(chunk);
+    if (found == this->pending.end()) return std::nullopt;
+    const Pending request = std::move(found->second);
+    this->pending.erase(found);
+    if (request.remote) --this->remote_pending;
+    SpreadNeighbour* neighbour = this->FindNeighbour(request.peer);
+    if (!request.remote && neighbour != nullptr && neighbour->in_flight > 0) {
+      --neighbour->in_flight;
+    }
+    if (refund) {
+      this->down.RefundWeights(this->ChunkLength(chunk));
+      if (request.remote) this->region_pacer.Refund(this->ChunkLength(chunk));
+    }
+    return request;
+  }
+
+  void On(Instant now, const ChunkArrived& event) {
+    const std::uint32_t chunk = event.chunk.Index();
+    const bool stored = this->store.Put(event.chunk);
+    if (!this->IsCurrent(event.chunk.ManifestId())) return;
+    const std::optional<Pending> request = this->EndRequest(chunk, false);
+    if (request && request->peer != event.from) this->SendCancelOf(chunk, *request);
+    if (request && request->peer == event.from) this->NoteRoundTrip(now - request->sent);
+    if (SpreadNeighbour* neighbour = this->FindNeighbour(event.from)) {
+      neighbour->timeouts = 0;
+      if (neighbour->map_known) this->NoteHolder(now, *neighbour, chunk);
+    }
+    if (stored) this->Stored(now, chunk, false);
+  }
+
+  void NoteRoundTrip(Duration sample) {
+    this->round_trip = this->round_trip.count() == 0 ? sample : (this->round_trip * 7 + sample) / 8;
+  }
+
+  void On(Instant now, const ChunkCorrupt& event) {
+    if (SpreadNeighbour* neighbour = this->FindNeighbour(event.from)) {
+      neighbour->avoid_until = now + this->options.corrupt_avoidance;
+    }
+    if (!this->IsCurrent(event.manifest) || event.chunk >= this->manifest->ChunkCount()) return;
+    const auto found = this->pending.find(event.chunk);
+    if (found == this->pending.end() || found->second.peer != event.from) return;
+    if (found->second.remote) ++this->remote_attempts[event.chunk];
+    this->EndRequest(event.chunk, false);
+  }
+
+  void On(Instant now, const RefusalReceived& event) {
+    if (!this->IsCurrent(event.manifest)) return;
+    const auto found = this->pending.find(event.chunk);
+    if (found == this->pending.end() || found->second.request_id != event.request_id) return;
+    const std::optional<Pending> request = this->EndRequest(event.chunk, true);
+    if (request->remote) {
+      ++this->remote_attempts[event.chunk];
+      this->remote_ready = now + this->Jittered(kRemoteRetry);
+      this->owned.push_front(event.chunk);
+      return;
+    }
+    SpreadNeighbour* neighbour = this->FindNeighbour(event.from);
+    if (neighbour == nullptr) return;
+    if (!event.busy) {
+      this->ForgetHolder(*neighbour, event.chunk);
+      return;
+    }
+    neighbour->busy_until = now + this->Jittered(this->BusyPause());
+  }
+
+  // Time in which a sender empties about half of its queue.
+  Duration BusyPause() const {
+    const double rate = this->options.link_bytes_per_second * this->options.weights_share;
+    const double queue = static_cast<double>(this->options.max_uploads) / 2;
+    return std::max<Duration>(milliseconds(5),
+                              FromSeconds(queue * this->manifest->ChunkSize() / rate));
+  }
+
+  Duration RequestDeadline(bool remote) const {
+    const double rate = this->options.link_bytes_per_second * this->options.weights_share;
+    const double queue = static_cast<double>(this->options.max_uploads) + 2;
+    const Duration sending = FromSeconds(queue * this->manifest->ChunkSize() / rate);
+    if (!remote) return std::max(kMinRequestDeadline + sending, this->round_trip * 5);
+    const double shared = static_cast<double>(this->ranks.RegionSize() * kMaxRemoteRequests) *
+                          this->manifest->ChunkSize() /
+                          this->options.inter_region_bytes_per_second;
+    return kMinRemoteDeadline + sending + FromSeconds(2 * shared);
+  }
+
+  void Request(Instant now, std::uint32_t chunk, const std::string& peer, bool remote) {
+    const std::uint64_t id = this->next_request++;
+    this->pending.emplace(chunk, Pending{.peer = peer,
+                                         .request_id = id,
+                                         .sent = now,
+                                         .deadline = now + this->RequestDeadline(remote),
+                                         .remote = remote});
+    this->down.TakeWeights(now, this->ChunkLength(chunk));
+    this->actions.push_back(SendRequest{
+        .to = peer, .manifest = this->manifest->Id(), .chunk = chunk, .request_id = id});
+  }
+
+  void ExpireRequests(Instant now) {
+    std::vector<std::uint32_t> late;
+    for (const auto& [chunk, request] : this->pending) {
+      if (now >= request.deadline) late.push_back(chunk);
+    }
+    std::sort(late.begin(), late.end());
+    for (const std::uint32_t chunk : late) {
+      const std::optional<Pending> request = this->EndRequest(chunk, true);
+      this->SendCancelOf(chunk, *request);
+      if (request->remote) {
+        ++this->remote_attempts[chunk];
+        this->owned.push_front(chunk);
+        continue;
+      }
+      this->AvoidSilent(now, request->peer);
+    }
+  }
+
+  void AvoidSilent(Instant now, const std::string& peer) {
+    SpreadNeighbour* neighbour = this->FindNeighbour(peer);
+    if (neighbour == nullptr || now < neighbour->avoid_until) return;
+    const int doublings = std::min(neighbour->timeouts++, 4);
+    neighbour->avoid_until =
+        now + this->Jittered(std::min(kMaxAvoidance, kMinRequestDeadline * (1 << doublings)));
+  }
+
+  void PumpRequests(Instant now) {
+    while (this->pending.size() - this->remote_pending < this->options.max_requests &&
+           this->down.Ready(now)) {
+      SpreadNeighbour* holder = nullptr;
+      const std::uint32_t chunk = this->PickRarest(now, holder);
+      if (chunk == kNoChunk) return;
+      ++holder->in_flight;
+      this->Request(now, chunk, holder->peer, false);
+    }
+  }
+
+  // The rarest missing chunk with a usable holder, or kNoChunk.
+  std::uint32_t PickRarest(Instant now, SpreadNeighbour*& holder) {
+    for (int round = 0; round < 2; ++round) {
+      while (!this->candidates.empty()) {
+        const std::uint32_t chunk = this->candidates.back();
+        this->candidates.pop_back();
+        if (!this->IsMissing(this->Copy(), chunk)) continue;
+        holder = this->LeastLoadedHolder(now, chunk);
+        if (holder != nullptr) return chunk;
+      }
+      if (now < this->next_scan) return kNoChunk;
+      this->next_scan = now + kScanPause;
+      this->ScanCandidates();
+    }
+    return kNoChunk;
+  }
+
+  // Samples missing chunks of each level of rarity, at random within a level.
+  void ScanCandidates() {
+    std::array<std::vector<std::uint32_t>, kLevels> levels;
+    std::array<std::uint64_t, kLevels> seen = {};
+    const WeightsCopy& copy = this->Copy();
+    for (std::uint32_t chunk = 0; chunk < this->availability.size(); ++chunk) {
+      const std::size_t level = this->availability[chunk];
+      if (level == 0 || !this->IsMissing(copy, chunk)) continue;
+      ++seen[level];
+      if (levels[level].size() < kCandidatesPerLevel) {
+        levels[level].push_back(chunk);
+        continue;
+      }
+      const std::uint64_t place = UniformBelow(this->random, seen[level]);
+      if (place < kCandidatesPerLevel) levels[level][place] = chunk;
+    }
+    for (std::size_t level = kLevels; level-- > 1;) {
+      std::shuffle(levels[level].begin(), levels[level].end(), this->random);
+      this->candidates.insert(this->candidates.end(), levels[level].begin(), levels[level].end());
+    }
+  }
+
+  SpreadNeighbour* LeastLoadedHolder(Instant now, std::uint32_t chunk) {
+    SpreadNeighbour* best = nullptr;
+    std::uint64_t ties = 0;
+    for (SpreadNeighbour& neighbour : this->neighbours) {
+      if (!neighbour.IsUsable(now, this->options.max_peer_requests)) continue;
+      if (!neighbour.Holds(chunk)) continue;
+      if (best != nullptr && neighbour.in_flight > best->in_flight) continue;
+      const bool better = best == nullptr || neighbour.in_flight < best->in_flight;
+      ties = better ? 1 : ties + 1;
+      if (better || UniformBelow(this->random, ties) == 0) best = &neighbour;
+    }
+    return best;
+  }
+
+  // ---- serving peers ----
+
+  void On(Instant, const RequestReceived& event) {
+    const WeightsCopy* copy = this->store.Find(event.manifest);
+    const bool held = copy != nullptr && copy->Holds(event.chunk);
+    if (held && this->uploads.size() < this->options.max_uploads) {
+      this->uploads.push_back(Upload{.to = event.from,
+                                     .manifest = event.manifest,
+                                     .chunk = event.chunk,
+                                     .request_id = event.request_id});
+      return;
+    }
+    this->actions.push_back(SendRefusal{.to = event.from,
+                                        .manifest = event.manifest,
+                                        .chunk = event.chunk,
+                                        .request_id = event.request_id,
+                                        .busy = held});
+  }
+
+  void On(Instant, const CancelReceived& event) {
+    std::erase_if(this->uploads, [&](const Upload& upload) {
+      return upload.to == event.from && upload.request_id == event.request_id;
+    });
+  }
+
+  void PumpUploads(Instant now) {
+    while (!this->uploads.empty() && this->up.Ready(now)) {
+      const Upload upload = std::move(this->uploads.front());
+      this->uploads.pop_front();
+      const WeightsCopy* copy = this->store.Find(upload.manifest);
+      if (copy == nullptr || !copy->Holds(upload.chunk)) continue;
+      this->up.TakeWeights(now, static_cast<double>(copy->chunks[upload.chunk]->size()));
+      this->actions.push_back(SendChunk{.to = upload.to,
+                                        .manifest = upload.manifest,
+                                        .chunk = upload.chunk,
+                                        .request_id = upload.request_id});
+    }
+  }
+
+  // ---- the origin ----
+
+  bool MayFetchFirst(Instant now) const {
+    if (!this->ranked || now < this->started) return false;
+    if (now >= this->started + kMapGrace) return true;
+    return std::all_of(this->neighbours.begin(), this->neighbours.end(), [](const auto& neighbour) {
+      return neighbour.map_known || !neighbour.is_source;
+    });
+  }
+
+  void PumpOrigin(Instant now) {
+    if (this->stopped || !this->MayFetchFirst(now)) return;
+    if (this->IsInOriginRegion()) {
+      this->PumpOriginReads(now);
+    } else {
+      this->PumpRemote(now);
+    }
+  }
+
+  void PumpOriginReads(Instant now) {
+    while (now >= this->origin_ready &&
+           this->origin_reads.size() < this->options.max_origin_reads && this->down.Ready(now)) {
+      bool takeover = false;
+      const std::uint32_t chunk = this->NextFirstFetch(now, takeover);
+      if (chunk == kNoChunk) return;
+      this->origin_reads.insert(chunk);
+      if (takeover) this->takeover_reads.insert(chunk);
+      this->down.TakeWeights(now, this->ChunkLength(chunk));
+      this->actions.push_back(ReadOrigin{.chunk = chunk});
+    }
+  }
+
+  void PumpRemote(Instant now) {
+    while (now >= this->remote_ready && this->remote_pending < kMaxRemoteRequests &&
+           this->region_pacer.Ready(now) && this->down.Ready(now)) {
+      bool takeover = false;
+      const std::uint32_t chunk = this->NextFirstFetch(now, takeover);
+      if (chunk == kNoChunk) return;
+      const auto sources = this->ranks.SourcesOf(chunk);
+      if (sources.empty()) return;
+      const std::size_t attempt = this->remote_attempts[chunk];
+      ++this->remote_pending;
+      this->region_pacer.Take(now, this->ChunkLength(chunk));
+      this->Request(now, chunk, sources[attempt % sources.size()], true);
+    }
+  }
+
+  // A chunk that this agent brings into its region, or kNoChunk.
+  std::uint32_t NextFirstFetch(Instant now, bool& takeover) {
+    while (now >= this->owned_ready && !this->owned.empty()) {
+      const std::uint32_t chunk = this->owned.back();
+      this->owned.pop_back();
+      if (this->IsMissing(this->Copy(), chunk) && this->availability[chunk] == 0) return chunk;
+    }
+    takeover = true;
+    return this->NextTakeover(now);
+  }
+
+  // A chunk that did not appear among the neighbours although the agents before this one should
+  // have fetched it. The delay counts from the last chunk that appeared, because agents fetch
+  // their chunks one after another.
+  std::uint32_t NextTakeover(Instant now) {
+    const Duration silence =
+        now - std::max({this->last_progress, this->origin_ready, this->started});
+    if (silence < this->TakeoverDelay() || now < this->next_takeover_scan) return kNoChunk;
+    this->next_takeover_scan = now + kTakeoverScanPause;
+    const auto ranks_due = static_cast<int>(silence / this->TakeoverDelay());
+    const WeightsCopy& copy = this->Copy();
+    std::uint32_t picked = kNoChunk;
+    std::uint64_t seen = 0;
+    for (std::uint32_t chunk = 0; chunk < this->availability.size(); ++chunk) {
+      if (this->RankOf(chunk) > ranks_due || !this->IsMissing(copy, chunk)) continue;
+      if (this->HasReachableHolder(now, chunk)) continue;
+      if (UniformBelow(this->random, ++seen) == 0) picked = chunk;
+    }
+    return picked;
+  }
+
+  bool HasReachableHolder(Instant now, std::uint32_t chunk) const {
+    return std::any_of(this->neighbours.begin(), this->neighbours.end(),
+                       [&](const SpreadNeighbour& neighbour) {
+                         return neighbour.is_source && neighbour.Holds(chunk) &&
+                                now >= neighbour.avoid_until;
+                       });
+  }
+
+  // Ends the origin read of `chunk`; false when it belongs to another copy.
+  bool EndOriginRead(const Digest& id, std::uint32_t chunk) {
+    return this->IsCurrent(id) && this->origin_reads.erase(chunk) > 0;
+  }
+
+  void On(Instant now, const OriginChunkRead& event) {
+    const bool stored = this->store.Put(event.chunk);
+    const std::uint32_t chunk = event.chunk.Index();
+    if (!this->EndOriginRead(event.chunk.ManifestId(), chunk)) return;
+    const bool by_takeover = this->takeover_reads.erase(chunk) > 0;
+    this->origin_failures = 0;
+    this->mismatches = 0;
+    if (stored) this->Stored(now, chunk, by_takeover);
+  }
+
+  void RetryOriginRead(std::uint32_t chunk) {
+    this->takeover_reads.erase(chunk);
+    if (this->RankOf(chunk) == 0) this->owned.push_back(chunk);
+  }
+
+  void On(Instant now, const OriginMismatch& event) {
+    if (!this->EndOriginRead(event.manifest, event.chunk)) return;
+    this->RetryOriginRead(event.chunk);
+    this->origin_ready = std::max(this->origin_ready, now + kRecheckDelay);
+    if (++this->mismatches < kStoppingMismatches || this->stopped) return;
+    this->stopped = true;
+    this->next_probe = now + this->Jittered(this->probe_interval);
+    this->actions.push_back(CopyStopped{.chunk = event.chunk});
+  }
+
+  void On(Instant now, const OriginFailed& event) {
+    if (!this->EndOriginRead(event.manifest, event.chunk)) return;
+    this->RetryOriginRead(event.chunk);
+    const Duration longest = this->favour_origin_bytes ? kMaxBackoffOriginBytes : kMaxBackoffTime;
+    const Duration backoff = kFirstBackoff * (1 << std::min(this->origin_failures++, 6));
+    this->origin_ready =
+        std::max(this->origin_ready, now + this->Jittered(std::min(longest, backoff)));
+  }
+
+  void On(Instant now, const OriginThrottled& event) {
+    this->Hold(now, event.retry_after);
+    if (this->EndOriginRead(event.manifest, event.chunk)) this->RetryOriginRead(event.chunk);
+  }
+
+  void On(Instant now, const HoldReceived& event) { this->Hold(now, event.hold); }
+
+  void Hold(Instant now, Duration hold) {
+    const Instant until = now + hold;
+    if (until < this->hold_until + kHoldStep) return;
+    this->hold_until = until;
+    // Spreads the reads of the fleet after the hold.
+    const Duration spread = std::min<Duration>(seconds(1), hold / 4);
+    this->origin_ready = std::max(
+        this->origin_ready, until + FromSeconds(ToSeconds(spread) * UniformUnit(this->random)));
+    for (const SpreadNeighbour& neighbour : this->neighbours) {
+      this->actions.push_back(SendHold{.to = neighbour.peer, .hold = hold});
+    }
+  }
+
+  void On(Instant now, const OriginProbed& event) {
+    this->probing = false;
+    if (!this->stopped) return;
+    if (!event.changed) {
+      this->probe_interval = std::min(kMaxProbe, this->probe_interval * 2);
+      this->next_probe = now + this->Jittered(this->probe_interval);
+      return;
+    }
+    this->stopped = false;
+    this->mismatches = kStoppingMismatches - 1;
+    this->probe_interval = kFirstProbe;
+    this->actions.push_back(CopyResumed{});
+  }
+
+  void PumpProbe(Instant now) {
+    if (!this->stopped || this->probing || now < this->next_probe) return;
+    this->probing = true;
+    this->actions.push_back(ProbeOrigin{});
+  }
+
+  // ---- time ----
+
+  void On(Instant now, const RequestBytesSeen& event) {
+    this->up.TakeRequests(now, static_cast<double>(event.bytes));
+    this->down.TakeRequests(now, static_cast<double>(event.bytes));
+  }
+
+  void On(Instant now, const SpreadTick&) {
+    if (!this->manifest) return;
+    this->AnnounceFresh();
+    if (this->complete) return;
+    this->ExpireRequests(now);
+    this->AskForMaps(now);
+    this->PumpProbe(now);
+  }
+
+  // Maps and announcements can be lost: unknown maps are asked for again, known ones refreshed one
+  // at a time.
+  void AskForMaps(Instant now) {
+    for (SpreadNeighbour& neighbour : this->neighbours) {
+      if (!neighbour.map_known && now >= neighbour.map_asked + kMapRetry) {
+        this->AskMap(now, neighbour);
+      }
+    }
+    if (now < this->next_refresh || this->neighbours.empty()) return;
+    this->next_refresh = now + kMapRefresh;
+    SpreadNeighbour& neighbour =
+        this->neighbours[UniformBelow(this->random, this->neighbours.size())];
+    if (neighbour.map_known && !neighbour.IsWhole()) this->AskMap(now, neighbour);
+  }
+
+  void Pump(Instant now) {
+    this->PumpUploads(now);
+    if (!this->IsCopying()) return;
+    this->PumpOrigin(now);
+    this->PumpRequests(now);
+  }
+};
+
+ChunkSpreader::ChunkSpreader(SpreadOptions options, ChunkStore& store, Random& random)
+    : impl(std::make_unique<Impl>(std::move(options), store, random)) {}
+ChunkSpreader::~ChunkSpreader() = default;
+
+std::vector<SpreadAction> ChunkSpreader::Handle(Instant now, const SpreadEvent& event) {
+  std::visit([&](const auto& item) { this->impl->On(now, item); }, event);
+  this->impl->Pump(now);
+  return std::exchange(this->impl->actions, {});
+}
+
+bool ChunkSpreader::IsActive() const {
+  if (!this->impl->uploads.empty() || !this->impl->fresh.empty()) return true;
+  return this->impl->IsCopying();
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/chunk_spreader.h
@@ -0,0 +1,55 @@
+// Decides which chunks this agent requests, from whom, and whom it serves.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "distribution/spread_events.h"
+
+namespace savory {
+
+class ChunkStore;
+
+// kOriginOnly and kTree are baselines for measurements.
+enum class SpreadStrategy { kSwarm, kOriginOnly, kTree };
+
+struct SpreadOptions {
+  std::string vm;
+  std::string region;
+  std::string origin_region;
+  SpreadStrategy strategy = SpreadStrategy::kSwarm;
+  double link_bytes_per_second = 125e6;  // each way
+  double weights_share = 0.8;
+  double inter_region_bytes_per_second = 3e6;
+  std::size_t max_requests = 8;      // in flight at neighbours
+  std::size_t max_peer_requests = 2; // in flight at one neighbour
+  std::size_t max_uploads = 6;       // waiting; a further request is refused as busy
+  std::size_t max_origin_reads = 1;
+  // A second agent reads a chunk from the origin when none has appeared for this long.
+  Duration takeover_time = std::chrono::seconds(3);
+  Duration takeover_origin_bytes = std::chrono::seconds(15);
+  Duration corrupt_avoidance = std::chrono::seconds(10);
+};
+
+// The state is bounded by chunks x neighbours and does not grow with the fleet.
+class ChunkSpreader {
+ public:
+  // `store` and `random` must outlive the spreader. The spreader adds verified chunks to `store`.
+  ChunkSpreader(SpreadOptions options, ChunkStore& store, Random& random);
+  ~ChunkSpreader();
+
+  std::vector<SpreadAction> Handle(Instant now, const SpreadEvent& event);
+
+  // Whether SpreadTick is needed at a short period: a copy or an upload is in progress.
+  bool IsActive() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/chunk_store.h
@@ -0,0 +1,56 @@
+// Verified chunks of the wanted version and of the one before it, in memory.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/digest.h"
+#include "distribution/manifest.h"
+#include "distribution/verified_chunk.h"
+
+namespace savory {
+
+// One version of the weights as far as its chunks have arrived.
+struct WeightsCopy {
+  std::shared_ptr<const Manifest> manifest;
+  std::vector<SharedChunk> chunks;  // null: not held
+  std::uint32_t held = 0;           // number of chunks held
+  std::uint64_t bytes = 0;          // sum of the chunks held
+
+  bool IsWhole() const { return this->held == this->chunks.size(); }
+  bool Holds(std::uint32_t chunk) const {
+    return chunk < this->chunks.size() && this->chunks[chunk] != nullptr;
+  }
+};
+
+// Keeps at most two versions: the wanted one and the most recent other one that is whole.
+class ChunkStore {
+ public:
+  // `limit_bytes` bounds the chunks of both versions together; 0: no bound. The wanted version is
+  // always kept.
+  explicit ChunkStore(std::uint64_t limit_bytes) : limit_bytes(limit_bytes) {}
+
+  // Makes `manifest` the wanted version. Chunks that a kept version shares with it are taken over.
+  void Want(std::shared_ptr<const Manifest> manifest);
+
+  // Adds a chunk; returns false when it belongs to no kept version or is held already.
+  bool Put(const VerifiedChunk& chunk);
+
+  // nullptr when no version `manifest` is kept.
+  const WeightsCopy* Find(const Digest& manifest) const;
+  std::uint64_t Bytes() const;
+
+ private:
+  void Trim();
+  void TakeOverChunks(WeightsCopy& target) const;
+
+  std::uint64_t limit_bytes;
+  std::vector<WeightsCopy> copies = {};  // the wanted version first
+};
+
+// Bit i of byte i/8 stands for chunk i, as in wire::ChunkMap.
+std::string ChunkBits(const WeightsCopy& copy);
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/load_order.cc
@@ -0,0 +1,174 @@
+#include "distribution/load_order.h"
+
+#include <algorithm>
+
+namespace savory {
+
+LoadOrder::LoadOrder(LoadOrderOptions options, Random& random)
+    : options(std::move(options)), random(random), retry_delay(this->options.first_retry) {}
+
+std::vector<LoadAction> LoadOrder::Handle(Instant now, const LoadEvent& event) {
+  std::visit([&](const auto& item) { this->On(now, item); }, event);
+  this->Advance(now);
+  return std::exchange(this->actions, {});
+}
+
+void LoadOrder::On(Instant now, const OrderWanted& event) {
+  const bool changed = event.manifest != this->wanted.manifest;
+  this->wanted = event;
+  if (!changed) return;
+  this->retry_at = now;
+  this->retry_delay = this->options.first_retry;
+  if (this->step == Step::kDraining) this->EndOrder(now, false);
+}
+
+void LoadOrder::On(Instant, const WeightsWhole& event) { this->whole = event.manifest; }
+
+void LoadOrder::On(Instant now, const EngineReported& event) {
+  this->engine = event;
+  if (this->step == Step::kLoading && event.asked >= this->order_answered) this->FinishLoad(now);
+}
+
+void LoadOrder::On(Instant, const EngineSilent&) { this->engine.reset(); }
+
+void LoadOrder::FinishLoad(Instant now) {
+  if (!this->engine->loading.IsZero()) return;
+  this->EndOrder(now, this->engine->loaded != this->ordered);
+}
+
+void LoadOrder::On(Instant now, const LeaseGranted& event) {
+  if (event.call != this->call.id || this->step != Step::kAcquiring) return;
+  const Instant started = this->call.started;
+  this->lease = Lease{.name = this->call.lease,
+                      .fence = event.fence,
+                      .usable_until = started + this->options.lease_ttl - this->options.lease_margin,
+                      .next_renewal = started + this->options.renew_every};
+  this->call = {};
+  const bool too_late = now >= this->lease->usable_until;
+  if (too_late || !this->NeedsOrder()) {
+    this->EndOrder(now, too_late);
+    return;
+  }
+  this->step = Step::kDraining;
+}
+
+void LoadOrder::On(Instant now, const LeaseNotGranted& event) {
+  if (event.call != this->call.id || this->step != Step::kAcquiring) return;
+  this->call = {};
+  this->step = Step::kWaiting;
+  this->Delay(now);
+}
+
+void LoadOrder::On(Instant, const LeaseRenewed& event) {
+  if (event.call != this->call.id || !this->lease) return;
+  this->lease->usable_until =
+      this->call.started + this->options.lease_ttl - this->options.lease_margin;
+  this->lease->next_renewal = this->call.started + this->options.renew_every;
+  this->call = {};
+}
+
+void LoadOrder::On(Instant now, const LeaseLost& event) {
+  if (event.call != this->call.id) return;
+  this->call = {};
+  this->lease.reset();
+  // An order that was sent under the lease is not repeated; its result is read from the engine.
+  if (this->step == Step::kDraining) this->EndOrder(now, true);
+}
+
+void LoadOrder::On(Instant now, const LoadAnswered& event) {
+  if (this->step != Step::kOrdering) return;
+  this->order_answered = now;
+  if (event.answer == LoadAnswer::kAccepted || event.answer == LoadAnswer::kUnknown) {
+    this->step = Step::kLoading;
+    return;
+  }
+  this->EndOrder(now, true);
+}
+
+void LoadOrder::On(Instant, const OrderTick& event) { this->idle = event.idle; }
+
+bool LoadOrder::NeedsOrder() const {
+  const Digest& manifest = this->wanted.manifest;
+  if (manifest.IsZero() || this->whole != manifest || !this->engine) return false;
+  // The engine may still be busy with an order of this agent's previous incarnation.
+  return this->engine->loading.IsZero() && this->engine->loaded != manifest;
+}
+
+void LoadOrder::Advance(Instant now) {
+  if (this->step == Step::kWaiting) {
+    if (this->NeedsOrder() && now >= this->retry_at) this->Acquire(now);
+    return;
+  }
+  if (this->step == Step::kAcquiring) {
+    // The answer to the call may never arrive; the lease then ends by its own time.
+    if (now >= this->call.started + this->options.lease_ttl) {
+      this->call = {};
+      this->step = Step::kWaiting;
+      this->Delay(now);
+    }
+    return;
+  }
+  if (this->lease && now >= this->lease->usable_until) {
+    this->lease.reset();
+    this->call = {};
+  }
+  if (this->step == Step::kDraining && !this->lease) {
+    this->EndOrder(now, true);
+    return;
+  }
+  if (this->step == Step::kDraining && this->idle) this->SendOrder(now);
+  this->Renew(now);
+}
+
+void LoadOrder::Acquire(Instant now) {
+  this->step = Step::kAcquiring;
+  this->idle = false;
+  this->call = LeaseCall{.id = this->next_call++, .started = now, .lease = this->SlotName()};
+  this->actions.push_back(AcquireSlot{.call = this->call.id, .lease = this->call.lease});
+}
+
+void LoadOrder::Renew(Instant now) {
+  if (!this->lease || this->call.id != 0 || now < this->lease->next_renewal) return;
+  this->call = LeaseCall{.id = this->next_call++, .started = now, .lease = this->lease->name};
+  this->lease->next_renewal = now + this->options.renew_every;
+  this->actions.push_back(RenewSlot{
+      .call = this->call.id, .lease = this->lease->name, .fence = this->lease->fence});
+}
+
+void LoadOrder::SendOrder(Instant now) {
+  this->step = Step::kOrdering;
+  this->ordered = this->wanted.manifest;
+  this->actions.push_back(OrderLoad{.manifest = this->ordered,
+                                    .fence = this->lease->fence,
+                                    .deadline = this->lease->usable_until - now,
+                                    .not_after = this->lease->usable_until});
+}
+
+void LoadOrder::EndOrder(Instant now, bool failed) {
+  if (this->lease) {
+    this->actions.push_back(
+        ReleaseSlot{.lease = this->lease->name, .fence = this->lease->fence});
+  }
+  this->lease.reset();
+  this->call = {};
+  this->step = Step::kWaiting;
+  if (failed) {
+    this->Delay(now);
+  } else {
+    this->retry_delay = this->options.first_retry;
+  }
+}
+
+void LoadOrder::Delay(Instant now) {
+  const double jitter = 0.5 + UniformUnit(this->random);
+  this->retry_at = now + FromSeconds(ToSeconds(this->retry_delay) * jitter);
+  this->retry_delay = std::min(this->options.max_retry, this->retry_delay * 2);
+}
+
+std::string LoadOrder::SlotName() const {
+  const std::uint64_t slots = std::max<std::uint32_t>(1, this->wanted.max_loading);
+  const std::uint64_t slot = RendezvousScore("load-slot", this->options.vm) % slots;
+  return "load/" + this->wanted.pool + "/" + std::to_string(slot);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/load_order.h
@@ -0,0 +1,178 @@
+// Orders one engine to load weights, under a lease on one of the pool's slots.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/random.h"
+#include "base/time.h"
+
+namespace savory {
+
+// ---- events ----
+
+// The pool row; a zero manifest ends the orders.
+struct OrderWanted {
+  std::string pool;
+  Digest manifest;
+  std::uint32_t max_loading = 1;
+};
+// All chunks of `manifest` are in memory.
+struct WeightsWhole {
+  Digest manifest;
+};
+// Answer to GET /v1/state; `asked` is the time before the call.
+struct EngineReported {
+  Instant asked;
+  std::uint64_t incarnation = 0;
+  Digest loaded;   // zero: none
+  Digest loading;  // zero: none
+};
+struct EngineSilent {};
+struct LeaseGranted {
+  std::uint64_t call = 0;
+  std::uint64_t fence = 0;
+};
+// The slot is taken, or the service is unavailable, or its reply was lost.
+struct LeaseNotGranted {
+  std::uint64_t call = 0;
+  bool held_by_other = false;
+};
+struct LeaseRenewed {
+  std::uint64_t call = 0;
+};
+struct LeaseLost {
+  std::uint64_t call = 0;
+};
+enum class LoadAnswer {
+  kAccepted,
+  kStaleFence,
+  kNotSent,  // the lease had run out, or no connection could be made
+  kUnknown,  // the reply was lost; the engine may have accepted
+};
+struct LoadAnswered {
+  LoadAnswer answer;
+};
+// `idle`: no request runs at the engine.
+struct OrderTick {
+  bool idle = true;
+};
+
+using LoadEvent = std::variant<OrderWanted, WeightsWhole, EngineReported, EngineSilent,
+                               LeaseGranted, LeaseNotGranted, LeaseRenewed, LeaseLost, LoadAnswered,
+                               OrderTick>;
+
+// ---- actions ----
+
+struct AcquireSlot {
+  std::uint64_t call = 0;
+  std::string lease;
+};
+struct RenewSlot {
+  std::uint64_t call = 0;
+  std::string lease;
+  std::uint64_t fence = 0;
+};
+struct ReleaseSlot {
+  std::string lease;
+  std::uint64_t fence = 0;
+};
+// POST /v1/load; must not be sent at or after `not_after`. `deadline` is the time left for the
+// engine to begin the load.
+struct OrderLoad {
+  Digest manifest;
+  std::uint64_t fence = 0;
+  Duration deadline;
+  Instant not_after;
+};
+
+using LoadAction = std::variant<AcquireSlot, RenewSlot, ReleaseSlot, OrderLoad>;
+
+struct LoadOrderOptions {
+  std::string vm;
+  Duration lease_ttl = std::chrono::seconds(10);
+  Duration renew_every = std::chrono::seconds(3);
+  // Part of the lease at its end that is not used, for clocks that run at different speeds and for
+  // the way of an order to the engine.
+  Duration lease_margin = std::chrono::seconds(1);
+  Duration first_retry = std::chrono::milliseconds(250);
+  Duration max_retry = std::chrono::seconds(5);
+};
+
+// At most one order at a time: a further version waits until the engine has finished the last one.
+// The lease is measured by the local monotonic clock from before the call that acquired or renewed
+// it, and checked before every step, so a process that was paused does not act on a lost lease.
+class LoadOrder {
+ public:
+  enum class Step { kWaiting, kAcquiring, kDraining, kOrdering, kLoading };
+
+  // `random` must outlive the object.
+  LoadOrder(LoadOrderOptions options, Random& random);
+
+  std::vector<LoadAction> Handle(Instant now, const LoadEvent& event);
+
+  Step CurrentStep() const { return this->step; }
+  // The engine must receive no new request.
+  bool BlocksServing() const {
+    return this->step == Step::kDraining || this->step == Step::kOrdering ||
+           this->step == Step::kLoading;
+  }
+
+ private:
+  struct Lease {
+    std::string name;
+    std::uint64_t fence = 0;
+    Instant usable_until = {};
+    Instant next_renewal = {};
+  };
+  struct LeaseCall {
+    std::uint64_t id = 0;  // 0: none in progress
+    Instant started = {};
+    std::string lease = {};
+  };
+
+  void On(Instant now, const OrderWanted& event);
+  void On(Instant now, const WeightsWhole& event);
+  void On(Instant now, const EngineReported& event);
+  void On(Instant now, const EngineSilent& event);
+  void On(Instant now, const LeaseGranted& event);
+  void On(Instant now, const LeaseNotGranted& event);
+  void On(Instant now, const LeaseRenewed& event);
+  void On(Instant now, const LeaseLost& event);
+  void On(Instant now, const LoadAnswered& event);
+  void On(Instant now, const OrderTick& event);
+
+  void Advance(Instant now);
+  bool NeedsOrder() const;
+  void Acquire(Instant now);
+  void Renew(Instant now);
+  void SendOrder(Instant now);
+  void FinishLoad(Instant now);
+  // Ends the order; `failed` delays the next one.
+  void EndOrder(Instant now, bool failed);
+  void Delay(Instant now);
+  std::string SlotName() const;
+
+  LoadOrderOptions options;
+  Random& random;
+  std::vector<LoadAction> actions = {};
+  OrderWanted wanted = {};
+  Digest whole = {};
+  std::optional<EngineReported> engine = {};
+  Step step = Step::kWaiting;
+  std::optional<Lease> lease = {};
+  LeaseCall call = {};
+  std::uint64_t next_call = 1;
+  Digest ordered = {};
+  Instant order_answered = {};
+  std::uint64_t ordered_incarnation = 0;
+  Instant retry_at = {};
+  Duration retry_delay = {};
+  bool idle = false;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/manifest.cc
@@ -0,0 +1,84 @@
+#include "distribution/manifest.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+namespace {
+
+Error Malformed(std::string detail) {
+  return Error{.kind = ErrorKind::kMalformed, .detail = "manifest: " + std::move(detail)};
+}
+
+// Reason why `message` is not usable, or "".
+std::string FaultOf(const wire::Manifest& message) {
+  if (message.size() == 0) return "size is 0";
+  if (message.chunk_size() == 0 || message.chunk_size() > Manifest::kMaxChunkBytes) {
+    return "chunk_size is out of range";
+  }
+  const std::uint64_t chunks = (message.size() - 1) / message.chunk_size() + 1;
+  if (chunks > Manifest::kMaxChunks) return "too many chunks";
+  if (message.chunk_digests().size() != chunks * Digest::kSize) {
+    return "chunk_digests has the wrong length";
+  }
+  if (message.whole_digest().size() != Digest::kSize) return "whole_digest has the wrong length";
+  if (message.weights_name().empty()) return "weights_name is empty";
+  return "";
+}
+
+}  // namespace
+
+Manifest Manifest::Build(std::span<const std::byte> weights, std::uint32_t chunk_size,
+                         std::string weights_name) {
+  assert(!weights.empty() && chunk_size > 0 && chunk_size <= kMaxChunkBytes);
+  wire::Manifest message;
+  message.set_size(weights.size());
+  message.set_chunk_size(chunk_size);
+  message.set_weights_name(std::move(weights_name));
+  message.set_whole_digest(std::string(Sha256(weights).View()));
+  for (std::size_t offset = 0; offset < weights.size(); offset += chunk_size) {
+    const std::size_t length = std::min<std::size_t>(chunk_size, weights.size() - offset);
+    message.mutable_chunk_digests()->append(Sha256(weights.subspan(offset, length)).View());
+  }
+  const std::string content = message.SerializeAsString();
+  return Parse(content, Sha256(content)).value();
+}
+
+Result<Manifest> Manifest::Parse(std::string_view content, const Digest& expected) {
+  if (Sha256(content) != expected) {
+    return Error{.kind = ErrorKind::kDigestMismatch, .detail = "manifest is not " + expected.Hex()};
+  }
+  wire::Manifest message;
+  if (!message.ParseFromArray(content.data(), static_cast<int>(content.size()))) {
+    return Malformed("cannot be decoded");
+  }
+  if (const std::string fault = FaultOf(message); !fault.empty()) return Malformed(fault);
+  Manifest manifest;
+  manifest.id = expected;
+  manifest.whole_digest = DigestFromRaw(message.whole_digest());
+  manifest.content = content;
+  manifest.chunk_digests = message.chunk_digests();
+  manifest.weights_name = message.weights_name();
+  manifest.size_bytes = message.size();
+  manifest.chunk_size = message.chunk_size();
+  manifest.chunk_count =
+      static_cast<std::uint32_t>(message.chunk_digests().size() / Digest::kSize);
+  return manifest;
+}
+
+ChunkRange Manifest::RangeOf(std::uint32_t chunk) const {
+  assert(chunk < this->chunk_count);
+  const std::uint64_t offset = std::uint64_t{chunk} * this->chunk_size;
+  const std::uint64_t length = std::min<std::uint64_t>(this->chunk_size, this->size_bytes - offset);
+  return ChunkRange{.offset = offset, .length = static_cast<std::uint32_t>(length)};
+}
+
+Digest Manifest::DigestOf(std::uint32_t chunk) const {
+  assert(chunk < this->chunk_count);
+  return DigestFromRaw(
+      std::string_view(this->chunk_digests).substr(chunk * Digest::kSize, Digest::kSize));
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/manifest_fetch.cc
@@ -0,0 +1,96 @@
+#include "distribution/manifest_fetch.h"
+
+#include <algorithm>
+
+namespace savory {
+namespace {
+
+constexpr std::size_t kReaders = 2;
+constexpr std::size_t kPulls = 3;
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(500);
+constexpr Duration kMaxBackoff = std::chrono::seconds(5);
+
+// The `kReaders` members of `region` with the highest score for `key`.
+std::vector<SpreadPeer> Readers(std::span<const SpreadPeer> members, std::string_view key,
+                                const std::string& region) {
+  std::vector<SpreadPeer> found;
+  for (const SpreadPeer& member : members) {
+    if (member.region == region) found.push_back(member);
+  }
+  const std::size_t count = std::min(kReaders, found.size());
+  std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count), found.end(),
+                    [&](const SpreadPeer& left, const SpreadPeer& right) {
+                      return RendezvousScore(key, left.vm) > RendezvousScore(key, right.vm);
+                    });
+  found.resize(count);
+  return found;
+}
+
+}  // namespace
+
+ManifestFetch::ManifestFetch(ManifestFetchOptions options, Random& random)
+    : options(std::move(options)), random(random) {}
+
+void ManifestFetch::Start(Instant now, const Digest& manifest) {
+  this->wanted = manifest;
+  this->started = now;
+  this->next_pull = now;
+  this->next_read = now;
+  this->backoff = kFirstBackoff;
+}
+
+void ManifestFetch::SetMembers(std::span<const SpreadPeer> members) {
+  const std::string_view key = this->wanted.View();
+  const auto local = Readers(members, key, this->options.region);
+  this->first_ranked = std::any_of(local.begin(), local.end(), [this](const SpreadPeer& member) {
+    return member.vm == this->options.vm;
+  });
+  this->gateways.clear();
+  for (const SpreadPeer& member : Readers(members, key, this->options.origin_region)) {
+    if (member.vm != this->options.vm) this->gateways.push_back(member.peer);
+  }
+  this->neighbours.clear();
+  for (SpreadPeer& member : RingNeighbours(members, this->options.vm, this->options.region)) {
+    this->neighbours.push_back(std::move(member.peer));
+  }
+}
+
+void ManifestFetch::OnOriginFailed(Instant now) {
+  const double jitter = 0.5 + UniformUnit(this->random);
+  this->next_read = now + FromSeconds(ToSeconds(this->backoff) * jitter);
+  this->backoff = std::min(kMaxBackoff, this->backoff * 2);
+}
+
+bool ManifestFetch::ReadsOrigin(Instant now) const {
+  if (now < this->next_read) return false;
+  if (this->options.always_from_origin || now >= this->started + this->options.fallback) {
+    return true;
+  }
+  return this->first_ranked && this->options.region == this->options.origin_region;
+}
+
+std::vector<ManifestAction> ManifestFetch::Tick(Instant now) {
+  std::vector<ManifestAction> actions;
+  if (this->wanted.IsZero()) return actions;
+  if (this->ReadsOrigin(now)) {
+    // The answer either ends the fetch or sets the next time.
+    this->next_read = Instant::max();
+    actions.push_back(ReadManifest{});
+  }
+  if (now >= this->next_pull && !this->options.always_from_origin) {
+    this->next_pull = now + this->options.retry;
+    this->AddPulls(actions);
+  }
+  return actions;
+}
+
+void ManifestFetch::AddPulls(std::vector<ManifestAction>& actions) {
+  const bool in_origin_region = this->options.region == this->options.origin_region;
+  if (this->first_ranked && in_origin_region) return;
+  const auto& sources = this->first_ranked ? this->gateways : this->neighbours;
+  std::vector<std::string> picked;
+  std::sample(sources.begin(), sources.end(), std::back_inserter(picked), kPulls, this->random);
+  for (std::string& peer : picked) actions.push_back(PullManifest{.peer = std::move(peer)});
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/manifest_fetch.h
@@ -0,0 +1,65 @@
+// Decides where this agent gets a manifest from.
+#pragma once
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "distribution/origin_ranks.h"
+
+namespace savory {
+
+// Send ManifestPull to `peer` (IP:PORT).
+struct PullManifest {
+  std::string peer;
+};
+// GET /manifests/DIGEST at the origin.
+struct ReadManifest {};
+using ManifestAction = std::variant<PullManifest, ReadManifest>;
+
+struct ManifestFetchOptions {
+  std::string vm;
+  std::string region;
+  std::string origin_region;
+  bool always_from_origin = false;  // baseline strategy
+  Duration retry = std::chrono::seconds(1);
+  Duration fallback = std::chrono::seconds(5);  // then any agent reads the origin
+};
+
+// Two agents of the origin's region read the manifest from the origin; the others pull it from
+// neighbours, because a manifest read by every agent would add up to more than a copy of the
+// weights in a large fleet.
+class ManifestFetch {
+ public:
+  // `random` must outlive the object.
+  ManifestFetch(ManifestFetchOptions options, Random& random);
+
+  void Start(Instant now, const Digest& manifest);
+  void Stop() { this->wanted = {}; }
+  void SetMembers(std::span<const SpreadPeer> members);
+  // The origin did not answer; it is asked again after a backoff.
+  void OnOriginFailed(Instant now);
+
+  std::vector<ManifestAction> Tick(Instant now);
+
+ private:
+  bool ReadsOrigin(Instant now) const;
+  void AddPulls(std::vector<ManifestAction>& actions);
+
+  ManifestFetchOptions options;
+  Random& random;
+  Digest wanted = {};
+  Instant started = {};
+  Instant next_pull = {};
+  Instant next_read = {};
+  Duration backoff = {};
+  bool first_ranked = false;
+  std::vector<std::string> neighbours = {};
+  std::vector<std::string> gateways = {};  // agents of the origin's region that read the manifest
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/spread_events.h
@@ -0,0 +1,166 @@
+// Events and actions of ChunkSpreader. Peers are IP:PORT of peer sockets.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/time.h"
+#include "distribution/origin_ranks.h"
+#include "distribution/verified_chunk.h"
+
+namespace savory {
+
+class Manifest;
+
+// ---- events ----
+
+// The live agents of the pool, this one included.
+struct MembersChanged {
+  std::vector<SpreadPeer> members;
+};
+// The store wants `manifest` from now on.
+struct CopyWanted {
+  std::shared_ptr<const Manifest> manifest;
+  bool favour_origin_bytes = false;
+  // Wait before the first origin read; a process that just started does not know the members yet
+  // and would take itself for the first-ranked agent of every chunk.
+  Duration origin_delay = {};
+};
+struct CopyEnded {};
+struct MapReceived {
+  std::string from;
+  Digest manifest;
+  std::string bits;
+  bool reply_wanted = false;
+};
+struct HaveReceived {
+  std::string from;
+  Digest manifest;
+  std::vector<std::uint32_t> chunks;
+};
+struct RequestReceived {
+  std::string from;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+};
+struct CancelReceived {
+  std::string from;
+  std::uint64_t request_id = 0;
+};
+// A peer's chunk whose bytes match their digest.
+struct ChunkArrived {
+  std::string from;
+  VerifiedChunk chunk;
+};
+// A peer's chunk whose bytes do not match.
+struct ChunkCorrupt {
+  std::string from;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+};
+struct RefusalReceived {
+  std::string from;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+  bool busy = false;
+};
+struct HoldReceived {
+  Duration hold;
+};
+struct OriginChunkRead {
+  VerifiedChunk chunk;
+};
+// The origin's bytes do not match the manifest.
+struct OriginMismatch {
+  Digest manifest;
+  std::uint32_t chunk = 0;
+};
+struct OriginThrottled {
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  Duration retry_after;
+};
+struct OriginFailed {
+  Digest manifest;
+  std::uint32_t chunk = 0;
+};
+// Answer to ProbeOrigin: whether the origin's content differs from the one that stopped the copy.
+struct OriginProbed {
+  bool changed = false;
+};
+// Bytes of live requests on the VM's link.
+struct RequestBytesSeen {
+  std::uint64_t bytes = 0;
+};
+struct SpreadTick {};
+
+using SpreadEvent =
+    std::variant<MembersChanged, CopyWanted, CopyEnded, MapReceived, HaveReceived, RequestReceived,
+                 CancelReceived, ChunkArrived, ChunkCorrupt, RefusalReceived, HoldReceived,
+                 OriginChunkRead, OriginMismatch, OriginThrottled, OriginFailed, OriginProbed,
+                 RequestBytesSeen, SpreadTick>;
+
+// ---- actions ----
+
+// Send this agent's chunk map of `manifest`.
+struct SendMap {
+  std::string to;
+  Digest manifest;
+  bool reply_wanted = false;
+};
+struct SendHave {
+  std::string to;
+  Digest manifest;
+  std::vector<std::uint32_t> chunks;
+};
+struct SendRequest {
+  std::string to;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+};
+struct SendCancel {
+  std::string to;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+};
+struct SendChunk {
+  std::string to;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+};
+struct SendRefusal {
+  std::string to;
+  Digest manifest;
+  std::uint32_t chunk = 0;
+  std::uint64_t request_id = 0;
+  bool busy = false;
+};
+struct SendHold {
+  std::string to;
+  Duration hold;
+};
+struct ReadOrigin {
+  std::uint32_t chunk = 0;
+};
+// Find out whether the origin's content changed since the copy stopped.
+struct ProbeOrigin {};
+struct CopyStopped {
+  std::uint32_t chunk = 0;  // that does not match
+};
+struct CopyResumed {};
+struct CopyComplete {};
+
+using SpreadAction =
+    std::variant<SendMap, SendHave, SendRequest, SendCancel, SendChunk, SendRefusal, SendHold,
+                 ReadOrigin, ProbeOrigin, CopyStopped, CopyResumed, CopyComplete>;
+
+}  // namespace savory
