Add the distribution driver

It runs the cores with the peer transport, workers, leases and the local engine. Not yet run with real processes; tests of the cores follow.

--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -123,10 +123,9 @@
                      this->options.inter_region_bytes_per_second * kBurstSeconds) {}
 
   LinkPacerOptions PacerOptions() const {
-    return LinkPacerOptions{
-        .link_bytes_per_second = this->options.link_bytes_per_second,
-        .weights_share = this->options.weights_share,
-        .burst_bytes = this->options.link_bytes_per_second * kBurstSeconds};
+    return LinkPacerOptions{.link_bytes_per_second = this->options.link_bytes_per_second,
+                            .weights_share = this->options.weights_share,
+                            .burst_bytes = this->options.link_bytes_per_second * kBurstSeconds};
   }
 
   // ---- lookups ----
@@ -166,7 +165,7 @@
 
   // ---- members and maps ----
 
-  void On(Instant now, const MembersChanged& event) {
+  void On(Instant now, const PoolMembersChanged& event) {
     std::vector<SpreadPeer> wanted;
     bool has_parent = true;
     if (this->options.strategy == SpreadStrategy::kSwarm) {
@@ -186,9 +185,8 @@
     std::vector<SpreadNeighbour> kept;
     for (const SpreadPeer& peer : wanted) {
       const auto found =
-          std::find_if(this->neighbours.begin(), this->neighbours.end(), [&](const auto& old) {
-            return old.vm == peer.vm && old.peer == peer.peer;
-          });
+          std::find_if(this->neighbours.begin(), this->neighbours.end(),
+                       [&](const auto& old) { return old.vm == peer.vm && old.peer == peer.peer; });
       if (found != this->neighbours.end()) {
         kept.push_back(std::move(*found));
         found->peer.clear();
@@ -262,9 +260,8 @@
 
   void AskMap(Instant now, SpreadNeighbour& neighbour) {
     neighbour.map_asked = now;
-    this->actions.push_back(SendMap{.to = neighbour.peer,
-                                    .manifest = this->manifest->Id(),
-                                    .reply_wanted = !this->complete});
+    this->actions.push_back(SendMap{
+        .to = neighbour.peer, .manifest = this->manifest->Id(), .reply_wanted = !this->complete});
   }
 
   void On(Instant now, const MapReceived& event) {
@@ -469,8 +466,7 @@
     const Duration sending = FromSeconds(queue * this->manifest->ChunkSize() / rate);
     if (!remote) return std::max(kMinRequestDeadline + sending, this->round_trip * 5);
     const double shared = static_cast<double>(this->ranks.RegionSize() * kMaxRemoteRequests) *
-                          this->manifest->ChunkSize() /
-                          this->options.inter_region_bytes_per_second;
+                          this->manifest->ChunkSize() / this->options.inter_region_bytes_per_second;
     return kMinRemoteDeadline + sending + FromSeconds(2 * shared);
   }
 
@@ -595,7 +591,7 @@
                                         .busy = held});
   }
 
-  void On(Instant, const CancelReceived& event) {
+  void On(Instant, const ChunkCancelReceived& event) {
     std::erase_if(this->uploads, [&](const Upload& upload) {
       return upload.to == event.from && upload.request_id == event.request_id;
     });
@@ -694,11 +690,10 @@
   }
 
   bool HasReachableHolder(Instant now, std::uint32_t chunk) const {
-    return std::any_of(this->neighbours.begin(), this->neighbours.end(),
-                       [&](const SpreadNeighbour& neighbour) {
-                         return neighbour.is_source && neighbour.Holds(chunk) &&
-                                now >= neighbour.avoid_until;
-                       });
+    return std::any_of(
+        this->neighbours.begin(), this->neighbours.end(), [&](const SpreadNeighbour& neighbour) {
+          return neighbour.is_source && neighbour.Holds(chunk) && now >= neighbour.avoid_until;
+        });
   }
 
   // Ends the origin read of `chunk`; false when it belongs to another copy.
--- a/src/distribution/chunk_spreader.h
+++ b/src/distribution/chunk_spreader.h
@@ -25,9 +25,9 @@
   double link_bytes_per_second = 125e6;  // each way
   double weights_share = 0.8;
   double inter_region_bytes_per_second = 3e6;
-  std::size_t max_requests = 8;      // in flight at neighbours
-  std::size_t max_peer_requests = 2; // in flight at one neighbour
-  std::size_t max_uploads = 6;       // waiting; a further request is refused as busy
+  std::size_t max_requests = 8;       // in flight at neighbours
+  std::size_t max_peer_requests = 2;  // in flight at one neighbour
+  std::size_t max_uploads = 6;        // waiting; a further request is refused as busy
   std::size_t max_origin_reads = 1;
   // A second agent reads a chunk from the origin when none has appeared for this long.
   Duration takeover_time = std::chrono::seconds(3);
--- a/src/distribution/chunk_store.h
+++ b/src/distribution/chunk_store.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
 
   // nullptr when no version `manifest` is kept.
   const WeightsCopy* Find(const Digest& manifest) const;
+  // The kept versions, the wanted one first.
+  std::span<const WeightsCopy> Copies() const { return this->copies; }
   std::uint64_t Bytes() const;
 
  private:
--- /dev/null
+++ b/src/distribution/distribution_driver.cc
@@ -0,0 +1,683 @@
+#include "distribution/distribution_driver.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "distribution/chunk_store.h"
+#include "distribution/engine_client.h"
+#include "distribution/load_order.h"
+#include "distribution/manifest_fetch.h"
+#include "distribution/origin_client.h"
+#include "distribution/weights_server.h"
+#include "membership/membership_driver.h"
+#include "runtime/event_loop.h"
+#include "runtime/kv_client.h"
+#include "runtime/peer_transport.h"
+#include "runtime/workers.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kActiveTick = milliseconds(5);
+constexpr Duration kIdleTick = milliseconds(250);
+constexpr Duration kEnginePollActive = milliseconds(100);
+constexpr Duration kEnginePollIdle = seconds(1);
+// After its start a process learns the members within this time.
+constexpr Duration kMemberGrace = seconds(3);
+constexpr std::size_t kMaxManifestWaiters = 32;
+
+struct Counters {
+  explicit Counters(Metrics& metrics)
+      : bytes(metrics.GaugeFor("savory_weights_bytes")),
+        total_bytes(metrics.GaugeFor("savory_weights_total_bytes")),
+        phase(metrics.GaugeFor("savory_rollout_phase")),
+        origin_bytes(metrics.CounterFor("savory_origin_bytes_total")),
+        origin_errors(metrics.CounterFor("savory_origin_read_errors_total")),
+        corrupt(metrics.CounterFor("savory_chunks_corrupt_total")),
+        sent(metrics.CounterFor("savory_chunks_sent_total")),
+        received(metrics.CounterFor("savory_chunks_received_total")),
+        refused(metrics.CounterFor("savory_chunk_requests_refused_total")),
+        cancelled(metrics.CounterFor("savory_chunk_requests_cancelled_total")),
+        loads(metrics.CounterFor("savory_load_orders_total")) {}
+
+  Gauge& bytes;
+  Gauge& total_bytes;
+  Gauge& phase;
+  Counter& origin_bytes;
+  Counter& origin_errors;
+  Counter& corrupt;
+  Counter& sent;
+  Counter& received;
+  Counter& refused;
+  Counter& cancelled;
+  Counter& loads;
+};
+
+bool IsInPool(const Member& member, const wire::Pool& pool) {
+  if (member.role != MemberRole::kAgent) return false;
+  if (member.state != MemberState::kAlive && member.state != MemberState::kSuspect) return false;
+  if (pool.vms_size() == 0) return member.service == pool.service();
+  return std::find(pool.vms().begin(), pool.vms().end(), member.vm) != pool.vms().end();
+}
+
+SpreadOptions SpreadOptionsOf(const NodeIdentity& identity,
+                              const DistributionDriverOptions& options) {
+  return SpreadOptions{.vm = identity.vm,
+                       .region = identity.region,
+                       .origin_region = options.origin_region,
+                       .strategy = options.strategy,
+                       .link_bytes_per_second = options.link_bytes_per_second,
+                       .weights_share = options.weights_share,
+                       .inter_region_bytes_per_second = options.inter_region_bytes_per_second,
+                       .takeover_time = options.takeover_time,
+                       .takeover_origin_bytes = options.takeover_origin_bytes};
+}
+
+}  // namespace
+
+struct DistributionDriver::Impl {
+  Node& node;
+  MembershipDriver& members;
+  DistributionDriverOptions options;
+  Counters counters;
+  ChunkStore store;
+  ChunkSpreader spreader;
+  ManifestFetch fetch;
+  LoadOrder order;
+  OriginClient origin;
+  EngineClient engine;
+  WeightsServer server = {};
+  wire::Pool pool = {};
+  Digest wanted = {};
+  std::vector<SpreadPeer> pool_members = {};
+  std::set<std::string> manifest_waiters = {};    // peers that asked for the wanted manifest
+  std::shared_ptr<const Manifest> manifest = {};  // of `wanted`, once it has arrived
+  std::set<Digest> accepted = {};                 // versions that the engine may serve
+  bool engine_seen = false;                       // it has reported its state at least once
+  Digest serving = {};
+  bool ready = false;
+  std::string stop_detail = {};
+  std::string mismatch_etag = {};
+  std::uint64_t request_bytes = 0;
+  Instant next_engine_poll = {};
+  Instant started = {};
+  EventLoop::TimerId timer = 0;
+  bool timer_is_active = false;
+  RolloutPhase logged_phase = RolloutPhase::kIdle;
+  std::function<void(const Digest&, bool)> ready_listener = {};
+  std::function<bool()> idle_check = [] { return true; };
+  // Expires with the driver; answers that arrive later are dropped.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  Impl(Node& node, MembershipDriver& members, DistributionDriverOptions given)
+      : node(node),
+        members(members),
+        options(std::move(given)),
+        counters(node.metrics),
+        store(this->options.memory_bytes),
+        spreader(SpreadOptionsOf(node.identity, this->options), this->store, node.random),
+        fetch(ManifestFetchOptions{.vm = node.identity.vm,
+                                   .region = node.identity.region,
+                                   .origin_region = this->options.origin_region,
+                                   .always_from_origin =
+                                       this->options.strategy == SpreadStrategy::kOriginOnly},
+              node.random),
+        order(LoadOrderOptions{.vm = node.identity.vm,
+                               .lease_ttl = this->options.lease_ttl,
+                               .renew_every = this->options.lease_ttl * 3 / 10,
+                               .lease_margin = this->options.lease_ttl / 10},
+              node.random),
+        origin(node.workers, this->options.origin),
+        engine(node.workers, this->options.engine, this->options.weights_address) {}
+
+  Instant Now() const { return MonotonicClock::now(); }
+
+  // Wraps a callback so that it does nothing once the driver is gone.
+  template <typename Callback>
+  auto Guarded(Callback callback) {
+    return [guard = std::weak_ptr(this->alive), callback = std::move(callback)](auto&&... args) {
+      if (!guard.expired()) callback(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  // ---- spreader ----
+
+  void Spread(const SpreadEvent& event) {
+    for (SpreadAction& action : this->spreader.Handle(this->Now(), event)) {
+      std::visit([this](auto& item) { this->Do(item); }, action);
+    }
+    if (this->spreader.IsActive() && !this->timer_is_active) this->ScheduleTick();
+  }
+
+  void SendControl(const std::string& to, wire::Envelope message) {
+    this->node.peers.Send(to, Lane::kControl, std::move(message));
+  }
+
+  void Do(const SendMap& action) {
+    const WeightsCopy* copy = this->store.Find(action.manifest);
+    if (copy == nullptr) return;
+    wire::Envelope message;
+    wire::ChunkMap& map = *message.mutable_chunk_map();
+    map.set_manifest(std::string(action.manifest.View()));
+    map.set_bits(ChunkBits(*copy));
+    map.set_reply_wanted(action.reply_wanted);
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const SendHave& action) {
+    wire::Envelope message;
+    wire::ChunkHave& have = *message.mutable_chunk_have();
+    have.set_manifest(std::string(action.manifest.View()));
+    have.mutable_chunks()->Add(action.chunks.begin(), action.chunks.end());
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const SendRequest& action) {
+    wire::Envelope message;
+    wire::ChunkRequest& request = *message.mutable_chunk_request();
+    request.set_manifest(std::string(action.manifest.View()));
+    request.set_chunk(action.chunk);
+    request.set_request_id(action.request_id);
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const SendCancel& action) {
+    this->counters.cancelled.Add();
+    wire::Envelope message;
+    wire::ChunkCancel& cancel = *message.mutable_chunk_cancel();
+    cancel.set_manifest(std::string(action.manifest.View()));
+    cancel.set_chunk(action.chunk);
+    cancel.set_request_id(action.request_id);
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const SendChunk& action) {
+    const WeightsCopy* copy = this->store.Find(action.manifest);
+    if (copy == nullptr || !copy->Holds(action.chunk)) return;
+    wire::Envelope message;
+    wire::ChunkData& data = *message.mutable_chunk_data();
+    data.set_manifest(std::string(action.manifest.View()));
+    data.set_chunk(action.chunk);
+    data.set_request_id(action.request_id);
+    const SharedChunk& bytes = copy->chunks[action.chunk];
+    this->node.peers.SendShared(action.to, Lane::kBulk, std::move(message), bytes, *bytes);
+    this->counters.sent.Add();
+  }
+
+  void Do(const SendRefusal& action) {
+    this->counters.refused.Add();
+    wire::Envelope message;
+    wire::ChunkRefusal& refusal = *message.mutable_chunk_refusal();
+    refusal.set_manifest(std::string(action.manifest.View()));
+    refusal.set_chunk(action.chunk);
+    refusal.set_request_id(action.request_id);
+    refusal.set_busy(action.busy);
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const SendHold& action) {
+    wire::Envelope message;
+    message.mutable_origin_hold()->set_origin(this->options.origin);
+    message.mutable_origin_hold()->set_hold_ms(static_cast<std::uint32_t>(ToMillis(action.hold)));
+    this->SendControl(action.to, std::move(message));
+  }
+
+  void Do(const ReadOrigin& action) {
+    const auto done = [this, manifest = this->manifest, chunk = action.chunk](OriginRead read) {
+      this->OnOriginRead(*manifest, chunk, std::move(read));
+    };
+    this->origin.ReadChunk(this->manifest, action.chunk, this->Guarded(done));
+  }
+
+  void OnOriginRead(const Manifest& read_manifest, std::uint32_t chunk, OriginRead read) {
+    this->counters.origin_bytes.Add(read.bytes);
+    if (read.chunk) {
+      this->Spread(OriginChunkRead{.chunk = std::move(*read.chunk)});
+      return;
+    }
+    this->counters.origin_errors.Add();
+    const Digest& id = read_manifest.Id();
+    if (read.error->kind == ErrorKind::kRateLimitedByStore) {
+      this->Spread(
+          OriginThrottled{.manifest = id, .chunk = chunk, .retry_after = *read.error->retry_after});
+    } else if (read.error->kind == ErrorKind::kDigestMismatch) {
+      this->mismatch_etag = read.etag;
+      this->stop_detail = "the origin does not hold the pinned weights: " + read.error->detail;
+      this->Spread(OriginMismatch{.manifest = id, .chunk = chunk});
+    } else {
+      this->Spread(OriginFailed{.manifest = id, .chunk = chunk});
+    }
+  }
+
+  void Do(const ProbeOrigin&) {
+    const auto done = [this](const Result<std::string>& etag) {
+      // Without an ETag only a new read can tell.
+      const bool changed = etag && (etag.value().empty() || etag.value() != this->mismatch_etag);
+      this->Spread(OriginProbed{.changed = changed});
+    };
+    this->origin.ReadETag(this->manifest->WeightsName(), this->Guarded(done));
+  }
+
+  void Do(const CopyStopped&) { this->stopped = true; }
+  void Do(const CopyResumed&) { this->stopped = false; }
+
+  void Do(const CopyComplete&) {
+    this->stopped = false;
+    this->server.Publish(this->store.Copies());
+    this->Order(WeightsWhole{.manifest = this->wanted});
+  }
+
+  bool stopped = false;
+
+  // ---- messages of peers ----
+
+  void Subscribe() {
+    this->On(wire::Envelope::kManifestPull,
+             [this](const auto& message, auto) { this->OnManifestPull(message); });
+    this->On(wire::Envelope::kManifestPush,
+             [this](const auto& message, auto) { this->OnManifestPush(message.manifest_push()); });
+    this->On(wire::Envelope::kChunkMap, [this](const auto& message, auto) {
+      const wire::ChunkMap& map = message.chunk_map();
+      this->Spread(MapReceived{.from = message.from_peer(),
+                               .manifest = DigestFromRaw(map.manifest()),
+                               .bits = map.bits(),
+                               .reply_wanted = map.reply_wanted()});
+    });
+    this->On(wire::Envelope::kChunkHave, [this](const auto& message, auto) {
+      const wire::ChunkHave& have = message.chunk_have();
+      this->Spread(HaveReceived{.from = message.from_peer(),
+                                .manifest = DigestFromRaw(have.manifest()),
+                                .chunks = {have.chunks().begin(), have.chunks().end()}});
+    });
+    this->On(wire::Envelope::kOriginHold, [this](const auto& message, auto) {
+      const wire::OriginHold& hold = message.origin_hold();
+      if (hold.origin() != this->options.origin) return;
+      this->Spread(HoldReceived{.hold = milliseconds(hold.hold_ms())});
+    });
+    this->SubscribeChunks();
+  }
+
+  void SubscribeChunks() {
+    this->On(wire::Envelope::kChunkRequest, [this](const auto& message, auto) {
+      const wire::ChunkRequest& request = message.chunk_request();
+      this->Spread(RequestReceived{.from = message.from_peer(),
+                                   .manifest = DigestFromRaw(request.manifest()),
+                                   .chunk = request.chunk(),
+                                   .request_id = request.request_id()});
+    });
+    this->On(wire::Envelope::kChunkCancel, [this](const auto& message, auto) {
+      this->Spread(ChunkCancelReceived{.from = message.from_peer(),
+                                       .request_id = message.chunk_cancel().request_id()});
+    });
+    this->On(wire::Envelope::kChunkRefusal, [this](const auto& message, auto) {
+      const wire::ChunkRefusal& refusal = message.chunk_refusal();
+      this->Spread(RefusalReceived{.from = message.from_peer(),
+                                   .manifest = DigestFromRaw(refusal.manifest()),
+                                   .chunk = refusal.chunk(),
+                                   .request_id = refusal.request_id(),
+                                   .busy = refusal.busy()});
+    });
+    this->On(wire::Envelope::kChunkData,
+             [this](const auto& message, auto payload) { this->OnChunkData(message, payload); });
+  }
+
+  void On(int body, PeerTransport::Handler handler) {
+    this->node.peers.Subscribe(body, this->Guarded(std::move(handler)));
+  }
+
+  // The payload is copied once, into the buffer that the store keeps.
+  void OnChunkData(const wire::Envelope& message, std::span<const std::byte> payload) {
+    const wire::ChunkData& data = message.chunk_data();
+    const Digest id = DigestFromRaw(data.manifest());
+    const WeightsCopy* copy = this->store.Find(id);
+    if (copy == nullptr || copy->Holds(data.chunk())) return;
+    this->counters.received.Add();
+    auto bytes = std::make_shared<const std::vector<std::byte>>(payload.begin(), payload.end());
+    const auto work = [manifest = copy->manifest, index = data.chunk(), bytes] {
+      return VerifiedChunk::Verify(*manifest, index, bytes);
+    };
+    const auto done = [this, id, index = data.chunk(),
+                       from = message.from_peer()](std::optional<VerifiedChunk> chunk) {
+      if (chunk) {
+        this->Spread(ChunkArrived{.from = from, .chunk = std::move(*chunk)});
+        return;
+      }
+      this->counters.corrupt.Add();
+      this->Spread(ChunkCorrupt{.from = from, .manifest = id, .chunk = index});
+    };
+    this->node.workers.RunThen(work, this->Guarded(done));
+  }
+
+  // ---- manifest ----
+
+  void FetchManifest() {
+    for (const ManifestAction& action : this->fetch.Tick(this->Now())) {
+      if (const auto* pull = std::get_if<PullManifest>(&action)) {
+        wire::Envelope message;
+        message.mutable_manifest_pull()->set_manifest(std::string(this->wanted.View()));
+        this->SendControl(pull->peer, std::move(message));
+      } else {
+        this->ReadManifestFromOrigin();
+      }
+    }
+  }
+
+  void ReadManifestFromOrigin() {
+    const auto done = [this, digest = this->wanted](Result<Manifest> result) {
+      if (digest != this->wanted || this->manifest) return;
+      if (result) {
+        this->counters.origin_bytes.Add(result.value().Content().size());
+        this->StartCopy(std::make_shared<const Manifest>(std::move(result.value())));
+        return;
+      }
+      this->stop_detail = Describe(result.error());
+      this->fetch.OnOriginFailed(this->Now());
+    };
+    this->origin.ReadManifest(this->wanted, this->Guarded(done));
+  }
+
+  void OnManifestPull(const wire::Envelope& message) {
+    const Digest digest = DigestFromRaw(message.manifest_pull().manifest());
+    const WeightsCopy* copy = this->store.Find(digest);
+    if (copy != nullptr) {
+      this->PushManifest(message.from_peer(), *copy->manifest);
+    } else if (digest == this->wanted && this->manifest_waiters.size() < kMaxManifestWaiters) {
+      this->manifest_waiters.insert(message.from_peer());
+    }
+  }
+
+  void PushManifest(const std::string& to, const Manifest& content) {
+    wire::Envelope message;
+    message.mutable_manifest_push()->set_manifest(std::string(content.Id().View()));
+    message.mutable_manifest_push()->set_content(content.Content());
+    this->node.peers.Send(to, Lane::kBulk, std::move(message));
+  }
+
+  void OnManifestPush(const wire::ManifestPush& push) {
+    const Digest digest = DigestFromRaw(push.manifest());
+    if (digest != this->wanted || this->manifest) return;
+    Result<Manifest> parsed = Manifest::Parse(push.content(), digest);
+    if (!parsed) {
+      this->counters.corrupt.Add();
+      return;
+    }
+    this->StartCopy(std::make_shared<const Manifest>(std::move(parsed.value())));
+  }
+
+  // ---- the pool row ----
+
+  void Apply(const wire::Pool& row) {
+    const Digest digest = DigestFromRaw(row.manifest());
+    const bool changed = digest != this->wanted;
+    const bool favour_changed = row.favours() != this->pool.favours();
+    this->pool = row;
+    if (changed) this->SwitchTo(digest);
+    this->UpdateMembers(changed);
+    if (!changed && favour_changed && this->manifest) this->WantCopy();
+    this->Order(
+        OrderWanted{.pool = row.name(), .manifest = digest, .max_loading = row.max_loading()});
+    this->Tick();
+  }
+
+  void SwitchTo(const Digest& digest) {
+    this->wanted = digest;
+    this->manifest.reset();
+    this->manifest_waiters.clear();
+    this->stopped = false;
+    this->stop_detail.clear();
+    this->fetch.Stop();
+    this->Spread(CopyEnded{});
+    if (digest.IsZero()) return;
+    this->accepted.insert(digest);
+    if (const WeightsCopy* copy = this->store.Find(digest)) {
+      this->StartCopy(copy->manifest);
+    } else {
+      this->fetch.Start(this->Now(), digest);
+    }
+  }
+
+  void StartCopy(std::shared_ptr<const Manifest> found) {
+    this->fetch.Stop();
+    this->stop_detail.clear();
+    this->manifest = std::move(found);
+    this->store.Want(this->manifest);
+    this->server.Publish(this->store.Copies());
+    for (const std::string& peer : this->manifest_waiters) {
+      this->PushManifest(peer, *this->manifest);
+    }
+    this->manifest_waiters.clear();
+    this->WantCopy();
+  }
+
+  void WantCopy() {
+    const Duration grace = this->started + kMemberGrace - this->Now();
+    this->Spread(
+        CopyWanted{.manifest = this->manifest,
+                   .favour_origin_bytes = this->pool.favours() == wire::FAVOUR_ORIGIN_BYTES,
+                   .origin_delay = std::max(grace, Duration::zero())});
+    this->Spread(PoolMembersChanged{.members = this->pool_members});
+  }
+
+  void UpdateMembers(bool force) {
+    std::vector<SpreadPeer> found;
+    for (const Member& member : this->members.Members()) {
+      if (!IsInPool(member, this->pool)) continue;
+      found.push_back({.vm = member.vm, .peer = member.peer, .region = member.region});
+    }
+    const auto same = [](const SpreadPeer& left, const SpreadPeer& right) {
+      return left.vm == right.vm && left.peer == right.peer && left.region == right.region;
+    };
+    const bool equal = std::equal(found.begin(), found.end(), this->pool_members.begin(),
+                                  this->pool_members.end(), same);
+    if (equal && !force) return;
+    this->pool_members = std::move(found);
+    this->fetch.SetMembers(this->pool_members);
+    this->Spread(PoolMembersChanged{.members = this->pool_members});
+  }
+
+  // ---- load order and engine ----
+
+  void Order(const LoadEvent& event) {
+    for (const LoadAction& action : this->order.Handle(this->Now(), event)) {
+      std::visit([this](const auto& item) { this->Do(item); }, action);
+    }
+    this->UpdateReady();
+  }
+
+  std::string Holder() const {
+    return this->node.identity.vm + "." + std::to_string(this->node.identity.incarnation);
+  }
+
+  void Do(const AcquireSlot& action) {
+    const auto done = [this, call = action.call](const Result<std::uint64_t>& fence) {
+      if (fence) {
+        this->Order(LeaseGranted{.call = call, .fence = fence.value()});
+      } else {
+        this->Order(LeaseNotGranted{.call = call,
+                                    .held_by_other = fence.error().kind == ErrorKind::kLeaseHeld});
+      }
+    };
+    this->node.kv.AcquireLease(action.lease, this->Holder(), this->options.lease_ttl,
+                               this->Guarded(done));
+  }
+
+  void Do(const RenewSlot& action) {
+    const auto done = [this, call = action.call](const Result<void>& result) {
+      if (result) {
+        this->Order(LeaseRenewed{.call = call});
+      } else if (result.error().kind == ErrorKind::kLeaseLost) {
+        this->Order(LeaseLost{.call = call});
+      } else {
+        this->Order(RenewalFailed{.call = call});
+      }
+    };
+    this->node.kv.RenewLease(action.lease, this->Holder(), action.fence, this->options.lease_ttl,
+                             this->Guarded(done));
+  }
+
+  void Do(const ReleaseSlot& action) {
+    // A lease that is not released ends by its own time.
+    this->node.kv.ReleaseLease(action.lease, this->Holder(), action.fence,
+                               [](const Result<void>&) {});
+  }
+
+  void Do(const OrderLoad& action) {
+    this->counters.loads.Add();
+    Log(LogLevel::kInfo, "load_ordered",
+        {{"manifest", action.manifest.Hex()}, {"fence", action.fence}});
+    const auto done = [this](LoadAnswer answer) { this->Order(LoadAnswered{.answer = answer}); };
+    this->engine.Load(action, this->Guarded(done));
+  }
+
+  void PollEngine(Instant now) {
+    if (this->options.engine.empty() || now < this->next_engine_poll) return;
+    const bool settled = this->ready && this->serving == this->wanted;
+    const bool copying =
+        this->order.CurrentStep() == LoadOrder::Step::kWaiting && this->spreader.IsActive();
+    this->next_engine_poll = now + (settled || copying ? kEnginePollIdle : kEnginePollActive);
+    const auto done = [this](const std::optional<EngineReported>& state) {
+      this->OnEngineState(state);
+    };
+    this->engine.ReadState(this->Guarded(done));
+  }
+
+  void OnEngineState(const std::optional<EngineReported>& state) {
+    if (!state) {
+      this->engine_state.reset();
+      this->Order(EngineSilent{});
+      return;
+    }
+    // An agent that was restarted takes over an engine that serves; afterwards the engine may serve
+    // only versions that a pool row has pinned.
+    if (!std::exchange(this->engine_seen, true) && !state->loaded.IsZero()) {
+      this->accepted.insert(state->loaded);
+    }
+    this->engine_state = state;
+    this->Order(*state);
+  }
+
+  std::optional<EngineReported> engine_state = {};
+
+  bool IsEngineReady() const {
+    return this->engine_state && this->engine_state->loading.IsZero() &&
+           !this->engine_state->loaded.IsZero() && !this->order.BlocksServing() &&
+           this->accepted.contains(this->engine_state->loaded);
+  }
+
+  void UpdateReady() {
+    const Digest loaded = this->engine_state ? this->engine_state->loaded : Digest{};
+    const bool now_ready = this->IsEngineReady();
+    if (loaded == this->serving && now_ready == this->ready) return;
+    this->serving = loaded;
+    this->ready = now_ready;
+    this->members.SetReady(now_ready ? loaded : Digest{}, now_ready);
+    if (this->ready_listener) this->ready_listener(loaded, now_ready);
+  }
+
+  // ---- time ----
+
+  void ScheduleTick() {
+    if (this->timer != 0) this->node.loop.Cancel(this->timer);
+    this->timer_is_active = this->spreader.IsActive();
+    this->timer = this->node.loop.After(this->timer_is_active ? kActiveTick : kIdleTick,
+                                        this->Guarded([this] {
+                                          this->timer = 0;
+                                          this->Tick();
+                                        }));
+  }
+
+  void Tick() {
+    const Instant now = this->Now();
+    if (this->request_bytes > 0) {
+      this->Spread(RequestBytesSeen{.bytes = std::exchange(this->request_bytes, 0)});
+    }
+    this->FetchManifest();
+    this->Spread(SpreadTick{});
+    this->Order(OrderTick{.idle = this->idle_check()});
+    this->PollEngine(now);
+    this->ShowState();
+    this->ScheduleTick();
+  }
+
+  RolloutPhase Phase() const {
+    if (this->wanted.IsZero()) return RolloutPhase::kIdle;
+    if (this->ready && this->serving == this->wanted) return RolloutPhase::kReady;
+    const LoadOrder::Step step = this->order.CurrentStep();
+    if (this->order.BlocksServing()) return RolloutPhase::kLoading;
+    if (!this->manifest) return RolloutPhase::kFetchingManifest;
+    if (this->stopped) return RolloutPhase::kStopped;
+    const WeightsCopy* copy = this->store.Find(this->wanted);
+    if (copy == nullptr || !copy->IsWhole()) return RolloutPhase::kCopying;
+    return step == LoadOrder::Step::kLoading ? RolloutPhase::kLoading
+                                             : RolloutPhase::kWaitingForLease;
+  }
+
+  RolloutStatus Status() const {
+    RolloutStatus status{.phase = this->Phase(),
+                         .wanted = this->wanted,
+                         .serving = this->serving,
+                         .origin_bytes = this->counters.origin_bytes.Value()};
+    if (this->manifest) {
+      const WeightsCopy* copy = this->store.Find(this->wanted);
+      status.bytes = copy != nullptr ? copy->bytes : 0;
+      status.total_bytes = this->manifest->Size();
+    }
+    const bool waits_for_origin =
+        status.phase == RolloutPhase::kStopped || status.phase == RolloutPhase::kFetchingManifest;
+    if (waits_for_origin) status.detail = this->stop_detail;
+    return status;
+  }
+
+  void ShowState() {
+    const RolloutStatus status = this->Status();
+    this->counters.bytes.Set(static_cast<double>(status.bytes));
+    this->counters.total_bytes.Set(static_cast<double>(status.total_bytes));
+    this->counters.phase.Set(static_cast<double>(status.phase));
+    if (status.phase == this->logged_phase) return;
+    this->logged_phase = status.phase;
+    Log(status.phase == RolloutPhase::kStopped ? LogLevel::kWarn : LogLevel::kInfo, "rollout_phase",
+        {{"phase", static_cast<int>(status.phase)},
+         {"wanted", status.wanted.Hex()},
+         {"serving", status.serving.Hex()},
+         {"detail", status.detail}});
+  }
+};
+
+DistributionDriver::DistributionDriver(Node& node, MembershipDriver& members,
+                                       DistributionDriverOptions options)
+    : impl(std::make_unique<Impl>(node, members, std::move(options))) {}
+DistributionDriver::~DistributionDriver() = default;
+
+void DistributionDriver::Mount(HttpServer& server) { this->impl->server.Mount(server); }
+
+void DistributionDriver::Start() {
+  Impl& self = *this->impl;
+  self.started = self.Now();
+  self.Subscribe();
+  self.members.OnChange(self.Guarded([&self] { self.UpdateMembers(false); }));
+  self.Tick();
+}
+
+void DistributionDriver::ApplyPool(const wire::Pool& pool) { this->impl->Apply(pool); }
+
+RolloutStatus DistributionDriver::Status() const { return this->impl->Status(); }
+
+void DistributionDriver::OnReadyChange(
+    std::function<void(const Digest& serving, bool ready)> listener) {
+  this->impl->ready_listener = std::move(listener);
+}
+
+void DistributionDriver::SetIdleCheck(std::function<bool()> idle) {
+  this->impl->idle_check = std::move(idle);
+}
+
+void DistributionDriver::AddRequestBytes(std::uint64_t bytes) {
+  this->impl->request_bytes += bytes;
+}
+
+}  // namespace savory
--- a/src/distribution/distribution_driver.h
+++ b/src/distribution/distribution_driver.h
@@ -8,6 +8,7 @@
 
 #include "base/digest.h"
 #include "base/settings.h"
+#include "distribution/chunk_spreader.h"
 #include "runtime/node.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -25,9 +26,15 @@
   double weights_share = 0.8;            // of that link for weights when no request bytes flow
   double inter_region_bytes_per_second = 3e6;  // of the region's link, each way
   std::uint64_t memory_bytes = 0;              // kept chunks; 0: two versions of any size
+  SpreadStrategy strategy = SpreadStrategy::kSwarm;
+  // A second agent reads a chunk from the origin when none has appeared for this long.
+  Duration takeover_time = std::chrono::seconds(3);           // pools that favour time
+  Duration takeover_origin_bytes = std::chrono::seconds(15);  // pools that favour origin bytes
+  Duration lease_ttl = std::chrono::seconds(10);
 };
 
-// Reads the section `distribution`; errors stay in `reader`.
+// Reads the section `distribution`; errors stay in `reader`. `engine` and `weights_address` belong
+// to other sections and are left empty.
 DistributionDriverOptions ReadDistributionOptions(SettingsReader reader);
 
 enum class RolloutPhase {
--- a/src/distribution/load_order.cc
+++ b/src/distribution/load_order.cc
@@ -39,10 +39,11 @@
 void LoadOrder::On(Instant now, const LeaseGranted& event) {
   if (event.call != this->call.id || this->step != Step::kAcquiring) return;
   const Instant started = this->call.started;
-  this->lease = Lease{.name = this->call.lease,
-                      .fence = event.fence,
-                      .usable_until = started + this->options.lease_ttl - this->options.lease_margin,
-                      .next_renewal = started + this->options.renew_every};
+  this->lease =
+      Lease{.name = this->call.lease,
+            .fence = event.fence,
+            .usable_until = started + this->options.lease_ttl - this->options.lease_margin,
+            .next_renewal = started + this->options.renew_every};
   this->call = {};
   const bool too_late = now >= this->lease->usable_until;
   if (too_late || !this->NeedsOrder()) {
@@ -75,6 +76,12 @@
   if (this->step == Step::kDraining) this->EndOrder(now, true);
 }
 
+void LoadOrder::On(Instant now, const RenewalFailed& event) {
+  if (event.call != this->call.id || !this->lease) return;
+  this->call = {};
+  this->lease->next_renewal = now + this->options.first_retry;
+}
+
 void LoadOrder::On(Instant now, const LoadAnswered& event) {
   if (this->step != Step::kOrdering) return;
   this->order_answered = now;
@@ -131,8 +138,8 @@
   if (!this->lease || this->call.id != 0 || now < this->lease->next_renewal) return;
   this->call = LeaseCall{.id = this->next_call++, .started = now, .lease = this->lease->name};
   this->lease->next_renewal = now + this->options.renew_every;
-  this->actions.push_back(RenewSlot{
-      .call = this->call.id, .lease = this->lease->name, .fence = this->lease->fence});
+  this->actions.push_back(
+      RenewSlot{.call = this->call.id, .lease = this->lease->name, .fence = this->lease->fence});
 }
 
 void LoadOrder::SendOrder(Instant now) {
@@ -146,8 +153,7 @@
 
 void LoadOrder::EndOrder(Instant now, bool failed) {
   if (this->lease) {
-    this->actions.push_back(
-        ReleaseSlot{.lease = this->lease->name, .fence = this->lease->fence});
+    this->actions.push_back(ReleaseSlot{.lease = this->lease->name, .fence = this->lease->fence});
   }
   this->lease.reset();
   this->call = {};
--- a/src/distribution/load_order.h
+++ b/src/distribution/load_order.h
@@ -29,8 +29,8 @@
 struct EngineReported {
   Instant asked;
   std::uint64_t incarnation = 0;
-  Digest loaded;   // zero: none
-  Digest loading;  // zero: none
+  Digest loaded = {};   // zero: none
+  Digest loading = {};  // zero: none
 };
 struct EngineSilent {};
 struct LeaseGranted {
@@ -48,6 +48,10 @@
 struct LeaseLost {
   std::uint64_t call = 0;
 };
+// The service is unavailable or its reply was lost; the lease counts from the last renewal.
+struct RenewalFailed {
+  std::uint64_t call = 0;
+};
 enum class LoadAnswer {
   kAccepted,
   kStaleFence,
@@ -62,9 +66,9 @@
   bool idle = true;
 };
 
-using LoadEvent = std::variant<OrderWanted, WeightsWhole, EngineReported, EngineSilent,
-                               LeaseGranted, LeaseNotGranted, LeaseRenewed, LeaseLost, LoadAnswered,
-                               OrderTick>;
+using LoadEvent =
+    std::variant<OrderWanted, WeightsWhole, EngineReported, EngineSilent, LeaseGranted,
+                 LeaseNotGranted, LeaseRenewed, LeaseLost, RenewalFailed, LoadAnswered, OrderTick>;
 
 // ---- actions ----
 
@@ -143,6 +147,7 @@
   void On(Instant now, const LeaseNotGranted& event);
   void On(Instant now, const LeaseRenewed& event);
   void On(Instant now, const LeaseLost& event);
+  void On(Instant now, const RenewalFailed& event);
   void On(Instant now, const LoadAnswered& event);
   void On(Instant now, const OrderTick& event);
 
@@ -169,7 +174,6 @@
   std::uint64_t next_call = 1;
   Digest ordered = {};
   Instant order_answered = {};
-  std::uint64_t ordered_incarnation = 0;
   Instant retry_at = {};
   Duration retry_delay = {};
   bool idle = false;
--- a/src/distribution/manifest.cc
+++ b/src/distribution/manifest.cc
@@ -63,8 +63,7 @@
   manifest.weights_name = message.weights_name();
   manifest.size_bytes = message.size();
   manifest.chunk_size = message.chunk_size();
-  manifest.chunk_count =
-      static_cast<std::uint32_t>(message.chunk_digests().size() / Digest::kSize);
+  manifest.chunk_count = static_cast<std::uint32_t>(message.chunk_digests().size() / Digest::kSize);
   return manifest;
 }
 
--- a/src/distribution/manifest_fetch.cc
+++ b/src/distribution/manifest_fetch.cc
@@ -75,7 +75,7 @@
   if (this->ReadsOrigin(now)) {
     // The answer either ends the fetch or sets the next time.
     this->next_read = Instant::max();
-    actions.push_back(ReadManifest{});
+    actions.emplace_back(std::in_place_type<ReadManifest>);
   }
   if (now >= this->next_pull && !this->options.always_from_origin) {
     this->next_pull = now + this->options.retry;
--- a/src/distribution/origin_ranks.h
+++ b/src/distribution/origin_ranks.h
@@ -50,8 +50,8 @@
   std::size_t RegionSize() const { return this->region_size; }
 
  private:
-  std::vector<std::uint8_t> ranks = {};                  // by group
-  std::vector<std::vector<std::string>> sources = {};    // by group
+  std::vector<std::uint8_t> ranks = {};                // by group
+  std::vector<std::vector<std::string>> sources = {};  // by group
   std::size_t region_size = 0;
 };
 
--- a/src/distribution/spread_events.h
+++ b/src/distribution/spread_events.h
@@ -19,7 +19,7 @@
 // ---- events ----
 
 // The live agents of the pool, this one included.
-struct MembersChanged {
+struct PoolMembersChanged {
   std::vector<SpreadPeer> members;
 };
 // The store wants `manifest` from now on.
@@ -48,7 +48,7 @@
   std::uint32_t chunk = 0;
   std::uint64_t request_id = 0;
 };
-struct CancelReceived {
+struct ChunkCancelReceived {
   std::string from;
   std::uint64_t request_id = 0;
 };
@@ -101,10 +101,10 @@
 struct SpreadTick {};
 
 using SpreadEvent =
-    std::variant<MembersChanged, CopyWanted, CopyEnded, MapReceived, HaveReceived, RequestReceived,
-                 CancelReceived, ChunkArrived, ChunkCorrupt, RefusalReceived, HoldReceived,
-                 OriginChunkRead, OriginMismatch, OriginThrottled, OriginFailed, OriginProbed,
-                 RequestBytesSeen, SpreadTick>;
+    std::variant<PoolMembersChanged, CopyWanted, CopyEnded, MapReceived, HaveReceived,
+                 RequestReceived, ChunkCancelReceived, ChunkArrived, ChunkCorrupt, RefusalReceived,
+                 HoldReceived, OriginChunkRead, OriginMismatch, OriginThrottled, OriginFailed,
+                 OriginProbed, RequestBytesSeen, SpreadTick>;
 
 // ---- actions ----
 
--- a/src/distribution/spread_neighbour.h
+++ b/src/distribution/spread_neighbour.h
@@ -11,9 +11,9 @@
 
 struct SpreadNeighbour {
   std::string vm;
-  std::string peer;          // IP:PORT
-  bool is_source = true;     // may be asked for chunks
-  bool map_known = false;    // its chunk map of the wanted manifest has arrived
+  std::string peer;        // IP:PORT
+  bool is_source = true;   // may be asked for chunks
+  bool map_known = false;  // its chunk map of the wanted manifest has arrived
   std::vector<bool> holds = {};
   std::uint32_t held = 0;
   std::size_t in_flight = 0;  // requests that it has not answered
--- a/src/distribution/token_bucket.h
+++ b/src/distribution/token_bucket.h
@@ -27,9 +27,7 @@
   // Returns bytes that were taken but not used.
   void Refund(double bytes) { this->level = std::min(this->burst, this->level + bytes); }
   // Limits the debt to `seconds` of the rate.
-  void LimitDebt(double seconds) {
-    this->level = std::max(this->level, -this->rate * seconds);
-  }
+  void LimitDebt(double seconds) { this->level = std::max(this->level, -this->rate * seconds); }
   void SetRate(Instant now, double bytes_per_second) {
     this->Refill(now);
     this->rate = bytes_per_second;
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -52,9 +52,8 @@
     if (agent.member.state == MemberState::kDead || !Belongs(agent.member, pool)) continue;
     ranked.emplace_back(RendezvousScore(this->options.vm, vm), &agent.member);
   }
-  std::sort(ranked.rbegin(), ranked.rend(), [](const auto& left, const auto& right) {
-    return left.first < right.first;
-  });
+  std::sort(ranked.rbegin(), ranked.rend(),
+            [](const auto& left, const auto& right) { return left.first < right.first; });
   std::vector<std::string>& chosen = this->pool_agents[pool.name()];
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const Member& member = *ranked[rank].second;
