--- /dev/null
+++ b/src/distribution/spread_harness.h
@@ -0,0 +1,126 @@
+// A few spreaders of one pool in memory, in virtual time; for tests only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "distribution/chunk_spreader.h"
+#include "distribution/chunk_store.h"
+#include "distribution/manifest.h"
+
+namespace savory {
+
+struct HarnessOptions {
+  std::size_t agents = 4;
+  std::size_t chunks = 64;
+  std::uint32_t chunk_size = 1024;
+  std::uint32_t last_chunk = 100;   // bytes
+  double link = 100 * 1024;         // bytes per second
+  double origin_rate = 200 * 1024;  // bytes per second
+  Duration latency = std::chrono::milliseconds(1);
+  bool favour_origin_bytes = false;
+  SpreadStrategy strategy = SpreadStrategy::kSwarm;
+  std::uint64_t seed = 1;
+  std::size_t remote_agents = 0;    // the last ones are in another region than the origin
+  double inter_region = 50 * 1024;  // bytes per second
+};
+
+// Messages take a fixed latency; the origin sends one chunk after the other at its rate.
+class SpreadHarness {
+ public:
+  explicit SpreadHarness(const HarnessOptions& options);
+
+  // Every agent learns the members and wants the weights.
+  void StartAll();
+  void StartAgent(std::size_t agent);
+  void TellMembers(std::size_t agent, const std::set<std::size_t>& members);
+  // Runs until `until` or until `done` holds.
+  void Run(Duration until, const std::function<bool()>& done);
+  bool RunUntilWhole(Duration until);
+
+  void Kill(std::size_t agent) { this->agents[agent].alive = false; }
+  // The agent starts again with empty memory.
+  void Restart(std::size_t agent);
+
+  bool IsWhole(std::size_t agent) const;
+  bool AllWhole() const;
+  const std::vector<std::byte>& Weights() const { return this->weights; }
+  std::size_t Holders(std::uint32_t chunk) const;
+  double OriginCopies() const;
+  // max(S/origin, S/link, N*S/(origin + N*link)), in seconds.
+  double BoundSeconds() const;
+  double Seconds() const { return ToSeconds(this->now - this->begin); }
+
+  struct Agent {
+    std::unique_ptr<ChunkStore> store = {};
+    std::unique_ptr<ChunkSpreader> spreader = {};
+    bool alive = true;
+    bool silent = false;         // receives and sends nothing, but counts as alive
+    bool corrupts = false;       // flips a byte in every chunk it sends
+    bool origin_stalls = false;  // its origin reads fail after 3 s
+    int epoch = 0;               // grows with each restart
+    std::size_t stops = 0;
+    std::size_t resumes = 0;
+    std::size_t origin_reads = 0;
+    std::size_t corrupt_received = 0;
+  };
+  std::vector<Agent> agents = {};
+  bool origin_down = false;
+  bool origin_changed = false;
+  Duration origin_retry_after = {};  // above 0: answers 429
+  std::size_t control_messages = 0;
+  std::shared_ptr<const Manifest> manifest = {};
+  Instant begin = Instant(std::chrono::hours(1));
+  Instant now = this->begin;
+
+ private:
+  struct Task {
+    Instant due;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Task& other) const {
+      return std::tie(this->due, this->order) > std::tie(other.due, other.order);
+    }
+  };
+
+  std::string NameOf(std::size_t agent) const { return "vm" + std::to_string(agent); }
+  std::string RegionOf(std::size_t agent) const {
+    return agent + this->options.remote_agents < this->options.agents ? "a" : "b";
+  }
+  std::size_t IndexOf(const std::string& peer) const { return std::stoul(peer.substr(2)); }
+  void At(Instant due, std::function<void()> run);
+  void Make(std::size_t agent);
+  void Give(std::size_t agent, const SpreadEvent& event);
+  // Delivers `event` after the latency.
+  void Deliver(std::size_t from, const std::string& to, SpreadEvent event);
+  void TickAgent(std::size_t agent, int epoch);
+
+  void Do(std::size_t agent, const SendMap& action);
+  void Do(std::size_t agent, const SendHave& action);
+  void Do(std::size_t agent, const SendRequest& action);
+  void Do(std::size_t agent, const SendCancel& action);
+  void Do(std::size_t agent, const SendChunk& action);
+  void Do(std::size_t agent, const SendRefusal& action);
+  void Do(std::size_t agent, const SendHold& action);
+  void Do(std::size_t agent, const ReadOrigin& action);
+  void Do(std::size_t agent, const ProbeOrigin& action);
+  void Do(std::size_t agent, const CopyStopped&) { ++this->agents[agent].stops; }
+  void Do(std::size_t agent, const CopyResumed&) { ++this->agents[agent].resumes; }
+  void Do(std::size_t, const CopyComplete&) {}
+  SpreadEvent OriginAnswer(std::size_t agent, std::uint32_t chunk);
+
+  HarnessOptions options;
+  Random random;
+  std::vector<std::byte> weights = {};
+  std::priority_queue<Task> tasks = {};
+  std::uint64_t next_order = 0;
+  Instant origin_free = {};
+  double origin_bytes = 0;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/distribution/spread_harness_test.cc
@@ -0,0 +1,248 @@
+#include "distribution/spread_harness.h"
+
+#include <algorithm>
+
+namespace savory {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(5);
+constexpr Duration kStall = std::chrono::seconds(3);
+constexpr Duration kRefusalTime = std::chrono::milliseconds(2);
+
+SharedChunk BytesOf(const std::vector<std::byte>& weights, ChunkRange range) {
+  const auto begin = weights.begin() + static_cast<std::ptrdiff_t>(range.offset);
+  return std::make_shared<const std::vector<std::byte>>(begin, begin + range.length);
+}
+
+SharedChunk Flipped(const SharedChunk& bytes) {
+  auto copy = *bytes;
+  copy[copy.size() / 2] ^= std::byte{1};
+  return std::make_shared<const std::vector<std::byte>>(std::move(copy));
+}
+
+}  // namespace
+
+SpreadHarness::SpreadHarness(const HarnessOptions& options)
+    : options(options), random(options.seed) {
+  this->weights.resize((options.chunks - 1) * options.chunk_size + options.last_chunk);
+  for (std::byte& byte : this->weights) byte = static_cast<std::byte>(this->random() & 0xff);
+  this->manifest =
+      std::make_shared<const Manifest>(Manifest::Build(this->weights, options.chunk_size, "model"));
+  this->agents.resize(options.agents);
+  for (std::size_t i = 0; i < options.agents; ++i) this->Make(i);
+}
+
+void SpreadHarness::Make(std::size_t agent) {
+  Agent& made = this->agents[agent];
+  made.spreader.reset();
+  made.store = std::make_unique<ChunkStore>(0);
+  const SpreadOptions spread{.vm = this->NameOf(agent),
+                             .region = this->RegionOf(agent),
+                             .origin_region = "a",
+                             .strategy = this->options.strategy,
+                             .link_bytes_per_second = this->options.link,
+                             .weights_share = 1,
+                             .inter_region_bytes_per_second = this->options.inter_region};
+  made.spreader = std::make_unique<ChunkSpreader>(spread, *made.store, this->random);
+  made.alive = true;
+  ++made.epoch;
+  this->At(this->now, [this, agent, epoch = made.epoch] { this->TickAgent(agent, epoch); });
+}
+
+void SpreadHarness::At(Instant due, std::function<void()> run) {
+  this->tasks.push(Task{.due = due, .order = this->next_order++, .run = std::move(run)});
+}
+
+void SpreadHarness::StartAll() {
+  std::set<std::size_t> all;
+  for (std::size_t i = 0; i < this->agents.size(); ++i) all.insert(i);
+  for (std::size_t i = 0; i < this->agents.size(); ++i) {
+    this->StartAgent(i);
+    this->TellMembers(i, all);
+  }
+}
+
+void SpreadHarness::StartAgent(std::size_t agent) {
+  this->agents[agent].store->Want(this->manifest);
+  this->Give(agent, CopyWanted{.manifest = this->manifest,
+                               .favour_origin_bytes = this->options.favour_origin_bytes});
+}
+
+void SpreadHarness::TellMembers(std::size_t agent, const std::set<std::size_t>& members) {
+  PoolMembersChanged event;
+  for (const std::size_t i : members) {
+    event.members.push_back(
+        {.vm = this->NameOf(i), .peer = this->NameOf(i), .region = this->RegionOf(i)});
+  }
+  this->Give(agent, event);
+}
+
+void SpreadHarness::Restart(std::size_t agent) { this->Make(agent); }
+
+void SpreadHarness::TickAgent(std::size_t agent, int epoch) {
+  if (!this->agents[agent].alive || this->agents[agent].epoch != epoch) return;
+  this->Give(agent, SpreadTick{});
+  this->At(this->now + kTickPeriod, [this, agent, epoch] { this->TickAgent(agent, epoch); });
+}
+
+void SpreadHarness::Give(std::size_t agent, const SpreadEvent& event) {
+  if (!this->agents[agent].alive) return;
+  for (const SpreadAction& action : this->agents[agent].spreader->Handle(this->now, event)) {
+    std::visit([&](const auto& item) { this->Do(agent, item); }, action);
+  }
+}
+
+void SpreadHarness::Deliver(std::size_t from, const std::string& to, SpreadEvent event) {
+  const std::size_t target = this->IndexOf(to);
+  if (this->agents[from].silent || this->agents[target].silent) return;
+  if (!std::holds_alternative<ChunkArrived>(event)) ++this->control_messages;
+  this->At(this->now + this->options.latency,
+           [this, target, epoch = this->agents[target].epoch, event = std::move(event)] {
+             if (this->agents[target].epoch == epoch) this->Give(target, event);
+           });
+}
+
+void SpreadHarness::Run(Duration until, const std::function<bool()>& done) {
+  const Instant end = this->now + until;
+  while (!this->tasks.empty() && this->tasks.top().due <= end && !done()) {
+    const Task task = this->tasks.top();
+    this->tasks.pop();
+    this->now = std::max(this->now, task.due);
+    task.run();
+  }
+  if (!done()) this->now = end;
+}
+
+bool SpreadHarness::RunUntilWhole(Duration until) {
+  this->Run(until, [this] { return this->AllWhole(); });
+  return this->AllWhole();
+}
+
+bool SpreadHarness::IsWhole(std::size_t agent) const {
+  const WeightsCopy* copy = this->agents[agent].store->Find(this->manifest->Id());
+  return copy != nullptr && copy->IsWhole();
+}
+
+bool SpreadHarness::AllWhole() const {
+  for (std::size_t i = 0; i < this->agents.size(); ++i) {
+    if (this->agents[i].alive && !this->agents[i].silent && !this->IsWhole(i)) return false;
+  }
+  return true;
+}
+
+std::size_t SpreadHarness::Holders(std::uint32_t chunk) const {
+  std::size_t count = 0;
+  for (const Agent& agent : this->agents) {
+    const WeightsCopy* copy = agent.store->Find(this->manifest->Id());
+    if (agent.alive && copy != nullptr && copy->Holds(chunk)) ++count;
+  }
+  return count;
+}
+
+double SpreadHarness::OriginCopies() const {
+  return this->origin_bytes / static_cast<double>(this->weights.size());
+}
+
+double SpreadHarness::BoundSeconds() const {
+  const auto size = static_cast<double>(this->weights.size());
+  const auto count = static_cast<double>(this->agents.size());
+  return std::max({size / this->options.origin_rate, size / this->options.link,
+                   count * size / (this->options.origin_rate + count * this->options.link)});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendMap& action) {
+  const WeightsCopy* copy = this->agents[agent].store->Find(action.manifest);
+  if (copy == nullptr) return;
+  this->Deliver(agent, action.to,
+                MapReceived{.from = this->NameOf(agent),
+                            .manifest = action.manifest,
+                            .bits = ChunkBits(*copy),
+                            .reply_wanted = action.reply_wanted});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendHave& action) {
+  this->Deliver(
+      agent, action.to,
+      HaveReceived{
+          .from = this->NameOf(agent), .manifest = action.manifest, .chunks = action.chunks});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendRequest& action) {
+  this->Deliver(agent, action.to,
+                RequestReceived{.from = this->NameOf(agent),
+                                .manifest = action.manifest,
+                                .chunk = action.chunk,
+                                .request_id = action.request_id});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendCancel& action) {
+  this->Deliver(agent, action.to,
+                ChunkCancelReceived{.from = this->NameOf(agent), .request_id = action.request_id});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendChunk& action) {
+  const SharedChunk& held = this->agents[agent].store->Find(action.manifest)->chunks[action.chunk];
+  const SharedChunk sent = this->agents[agent].corrupts ? Flipped(held) : held;
+  auto chunk = VerifiedChunk::Verify(*this->manifest, action.chunk, sent);
+  if (chunk) {
+    this->Deliver(agent, action.to,
+                  ChunkArrived{.from = this->NameOf(agent), .chunk = std::move(*chunk)});
+    return;
+  }
+  ++this->agents[this->IndexOf(action.to)].corrupt_received;
+  this->Deliver(
+      agent, action.to,
+      ChunkCorrupt{
+          .from = this->NameOf(agent), .manifest = action.manifest, .chunk = action.chunk});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendRefusal& action) {
+  this->Deliver(agent, action.to,
+                RefusalReceived{.from = this->NameOf(agent),
+                                .manifest = action.manifest,
+                                .chunk = action.chunk,
+                                .request_id = action.request_id,
+                                .busy = action.busy});
+}
+
+void SpreadHarness::Do(std::size_t agent, const SendHold& action) {
+  this->Deliver(agent, action.to, HoldReceived{.hold = action.hold});
+}
+
+SpreadEvent SpreadHarness::OriginAnswer(std::size_t agent, std::uint32_t chunk) {
+  const Digest& id = this->manifest->Id();
+  if (this->origin_retry_after > Duration::zero()) {
+    return OriginThrottled{.manifest = id, .chunk = chunk, .retry_after = this->origin_retry_after};
+  }
+  if (this->origin_down || this->agents[agent].origin_stalls) {
+    return OriginFailed{.manifest = id, .chunk = chunk};
+  }
+  const ChunkRange range = this->manifest->RangeOf(chunk);
+  this->origin_bytes += range.length;
+  if (this->origin_changed) return OriginMismatch{.manifest = id, .chunk = chunk};
+  const SharedChunk bytes = BytesOf(this->weights, range);
+  return OriginChunkRead{.chunk = *VerifiedChunk::Verify(*this->manifest, chunk, bytes)};
+}
+
+void SpreadHarness::Do(std::size_t agent, const ReadOrigin& action) {
+  ++this->agents[agent].origin_reads;
+  const bool fails = this->origin_down || this->origin_retry_after > Duration::zero();
+  Instant due = this->now + kRefusalTime;
+  if (this->agents[agent].origin_stalls) {
+    due = this->now + kStall;
+  } else if (!fails) {
+    const double seconds = this->manifest->RangeOf(action.chunk).length / this->options.origin_rate;
+    this->origin_free = std::max(this->origin_free, this->now) + FromSeconds(seconds);
+    due = this->origin_free;
+  }
+  this->At(due, [this, agent, epoch = this->agents[agent].epoch, chunk = action.chunk] {
+    if (this->agents[agent].epoch == epoch) this->Give(agent, this->OriginAnswer(agent, chunk));
+  });
+}
+
+void SpreadHarness::Do(std::size_t agent, const ProbeOrigin&) {
+  this->At(this->now + kRefusalTime,
+           [this, agent] { this->Give(agent, OriginProbed{.changed = !this->origin_changed}); });
+}
+
+}  // namespace savory
