--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -34,5 +34,164 @@
   }
 }
 
+// Guards against waiting for ever for a chunk whose only holder died, and against reading more of
+// the origin than needed.
+TEST(ChunkSpreader, RereadsAChunkWhoseOnlyHolderDied) {
+  SpreadHarness harness(HarnessOptions{.agents = 8});
+  harness.StartAll();
+  std::size_t victim = 0;
+  harness.Run(seconds(5), [&] {
+    for (victim = 0; victim < 8; ++victim) {
+      const WeightsCopy* copy = harness.agents[victim].store->Find(harness.manifest->Id());
+      for (std::uint32_t chunk = 0; chunk < copy->chunks.size(); ++chunk) {
+        if (copy->Holds(chunk) && harness.Holders(chunk) == 1) return true;
+      }
+    }
+    return false;
+  });
+  ASSERT_LT(victim, 8u);
+  harness.Kill(victim);
+  harness.Run(seconds(6), [] { return false; });  // until the member list drops it
+  std::set<std::size_t> rest;
+  for (std::size_t i = 0; i < 8; ++i) {
+    if (i != victim) rest.insert(i);
+  }
+  for (const std::size_t i : rest) harness.TellMembers(i, rest);
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(20)));
+  EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+}
+
+// Guards against storing bytes that do not match, and against asking a corrupt sender again at
+// once.
+TEST(ChunkSpreader, AvoidsASenderOfCorruptBytes) {
+  SpreadHarness harness(HarnessOptions{.agents = 6});
+  harness.agents[2].corrupts = true;
+  harness.StartAll();
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(60)));
+  EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+  for (const auto& agent : harness.agents) {
+    // Two requests in flight in each period of 10 s.
+    EXPECT_LE(agent.corrupt_received, 2 * (1 + static_cast<std::size_t>(harness.Seconds() / 10)));
+  }
+}
+
+// Guards against waiting for a peer that went silent while the member list still shows it.
+TEST(ChunkSpreader, GoesOnWhenAPeerFallsSilentPartway) {
+  SpreadHarness harness(HarnessOptions{.agents = 6});
+  harness.StartAll();
+  harness.Run(std::chrono::milliseconds(250), [] { return false; });
+  harness.agents[1].silent = true;
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(30)));
+  EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+}
+
+// Guards against a first-ranked agent whose way to the origin is broken holding up the fleet.
+TEST(ChunkSpreader, TakesOverOriginReadsThatStall) {
+  for (const bool favour_origin_bytes : {false, true}) {
+    SpreadHarness harness(HarnessOptions{.agents = 6, .favour_origin_bytes = favour_origin_bytes});
+    harness.agents[0].origin_stalls = true;
+    harness.StartAll();
+    EXPECT_TRUE(harness.RunUntilWhole(favour_origin_bytes ? seconds(60) : seconds(20)));
+    EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+  }
+}
+
+// Guards against a fleet that gives up, or reads the origin several times, after a long outage.
+TEST(ChunkSpreader, ResumesAfterTheOriginWasAwayForMinutes) {
+  for (const bool favour_origin_bytes : {false, true}) {
+    SpreadHarness harness(HarnessOptions{.agents = 8, .favour_origin_bytes = favour_origin_bytes});
+    harness.StartAll();
+    harness.Run(std::chrono::milliseconds(150), [] { return false; });
+    harness.origin_down = true;
+    harness.Run(seconds(240), [] { return false; });
+    EXPECT_FALSE(harness.AllWhole());
+    harness.origin_down = false;
+    const double back = harness.Seconds();
+    EXPECT_TRUE(harness.RunUntilWhole(seconds(30)));
+    EXPECT_LE(harness.Seconds() - back, 10);
+    EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+  }
+}
+
+// Guards against reading a whole copy again for an agent that lost its memory.
+TEST(ChunkSpreader, ARestartedAgentCopiesFromItsPeers) {
+  SpreadHarness harness(HarnessOptions{.agents = 6});
+  harness.StartAll();
+  ASSERT_TRUE(harness.RunUntilWhole(seconds(30)));
+  const double copies = harness.OriginCopies();
+  harness.Restart(3);
+  harness.StartAgent(3);
+  harness.TellMembers(3, {0, 1, 2, 3, 4, 5});
+  EXPECT_FALSE(harness.IsWhole(3));
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(10)));
+  EXPECT_EQ(harness.OriginCopies(), copies);
+}
+
+// Guards against an agent whose member list comes late being left out, or reading everything.
+TEST(ChunkSpreader, AnAgentWithALateMemberListCatchesUp) {
+  SpreadHarness harness(HarnessOptions{.agents = 6});
+  for (std::size_t i = 0; i < 6; ++i) harness.StartAgent(i);
+  for (std::size_t i = 0; i < 5; ++i) harness.TellMembers(i, {0, 1, 2, 3, 4});
+  harness.Run(seconds(2), [] { return false; });
+  harness.TellMembers(5, {0, 5});
+  harness.Run(seconds(1), [] { return false; });
+  for (std::size_t i = 0; i < 6; ++i) harness.TellMembers(i, {0, 1, 2, 3, 4, 5});
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(20)));
+  EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+}
+
+// Guards against copying on from an origin whose content changed, and against not resuming.
+TEST(ChunkSpreader, StopsWhileTheOriginHoldsOtherBytes) {
+  SpreadHarness harness(HarnessOptions{.agents = 4});
+  harness.StartAll();
+  harness.Run(std::chrono::milliseconds(200), [] { return false; });
+  harness.origin_changed = true;
+  harness.Run(seconds(60), [] { return false; });
+  EXPECT_FALSE(harness.AllWhole());
+  for (const auto& agent : harness.agents) EXPECT_EQ(agent.stops, 1u);
+  EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+  harness.origin_changed = false;
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(120)));
+}
+
+// Guards against a fleet that ignores Retry-After: one agent is told, none reads until it is over.
+TEST(ChunkSpreader, TheWholeFleetObservesAHold) {
+  SpreadHarness harness(HarnessOptions{.agents = 24});
+  harness.origin_retry_after = seconds(10);
+  harness.StartAll();
+  harness.Run(seconds(1), [] { return false; });
+  const auto reads = [&] {
+    std::size_t total = 0;
+    for (const auto& agent : harness.agents) total += agent.origin_reads;
+    return total;
+  };
+  const std::size_t before = reads();
+  harness.origin_retry_after = {};
+  harness.Run(seconds(8), [] { return false; });
+  EXPECT_EQ(reads(), before);
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(20)));
+}
+
+// Guards against more than one crossing of each chunk between regions.
+TEST(ChunkSpreader, EachChunkCrossesARegionLinkOnce) {
+  SpreadHarness harness(HarnessOptions{.agents = 8, .remote_agents = 4});
+  harness.StartAll();
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(60)));
+  EXPECT_LE(harness.OriginCopies(), kMaxCopies);
+  EXPECT_LE(harness.CrossedCopies(), kMaxCopies);
+  for (std::size_t i = 4; i < 8; ++i) EXPECT_EQ(harness.agents[i].origin_reads, 0u);
+}
+
+// Guards against messages when nothing is being copied.
+TEST(ChunkSpreader, IsQuietWhenEveryAgentIsWhole) {
+  SpreadHarness harness(HarnessOptions{.agents = 8});
+  harness.StartAll();
+  ASSERT_TRUE(harness.RunUntilWhole(seconds(30)));
+  harness.Run(seconds(1), [] { return false; });
+  const std::size_t before = harness.control_messages;
+  harness.Run(seconds(60), [] { return false; });
+  EXPECT_EQ(harness.control_messages, before);
+}
+
 }  // namespace
 }  // namespace savory
--- /dev/null
+++ b/src/distribution/manifest_test.cc
@@ -0,0 +1,132 @@
+#include "distribution/manifest.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "distribution/chunk_store.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+namespace {
+
+Manifest Describe(const std::string& weights, std::uint32_t chunk_size) {
+  return Manifest::Build(AsBytes(weights), chunk_size, "model");
+}
+
+SharedChunk Chunk(std::string_view text) {
+  const auto bytes = AsBytes(text);
+  return std::make_shared<const std::vector<std::byte>>(bytes.begin(), bytes.end());
+}
+
+void PutAll(ChunkStore& store, const Manifest& manifest, std::string_view weights) {
+  for (std::uint32_t i = 0; i < manifest.ChunkCount(); ++i) {
+    const ChunkRange range = manifest.RangeOf(i);
+    store.Put(
+        *VerifiedChunk::Verify(manifest, i, Chunk(weights.substr(range.offset, range.length))));
+  }
+}
+
+// Guards against ranges that overlap, leave gaps or exceed the weights, and against a decoder that
+// loses fields.
+RC_GTEST_PROP(Manifest, RangesCoverTheWeights, ()) {
+  const auto weights = *rc::gen::nonEmpty<std::string>();
+  const auto chunk_size = *rc::gen::inRange<std::uint32_t>(1, 20);
+  const Manifest manifest = Describe(weights, chunk_size);
+  const auto parsed = Manifest::Parse(manifest.Content(), manifest.Id());
+  RC_ASSERT(parsed.has_value());
+  std::uint64_t next = 0;
+  for (std::uint32_t i = 0; i < parsed.value().ChunkCount(); ++i) {
+    const ChunkRange range = parsed.value().RangeOf(i);
+    RC_ASSERT(range.offset == next);
+    next += range.length;
+    const std::string_view part = std::string_view(weights).substr(range.offset, range.length);
+    RC_ASSERT(Sha256(part) == parsed.value().DigestOf(i));
+  }
+  RC_ASSERT(next == weights.size());
+}
+
+// Guards against accepting a manifest that was changed on its way.
+RC_GTEST_PROP(Manifest, AChangedByteIsDetected, ()) {
+  const Manifest manifest = Describe(*rc::gen::nonEmpty<std::string>(), 4);
+  std::string content = manifest.Content();
+  content[*rc::gen::inRange<std::size_t>(0, content.size())] ^= 1;
+  const auto parsed = Manifest::Parse(content, manifest.Id());
+  RC_ASSERT(!parsed.has_value());
+  RC_ASSERT(parsed.error().kind == ErrorKind::kDigestMismatch);
+}
+
+// Guards against a crash or huge allocation on malformed content that matches its digest.
+RC_GTEST_PROP(Manifest, AnyContentIsDecodedOrRefused, ()) {
+  wire::Manifest message;
+  message.set_size(*rc::gen::arbitrary<std::uint64_t>());
+  message.set_chunk_size(*rc::gen::arbitrary<std::uint32_t>());
+  message.set_whole_digest(*rc::gen::arbitrary<std::string>());
+  message.set_chunk_digests(*rc::gen::arbitrary<std::string>());
+  message.set_weights_name("model");
+  const std::string content =
+      *rc::gen::element(message.SerializeAsString(), *rc::gen::arbitrary<std::string>());
+  const auto parsed = Manifest::Parse(content, Sha256(content));
+  if (!parsed) return;
+  const Manifest& manifest = parsed.value();
+  const ChunkRange last = manifest.RangeOf(manifest.ChunkCount() - 1);
+  RC_ASSERT(last.offset + last.length == manifest.Size());
+}
+
+// Guards against bytes of another length or content passing as a chunk.
+TEST(VerifiedChunk, RefusesOtherBytes) {
+  const Manifest manifest = Describe("abcdefghij", 4);
+  EXPECT_TRUE(VerifiedChunk::Verify(manifest, 2, Chunk("ij")));
+  EXPECT_FALSE(VerifiedChunk::Verify(manifest, 2, Chunk("ijkl")));
+  EXPECT_FALSE(VerifiedChunk::Verify(manifest, 0, Chunk("abcx")));
+  EXPECT_FALSE(VerifiedChunk::Verify(manifest, 3, Chunk("")));
+  EXPECT_FALSE(VerifiedChunk::Verify(manifest, 0, nullptr));
+}
+
+// Guards against losing the previous version, which a rollback needs, to one abandoned partway.
+TEST(ChunkStore, KeepsTheLastWholeVersion) {
+  const std::string first = "aaaabbbb";
+  const std::string second = "ccccdddd";
+  const std::string third = "eeeeffff";
+  ChunkStore store(0);
+  const auto one = std::make_shared<const Manifest>(Describe(first, 4));
+  store.Want(one);
+  PutAll(store, *one, first);
+  store.Want(std::make_shared<const Manifest>(Describe(second, 4)));
+  store.Want(std::make_shared<const Manifest>(Describe(third, 4)));
+  EXPECT_EQ(store.Copies().size(), 2u);
+  ASSERT_NE(store.Find(one->Id()), nullptr);
+  EXPECT_TRUE(store.Find(one->Id())->IsWhole());
+}
+
+// Guards against exceeding the memory limit, and against giving up the wanted version for it.
+TEST(ChunkStore, DropsThePreviousVersionAboveTheLimit) {
+  const std::string first = "aaaabbbb";
+  const std::string second = "ccccdddd";
+  ChunkStore store(12);
+  const auto one = std::make_shared<const Manifest>(Describe(first, 4));
+  const auto two = std::make_shared<const Manifest>(Describe(second, 4));
+  store.Want(one);
+  PutAll(store, *one, first);
+  store.Want(two);
+  EXPECT_NE(store.Find(one->Id()), nullptr);
+  PutAll(store, *two, second);
+  EXPECT_EQ(store.Find(one->Id()), nullptr);
+  EXPECT_TRUE(store.Find(two->Id())->IsWhole());
+}
+
+// Guards against copying chunks again that the previous version already has.
+TEST(ChunkStore, TakesOverSharedChunks) {
+  const std::string first = "aaaabbbbcccc";
+  const std::string second = "aaaaxxxxcccc";
+  ChunkStore store(0);
+  const auto one = std::make_shared<const Manifest>(Describe(first, 4));
+  store.Want(one);
+  PutAll(store, *one, first);
+  const auto two = std::make_shared<const Manifest>(Describe(second, 4));
+  store.Want(two);
+  EXPECT_EQ(store.Find(two->Id())->held, 2u);
+  EXPECT_FALSE(store.Find(two->Id())->Holds(1));
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/distribution/spread_harness.h
+++ b/src/distribution/spread_harness.h
@@ -52,6 +52,8 @@
   const std::vector<std::byte>& Weights() const { return this->weights; }
   std::size_t Holders(std::uint32_t chunk) const;
   double OriginCopies() const;
+  // Bytes sent between regions, in copies of the weights.
+  double CrossedCopies() const;
   // max(S/origin, S/link, N*S/(origin + N*link)), in seconds.
   double BoundSeconds() const;
   double Seconds() const { return ToSeconds(this->now - this->begin); }
@@ -121,6 +123,7 @@
   std::uint64_t next_order = 0;
   Instant origin_free = {};
   double origin_bytes = 0;
+  double crossed_bytes = 0;
 };
 
 }  // namespace savory
--- a/src/distribution/spread_harness_test.cc
+++ b/src/distribution/spread_harness_test.cc
@@ -143,6 +143,10 @@
   return this->origin_bytes / static_cast<double>(this->weights.size());
 }
 
+double SpreadHarness::CrossedCopies() const {
+  return this->crossed_bytes / static_cast<double>(this->weights.size());
+}
+
 double SpreadHarness::BoundSeconds() const {
   const auto size = static_cast<double>(this->weights.size());
   const auto count = static_cast<double>(this->agents.size());
@@ -182,6 +186,9 @@
 
 void SpreadHarness::Do(std::size_t agent, const SendChunk& action) {
   const SharedChunk& held = this->agents[agent].store->Find(action.manifest)->chunks[action.chunk];
+  if (this->RegionOf(agent) != this->RegionOf(this->IndexOf(action.to))) {
+    this->crossed_bytes += static_cast<double>(held->size());
+  }
   const SharedChunk sent = this->agents[agent].corrupts ? Flipped(held) : held;
   auto chunk = VerifiedChunk::Verify(*this->manifest, action.chunk, sent);
   if (chunk) {
