Add the request flow and thin drivers of the request path

The entry serves callers over HTTP and the gate calls the local upstream.

HttpRequest.is_connected is new: the HTTP library does not show its sockets to handlers, and a hang-up before the first byte must end the work upstream.

--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -59,9 +59,9 @@
 Lane LaneOf(bool bulk) { return bulk ? Lane::kBulk : Lane::kControl; }
 
 bool IsHopHeader(std::string_view name) {
-  static const std::set<std::string, HeaderLess> kHop = {
-      "Connection", "Content-Length", "Host",       "Keep-Alive", "Transfer-Encoding",
-      "TE",         "Upgrade",        "Accept-Encoding"};
+  static const std::set<std::string, HeaderLess> kHop = {"Connection", "Content-Length",    "Host",
+                                                         "Keep-Alive", "Transfer-Encoding", "TE",
+                                                         "Upgrade",    "Accept-Encoding"};
   return kHop.contains(std::string(name));
 }
 
@@ -94,11 +94,11 @@
   Impl(Node& node, GateDriverOptions given)
       : node(node),
         options(std::move(given)),
-        gate(UpstreamGateOptions{.incarnation = node.identity.incarnation,
-                                 .engine = this->IsEngine(),
-                                 .max_running = static_cast<std::size_t>(this->options.max_running),
-                                 .max_queued = static_cast<std::size_t>(this->options.max_queued)}) {
-  }
+        gate(UpstreamGateOptions{
+            .incarnation = node.identity.incarnation,
+            .engine = this->IsEngine(),
+            .max_running = static_cast<std::size_t>(this->options.max_running),
+            .max_queued = static_cast<std::size_t>(this->options.max_queued)}) {}
 
   bool IsEngine() const { return this->options.kind == UpstreamKind::kEngine; }
 
@@ -189,8 +189,8 @@
 }
 
 void GateDriver::Impl::OnCancel(const wire::Envelope& message) {
-  this->Feed(CancelReceived{.id = KeyOf(message.attempt_cancel().id()),
-                            .reply_to = message.from_peer()});
+  this->Feed(
+      CancelReceived{.id = KeyOf(message.attempt_cancel().id()), .reply_to = message.from_peer()});
 }
 
 void GateDriver::Impl::OnQuery(const wire::Envelope& message) {
@@ -382,8 +382,8 @@
     return UpstreamProbed{.reachable = AcceptsConnections(this->options.upstream, kProbeTimeout)};
   }
   HttpClient client(this->options.upstream);
-  const Result<HttpAnswer> answer = client.Call(
-      HttpCall{.target = "/v1/state", .connect_timeout = kProbeTimeout, .read_timeout = kProbeTimeout});
+  const Result<HttpAnswer> answer = client.Call(HttpCall{
+      .target = "/v1/state", .connect_timeout = kProbeTimeout, .read_timeout = kProbeTimeout});
   if (!answer.has_value()) {
     return UpstreamProbed{.reachable = answer.error().kind != ErrorKind::kUnavailable};
   }
--- a/src/gate/gate_events.h
+++ b/src/gate/gate_events.h
@@ -126,8 +126,8 @@
 struct ReportLoad {};
 struct GateDrained {};
 
-using GateAction = std::variant<CallUpstream, CancelCall, SendPart, SendEnd, SendStatus,
-                                DropRequest, DropParts, ProbeUpstream, NotifyCrash, ReportLoad,
-                                GateDrained>;
+using GateAction =
+    std::variant<CallUpstream, CancelCall, SendPart, SendEnd, SendStatus, DropRequest, DropParts,
+                 ProbeUpstream, NotifyCrash, ReportLoad, GateDrained>;
 
 }  // namespace savory
--- a/src/gate/upstream_call.cc
+++ b/src/gate/upstream_call.cc
@@ -17,17 +17,17 @@
     this->listener.on_end(CallResult::kCancelled);
     return;
   }
-  const HttpStream stream = {
-      .on_head =
-          [this](const HttpAnswer& head) {
-            if (!this->cancelled.load()) this->listener.on_head(head);
-            return !this->cancelled.load();
-          },
-      .on_part =
-          [this](std::span<const std::byte> part) {
-            if (!this->cancelled.load()) this->listener.on_part({part.begin(), part.end()});
-            return !this->cancelled.load();
-          }};
+  const HttpStream stream = {.on_head =
+                                 [this](const HttpAnswer& head) {
+                                   if (!this->cancelled.load()) this->listener.on_head(head);
+                                   return !this->cancelled.load();
+                                 },
+                             .on_part =
+                                 [this](std::span<const std::byte> part) {
+                                   if (!this->cancelled.load())
+                                     this->listener.on_part({part.begin(), part.end()});
+                                   return !this->cancelled.load();
+                                 }};
   const Result<HttpAnswer> answer = this->client->Call(this->call, stream);
   if (answer.has_value()) {
     this->listener.on_end(CallResult::kComplete);
--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -66,8 +66,8 @@
 
 Duration UpstreamGate::ExpectedWait() const {
   if (this->running < this->options.max_running) return Duration::zero();
-  const double rounds = static_cast<double>(this->queue.size() + 1) /
-                        static_cast<double>(this->options.max_running);
+  const double rounds =
+      static_cast<double>(this->queue.size() + 1) / static_cast<double>(this->options.max_running);
   return FromSeconds(rounds * this->mean_service_seconds);
 }
 
@@ -136,10 +136,8 @@
   for (std::uint32_t number = query.next_part; number < record.parts; ++number) {
     // Parts below resume_from were never produced here; part 0 always is.
     if (number > 0 && number < record.start.resume_from) continue;
-    this->actions.push_back(SendPart{.id = id,
-                                     .reply_to = query.reply_to,
-                                     .number = number,
-                                     .bulk_lane = query.bulk_lane});
+    this->actions.push_back(SendPart{
+        .id = id, .reply_to = query.reply_to, .number = number, .bulk_lane = query.bulk_lane});
   }
   if (record.state != State::kEnded) return;
   this->actions.push_back(SendEnd{.id = id,
@@ -347,10 +345,9 @@
 void UpstreamGate::Forget() {
   while (!this->results.empty()) {
     const auto found = this->records.find(this->results.front());
-    const bool lives = found != this->records.end() &&
-                       found->second.forget_at - this->options.memory +
-                               this->options.result_lifetime >
-                           this->now;
+    const bool lives =
+        found != this->records.end() &&
+        found->second.forget_at - this->options.memory + this->options.result_lifetime > this->now;
     if (lives) break;
     if (found != this->records.end()) {
       Record& record = found->second;
@@ -397,9 +394,8 @@
   record.started = this->now;
   ++this->running;
   this->active.insert(id);
-  this->actions.push_back(CallUpstream{.id = id,
-                                       .resume_from = record.start.resume_from,
-                                       .priority = record.start.priority});
+  this->actions.push_back(CallUpstream{
+      .id = id, .resume_from = record.start.resume_from, .priority = record.start.priority});
 }
 
 void UpstreamGate::End(const AttemptKey& id, Record& record, wire::AttemptOutcome outcome,
--- a/src/gate/upstream_gate.h
+++ b/src/gate/upstream_gate.h
@@ -22,8 +22,8 @@
   std::size_t max_queued = 64;
   Duration memory = std::chrono::minutes(10);  // of attempts seen or barred
   Duration result_lifetime = std::chrono::seconds(60);
-  std::size_t max_result_bytes = 1u << 20;       // kept of one answer, for a repeated send
-  std::size_t max_kept_bytes = 64u << 20;        // kept of all answers
+  std::size_t max_result_bytes = 1u << 20;  // kept of one answer, for a repeated send
+  std::size_t max_kept_bytes = 64u << 20;   // kept of all answers
   Duration probe_period = std::chrono::milliseconds(200);  // while the upstream is away
   // A non-idempotent call may finish this long after its deadline, so that a query learns of it.
   Duration overrun = std::chrono::seconds(30);
@@ -103,7 +103,7 @@
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> forgotten = {};
   // (-priority, order of arrival) -> attempt.
   std::map<std::pair<int, std::uint64_t>, AttemptKey> queue = {};
-  std::set<AttemptKey> active = {};  // running or settling
+  std::set<AttemptKey> active = {};     // running or settling
   std::deque<AttemptKey> results = {};  // ended with kept parts, oldest first
   std::uint64_t arrivals = 0;
   std::size_t running = 0;
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tables/pool_members.h"
+
 namespace savory {
 
 Balancer::Balancer(BalancerOptions options) : options(std::move(options)) {}
@@ -49,12 +51,12 @@
 void Balancer::AddSubsetOf(const wire::Pool& pool) {
   std::vector<std::pair<std::uint64_t, const Member*>> ranked;
   for (const auto& [vm, agent] : this->agents) {
-    if (agent.member.state == MemberState::kDead || !Belongs(agent.member, pool)) continue;
+    if (agent.member.state == MemberState::kDead || !IsPoolMember(pool, vm, agent.member.service))
+      continue;
     ranked.emplace_back(RendezvousScore(this->options.vm, vm), &agent.member);
   }
-  std::sort(ranked.rbegin(), ranked.rend(), [](const auto& left, const auto& right) {
-    return left.first < right.first;
-  });
+  std::sort(ranked.rbegin(), ranked.rend(),
+            [](const auto& left, const auto& right) { return left.first < right.first; });
   std::vector<std::string>& chosen = this->pool_agents[pool.name()];
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const Member& member = *ranked[rank].second;
@@ -73,11 +75,6 @@
   return higher < static_cast<std::ptrdiff_t>(this->options.agents_pick);
 }
 
-bool Balancer::Belongs(const Member& member, const wire::Pool& pool) {
-  if (pool.vms().empty()) return member.service == pool.service();
-  return std::find(pool.vms().begin(), pool.vms().end(), member.vm) != pool.vms().end();
-}
-
 void Balancer::AddReport(const AgentReport& report, Instant now) {
   const auto found = this->agents.find(report.vm);
   if (found == this->agents.end()) return;
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -82,7 +82,6 @@
   void Recompute();
   void AddSubsetOf(const wire::Pool& pool);
   bool CoveredHere(const std::string& agent_vm) const;
-  static bool Belongs(const Member& member, const wire::Pool& pool);
   bool Eligible(const Agent& agent, const wire::Pool& pool, const PickQuery& query,
                 Instant now) const;
   Candidates CandidatesFor(const wire::Pool& pool, const PickQuery& query, Instant now) const;
--- /dev/null
+++ b/src/routing/caller_queue.h
@@ -0,0 +1,56 @@
+// The answer of one request on its way from the event loop to the caller's thread.
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "runtime/http.h"
+
+namespace savory {
+
+struct AnswerHead {
+  std::uint32_t status = 0;
+  HttpHeaders headers = {};
+};
+struct AnswerBytes {
+  std::vector<std::byte> bytes;
+};
+struct AnswerDone {};
+struct AnswerBrokenOff {};
+// An answer that does not come from the upstream.
+struct OwnAnswer {
+  int status = 0;
+  std::string content_type = "application/json";
+  std::string outcome;  // value of X-Savoryrouter-Outcome
+  std::string body = {};
+  std::optional<Duration> retry_after = {};
+};
+using AnswerItem = std::variant<AnswerHead, AnswerBytes, AnswerDone, AnswerBrokenOff, OwnAnswer>;
+
+// Thread-safe; one producer and one consumer.
+class CallerQueue {
+ public:
+  // Returns false when more than `kMaxBytes` wait for a caller that reads too slowly.
+  bool Push(AnswerItem item);
+  // Waits up to `timeout`; nullopt when nothing came.
+  std::optional<AnswerItem> Pop(Duration timeout);
+
+ private:
+  static constexpr std::size_t kMaxBytes = 16u << 20;
+
+  std::mutex mutex;
+  std::condition_variable filled;
+  std::deque<AnswerItem> items;
+  std::size_t bytes = 0;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/routing/entry_driver.cc
@@ -0,0 +1,623 @@
+#include "routing/entry_driver.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/sha256_hasher.h"
+#include "claims/claim_driver.h"
+#include "membership/membership_driver.h"
+#include "routing/caller_queue.h"
+#include "routing/request_flow.h"
+#include "routing/request_series.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_server.h"
+#include "runtime/peer_transport.h"
+#include "runtime/workers.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
+constexpr Duration kSubscribePeriod = std::chrono::seconds(5);
+// Changes of the member list within this time are handled together.
+constexpr Duration kMemberDelay = std::chrono::milliseconds(50);
+// How often a waiting thread looks whether its caller has hung up.
+constexpr Duration kHangUpCheck = std::chrono::milliseconds(250);
+// After a stop signal, callers on kept connections are told that this entry stops.
+constexpr Duration kMinDrain = std::chrono::seconds(1);
+// Threads beyond `max_streams`, so that more requests are refused with an answer.
+constexpr int kRefusalThreads = 32;
+constexpr std::size_t kAffinityBytes = 256;
+// More of an answer is never recorded with a claim.
+constexpr std::size_t kMaxRecordedBytes = 64u << 10;
+constexpr std::string_view kOutcomeHeader = "X-Savoryrouter-Outcome";
+
+using SharedBytes = PeerTransport::SharedBytes;
+
+AttemptKey KeyOf(const wire::AttemptId& id) {
+  return AttemptKey{.entry_vm = id.entry_vm(),
+                    .entry_incarnation = id.entry_incarnation(),
+                    .sequence = id.sequence()};
+}
+
+void FillId(const AttemptKey& key, wire::AttemptId& id) {
+  id.set_entry_vm(key.entry_vm);
+  id.set_entry_incarnation(key.entry_incarnation);
+  id.set_sequence(key.sequence);
+}
+
+// Headers that concern one connection only, or that the HTTP library adds by itself.
+bool IsHopHeader(std::string_view name) {
+  static const std::set<std::string, HeaderLess> kHop = {
+      "Connection",  "Content-Length",  "Host",    "Keep-Alive", "Transfer-Encoding",
+      "TE",          "Accept-Encoding", "Upgrade", "LOCAL_ADDR", "LOCAL_PORT",
+      "REMOTE_ADDR", "REMOTE_PORT"};
+  return kHop.contains(std::string(name));
+}
+
+OwnAnswer AnswerOf(const Error& error) {
+  const ErrorAnswer& row = AnswerFor(error.kind);
+  const std::string outcome(OutcomeName(row.outcome));
+  const nlohmann::json body = {{"error", row.name}, {"outcome", outcome}, {"detail", error.detail}};
+  return OwnAnswer{
+      .status = row.http_status,
+      .outcome = outcome,
+      .body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
+      .retry_after = error.retry_after};
+}
+
+// One request between its caller's thread and the loop. The thread only uses `queue`.
+struct Caller {
+  CallerQueue queue = {};
+  std::string target = {};
+  HttpHeaders headers = {};
+  SharedBytes body = {};
+  std::string account = {};
+  // Loop only.
+  std::uint32_t status = 0;
+  std::string content_type = {};
+  bool records = false;
+  std::string recorded = {};
+  Instant last_part = {};
+};
+
+Digest FingerprintOf(const HttpRequest& request) {
+  Sha256Hasher hasher;
+  const std::string head = request.method + " " + request.target + "\n";
+  hasher.Update(AsBytes(head));
+  hasher.Update(AsBytes(request.body));
+  return hasher.Finish();
+}
+
+std::optional<Duration> DeadlineOf(const HttpHeaders& headers) {
+  const std::string text(HeaderValue(headers, "X-Deadline-Ms"));
+  if (text.empty()) return std::nullopt;
+  return std::chrono::milliseconds(std::strtoll(text.c_str(), nullptr, 10));
+}
+
+RequestArrived ArrivalOf(RequestId id, const HttpRequest& request) {
+  RequestArrived arrived = {
+      .id = id,
+      .account = std::string(HeaderValue(request.headers, "X-Account")),
+      .method = request.method,
+      .path = request.path,
+      .idempotency_key = std::string(HeaderValue(request.headers, "Idempotency-Key")),
+      .deadline = DeadlineOf(request.headers),
+      .non_idempotent = HeaderValue(request.headers, "X-Non-Idempotent") == "true",
+      .fingerprint = FingerprintOf(request),
+      .affinity = request.body.substr(0, kAffinityBytes)};
+  arrived.claim_key = ClaimDriver::KeyOf(arrived.account, arrived.idempotency_key);
+  return arrived;
+}
+
+HttpReply ReplyOf(const OwnAnswer& answer) {
+  HttpReply reply = {
+      .status = answer.status, .content_type = answer.content_type, .body = answer.body};
+  reply.headers.emplace(kOutcomeHeader, answer.outcome);
+  if (answer.retry_after.has_value()) {
+    const auto seconds = (ToMillis(*answer.retry_after) + 999) / 1000;
+    reply.headers.emplace("Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
+  }
+  return reply;
+}
+
+}  // namespace
+
+EntryDriverOptions ReadEntryOptions(SettingsReader reader) {
+  EntryDriverOptions options;
+  options.http = reader.Address("http", "");
+  const Range streams = {.low = 1, .high = 4096};
+  options.max_streams =
+      static_cast<int>(reader.Integer("max_streams", streams, options.max_streams));
+  const Range millis = {.low = 1, .high = 60'000};
+  const auto duration = [&reader, &millis](std::string_view key, Duration fallback) {
+    return Duration(std::chrono::milliseconds(reader.Integer(key, millis, ToMillis(fallback))));
+  };
+  options.silence = duration("silence_ms", options.silence);
+  options.retry_backoff = duration("retry_backoff_ms", options.retry_backoff);
+  options.retry_budget = reader.Number("retry_budget", {.low = 0, .high = 1}, options.retry_budget);
+  const Range picks = {.low = 1, .high = 1000};
+  options.agents_pick =
+      static_cast<std::uint32_t>(reader.Integer("agents_pick", picks, options.agents_pick));
+  options.own_pick =
+      static_cast<std::uint32_t>(reader.Integer("own_pick", picks, options.own_pick));
+  return options;
+}
+
+struct EntryDriver::Impl {
+  Node& node;
+  MembershipDriver& members;
+  ClaimDriver& claims;
+  EntryDriverOptions options;
+  RequestFlow flow;
+  RequestSeries series;
+  std::unique_ptr<HttpServer> server = {};
+  std::map<RequestId, std::shared_ptr<Caller>> callers = {};
+  std::set<std::string> subscribed = {};  // peers
+  std::function<void()> drained = {};
+  bool members_pending = false;
+  // Message whose part is being handled.
+  const wire::AttemptPart* part = nullptr;
+  std::span<const std::byte> payload = {};
+  // Used by callers' threads.
+  std::atomic<RequestId> next_request = 1;
+  std::atomic<int> in_progress = 0;
+
+  Impl(Node& node, MembershipDriver& members, ClaimDriver& claims, EntryDriverOptions given)
+      : node(node),
+        members(members),
+        claims(claims),
+        options(std::move(given)),
+        flow(RequestFlowOptions{.vm = node.identity.vm,
+                                .incarnation = node.identity.incarnation,
+                                .balancer = {.vm = node.identity.vm,
+                                             .agents_pick = this->options.agents_pick,
+                                             .own_pick = this->options.own_pick},
+                                .budget = {.ratio = this->options.retry_budget},
+                                .silence = this->options.silence,
+                                .retry_backoff = this->options.retry_backoff},
+             node.random),
+        series(node.metrics) {}
+
+  void Start();
+  void SubscribeToPeers();
+  void Feed(const RequestEvent& event);
+
+  // On the callers' threads.
+  HttpReply Serve(const HttpRequest& request);
+  HttpReply Answer(RequestId id, const HttpRequest& request, const std::shared_ptr<Caller>& caller);
+  HttpReply StreamReply(RequestId id, const HttpRequest& request,
+                        const std::shared_ptr<Caller>& caller, const AnswerHead& head);
+  bool PumpStream(RequestId id, const HttpRequest& request, Caller& caller, const HttpSink& sink);
+  std::optional<AnswerItem> NextItem(RequestId id, const HttpRequest& request, Caller& caller);
+  void ReportGone(RequestId id);
+
+  void OnMembersChanged();
+  void SubscribeToAgents(bool all);
+  void OnPart(const wire::Envelope& message, std::span<const std::byte> bytes);
+  void OnEnd(const wire::Envelope& message);
+  void OnStatus(const wire::Envelope& message);
+  void OnReport(const wire::Envelope& message);
+  void OnCrash(const wire::Envelope& message);
+
+  void Do(const StartAttempt& action);
+  void Do(const CancelAttempt& action);
+  void Do(const QueryAttempt& action);
+  void Do(const DeliverPart& action);
+  void Do(const CompleteAnswer& action);
+  void Do(const BreakAnswer& action);
+  void Do(const AnswerError& action);
+  void Do(const AnswerRecorded& action);
+  void Do(const WriteClaim& action);
+  void Do(const FinishClaim& action);
+  void Do(const ReleaseClaim& action);
+  void Do(const MeasureRequest& action);
+  void Do(const ForwardCrashNotice& action);
+  void Do(const FlowDrained& action);
+
+  void DeliverHead(Caller& caller);
+  void Push(RequestId id, AnswerItem item);
+  void CountPeerDrop() {
+    this->node.metrics.CounterFor("savory_request_sends_dropped_total").Add();
+  }
+};
+
+void EntryDriver::Impl::Start() {
+  this->SubscribeToPeers();
+  this->members.OnChange([this] {
+    if (std::exchange(this->members_pending, true)) return;
+    this->node.loop.After(kMemberDelay, [this] { this->OnMembersChanged(); });
+  });
+  this->OnMembersChanged();
+  this->node.loop.Every(kTickPeriod, [this] { this->Feed(FlowTick{}); });
+  this->node.loop.Every(kSubscribePeriod, [this] { this->SubscribeToAgents(true); });
+  this->server = std::make_unique<HttpServer>(
+      HttpServerOptions{.listen = this->options.http,
+                        .max_connections = this->options.max_streams + kRefusalThreads});
+  this->server->Handle("*", ".*",
+                       [this](const HttpRequest& request) { return this->Serve(request); });
+  this->server->Start();
+}
+
+void EntryDriver::Impl::SubscribeToPeers() {
+  PeerTransport& peers = this->node.peers;
+  peers.Subscribe(wire::Envelope::kAttemptPart,
+                  [this](const wire::Envelope& message, std::span<const std::byte> bytes) {
+                    this->OnPart(message, bytes);
+                  });
+  const auto subscribe = [this, &peers](int body_case,
+                                        void (Impl::*handler)(const wire::Envelope&)) {
+    peers.Subscribe(body_case, [this, handler](const wire::Envelope& message, auto) {
+      (this->*handler)(message);
+    });
+  };
+  subscribe(wire::Envelope::kAttemptEnd, &Impl::OnEnd);
+  subscribe(wire::Envelope::kAttemptStatus, &Impl::OnStatus);
+  subscribe(wire::Envelope::kLoadReport, &Impl::OnReport);
+  subscribe(wire::Envelope::kCrashNotice, &Impl::OnCrash);
+}
+
+void EntryDriver::Impl::Feed(const RequestEvent& event) {
+  for (const RequestAction& action : this->flow.Handle(event, this->node.loop.Now())) {
+    std::visit([this](const auto& typed) { this->Do(typed); }, action);
+  }
+}
+
+// ---- callers' threads ----
+
+HttpReply EntryDriver::Impl::Serve(const HttpRequest& request) {
+  const RequestId id = this->next_request.fetch_add(1);
+  if (this->in_progress.fetch_add(1) >= this->options.max_streams) {
+    this->in_progress.fetch_sub(1);
+    return ReplyOf(AnswerOf({.kind = ErrorKind::kOverloaded,
+                             .detail = "too many requests in progress at this entry",
+                             .retry_after = std::chrono::seconds(1)}));
+  }
+  auto caller = std::make_shared<Caller>();
+  caller->target = request.target;
+  caller->headers = request.headers;
+  const auto body = AsBytes(request.body);
+  caller->body = std::make_shared<const std::vector<std::byte>>(body.begin(), body.end());
+  RequestArrived arrived = ArrivalOf(id, request);
+  caller->account = arrived.account;
+  caller->records = !arrived.idempotency_key.empty();
+  this->node.loop.Post([this, caller, arrived = std::move(arrived)] {
+    this->callers.emplace(arrived.id, caller);
+    this->Feed(arrived);
+  });
+  return this->Answer(id, request, caller);
+}
+
+std::optional<AnswerItem> EntryDriver::Impl::NextItem(RequestId id, const HttpRequest& request,
+                                                      Caller& caller) {
+  while (true) {
+    std::optional<AnswerItem> item = caller.queue.Pop(kHangUpCheck);
+    if (item.has_value()) return item;
+    if (!request.is_connected || request.is_connected()) continue;
+    this->ReportGone(id);
+    return std::nullopt;
+  }
+}
+
+void EntryDriver::Impl::ReportGone(RequestId id) {
+  this->node.loop.Post([this, id] { this->Feed(CallerGone{.id = id}); });
+}
+
+HttpReply EntryDriver::Impl::Answer(RequestId id, const HttpRequest& request,
+                                    const std::shared_ptr<Caller>& caller) {
+  const std::optional<AnswerItem> item = this->NextItem(id, request, *caller);
+  if (item.has_value()) {
+    if (const auto* head = std::get_if<AnswerHead>(&*item)) {
+      return this->StreamReply(id, request, caller, *head);
+    }
+  }
+  this->in_progress.fetch_sub(1);
+  if (item.has_value()) {
+    if (const auto* own = std::get_if<OwnAnswer>(&*item)) return ReplyOf(*own);
+  }
+  return ReplyOf(AnswerOf({.kind = ErrorKind::kCancelled, .detail = "the caller hung up"}));
+}
+
+HttpReply EntryDriver::Impl::StreamReply(RequestId id, const HttpRequest& request,
+                                         const std::shared_ptr<Caller>& caller,
+                                         const AnswerHead& head) {
+  HttpReply reply = {.status = static_cast<int>(head.status)};
+  reply.content_type = std::string(HeaderValue(head.headers, "Content-Type"));
+  for (const auto& [name, value] : head.headers) {
+    if (!IsHopHeader(name) && strcasecmp(name.c_str(), "Content-Type") != 0) {
+      reply.headers.emplace(name, value);
+    }
+  }
+  reply.headers.erase(std::string(kOutcomeHeader));
+  reply.headers.emplace(kOutcomeHeader, OutcomeName(RunOutcome::kAnswered));
+  const std::string length(HeaderValue(head.headers, "Content-Length"));
+  reply.stream_length = std::strtoull(length.c_str(), nullptr, 10);
+  const auto release = [this](void*) { this->in_progress.fetch_sub(1); };
+  const std::shared_ptr<void> guard(static_cast<void*>(this), release);
+  const bool empty = (!length.empty() && reply.stream_length == 0) || head.status == 204 ||
+                     head.status == 304 || request.method == "HEAD";
+  if (empty) {
+    // Nothing follows, but the end may still tell that the answer broke off.
+    (void)this->PumpStream(id, request, *caller, [](auto) { return true; });
+    reply.stream_length = 0;
+    return reply;
+  }
+  reply.stream = [this, id, request, caller, guard](const HttpSink& sink) {
+    return this->PumpStream(id, request, *caller, sink);
+  };
+  return reply;
+}
+
+bool EntryDriver::Impl::PumpStream(RequestId id, const HttpRequest& request, Caller& caller,
+                                   const HttpSink& sink) {
+  while (true) {
+    const std::optional<AnswerItem> item = this->NextItem(id, request, caller);
+    if (!item.has_value()) return false;
+    if (std::holds_alternative<AnswerDone>(*item)) return true;
+    const auto* part = std::get_if<AnswerBytes>(&*item);
+    if (part == nullptr) return false;
+    if (sink(part->bytes)) continue;
+    this->ReportGone(id);
+    return false;
+  }
+}
+
+// ---- members and agents ----
+
+void EntryDriver::Impl::OnMembersChanged() {
+  this->members_pending = false;
+  this->Feed(MembersChanged{.members = this->members.Members()});
+  this->SubscribeToAgents(false);
+}
+
+void EntryDriver::Impl::SubscribeToAgents(bool all) {
+  std::set<std::string> peers;
+  for (const auto& [vm, peer] : this->flow.Agents().Subset()) peers.insert(peer);
+  for (const std::string& peer : peers) {
+    if (!all && this->subscribed.contains(peer)) continue;
+    wire::Envelope envelope;
+    envelope.mutable_load_subscribe();
+    this->node.peers.Send(peer, Lane::kControl, std::move(envelope));
+  }
+  this->subscribed = std::move(peers);
+}
+
+void EntryDriver::Impl::OnPart(const wire::Envelope& message, std::span<const std::byte> bytes) {
+  this->part = &message.attempt_part();
+  this->payload = bytes;
+  this->Feed(PartArrived{.attempt = KeyOf(this->part->id()),
+                         .number = this->part->number(),
+                         .status = this->part->status()});
+  this->part = nullptr;
+  this->payload = {};
+}
+
+void EntryDriver::Impl::OnEnd(const wire::Envelope& message) {
+  const wire::AttemptEnd& end = message.attempt_end();
+  this->Feed(EndArrived{.attempt = KeyOf(end.id()),
+                        .outcome = end.outcome(),
+                        .parts = end.parts(),
+                        .reason = end.reason()});
+}
+
+void EntryDriver::Impl::OnStatus(const wire::Envelope& message) {
+  const wire::AttemptStatus& status = message.attempt_status();
+  this->Feed(StatusArrived{.attempt = KeyOf(status.id()),
+                           .knowledge = status.knowledge(),
+                           .outcome = status.outcome(),
+                           .parts = status.parts()});
+}
+
+void EntryDriver::Impl::OnReport(const wire::Envelope& message) {
+  const wire::LoadReport& report = message.load_report();
+  this->Feed(ReportArrived{.report = {.vm = report.vm(),
+                                      .incarnation = report.incarnation(),
+                                      .running = report.running(),
+                                      .queued = report.queued(),
+                                      .ready = report.ready(),
+                                      .leaving = report.leaving(),
+                                      .loaded_manifest = DigestFromRaw(report.loaded_manifest())}});
+}
+
+void EntryDriver::Impl::OnCrash(const wire::Envelope& message) {
+  const wire::CrashNotice& notice = message.crash_notice();
+  this->Feed(CrashNoticed{.fingerprint = DigestFromRaw(notice.fingerprint()),
+                          .vm = notice.vm(),
+                          .upstream_incarnation = notice.upstream_incarnation(),
+                          .hops = notice.hops()});
+}
+
+// ---- actions ----
+
+void EntryDriver::Impl::Do(const StartAttempt& action) {
+  const auto found = this->callers.find(action.request);
+  if (found == this->callers.end()) return;
+  const Caller& caller = *found->second;
+  wire::Envelope envelope;
+  wire::AttemptStart& start = *envelope.mutable_attempt_start();
+  FillId(action.attempt, *start.mutable_id());
+  start.set_agent_incarnation(action.agent.incarnation);
+  start.set_pool(action.pool);
+  if (!action.agent.manifest.IsZero()) {
+    start.set_manifest(std::string(action.agent.manifest.View()));
+  }
+  start.set_method(action.method);
+  start.set_target(caller.target);
+  for (const auto& [name, value] : caller.headers) {
+    if (IsHopHeader(name)) continue;
+    wire::Header& header = *start.add_headers();
+    header.set_name(name);
+    header.set_value(value);
+  }
+  start.set_deadline_ms(
+      static_cast<std::uint32_t>(std::max<std::int64_t>(ToMillis(action.time_left), 0)));
+  start.set_priority(action.priority);
+  start.set_idempotent(action.idempotent);
+  start.set_fingerprint(std::string(action.fingerprint.View()));
+  start.set_account(action.account);
+  start.set_resume_from(action.resume_from);
+  const bool sent = this->node.peers.SendShared(action.agent.peer, Lane::kControl,
+                                                std::move(envelope), caller.body, *caller.body);
+  if (sent) return;
+  this->CountPeerDrop();
+  this->Feed(StartDropped{.attempt = action.attempt});
+}
+
+void EntryDriver::Impl::Do(const CancelAttempt& action) {
+  wire::Envelope envelope;
+  FillId(action.attempt, *envelope.mutable_attempt_cancel()->mutable_id());
+  this->node.peers.Send(action.peer, Lane::kControl, std::move(envelope));
+}
+
+void EntryDriver::Impl::Do(const QueryAttempt& action) {
+  wire::Envelope envelope;
+  wire::AttemptQuery& query = *envelope.mutable_attempt_query();
+  FillId(action.attempt, *query.mutable_id());
+  query.set_agent_incarnation(action.agent_incarnation);
+  query.set_next_part(action.next_part);
+  query.set_bulk_lane(action.bulk_lane);
+  this->node.metrics.CounterFor("savory_request_queries_total").Add();
+  this->node.peers.Send(action.peer, action.bulk_lane ? Lane::kBulk : Lane::kControl,
+                        std::move(envelope));
+}
+
+void EntryDriver::Impl::Push(RequestId id, AnswerItem item) {
+  const auto found = this->callers.find(id);
+  if (found == this->callers.end()) return;
+  if (found->second->queue.Push(std::move(item))) return;
+  // The caller reads too slowly; its answer ends as broken.
+  this->node.metrics.CounterFor("savory_request_slow_callers_total").Add();
+  this->node.loop.Post([this, id] { this->Feed(CallerGone{.id = id}); });
+}
+
+void EntryDriver::Impl::DeliverHead(Caller& caller) {
+  caller.status = this->part->status();
+  AnswerHead head = {.status = caller.status};
+  for (const wire::Header& header : this->part->headers()) {
+    head.headers.emplace(header.name(), header.value());
+  }
+  caller.content_type = std::string(HeaderValue(head.headers, "Content-Type"));
+  caller.last_part = this->node.loop.Now();
+  caller.queue.Push(std::move(head));
+}
+
+void EntryDriver::Impl::Do(const DeliverPart& action) {
+  const auto found = this->callers.find(action.request);
+  if (found == this->callers.end()) return;
+  Caller& caller = *found->second;
+  if (action.number == 0) this->DeliverHead(caller);
+  if (this->payload.empty()) return;
+  const Instant now = this->node.loop.Now();
+  if (action.number > 1) {
+    this->series.AddPartGap(caller.account, action.request_class, now - caller.last_part);
+  }
+  caller.last_part = now;
+  if (caller.records && caller.recorded.size() < kMaxRecordedBytes) {
+    caller.recorded += AsText(this->payload);
+  }
+  this->Push(action.request, AnswerBytes{.bytes = {this->payload.begin(), this->payload.end()}});
+}
+
+void EntryDriver::Impl::Do(const CompleteAnswer& action) {
+  this->Push(action.request, AnswerDone{});
+}
+
+void EntryDriver::Impl::Do(const BreakAnswer& action) {
+  this->Push(action.request, AnswerBrokenOff{});
+}
+
+void EntryDriver::Impl::Do(const AnswerError& action) {
+  this->Push(action.request, AnswerOf(action.error));
+}
+
+void EntryDriver::Impl::Do(const AnswerRecorded& action) {
+  this->Push(action.request, OwnAnswer{.status = static_cast<int>(action.status),
+                                       .content_type = action.content_type,
+                                       .outcome = std::string(OutcomeName(RunOutcome::kAnswered)),
+                                       .body = action.body});
+}
+
+void EntryDriver::Impl::Do(const WriteClaim& action) {
+  const auto done = [this, id = action.request](Result<ClaimAnswer> answer) {
+    ClaimSettled settled = {.id = id};
+    if (!answer.has_value()) {
+      settled.error = answer.error();
+    } else if (const auto* granted = std::get_if<ClaimGranted>(&answer.value())) {
+      settled.nonce = granted->nonce;
+    } else {
+      settled.found = std::get<ClaimFound>(answer.value()).claim;
+    }
+    this->Feed(settled);
+  };
+  if (action.replaced.has_value()) {
+    this->claims.Replace(action.claim, *action.replaced, done);
+    return;
+  }
+  this->claims.Claim(action.claim, done);
+}
+
+void EntryDriver::Impl::Do(const FinishClaim& action) {
+  const auto found = this->callers.find(action.request);
+  if (found == this->callers.end()) return;
+  const Caller& caller = *found->second;
+  this->claims.Finish(
+      action.key, action.nonce,
+      RecordedAnswer{
+          .status = caller.status, .content_type = caller.content_type, .body = caller.recorded});
+}
+
+void EntryDriver::Impl::Do(const ReleaseClaim& action) {
+  this->claims.Release(action.key, action.nonce);
+}
+
+void EntryDriver::Impl::Do(const MeasureRequest& action) {
+  this->series.Add(action);
+  this->callers.erase(action.request);
+}
+
+void EntryDriver::Impl::Do(const ForwardCrashNotice&) {}
+
+void EntryDriver::Impl::Do(const FlowDrained&) {
+  // Callers' threads may still be writing; the server waits for them.
+  this->node.loop.After(kMinDrain, [this] {
+    this->node.workers.RunThen(
+        [this] {
+          this->server->Stop();
+          return true;
+        },
+        [this](bool) { this->drained(); });
+  });
+}
+
+EntryDriver::EntryDriver(Node& node, MembershipDriver& members, ClaimDriver& claims,
+                         EntryDriverOptions options)
+    : impl(std::make_unique<Impl>(node, members, claims, std::move(options))) {}
+
+EntryDriver::~EntryDriver() = default;
+
+void EntryDriver::Start() { this->impl->Start(); }
+
+void EntryDriver::ApplyTables(const wire::Tables& tables) {
+  std::set<std::string> accounts;
+  for (const wire::Route& route : tables.routes()) {
+    for (const wire::AccountLimit& limit : route.limits()) accounts.insert(limit.account());
+  }
+  this->impl->series.SetAccounts(std::move(accounts));
+  this->impl->Feed(TablesChanged{.tables = tables});
+  this->impl->SubscribeToAgents(false);
+}
+
+void EntryDriver::Drain(std::function<void()> done) {
+  this->impl->drained = std::move(done);
+  Log(LogLevel::kInfo, "entry_draining", {{"requests", this->impl->flow.InProgress()}});
+  this->impl->Feed(StopAccepting{});
+}
+
+}  // namespace savory
--- a/src/routing/entry_driver.h
+++ b/src/routing/entry_driver.h
@@ -17,7 +17,7 @@
 
 struct EntryDriverOptions {
   std::string http;                                        // IP:PORT towards callers
-  int max_streams = 512;                                   // requests in progress; more are refused
+  int max_streams = 1200;                                  // requests in progress; more are refused
   Duration silence = std::chrono::seconds(2);              // then an attempt is queried
   Duration retry_backoff = std::chrono::milliseconds(20);  // first delay; doubled for each retry
   double retry_budget = 0.1;                               // retries for each request
--- /dev/null
+++ b/src/routing/request_flow.h
@@ -0,0 +1,156 @@
+// The entry's decisions for all requests of its callers.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "routing/balancer.h"
+#include "routing/request_events.h"
+#include "routing/retry_budget.h"
+
+namespace savory {
+
+struct RequestFlowOptions {
+  std::string vm;                 // this entry
+  std::uint64_t incarnation = 0;  // of this entry's process
+  BalancerOptions balancer = {};
+  RetryBudgetOptions budget = {};
+  Duration default_deadline = std::chrono::seconds(60);
+  Duration silence = std::chrono::seconds(2);
+  Duration retry_backoff = std::chrono::milliseconds(20);
+  int max_attempts = 4;  // of one request
+  // Time between two queries of one attempt.
+  Duration query_period = std::chrono::milliseconds(500);
+  // An idempotent request is retried elsewhere after this many unanswered queries.
+  int max_queries = 2;
+  // A non-idempotent request waits longer for certainty: a silent connection is replaced after 6 s.
+  int max_queries_non_idempotent = 20;
+  // Time that the gate has to confirm a cancel at the deadline.
+  Duration settle = std::chrono::milliseconds(200);
+};
+
+// State machine of every request: route, claim, attempts, answer. Delivers to each caller the
+// parts of one answer in order and once, and says "not run" only when no attempt can have run.
+class RequestFlow {
+ public:
+  RequestFlow(RequestFlowOptions options, Random& random);
+
+  std::vector<RequestAction> Handle(const RequestEvent& event, Instant now);
+
+  std::size_t InProgress() const { return this->requests.size(); }
+  const Balancer& Agents() const { return this->balancer; }
+
+ private:
+  enum class Phase { kClaiming, kAttempting, kBackingOff };
+
+  struct Attempt {
+    AttemptKey key = {};
+    ChosenAgent agent = {};
+    Instant last_heard = {};
+    std::optional<Instant> queried_at = {};
+    int queries = 0;       // since the agent was last heard
+    int missing = 0;       // answers "ran" that left parts missing
+    bool resumed = false;  // its head is checked, but not delivered again
+    bool head_checked = false;
+    bool adopted = false;  // started by another receipt of the same idempotency key
+    bool cancelled = false;
+  };
+
+  struct Request {
+    RequestArrived arrived;
+    wire::Route route;
+    bool idempotent = true;
+    Instant arrived_at = {};
+    Instant deadline = {};
+    Instant backoff_until = {};
+    Instant scheduled = {};
+    Phase phase = Phase::kAttempting;
+    std::optional<Attempt> attempt = {};
+    std::set<std::string> tried = {};  // VM names
+    int attempts = 0;
+    std::uint32_t next_part = 0;
+    std::uint32_t status = 0;  // HTTP status of the delivered head
+    bool may_have_run = false;
+    bool caller_gone = false;
+    std::optional<wire::Claim> claim = {};  // held by this entry when it has a nonce
+    std::optional<Instant> first_sent = {};
+    std::optional<Instant> first_part = {};
+    Error last_error = {};
+  };
+
+  void On(const RequestArrived& event);
+  void On(const CallerGone& event);
+  void On(const ClaimSettled& event);
+  void On(const PartArrived& event);
+  void On(const EndArrived& event);
+  void On(const StatusArrived& event);
+  void On(const StartDropped& event);
+  void On(const ReportArrived& event);
+  void On(const MembersChanged& event);
+  void On(const TablesChanged& event);
+  void On(const CrashNoticed& event);
+  void On(const StopAccepting& event);
+  void On(const FlowTick& event);
+
+  const wire::Route* MatchRoute(const RequestArrived& request) const;
+  void Refuse(const RequestArrived& request, ErrorKind kind, std::string detail);
+  std::optional<ChosenAgent> PickAgent(const Request& request);
+  void SetAttempt(Request& request, Attempt attempt);
+
+  void Begin(Request& request);
+  void ClaimFor(Request& request, const ChosenAgent& agent, std::optional<wire::Claim> replaced);
+  void OnClaimFound(Request& request, const wire::Claim& found);
+  void Adopt(Request& request, const wire::Claim& found);
+  void Send(Request& request);
+  void Query(Request& request);
+  void OnSilence(Request& request);
+  void OnDeadline(Request& request);
+  void EndAttempt(Request& request);
+  // The attempt is over without a whole answer.
+  void OnAttemptFailed(Request& request, bool certainly_not_run, const Error& error);
+  void OnPart(Request& request, const PartArrived& event);
+  void OnResumedHead(Request& request, std::uint32_t status);
+  void OnEnd(Request& request, const EndArrived& event);
+  void OnStatus(Request& request, const StatusArrived& event);
+  void OnRan(Request& request, const StatusArrived& event);
+  void OnOutcome(Request& request, wire::AttemptOutcome outcome, std::string_view reason);
+  bool MayRetry(const Request& request, bool certainly_not_run);
+  bool CanResume(const Request& request);
+  void BackOff(Request& request);
+  void StartRetry(Request& request);
+  // Queries at once, but not more often than every query period.
+  void QueryGap(Request& request);
+  void OnComplete(Request& request);
+  void Fail(Request& request, const Error& error);
+  void Finish(Request& request, std::optional<ErrorKind> error);
+
+  // Requests that wait for `attempt`: several when a repeat of an idempotency key adopts it.
+  std::vector<RequestId> FindByAttempt(const AttemptKey& attempt) const;
+  Instant DueOf(const Request& request) const;
+  void Reschedule(Request& request);
+  void OnDue(Request& request);
+
+  RequestFlowOptions options;
+  Random& random;
+  Balancer balancer;
+  RetryBudget budget;
+  wire::Tables tables = {};
+  std::map<RequestId, Request> requests = {};
+  std::multimap<AttemptKey, RequestId> by_attempt = {};
+  std::set<std::pair<Instant, RequestId>> timers = {};
+  std::map<std::string, std::uint64_t, std::less<>> agent_incarnations = {};
+  std::uint64_t next_sequence = 1;
+  bool stopping = false;
+  bool drained = false;
+
+  // Valid during Handle().
+  Instant now = {};
+  std::vector<RequestAction> actions = {};
+};
+
+}  // namespace savory
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -11,7 +11,8 @@
   const auto found = this->account_tokens.find(account);
   if (found != this->account_tokens.end()) return found->second;
   const bool full = this->account_tokens.size() >= kMaxAccounts;
-  return this->account_tokens.try_emplace(full ? "" : std::string(account), this->options.account_reserve)
+  return this->account_tokens
+      .try_emplace(full ? "" : std::string(account), this->options.account_reserve)
       .first->second;
 }
 
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -8,10 +8,10 @@
 namespace savory {
 
 struct RetryBudgetOptions {
-  double ratio = 0.1;           // retries for each request
-  double entry_reserve = 10;    // retries available before the first request
-  double account_reserve = 5;   // of one client account
-  double entry_ceiling = 300;   // retries saved up; covers the 2 s until a dead agent is avoided
+  double ratio = 0.1;          // retries for each request
+  double entry_reserve = 10;   // retries available before the first request
+  double account_reserve = 5;  // of one client account
+  double entry_ceiling = 300;  // retries saved up; covers the 2 s until a dead agent is avoided
   double account_ceiling = 100;
 };
 
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -54,6 +54,8 @@
   HttpHeaders headers;
   std::multimap<std::string, std::string> query;
   std::string body;
+  // False when the caller has closed its connection; looks at the socket.
+  std::function<bool()> is_connected = {};
 };
 
 // Writes bytes of a streamed reply; returns false when the caller has hung up.
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "base/log.h"
+#include "runtime/caller_socket.h"
 
 namespace savory {
 namespace {
@@ -31,7 +32,11 @@
                      .headers = HttpHeaders(request.headers.begin(), request.headers.end()),
                      .query = std::multimap<std::string, std::string>(request.params.begin(),
                                                                       request.params.end()),
-                     .body = request.body};
+                     .body = request.body,
+                     .is_connected = [remote = request.remote_addr, port = request.remote_port,
+                                      local = request.local_port] {
+                       return IsCallerConnected(remote, port, local);
+                     }};
 }
 
 void SetStream(HttpReply reply, httplib::Response& response) {
