Connect the account limiter and the crash registry to the request flow

Agents report their capacity, so that an entry can size the slots of a class: work beyond the upstreams' capacity waits in the entry, where accounts are served fairly, and not in the agents' queues.

--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -417,6 +417,7 @@
   report.set_queued(static_cast<std::uint32_t>(this->gate.Queued()));
   report.set_ready(this->gate.IsReady());
   report.set_leaving(this->gate.IsLeaving());
+  report.set_capacity(static_cast<std::uint32_t>(this->options.max_running));
   const Digest& serving = this->gate.Serving();
   if (!serving.IsZero()) report.set_loaded_manifest(std::string(serving.View()));
   return report;
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -23,7 +23,9 @@
   this->entries.clear();
   for (const Member& member : members) {
     if (member.role == MemberRole::kEntry) {
-      if (member.state != MemberState::kDead) this->entries.push_back(member.vm);
+      const bool live =
+          member.state == MemberState::kAlive || member.state == MemberState::kSuspect;
+      if (live) this->entries.push_back(member.vm);
       continue;
     }
     const auto known = this->agents.find(member.vm);
@@ -92,6 +94,30 @@
   return found == this->pools.end() ? nullptr : &found->second;
 }
 
+std::uint32_t Balancer::LiveEntries() const {
+  return static_cast<std::uint32_t>(std::max<std::size_t>(this->entries.size(), 1));
+}
+
+double Balancer::ShareOfCapacity(std::string_view pool, Instant now) const {
+  const wire::Pool* row = this->FindPool(pool);
+  if (row == nullptr) return 0;
+  std::size_t members = 0;
+  for (const auto& [vm, agent] : this->agents) {
+    const bool alive = agent.member.state == MemberState::kAlive;
+    if (alive && IsPoolMember(*row, vm, agent.member.service)) ++members;
+  }
+  double capacity = 0;
+  const Candidates candidates = this->CandidatesFor(*row, PickQuery{.pool = pool}, now);
+  for (const Agent* agent : candidates) capacity += agent->report.capacity;
+  if (candidates.empty() || capacity == 0) return 0;
+  const double mean = capacity / static_cast<double>(candidates.size());
+  // Agents outside the subset are taken to be as large as those inside, and those of the subset
+  // that are not ready as missing.
+  const std::size_t in_subset = this->pool_agents.find(row->name())->second.size();
+  const double ready = static_cast<double>(candidates.size()) / static_cast<double>(in_subset);
+  return mean * static_cast<double>(members) * ready / this->LiveEntries();
+}
+
 bool Balancer::Eligible(const Agent& agent, const wire::Pool& pool, const PickQuery& query,
                         Instant now) const {
   const MemberState state = agent.member.state;
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -33,6 +33,7 @@
   std::uint64_t incarnation = 0;  // of the agent's process
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  std::uint32_t capacity = 0;  // attempts at its upstream at the same time; 0: not reported
   bool ready = false;
   bool leaving = false;
   Digest loaded_manifest = {};
@@ -69,6 +70,11 @@
   // Agents whose reports this entry needs: VM name -> IP:PORT.
   const std::map<std::string, std::string>& Subset() const { return this->subset; }
   const wire::Pool* FindPool(std::string_view name) const;
+  // Entries that are neither dead nor leaving, this one included; at least 1.
+  std::uint32_t LiveEntries() const;
+  // This entry's part of the attempts that the upstreams of `pool` run at the same time; 0 while no
+  // agent has reported.
+  double ShareOfCapacity(std::string_view pool, Instant now) const;
 
  private:
   struct Agent {
@@ -92,7 +98,7 @@
   BalancerOptions options;
   std::map<std::string, wire::Pool, std::less<>> pools = {};
   std::map<std::string, Agent, std::less<>> agents = {};
-  std::vector<std::string> entries = {};
+  std::vector<std::string> entries = {};  // VM names, without those that are dead or leaving
   std::map<std::string, std::string> subset = {};
   std::map<std::string, std::vector<std::string>, std::less<>> pool_agents = {};  // in the subset
 };
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -219,7 +219,7 @@
   void Do(const FinishClaim& action);
   void Do(const ReleaseClaim& action);
   void Do(const MeasureRequest& action);
-  void Do(const ForwardCrashNotice& action);
+  void Do(const CrashForward& action);
   void Do(const FlowDrained& action);
 
   void DeliverHead(Caller& caller);
@@ -421,6 +421,7 @@
                                       .incarnation = report.incarnation(),
                                       .running = report.running(),
                                       .queued = report.queued(),
+                                      .capacity = report.capacity(),
                                       .ready = report.ready(),
                                       .leaving = report.leaving(),
                                       .loaded_manifest = DigestFromRaw(report.loaded_manifest())}});
@@ -428,10 +429,10 @@
 
 void EntryDriver::Impl::OnCrash(const wire::Envelope& message) {
   const wire::CrashNotice& notice = message.crash_notice();
-  this->Feed(CrashNoticed{.fingerprint = DigestFromRaw(notice.fingerprint()),
-                          .vm = notice.vm(),
-                          .upstream_incarnation = notice.upstream_incarnation(),
-                          .hops = notice.hops()});
+  this->Feed(CrashNoticed{.record = {.fingerprint = DigestFromRaw(notice.fingerprint()),
+                                     .vm = notice.vm(),
+                                     .upstream_incarnation = notice.upstream_incarnation(),
+                                     .hops = notice.hops()}});
 }
 
 // ---- actions ----
@@ -582,7 +583,15 @@
   this->callers.erase(action.request);
 }
 
-void EntryDriver::Impl::Do(const ForwardCrashNotice&) {}
+void EntryDriver::Impl::Do(const CrashForward& action) {
+  wire::Envelope envelope;
+  wire::CrashNotice& notice = *envelope.mutable_crash_notice();
+  notice.set_fingerprint(std::string(action.record.fingerprint.View()));
+  notice.set_vm(action.record.vm);
+  notice.set_upstream_incarnation(action.record.upstream_incarnation);
+  notice.set_hops(action.record.hops);
+  this->node.peers.Send(action.peer, Lane::kControl, std::move(envelope));
+}
 
 void EntryDriver::Impl::Do(const FlowDrained&) {
   // Callers' threads may still be writing; the server waits for them.
--- a/src/routing/request_events.h
+++ b/src/routing/request_events.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "membership/member.h"
 #include "routing/balancer.h"
+#include "routing/crash_registry.h"
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
@@ -75,10 +76,7 @@
   wire::Tables tables;
 };
 struct CrashNoticed {
-  Digest fingerprint = {};
-  std::string vm = {};
-  std::uint64_t upstream_incarnation = 0;
-  std::uint32_t hops = 0;
+  CrashRecord record;
 };
 struct StopAccepting {};
 struct FlowTick {};
@@ -165,14 +163,11 @@
   int attempts = 0;
   std::optional<ErrorKind> error = {};  // empty: the upstream answered
 };
-struct ForwardCrashNotice {
-  CrashNoticed notice;
-};
 struct FlowDrained {};
 
 using RequestAction =
     std::variant<StartAttempt, CancelAttempt, QueryAttempt, DeliverPart, CompleteAnswer,
                  BreakAnswer, AnswerError, AnswerRecorded, WriteClaim, FinishClaim, ReleaseClaim,
-                 MeasureRequest, ForwardCrashNotice, FlowDrained>;
+                 MeasureRequest, CrashForward, FlowDrained>;
 
 }  // namespace savory
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view kAnonymous = "anonymous";
+// The limiter and the crash records are looked after at this period.
+constexpr Duration kUpkeepPeriod = std::chrono::milliseconds(100);
 
 wire::AttemptId ToWire(const AttemptKey& key) {
   wire::AttemptId id;
@@ -42,12 +44,15 @@
     : options(std::move(options)),
       random(random),
       balancer(this->options.balancer),
-      budget(this->options.budget) {}
+      budget(this->options.budget),
+      limiter(this->options.limits),
+      crashes(this->options.crashes, random) {}
 
 std::vector<RequestAction> RequestFlow::Handle(const RequestEvent& event, Instant now) {
   this->now = now;
   this->actions.clear();
   std::visit([this](const auto& typed) { this->On(typed); }, event);
+  this->ApplyLimits();
   if (this->stopping && !this->drained && this->requests.empty()) {
     this->drained = true;
     this->actions.push_back(FlowDrained{});
@@ -61,6 +66,10 @@
   if (this->stopping) return this->Refuse(event, ErrorKind::kDraining, "this entry is stopping");
   const wire::Route* route = this->MatchRoute(event);
   if (route == nullptr) return this->Refuse(event, ErrorKind::kNoRoute, event.path);
+  if (this->crashes.IsRefused(event.fingerprint, this->now)) {
+    return this->Refuse(event, ErrorKind::kRequestCrashesUpstream,
+                        "the same request has crashed two upstreams");
+  }
   const bool known_account = !event.account.empty();
   Request& request = this->requests[event.id];
   request.arrived = event;
@@ -76,7 +85,48 @@
   if (limit <= Duration::zero()) {
     return this->Fail(request, {.kind = ErrorKind::kDeadlineUnmeetable, .detail = "no time left"});
   }
-  this->Begin(request);
+  this->Limit(LimitArrive{.id = event.id,
+                          .account = request.arrived.account,
+                          .request_class = route->request_class(),
+                          .priority = route->priority(),
+                          .deadline = request.deadline});
+  this->Reschedule(request);
+}
+
+void RequestFlow::Limit(const LimitEvent& event) {
+  for (LimitAction& action : this->limiter.Handle(event, this->now)) {
+    this->limit_actions.push_back(std::move(action));
+  }
+}
+
+void RequestFlow::ApplyLimits() {
+  while (!this->limit_actions.empty()) {
+    const LimitAction action = std::move(this->limit_actions.front());
+    this->limit_actions.pop_front();
+    const RequestId id = std::visit([](const auto& typed) { return typed.id; }, action);
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end() || found->second.phase != Phase::kWaiting) continue;
+    if (const auto* refusal = std::get_if<LimitRefuse>(&action)) {
+      this->Fail(found->second, refusal->error);
+    } else {
+      this->Begin(found->second);
+    }
+  }
+}
+
+void RequestFlow::UpdateSlots() {
+  std::map<std::string, double> slots;
+  for (const wire::Route& route : this->tables.routes()) {
+    const double share = this->balancer.ShareOfCapacity(route.pool(), this->now);
+    double& most = slots[route.request_class()];
+    most = std::max(most, share * this->options.slots_factor);
+  }
+  for (const auto& [request_class, count] : slots) {
+    // Without reports nothing can be sent anyway; the last value stays.
+    if (count <= 0) continue;
+    const auto rounded = static_cast<std::uint32_t>(count + 0.999);
+    this->Limit(LimitSlots{.request_class = request_class, .slots = rounded});
+  }
 }
 
 const wire::Route* RequestFlow::MatchRoute(const RequestArrived& request) const {
@@ -367,14 +417,29 @@
   }
 }
 
-void RequestFlow::On(const MembersChanged& event) { this->balancer.SetMembers(event.members); }
+void RequestFlow::On(const MembersChanged& event) {
+  this->balancer.SetMembers(event.members);
+  this->Limit(LimitEntries{.live = this->balancer.LiveEntries()});
+  CrashMembers peers;
+  for (const Member& member : event.members) {
+    const bool other_entry = member.role == MemberRole::kEntry && member.vm != this->options.vm;
+    if (other_entry && member.state == MemberState::kAlive) peers.peers.push_back(member.peer);
+  }
+  this->crashes.Handle(peers, this->now);
+}
 
 void RequestFlow::On(const TablesChanged& event) {
   this->tables = event.tables;
+  this->Limit(LimitTables{.classes = LimitsOf(event.tables)});
   this->balancer.SetPools({event.tables.pools().begin(), event.tables.pools().end()});
 }
 
-void RequestFlow::On(const CrashNoticed&) {}
+void RequestFlow::On(const CrashNoticed& event) {
+  for (const CrashAction& action :
+       this->crashes.Handle(CrashSeen{.record = event.record}, this->now)) {
+    this->actions.push_back(std::get<CrashForward>(action));
+  }
+}
 
 void RequestFlow::On(const StopAccepting&) { this->stopping = true; }
 
@@ -412,6 +477,7 @@
 bool RequestFlow::MayRetry(const Request& request, bool certainly_not_run) {
   const bool safe = request.idempotent || (certainly_not_run && !request.may_have_run);
   if (!safe || request.attempts >= this->options.max_attempts) return false;
+  if (this->crashes.IsRefused(request.arrived.fingerprint, this->now)) return false;
   if (request.next_part > 0 && !this->CanResume(request)) return false;
   if (!this->PickAgent(request).has_value()) return false;
   return this->budget.TakeRetry(request.arrived.account);
@@ -484,6 +550,7 @@
   if (request.first_part.has_value()) measure.first_part = *request.first_part - request.arrived_at;
   this->actions.push_back(std::move(measure));
   const RequestId id = request.arrived.id;
+  this->Limit(LimitEnd{.id = id});
   this->timers.erase(std::pair(request.scheduled, id));
   this->requests.erase(id);
 }
@@ -493,7 +560,7 @@
   if (found == this->requests.end()) return;
   Request& request = found->second;
   request.caller_gone = true;
-  if (request.phase == Phase::kBackingOff) {
+  if (request.phase == Phase::kBackingOff || request.phase == Phase::kWaiting) {
     return this->Fail(request, {.kind = ErrorKind::kCancelled});
   }
   // A claimed attempt runs on, so that a repeat of its key gets the answer.
@@ -523,6 +590,12 @@
 }
 
 void RequestFlow::On(const FlowTick&) {
+  if (this->now >= this->next_upkeep) {
+    this->next_upkeep = this->now + kUpkeepPeriod;
+    this->UpdateSlots();
+    this->Limit(LimitTick{});
+    this->crashes.Handle(CrashTick{}, this->now);
+  }
   while (!this->timers.empty() && this->timers.begin()->first <= this->now) {
     const RequestId id = this->timers.begin()->second;
     this->timers.erase(this->timers.begin());
@@ -535,6 +608,7 @@
 }
 
 Instant RequestFlow::DueOf(const Request& request) const {
+  if (request.phase == Phase::kWaiting) return request.deadline;
   if (request.phase == Phase::kBackingOff) return std::min(request.backoff_until, request.deadline);
   if (request.phase == Phase::kClaiming) {
     return request.caller_gone ? Instant::max() : request.deadline;
@@ -573,6 +647,10 @@
     request.caller_gone = true;
     return;
   }
+  if (request.phase == Phase::kWaiting) {
+    return this->Fail(request, {.kind = ErrorKind::kDeadlineUnmeetable,
+                                .detail = "the deadline passed while the request waited"});
+  }
   if (request.phase == Phase::kBackingOff) return this->Fail(request, request.last_error);
   Attempt& attempt = *request.attempt;
   const bool cancels = !attempt.adopted && !request.claim.has_value() && !attempt.cancelled;
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -9,7 +10,9 @@
 #include <vector>
 
 #include "base/random.h"
+#include "routing/account_limiter.h"
 #include "routing/balancer.h"
+#include "routing/crash_registry.h"
 #include "routing/request_events.h"
 #include "routing/retry_budget.h"
 
@@ -20,6 +23,11 @@
   std::uint64_t incarnation = 0;  // of this entry's process
   BalancerOptions balancer = {};
   RetryBudgetOptions budget = {};
+  AccountLimiterOptions limits = {};
+  CrashRegistryOptions crashes = {};
+  // Slots of a class as a multiple of this entry's part of the upstreams' capacity. A little more
+  // than 1 keeps the upstreams busy; the rest waits here, where accounts are served fairly.
+  double slots_factor = 1.1;
   Duration default_deadline = std::chrono::seconds(60);
   Duration silence = std::chrono::seconds(2);
   Duration retry_backoff = std::chrono::milliseconds(20);
@@ -46,7 +54,7 @@
   const Balancer& Agents() const { return this->balancer; }
 
  private:
-  enum class Phase { kClaiming, kAttempting, kBackingOff };
+  enum class Phase { kWaiting, kClaiming, kAttempting, kBackingOff };
 
   struct Attempt {
     AttemptKey key = {};
@@ -69,7 +77,7 @@
     Instant deadline = {};
     Instant backoff_until = {};
     Instant scheduled = {};
-    Phase phase = Phase::kAttempting;
+    Phase phase = Phase::kWaiting;
     std::optional<Attempt> attempt = {};
     std::set<std::string> tried = {};  // VM names
     int attempts = 0;
@@ -102,6 +110,10 @@
   std::optional<ChosenAgent> PickAgent(const Request& request);
   void SetAttempt(Request& request, Attempt attempt);
 
+  void Limit(const LimitEvent& event);
+  // Carries out what the limiter decided; requests that end may admit further ones.
+  void ApplyLimits();
+  void UpdateSlots();
   void Begin(Request& request);
   void ClaimFor(Request& request, const ChosenAgent& agent, std::optional<wire::Claim> replaced);
   void OnClaimFound(Request& request, const wire::Claim& found);
@@ -139,6 +151,10 @@
   Random& random;
   Balancer balancer;
   RetryBudget budget;
+  AccountLimiter limiter;
+  CrashRegistry crashes;
+  std::deque<LimitAction> limit_actions = {};
+  Instant next_upkeep = {};
   wire::Tables tables = {};
   std::map<RequestId, Request> requests = {};
   std::multimap<AttemptKey, RequestId> by_attempt = {};
