--- a/src/claims/claim_batcher.cc
+++ b/src/claims/claim_batcher.cc
@@ -254,6 +254,8 @@
 
 void ClaimBatcher::Abandon(Shard& shard, const PendingClaim& pending) {
   if (!pending.sent) return;
+  const bool ruled_out = shard.base && shard.version > pending.sent_expected;
+  if (ruled_out && !shard.base->Holds(KeyOf(pending.claim), pending.claim.nonce())) return;
   shard.releases.push_back(PendingRelease{.key = KeyOf(pending.claim),
                                           .nonce = pending.claim.nonce(),
                                           .arrived = this->now,
@@ -433,7 +435,9 @@
     const bool may_appear = pending.may_appear && shard.version <= pending.sent_expected;
     pending.in_write = released || may_appear;
     changed = changed || pending.in_write;
-    return !pending.in_write && shard.base_current >= pending.arrived;
+    if (pending.in_write) return false;
+    // Absence from a higher version is final; otherwise the value must be newer than the release.
+    return pending.may_appear || shard.base_current >= pending.arrived;
   });
   return changed;
 }
--- a/src/claims/claim_shard.cc
+++ b/src/claims/claim_shard.cc
@@ -102,6 +102,11 @@
   return found == this->by_key.end() ? nullptr : &*found->second;
 }
 
+bool ClaimShard::Holds(const Digest& key, std::string_view nonce) const {
+  const wire::Claim* claim = this->Find(key);
+  return claim != nullptr && claim->state() == wire::CLAIM_PENDING && claim->nonce() == nonce;
+}
+
 Result<void> ClaimShard::Add(const wire::Claim& claim) {
   wire::Claim stored = StoredForm(claim);
   assert(IsValidStored(stored));
@@ -192,11 +197,8 @@
 }
 
 ClaimShard::Claims::iterator ClaimShard::FindUnfinished(const Digest& key, std::string_view nonce) {
-  const auto found = this->by_key.find(StoredKey(key.View()));
-  if (found == this->by_key.end()) return this->claims.end();
-  const wire::Claim& claim = *found->second;
-  if (claim.state() != wire::CLAIM_PENDING || claim.nonce() != nonce) return this->claims.end();
-  return found->second;
+  if (!this->Holds(key, nonce)) return this->claims.end();
+  return this->by_key.at(StoredKey(key.View()));
 }
 
 void ClaimShard::DropAnswersUntil(std::size_t wanted_bytes) {
--- a/src/claims/claim_shard.h
+++ b/src/claims/claim_shard.h
@@ -49,6 +49,9 @@
   // The claim of `key` in its stored form, or nullptr.
   const wire::Claim* Find(const Digest& key) const;
 
+  // True when the unfinished claim of (`key`, `nonce`) is present.
+  bool Holds(const Digest& key, std::string_view nonce) const;
+
   // Adds `claim` as unfinished; there must be none of its key. Drops the oldest recorded answers
   // when that makes room. Errors: kClaimShardFull.
   Result<void> Add(const wire::Claim& claim);
--- /dev/null
+++ b/src/claims/claim_world_test.cc
@@ -0,0 +1,378 @@
+// Random interleavings of several entries, their calls and their failures against the rules that
+// callers rely on.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "claims/claim_test_util.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kKeys = 3;
+constexpr std::uint32_t kShards = 2;
+constexpr Duration kDeadline = std::chrono::seconds(2);
+
+// What the agent's gate knows of an attempt, which is named by the id of its request.
+enum class Gate { kNeverArrived, kRan, kBarred };
+
+enum class RequestState { kWaiting, kGranted, kSent, kNotRun, kRefused, kFound };
+
+struct Request {
+  std::size_t entry = 0;
+  std::uint32_t life = 0;  // of the entry
+  std::uint32_t key = 0;
+  RequestState state = RequestState::kWaiting;
+  std::string nonce = {};
+  wire::Claim found = {};
+};
+
+// A call on its way to the service or back.
+struct NetworkCall {
+  ClaimAction call;
+  std::optional<ClaimEvent> reply = {};  // set when the call has taken effect
+};
+
+class World {
+ public:
+  explicit World(std::size_t entries) : entries(entries) {
+    for (Entry& entry : this->entries) this->Start(entry);
+  }
+
+  // One random step; `op` and `arg` choose it.
+  void Step(std::uint32_t op, std::uint32_t arg) {
+    const std::size_t at = arg % this->entries.size();
+    const std::uint32_t rest = arg / 8;
+    switch (op % 16) {
+      case 0:
+      case 1:
+        return this->Claim(at, rest % kKeys, "");
+      case 2:
+      case 3:
+      case 4:
+        return this->TakeEffect(this->entries[at], rest);
+      case 5:
+      case 6:
+      case 7:
+        return this->Deliver(at, rest, /*lost=*/false);
+      case 8:
+        return this->Deliver(at, rest, /*lost=*/true);
+      case 9:
+        return this->RefuseCall(at, rest);
+      case 10:
+        return this->StrayTakesEffect(rest);
+      case 11:
+        return this->Advance(milliseconds(1 + rest % 700));
+      case 12:
+      case 13:
+        return this->Proceed(rest);
+      case 14:
+        return this->RepeatUnfinished(at, rest);
+      case 15:
+        return this->Fail(at, rest);
+      default:
+        return;
+    }
+  }
+
+  // Ends all faults and runs until nothing is left to do.
+  void Heal() {
+    this->strays.clear();
+    for (std::size_t at = 0; at < this->entries.size(); ++at) this->Resume(at);
+    for (int round = 0; round < 200; ++round) {
+      for (std::size_t at = 0; at < this->entries.size(); ++at) {
+        while (!this->entries[at].calls.empty()) {
+          this->TakeEffect(this->entries[at], 0);
+          this->Deliver(at, 0, /*lost=*/false);
+        }
+      }
+      this->Advance(milliseconds(50));
+    }
+  }
+
+  void CheckEnd() {
+    for (const auto& [id, request] : this->requests) {
+      const bool alive = this->entries[request.entry].life == request.life;
+      RC_ASSERT(!alive || request.state != RequestState::kWaiting);
+    }
+    for (Entry& entry : this->entries) RC_ASSERT(entry.batcher->Unwritten() == 0U);
+    for (std::uint32_t shard = 0; shard < kShards; ++shard) this->CheckNoAbandonedNonce(shard);
+  }
+
+ private:
+  struct Entry {
+    std::uint32_t life = 0;
+    bool paused = false;
+    std::unique_ptr<ClaimBatcher> batcher = {};
+    std::vector<NetworkCall> calls = {};
+    std::deque<ClaimEvent> late = {};  // events that arrive while the process is paused
+  };
+
+  void Start(Entry& entry) {
+    ++entry.life;
+    entry.paused = false;
+    entry.late.clear();
+    std::string prefix(8, 'a');
+    prefix[0] = static_cast<char>('a' + (&entry - this->entries.data()));
+    prefix[1] = static_cast<char>(entry.life & 0xff);
+    prefix[2] = static_cast<char>(entry.life >> 8);
+    entry.batcher = std::make_unique<ClaimBatcher>(
+        ClaimBatcherOptions{.shards = kShards, .outage_failures = 3, .nonce_prefix = prefix},
+        this->random);
+  }
+
+  void Handle(std::size_t at, const ClaimEvent& event) {
+    Entry& entry = this->entries[at];
+    if (entry.paused) {
+      entry.late.push_back(event);
+      return;
+    }
+    for (ClaimAction& action : entry.batcher->Handle(event, this->now, kTestUnixS)) {
+      if (const auto* reply = std::get_if<ClaimReply>(&action)) {
+        this->OnReply(*reply);
+      } else {
+        entry.calls.push_back(NetworkCall{.call = std::move(action)});
+      }
+    }
+    this->CheckOneCallPerShard(entry);
+  }
+
+  void Claim(std::size_t at, std::uint32_t key, const std::string& replaces) {
+    const std::uint64_t id = ++this->last_id;
+    this->requests[id] = Request{.entry = at, .life = this->entries[at].life, .key = key};
+    this->Handle(at, ClaimRequest{.id = id,
+                                  .claim = TestClaim(Name(key), "request", "entry", id),
+                                  .replaces = replaces,
+                                  .deadline = this->now + kDeadline});
+  }
+
+  void OnReply(const ClaimReply& reply) {
+    Request& request = this->requests.at(reply.id);
+    RC_ASSERT(request.state == RequestState::kWaiting);  // answered exactly once
+    if (!reply.answer) {
+      RC_ASSERT(reply.answer.error().kind == ErrorKind::kClaimUnavailable);
+      request.state = RequestState::kRefused;
+    } else if (const auto* grant = std::get_if<ClaimGranted>(&reply.answer.value())) {
+      request.state = RequestState::kGranted;
+      request.nonce = grant->nonce;
+      this->CheckGrant(request);
+    } else {
+      request.state = RequestState::kFound;
+      request.found = std::get<ClaimFound>(reply.answer.value()).claim;
+    }
+  }
+
+  // The nonce of a grant was written at some time, and to one request only.
+  void CheckGrant(const Request& request) {
+    RC_ASSERT(this->written_nonces.contains(request.nonce));
+    RC_ASSERT(this->granted_nonces.insert(request.nonce).second);
+  }
+
+  void TakeEffect(Entry& entry, std::uint32_t rest) {
+    if (entry.calls.empty()) return;
+    NetworkCall& call = entry.calls[rest % entry.calls.size()];
+    if (!call.reply) call.reply = this->Execute(call.call);
+  }
+
+  ClaimEvent Execute(const ClaimAction& call) {
+    if (const auto* read = std::get_if<ClaimRead>(&call)) return this->kv.Read(read->shard);
+    const auto& write = std::get<ClaimWrite>(call);
+    const ClaimWriteDone done = this->kv.Write(write);
+    if (done.result == ClaimWriteResult::kWritten) this->RecordNonces(write);
+    return done;
+  }
+
+  void RecordNonces(const ClaimWrite& write) {
+    const ClaimShard shard = this->kv.Shard(write.shard);
+    for (std::uint32_t key = 0; key < kKeys; ++key) {
+      const wire::Claim* claim = shard.Find(TestKey(Name(key)));
+      if (claim != nullptr) this->written_nonces.insert(claim->nonce());
+    }
+  }
+
+  void Deliver(std::size_t at, std::uint32_t rest, bool lost) {
+    Entry& entry = this->entries[at];
+    if (entry.calls.empty()) return;
+    const auto position = entry.calls.begin() + rest % entry.calls.size();
+    if (!lost && !position->reply) return;
+    const NetworkCall call = *position;
+    entry.calls.erase(position);
+    if (!lost) return this->Handle(at, *call.reply);
+    if (!call.reply) this->strays.push_back(call.call);
+    this->Handle(at, FailureOf(call.call, ClaimWriteResult::kOutcomeUnknown));
+  }
+
+  void RefuseCall(std::size_t at, std::uint32_t rest) {
+    Entry& entry = this->entries[at];
+    if (entry.calls.empty()) return;
+    const auto position = entry.calls.begin() + rest % entry.calls.size();
+    if (position->reply) return;
+    const ClaimAction call = position->call;
+    entry.calls.erase(position);
+    this->Handle(at, FailureOf(call, ClaimWriteResult::kUnavailable));
+  }
+
+  static ClaimEvent FailureOf(const ClaimAction& call, ClaimWriteResult result) {
+    if (const auto* read = std::get_if<ClaimRead>(&call)) {
+      return ClaimReadFailed{.shard = read->shard};
+    }
+    return ClaimWriteDone{.shard = std::get<ClaimWrite>(call).shard, .result = result};
+  }
+
+  // A call that its entry gave up reaches the service after all.
+  void StrayTakesEffect(std::uint32_t rest) {
+    if (this->strays.empty()) return;
+    const auto position = this->strays.begin() + rest % this->strays.size();
+    const ClaimAction call = *position;
+    this->strays.erase(position);
+    this->Execute(call);
+  }
+
+  void Advance(Duration length) {
+    const Instant end = this->now + length;
+    while (this->now < end) {
+      Instant next = end;
+      for (const Entry& entry : this->entries) {
+        if (!entry.paused) next = std::min(next, entry.batcher->NextTick());
+      }
+      this->now = std::max(this->now + Duration(1), next);
+      for (std::size_t at = 0; at < this->entries.size(); ++at) {
+        if (!this->entries[at].paused) this->Handle(at, ClaimTick{});
+      }
+    }
+  }
+
+  // A request takes its next step: send the attempt, or record its outcome.
+  void Proceed(std::uint32_t rest) {
+    std::vector<std::uint64_t> able;
+    for (const auto& [id, request] : this->requests) {
+      const Entry& entry = this->entries[request.entry];
+      const bool can_act = entry.life == request.life && !entry.paused;
+      const bool open = request.state == RequestState::kGranted ||
+                        request.state == RequestState::kSent ||
+                        request.state == RequestState::kNotRun;
+      if (can_act && open) able.push_back(id);
+    }
+    if (able.empty()) return;
+    const std::uint64_t id = able[rest % able.size()];
+    Request& request = this->requests.at(id);
+    if (request.state == RequestState::kGranted) return this->Send(id, request);
+    const Digest key = TestKey(Name(request.key));
+    if (request.state == RequestState::kSent) {
+      this->Handle(request.entry,
+                   ClaimFinish{.key = key, .nonce = request.nonce, .answer = {.status = 200}});
+    } else {
+      this->Handle(request.entry, ClaimRelease{.key = key, .nonce = request.nonce});
+    }
+    request.state = RequestState::kFound;  // nothing left to do
+  }
+
+  void Send(std::uint64_t id, Request& request) {
+    if (this->gates[id] == Gate::kBarred) {
+      request.state = RequestState::kNotRun;
+      return;
+    }
+    this->gates[id] = Gate::kRan;
+    request.state = RequestState::kSent;
+    RC_ASSERT(++this->runs[request.key] <= 1U);  // at most once
+  }
+
+  // The caller of a found, unfinished claim: asks the gate and replaces it if it never ran.
+  void RepeatUnfinished(std::size_t at, std::uint32_t rest) {
+    std::vector<std::uint64_t> able;
+    for (const auto& [id, request] : this->requests) {
+      if (request.found.state() == wire::CLAIM_PENDING && !request.found.nonce().empty()) {
+        able.push_back(id);
+      }
+    }
+    if (able.empty()) return;
+    const Request& request = this->requests.at(able[rest % able.size()]);
+    Gate& gate = this->gates[request.found.attempt().sequence()];
+    if (gate == Gate::kRan) return;
+    gate = Gate::kBarred;
+    this->Claim(at, request.key, request.found.nonce());
+  }
+
+  // Crash, or the start or end of a pause.
+  void Fail(std::size_t at, std::uint32_t rest) {
+    Entry& entry = this->entries[at];
+    if (rest % 4 == 0) {
+      for (NetworkCall& call : entry.calls) {
+        if (!call.reply) this->strays.push_back(std::move(call.call));
+      }
+      entry.calls.clear();
+      this->Start(entry);
+      return;
+    }
+    if (entry.paused) return this->Resume(at);
+    entry.paused = true;
+  }
+
+  void Resume(std::size_t at) {
+    Entry& entry = this->entries[at];
+    entry.paused = false;
+    while (!entry.late.empty()) {
+      const ClaimEvent event = std::move(entry.late.front());
+      entry.late.pop_front();
+      this->Handle(at, event);
+    }
+  }
+
+  void CheckOneCallPerShard(const Entry& entry) {
+    std::set<std::uint32_t> shards;
+    for (const NetworkCall& call : entry.calls) {
+      const auto* read = std::get_if<ClaimRead>(&call.call);
+      const std::uint32_t shard =
+          read != nullptr ? read->shard : std::get<ClaimWrite>(call.call).shard;
+      RC_ASSERT(shards.insert(shard).second);
+    }
+  }
+
+  // An unfinished claim belongs to a request that was granted it or whose entry has ended.
+  void CheckNoAbandonedNonce(std::uint32_t number) {
+    const ClaimShard shard = this->kv.Shard(number);
+    for (std::uint32_t key = 0; key < kKeys; ++key) {
+      const wire::Claim* claim = shard.Find(TestKey(Name(key)));
+      if (claim == nullptr || claim->state() != wire::CLAIM_PENDING) continue;
+      const Request& request = this->requests.at(claim->attempt().sequence());
+      const bool ended = this->entries[request.entry].life != request.life;
+      RC_ASSERT(ended || request.nonce == claim->nonce());
+    }
+  }
+
+  static std::string Name(std::uint32_t key) { return "key-" + std::to_string(key); }
+
+  Random random = Random(11);
+  std::vector<Entry> entries;
+  FakeKv kv;
+  Instant now = Instant(std::chrono::hours(1));
+  std::uint64_t last_id = 0;
+  std::map<std::uint64_t, Request> requests;
+  std::map<std::uint64_t, Gate> gates;     // by attempt
+  std::map<std::uint32_t, unsigned> runs;  // by key
+  std::vector<ClaimAction> strays;
+  std::set<std::string> written_nonces;
+  std::set<std::string> granted_nonces;
+};
+
+// Guards against a request that runs twice, a request that runs although its caller was told that
+// it did not, a claim without an answer, and a key that stays blocked by an abandoned nonce, under
+// crashes, pauses, lost and late calls, conflicts, outages and repeats.
+RC_GTEST_PROP(ClaimWorldTest, EachKeyRunsAtMostOnce, ()) {
+  World world(*rc::gen::inRange<std::size_t>(2, 4));
+  const auto steps = *rc::gen::resize(
+      600, rc::gen::arbitrary<std::vector<std::pair<std::uint8_t, std::uint16_t>>>());
+  for (const auto& [op, arg] : steps) world.Step(op, arg);
+  world.Heal();
+  world.CheckEnd();
+}
+
+}  // namespace
+}  // namespace savory
