Test table files, edits and the replica; fix what the tests found

- Text that is not UTF-8 was accepted.
Protobuf does not parse a message that holds it, so such an edit would have stopped every process from reading the tables.
Names and authors are checked now.
- SettingsReader::Section threw for a row without the section, since assigning to a yaml-cpp node that was not found throws.
- A conflict named the author of the latest revision, who need not have changed the row; it names the revisions now.
- Added rows keep the order of the operator's file.
A watcher now reads the key every 2 s beside its long poll: a poll whose connection goes silent ends only after 11 s, and an edit has to be in force within 3 s.

--- a/src/apps/ctl_edit.h
+++ b/src/apps/ctl_edit.h
@@ -7,8 +7,8 @@
 namespace savory {
 
 // Each prints "accepted" only when the write is known to have taken effect. Errors: bad input,
-// kEditConflict, kUnavailable (not written), kWriteOutcomeUnknown, and with --wait kTimeout (written,
-// but not in force everywhere; the detail names who lags).
+// kEditConflict, kUnavailable (not written), kWriteOutcomeUnknown, and with --wait kTimeout
+// (written, but not in force everywhere; the detail names who lags).
 Result<void> RunApply(const CtlOptions& options);
 Result<void> RunSetPool(const CtlOptions& options);
 Result<void> RunSetRoute(const CtlOptions& options);
--- a/src/apps/ctl_fleet.cc
+++ b/src/apps/ctl_fleet.cc
@@ -195,8 +195,7 @@
   std::optional<RolloutProgress> last;
   while (true) {
     BOOST_OUTCOME_TRY(addresses, FindOperators(options));
-    const RolloutProgress progress =
-        ProgressOf(ReadFleetStatus(addresses, kStatusTimeout), pool);
+    const RolloutProgress progress = ProgressOf(ReadFleetStatus(addresses, kStatusTimeout), pool);
     if (!last || !(*last == progress)) PrintProgress(options, progress);
     last = progress;
     if (progress.agents > 0 && progress.ready == progress.agents) return success();
@@ -218,9 +217,8 @@
     const Duration elapsed = MonotonicClock::now() - start;
     if (lagging.empty()) {
       if (options.json) {
-        const ordered_json json = {{"in_force", true},
-                                   {"processes", statuses.size()},
-                                   {"seconds", ToSeconds(elapsed)}};
+        const ordered_json json = {
+            {"in_force", true}, {"processes", statuses.size()}, {"seconds", ToSeconds(elapsed)}};
         std::cout << json.dump() << '\n';
       } else {
         std::cout << "in force at " << statuses.size() << " processes after " << std::fixed
--- a/src/apps/ctl_options.cc
+++ b/src/apps/ctl_options.cc
@@ -74,14 +74,13 @@
       "name", po::value(&options.name), "manifest: name of the weights at the origin")(
       "out", po::value(&options.out), "manifest: output file")(
       "chunk-size", po::value(&options.chunk_size)->default_value(options.chunk_size),
-      "manifest: bytes in a chunk")("limit",
-                                    po::value(&options.limit)->default_value(options.limit),
-                                    "history: number of revisions")(
-      "json", po::bool_switch(&options.json), "print JSON")("help", "print this help")(
-      "version", "print the version");
+      "manifest: bytes in a chunk")(
+      "limit", po::value(&options.limit)->default_value(options.limit),
+      "history: number of revisions")("json", po::bool_switch(&options.json), "print JSON")(
+      "help", "print this help")("version", "print the version");
   po::options_description hidden;
-  hidden.add_options()("command", po::value(&options.command))(
-      "argument", po::value(&options.arguments));
+  hidden.add_options()("command", po::value(&options.command))("argument",
+                                                               po::value(&options.arguments));
   po::options_description all;
   all.add(shown).add(hidden);
   po::positional_options_description positions;
--- a/src/apps/ctl_options.h
+++ b/src/apps/ctl_options.h
@@ -18,8 +18,8 @@
   std::vector<std::string> operators;  // IP:PORT of operator ports
   std::string vm_list;                 // IP:PORT
   std::string author;
-  std::string name;             // weights name of a manifest
-  std::string out;              // output file of a manifest
+  std::string name;                    // weights name of a manifest
+  std::string out;                     // output file of a manifest
   std::uint32_t chunk_size = 1 << 20;  // bytes
   std::uint32_t limit = 20;            // rows of the history
   Duration timeout = std::chrono::seconds(10);
--- a/src/apps/ctl_tables.cc
+++ b/src/apps/ctl_tables.cc
@@ -108,8 +108,7 @@
     std::cout << TablesJson(tables).dump() << '\n';
     return success();
   }
-  const auto revision =
-      tables.revision() == 0 ? std::nullopt : std::optional(tables.revision());
+  const auto revision = tables.revision() == 0 ? std::nullopt : std::optional(tables.revision());
   std::cout << WriteTableFile(tables, revision);
   return success();
 }
--- a/src/apps/fleet_status.cc
+++ b/src/apps/fleet_status.cc
@@ -17,9 +17,8 @@
 
 Result<json> GetJson(const std::string& address, const std::string& target, Duration timeout) {
   HttpClient client(address);
-  BOOST_OUTCOME_TRY(answer, client.Call({.target = target,
-                                         .connect_timeout = timeout,
-                                         .read_timeout = timeout}));
+  BOOST_OUTCOME_TRY(
+      answer, client.Call({.target = target, .connect_timeout = timeout, .read_timeout = timeout}));
   json body = json::parse(answer.body, nullptr, false);
   if (answer.status != 200 || body.is_discarded()) {
     return Error{.kind = ErrorKind::kMalformed,
@@ -80,9 +79,9 @@
   std::vector<NodeStatus> statuses(addresses.size());
   oneapi::tbb::task_arena arena(kParallelCalls);
   arena.execute([&] {
-    oneapi::tbb::parallel_for(
-        std::size_t{0}, addresses.size(),
-        [&](std::size_t i) { statuses[i] = ReadStatus(addresses[i], timeout); });
+    oneapi::tbb::parallel_for(std::size_t{0}, addresses.size(), [&](std::size_t i) {
+      statuses[i] = ReadStatus(addresses[i], timeout);
+    });
   });
   return statuses;
 }
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -193,13 +193,16 @@
   for (const auto& child : this->impl->children) {
     if (child->path == path) return SettingsReader(child);
   }
-  YAML::Node found = this->impl->Find(key);
+  const YAML::Node found = this->impl->Find(key);
   if (found.IsDefined() && !found.IsNull() && !found.IsMap()) {
     this->Fail(key, "must be a mapping");
   }
-  if (!found.IsDefined() || !found.IsMap()) found = YAML::Node(YAML::NodeType::Map);
+  // Assigning to a node that was not found throws, so the empty section is a node of its own.
+  const bool present = found.IsDefined() && found.IsMap();
   auto child =
-      std::make_shared<Impl>(Impl{.report = this->impl->report, .node = found, .path = path});
+      std::make_shared<Impl>(Impl{.report = this->impl->report,
+                                  .node = present ? found : YAML::Node(YAML::NodeType::Map),
+                                  .path = path});
   this->impl->children.push_back(child);
   return SettingsReader(std::move(child));
 }
--- a/src/tables/table_check.cc
+++ b/src/tables/table_check.cc
@@ -1,6 +1,7 @@
 #include "tables/table_check.h"
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 
 #include "base/digest.h"
@@ -30,6 +31,38 @@
                     .reason = std::move(reason)};
 }
 
+constexpr std::string_view kNotUtf8 = "is not UTF-8";
+
+Fault FindPoolTextFault(const wire::Tables& tables, int index) {
+  const wire::Pool& pool = tables.pools(index);
+  const auto fault = [&](std::string field) {
+    return PoolFault(tables, index, std::move(field), std::string(kNotUtf8));
+  };
+  if (!IsUtf8(pool.name())) return fault("name");
+  if (!IsUtf8(pool.service())) return fault("members");
+  for (const std::string& vm : pool.vms()) {
+    if (!IsUtf8(vm)) return fault("members");
+  }
+  if (!IsUtf8(pool.model())) return fault("model");
+  if (!IsUtf8(pool.version())) return fault("version");
+  return std::nullopt;
+}
+
+Fault FindRouteTextFault(const wire::Tables& tables, int index) {
+  const wire::Route& route = tables.routes(index);
+  const auto fault = [&](std::string field) {
+    return RouteFault(tables, index, std::move(field), std::string(kNotUtf8));
+  };
+  if (!IsUtf8(route.name())) return fault("name");
+  if (!IsUtf8(route.path_prefix()) || !IsUtf8(route.method())) return fault("match");
+  if (!IsUtf8(route.pool())) return fault("pool");
+  if (!IsUtf8(route.request_class())) return fault("class");
+  for (const wire::AccountLimit& limit : route.limits()) {
+    if (!IsUtf8(limit.account())) return fault("limits");
+  }
+  return std::nullopt;
+}
+
 Fault FindMemberFault(const wire::Tables& tables, int index, FirstUse& services, FirstUse& vms) {
   const wire::Pool& pool = tables.pools(index);
   const bool by_service = !pool.service().empty();
@@ -78,6 +111,7 @@
   FirstUse vms;
   for (int i = 0; i < tables.pools_size(); ++i) {
     const wire::Pool& pool = tables.pools(i);
+    if (Fault fault = FindPoolTextFault(tables, i)) return fault;
     if (pool.name().empty()) return PoolFault(tables, i, "name", "must not be empty");
     if (!names.insert(pool.name()).second) {
       return PoolFault(tables, i, "name", "another pool has the name " + pool.name());
@@ -106,6 +140,7 @@
   FirstUse matches;
   for (int i = 0; i < tables.routes_size(); ++i) {
     const wire::Route& route = tables.routes(i);
+    if (Fault fault = FindRouteTextFault(tables, i)) return fault;
     if (route.name().empty()) return RouteFault(tables, i, "name", "must not be empty");
     if (!names.insert(route.name()).second) {
       return RouteFault(tables, i, "name", "another route has the name " + route.name());
@@ -137,6 +172,16 @@
   return text + fault.reason;
 }
 
+bool IsUtf8(std::string_view text) {
+  try {
+    // The strict handler throws at the first byte that is not UTF-8.
+    (void)nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::strict);
+    return true;
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+}
+
 std::optional<TableFault> FindTableFault(const wire::Tables& tables) {
   if (Fault fault = FindPoolFault(tables)) return fault;
   return FindRouteFault(tables);
--- a/src/tables/table_check.h
+++ b/src/tables/table_check.h
@@ -27,8 +27,13 @@
 // "route chat: pool: no pool has the name x".
 std::string DescribeFault(const TableFault& fault);
 
-// Checks everything that a single field's range does not cover: names and matches that occur twice,
-// unknown pools, and pools that would be left without members. nullopt when the table is valid.
+// True when `text` is UTF-8. Protobuf does not parse a message with any other text, so a value that
+// holds it could not be read back.
+bool IsUtf8(std::string_view text);
+
+// Checks everything that a single field's range does not cover: text that is not UTF-8,
+// names and matches that occur twice, unknown pools, and pools that would be left without members.
+// nullopt when the table is valid.
 std::optional<TableFault> FindTableFault(const wire::Tables& tables);
 
 }  // namespace savory
--- a/src/tables/table_edit.cc
+++ b/src/tables/table_edit.cc
@@ -78,6 +78,9 @@
 
   Action On(const Start&, Instant now) {
     this->started_at = now;
+    if (!IsUtf8(this->options.author)) {
+      return this->Fail(ErrorKind::kInvalidTable, "the author's name is not UTF-8");
+    }
     return ReadTables{};
   }
 
--- a/src/tables/table_merge.cc
+++ b/src/tables/table_merge.cc
@@ -22,15 +22,24 @@
   return found->second;
 }
 
-void DiffRows(TableRowKind kind, const RowBytes& before, const RowBytes& after,
+// Changed and removed rows in the order of `before`, added rows in the order of `after`, so that a
+// merge keeps the order of the operator's file.
+template <typename Rows>
+void DiffRows(TableRowKind kind, const Rows& before, const Rows& after,
               std::vector<RowDifference>& differences) {
-  for (const auto& [name, bytes] : before) {
-    const auto other = Lookup(after, name);
-    if (!other) differences.push_back({kind, name, RowChange::kRemoved});
-    if (other && *other != bytes) differences.push_back({kind, name, RowChange::kChanged});
+  const RowBytes old_rows = BytesOf(before);
+  const RowBytes new_rows = BytesOf(after);
+  for (const auto& row : before) {
+    const auto other = Lookup(new_rows, row.name());
+    if (!other) differences.push_back({kind, row.name(), RowChange::kRemoved});
+    if (other && *other != row.SerializeAsString()) {
+      differences.push_back({kind, row.name(), RowChange::kChanged});
+    }
   }
-  for (const auto& [name, bytes] : after) {
-    if (!before.contains(name)) differences.push_back({kind, name, RowChange::kAdded});
+  for (const auto& row : after) {
+    if (!old_rows.contains(row.name())) {
+      differences.push_back({kind, row.name(), RowChange::kAdded});
+    }
   }
 }
 
@@ -75,8 +84,8 @@
 
 std::vector<RowDifference> DiffTables(const wire::Tables& before, const wire::Tables& after) {
   std::vector<RowDifference> differences;
-  DiffRows(TableRowKind::kRoute, BytesOf(before.routes()), BytesOf(after.routes()), differences);
-  DiffRows(TableRowKind::kPool, BytesOf(before.pools()), BytesOf(after.pools()), differences);
+  DiffRows(TableRowKind::kRoute, before.routes(), after.routes(), differences);
+  DiffRows(TableRowKind::kPool, before.pools(), after.pools(), differences);
   return differences;
 }
 
@@ -92,9 +101,9 @@
     if (conflict) {
       return Error{.kind = ErrorKind::kEditConflict,
                    .detail = std::string(TableRowKindName(difference.kind)) + " " + difference.row +
-                             " was changed by " + theirs.author() +
-                             " in a later revision (now at " + std::to_string(theirs.revision()) +
-                             ")"};
+                             " was changed after revision " + std::to_string(base.revision()) +
+                             "; the tables are at revision " + std::to_string(theirs.revision()) +
+                             " by " + theirs.author()};
     }
     if (route) {
       ApplyDifference(*merged.mutable_routes(), mine.routes(), difference);
--- a/src/tables/table_merge.h
+++ b/src/tables/table_merge.h
@@ -19,7 +19,8 @@
   RowChange change = RowChange::kChanged;
 };
 
-// Rows in which `after` differs from `before`: routes, then pools, each by name.
+// Rows in which `after` differs from `before`: routes, then pools; of each, changed and removed
+// rows come before added ones.
 std::vector<RowDifference> DiffTables(const wire::Tables& before, const wire::Tables& after);
 
 // Applies the changes between `base` and `mine` to `theirs`, which may have changed since `base`.
--- a/src/tables/table_replica.cc
+++ b/src/tables/table_replica.cc
@@ -29,6 +29,8 @@
 
   bool started = false;
   Call call = Call::kNone;
+  bool checking = false;  // a read beside the long poll is in progress
+  Instant next_check = {};
   bool in_sync = false;    // the last call to the service succeeded
   bool start_read = true;  // the read at the start has not succeeded, and no peer has answered
   int failures = 0;
@@ -110,10 +112,12 @@
   // notice the end of an outage before its own timeout.
   void CallService(Instant now) {
     if (!this->started || this->call != Call::kNone || now < this->next_call) return;
+    if (this->checking) return;
     const bool settled = now - this->watcher_since >= this->options.watcher_settle;
     if (!this->start_read && !(this->watcher && settled)) return;
     if (this->in_sync && this->watcher) {
       this->call = Call::kWatch;
+      this->ScheduleCheck(now);
       this->actions.push_back(
           WatchService{.after = this->version, .wait = this->options.watch_wait});
       return;
@@ -122,6 +126,17 @@
     this->actions.push_back(ReadService{});
   }
 
+  void ScheduleCheck(Instant now) {
+    const double factor = 0.75 + UniformUnit(this->random) / 2;
+    this->next_check = now + FromSeconds(ToSeconds(this->options.check_period) * factor);
+  }
+
+  void CheckService(Instant now) {
+    if (this->call != Call::kWatch || this->checking || now < this->next_check) return;
+    this->checking = true;
+    this->actions.push_back(ReadService{});
+  }
+
   void AskPeersAtStart(Instant now) {
     if (!this->start_read || this->failures == 0 || now < this->next_start_pull) return;
     this->next_start_pull = now + this->options.pull_timeout;
@@ -185,6 +200,12 @@
   }
 
   void On(const ReadAnswered& event, Instant now) {
+    if (this->checking) {
+      this->checking = false;
+      this->ScheduleCheck(now);
+      if (event.answer.has_value()) this->TakeAnswer(event.answer.value());
+      return;
+    }
     this->FinishCall(event.answer.has_value(), now);
     if (event.answer.has_value()) {
       this->start_read = false;
@@ -226,6 +247,7 @@
     this->PullOffered(now);
     this->AskPeersAtStart(now);
     this->CallService(now);
+    this->CheckService(now);
   }
 };
 
--- a/src/tables/table_replica.h
+++ b/src/tables/table_replica.h
@@ -18,10 +18,13 @@
 
 struct TableReplicaOptions {
   Duration watch_wait = std::chrono::seconds(10);  // of one long poll
+  // Reads beside a running long poll, times 0.75 to 1.25: the connection of a poll can go silent,
+  // and the end of the poll alone would show that only after 11 s.
+  Duration check_period = std::chrono::seconds(2);
   // Retry of a failed call: doubled from `backoff_first` up to `backoff_max`, times 0.5 to 1.5. The
   // maximum keeps an edit within 3 s of the end of an outage.
   Duration backoff_first = std::chrono::milliseconds(200);
-  Duration backoff_max = std::chrono::milliseconds(1500);
+  Duration backoff_max = std::chrono::seconds(1);
   Duration start_backoff_max = std::chrono::seconds(8);  // of a process that does not watch
   Duration pull_timeout = std::chrono::milliseconds(500);
   // A process that ranks among the watchers starts to watch after this time, so that one whose
