--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -538,14 +538,16 @@
 
   // ---- other events ----
 
+  Duration Within(Duration period) {
+    return Duration(UniformBelow(this->random, static_cast<std::uint64_t>(period.count())));
+  }
+
   void On(const Start& event, Instant now) {
     this->seeds = event.seeds;
-    // Processes that start together do not ping in step.
-    this->next_ping =
-        now + Duration(UniformBelow(this->random,
-                                    static_cast<std::uint64_t>(this->options.ping_period.count())));
-    this->next_dead_ping = now + this->options.dead_ping_period;
-    this->next_sync = now + this->options.sync_period;
+    // Processes that start together do not send in step.
+    this->next_ping = now + this->Within(this->options.ping_period);
+    this->next_dead_ping = now + this->Within(this->options.dead_ping_period);
+    this->next_sync = now + this->Within(this->options.sync_period);
     this->Join();
   }
 
