--- a/src/tables/table_edit_test.cc
+++ b/src/tables/table_edit_test.cc
@@ -94,10 +94,13 @@
   void Finish() {
     while (!this->IsDone()) this->Step();
   }
+  // Revision that the operator's change was made from.
+  std::uint64_t BaseRevision() const { return this->base.value_or(0); }
 
  private:
   TableEdit::Event Run(const TableEdit::ReadTables&, Fault fault) {
     const auto answer = this->kv.ReadKey(std::string(kTablesKey), fault);
+    if (answer && !this->base) this->base = this->kv.Tables(std::string(kTablesKey)).revision();
     this->Print(answer ? "read revision " +
                              std::to_string(this->kv.Tables(std::string(kTablesKey)).revision())
                        : "read: no answer");
@@ -146,6 +149,7 @@
   std::string name;
   std::ostream* log;
   Instant now = {};
+  std::optional<std::uint64_t> base;
   TableEdit edit;
   TableEdit::Action action;
 };
@@ -252,6 +256,17 @@
   }
 }
 
+// No other edit changed the row between the revision that the operator saw and the one it wrote.
+void CheckNotOverwritten(const Tried& tried, const std::vector<Tried>& edits) {
+  if (!tried.session->Outcome()) return;
+  for (const Tried& other : edits) {
+    if (&other == &tried || other.pool != tried.pool || !other.session->Outcome()) continue;
+    const std::uint64_t revision = other.session->Outcome().value().revision;
+    RC_ASSERT(revision <= tried.session->BaseRevision() ||
+              revision > tried.session->Outcome().value().revision);
+  }
+}
+
 // Guards against accepted edits that are lost, written twice or undone by another edit, whatever
 // calls fail, lose their replies or take effect late.
 RC_GTEST_PROP(TableEditProperty, AcceptedEditsAreNeverLost, ()) {
@@ -276,7 +291,10 @@
   }
   for (int i = 0; i < 100; ++i) kv.ApplyDelayed();
   const std::vector<wire::Tables> revisions = Revisions(kv);
-  for (const Tried& tried : edits) CheckTried(tried, revisions);
+  for (const Tried& tried : edits) {
+    CheckTried(tried, revisions);
+    CheckNotOverwritten(tried, edits);
+  }
   wire::Tables before;
   for (const wire::Tables& tables : revisions) {
     RC_ASSERT(tables.revision() == before.revision() + 1);
