Make the test of a paused process sensitive to its timers

Removing the allowance for the pause did not fail the test: the queued messages were read before the timers ran. The timers of the woken process now run first, with a suspicion from before the pause.

--- a/src/membership/membership_test.cc
+++ b/src/membership/membership_test.cc
@@ -36,6 +36,14 @@
   return text;
 }
 
+wire::Envelope PingWith(const std::vector<Member>& members) {
+  wire::Envelope message;
+  message.set_from_vm(members.front().vm);
+  message.set_from_peer(members.front().peer);
+  for (const Member& member : members) *message.mutable_ping()->add_updates() = ToUpdate(member);
+  return message;
+}
+
 // A few members in virtual time. A message arrives in the next step, unless its link is cut or its
 // receiver is paused.
 class Fleet {
@@ -172,24 +180,21 @@
   fleet.paused.clear();
   fleet.Log("e3 wakes");
   fleet.Run(std::chrono::seconds(10));
-  fleet.Log("e3 is paused for 60 s");
+  fleet.Log("e3 hears that e5 is suspected, and is paused for 60 s");
+  Member suspect = *fleet.Core("e1").Find("e5");
+  suspect.state = MemberState::kSuspect;
+  fleet.Do("e3", Membership::MessageArrived{PingWith({*fleet.Core("e1").Find("e1"), suspect})});
   fleet.paused.insert("e3");
   fleet.Run(std::chrono::seconds(60));
   fleet.paused.clear();
-  fleet.Log("e3 wakes");
-  fleet.Run(std::chrono::seconds(10));
+  fleet.Log("e3 wakes; its timers run before it reads any message");
+  fleet.Do("e3", Membership::Tick{});
   EXPECT_EQ(fleet.Core("e3").DeadCount(), 0u);
+  fleet.Run(std::chrono::seconds(10));
+  EXPECT_EQ(ViewText(fleet.Core("e3")), " e1 e2 e3 e4 e5");
   ExpectGoldenText("paused_process", fleet.log.str());
 }
 
-wire::Envelope PingWith(const std::vector<Member>& members) {
-  wire::Envelope message;
-  message.set_from_vm(members.front().vm);
-  message.set_from_peer(members.front().peer);
-  for (const Member& member : members) *message.mutable_ping()->add_updates() = ToUpdate(member);
-  return message;
-}
-
 // Guards against member lists that depend on the order of messages, and against an old incarnation
 // that replaces a new one.
 RC_GTEST_PROP(MembershipProperty, UpdatesMergeInAnyOrder, ()) {
