Wait in HttpServer::Start until the server accepts connections

Cause: the library ignores stop() until its thread has begun to accept, so a server that is stopped at once hung in join.

Ruled out: a listener on the test's second port (none is there).

--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -118,6 +118,8 @@
   }
   this->impl->server.EnlargeBacklog();
   this->impl->thread = std::thread([this] { this->impl->server.listen_after_bind(); });
+  // The library ignores stop() until its thread has begun to accept.
+  while (!this->impl->server.is_running()) std::this_thread::yield();
 }
 
 void HttpServer::Stop() {
