Add stand-ins for the origin, the engine and plain services

A crash replaces the process image by a fresh start of the same command, so every connection breaks at once as with a real crash, while the process id and the judge's counters stay.

--- /dev/null
+++ b/standins/engine.h
@@ -0,0 +1,40 @@
+// The engine stand-in: load orders, answers, crashes and the judge's counters.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "base/time.h"
+#include "standins/engine_batch.h"
+
+namespace savory::standins {
+
+class StandinServer;
+
+struct EngineOptions {
+  bool check_fence = true;
+  int load_ms = 0;         // added to each load, spread over its layers
+  int order_delay_ms = 0;  // time between accepting a load order and starting it
+  int first_part_ms = 0;   // time to the first part of an answer
+  int part_ms = 10;        // between parts, unless the request names a time
+  int restart_ms = 500;    // from a crash to the next start
+  std::string crash_word;  // prompts with this word crash the engine; empty: none
+  BatchOptions batch = {};
+};
+
+// Serves the engine's interface (docs/design.md, section 7).
+class Engine {
+ public:
+  // `carried`: the state that the engine handed over at its last crash.
+  Engine(EngineOptions options, const nlohmann::json& carried);
+  ~Engine();
+
+  void Mount(StandinServer& server);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace savory::standins
--- /dev/null
+++ b/standins/paced_bytes.h
@@ -0,0 +1,33 @@
+// Shared rate limit and byte counter of the origin stand-in, without a clock.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace savory::standins {
+
+// Spaces sends so that all connections together stay at `bytes_per_second`.
+class PacedBytes {
+ public:
+  // 0: no limit.
+  explicit PacedBytes(double bytes_per_second) : rate(bytes_per_second) {}
+
+  // Returns the time at which the next `bytes` may be sent. Time that passed unused is kept for at
+  // most 10 ms.
+  Instant Reserve(std::uint64_t bytes, Instant now) {
+    if (this->rate <= 0) return now;
+    const Instant at = std::max(this->next, now - kSlack);
+    this->next = at + FromSeconds(static_cast<double>(bytes) / this->rate);
+    return at;
+  }
+
+ private:
+  static constexpr Duration kSlack = std::chrono::milliseconds(10);
+
+  double rate;
+  Instant next = {};
+};
+
+}  // namespace savory::standins
--- /dev/null
+++ b/standins/service_main.cc
@@ -0,0 +1,150 @@
+// standin-service: stand-in for a plain service whose calls must not be repeated.
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "base/digest.h"
+#include "standins/carried_state.h"
+#include "standins/standin_options.h"
+#include "standins/standin_server.h"
+
+namespace savory::standins {
+namespace {
+
+constexpr std::size_t kLongestKey = 200;
+constexpr int kSilenceMs = 120'000;
+constexpr int kRestartMs = 500;
+
+// Faults: how many of the next calls each one hits.
+struct ServiceFaults {
+  int die_before = 0;           // crash before the call runs
+  int die_after = 0;            // crash after the call ran, before the answer
+  int never_answer = 0;         // run, then stay silent
+  int never_answer_unrun = 0;   // stay silent without running
+  int restart_ms = kRestartMs;  // time from a crash to the next start
+};
+
+class Service {
+ public:
+  Service(int latency_ms, const nlohmann::json& carried) : latency_ms(latency_ms) {
+    this->runs = carried.value("runs", this->runs);
+    this->crashes = carried.value("crashes", 0);
+    this->total = carried.value("total", std::uint64_t{0});
+    this->faults.die_before = carried.value("die_before", 0);
+    this->faults.die_after = carried.value("die_after", 0);
+  }
+
+  void Mount(StandinServer& server) {
+    server.Get("/counts",
+               [this](const auto&, auto& response) { ReplyJson(response, this->Counts()); });
+    server.Post("/admin/fault", [this](const auto& request, auto& response) {
+      const nlohmann::json change = ParseJsonBody(request, response);
+      if (!change.is_discarded()) this->SetFaults(change, response);
+    });
+    const auto call = [this](const httplib::Request& request, httplib::Response& response) {
+      this->Call(request, response);
+    };
+    server.Get(".*", call);
+    server.Post(".*", call);
+    server.Put(".*", call);
+    server.Patch(".*", call);
+    server.Delete(".*", call);
+  }
+
+ private:
+  static std::string KeyOf(const httplib::Request& request) {
+    const std::string key = request.get_header_value("Idempotency-Key");
+    if (!key.empty()) return key;
+    if (request.body.size() <= kLongestKey) return request.body;
+    return Sha256(request.body).Hex();
+  }
+
+  // Takes one of `remaining`.
+  bool Hits(int& remaining) {
+    const std::lock_guard lock(this->mutex);
+    if (remaining <= 0) return false;
+    --remaining;
+    return true;
+  }
+
+  std::uint64_t Run(const std::string& key) {
+    const std::lock_guard lock(this->mutex);
+    ++this->total;
+    return ++this->runs[key];
+  }
+
+  void Call(const httplib::Request& request, httplib::Response& response) {
+    if (this->Hits(this->faults.die_before)) this->Die();
+    if (this->Hits(this->faults.never_answer_unrun)) {
+      return StandinServer::NeverAnswer(kSilenceMs);
+    }
+    const std::string key = KeyOf(request);
+    const std::uint64_t run = this->Run(key);
+    if (this->Hits(this->faults.die_after)) this->Die();
+    if (this->Hits(this->faults.never_answer)) return StandinServer::NeverAnswer(kSilenceMs);
+    if (this->latency_ms > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(this->latency_ms));
+    }
+    ReplyJson(response, {{"method", request.method},
+                         {"target", request.target},
+                         {"key", key},
+                         {"run", run},
+                         {"body", request.body}});
+  }
+
+  [[noreturn]] void Die() {
+    const std::lock_guard lock(this->mutex);
+    CrashAndRestart({{"runs", this->runs},
+                     {"total", this->total},
+                     {"crashes", this->crashes + 1},
+                     {"die_before", this->faults.die_before},
+                     {"die_after", this->faults.die_after}},
+                    this->faults.restart_ms);
+  }
+
+  nlohmann::json Counts() {
+    const std::lock_guard lock(this->mutex);
+    std::uint64_t highest = 0;
+    for (const auto& [key, count] : this->runs) highest = std::max(highest, count);
+    return {{"counts", this->runs},
+            {"total", this->total},
+            {"highest", highest},
+            {"crashes", this->crashes}};
+  }
+
+  void SetFaults(const nlohmann::json& change, httplib::Response& response) {
+    const std::lock_guard lock(this->mutex);
+    ServiceFaults& faults = this->faults;
+    faults.die_before = change.value("die_before", faults.die_before);
+    faults.die_after = change.value("die_after", faults.die_after);
+    faults.never_answer = change.value("never_answer", faults.never_answer);
+    faults.never_answer_unrun = change.value("never_answer_unrun", faults.never_answer_unrun);
+    faults.restart_ms = change.value("restart_ms", faults.restart_ms);
+    this->latency_ms = change.value("latency_ms", this->latency_ms.load());
+    ReplyJson(response, nlohmann::json::object());
+  }
+
+  std::atomic<int> latency_ms;
+  std::mutex mutex;  // guards the fields below
+  std::map<std::string, std::uint64_t> runs;
+  std::uint64_t total = 0;
+  int crashes = 0;
+  ServiceFaults faults;
+};
+
+}  // namespace
+}  // namespace savory::standins
+
+int main(int argc, char** argv) {
+  using savory::standins::StandinServer;
+  StandinServer::BlockStopSignals();
+  const nlohmann::json carried = savory::standins::TakeCarriedState(argc, argv);
+  int latency_ms = 0;
+  savory::standins::StandinOptions options("standin-service", "plain service for tests");
+  options.Add("latency-ms", latency_ms, "time that a call takes, in milliseconds");
+  options.ParseOrExit(argc, argv);
+  savory::standins::Service service(latency_ms, carried);
+  StandinServer server(options.Listen());
+  service.Mount(server);
+  server.ServeUntilSignal();
+}
