--- /dev/null
+++ b/src/apps/request_path_test.cc
@@ -0,0 +1,403 @@
+// Properties of one entry core and two gate cores with a network between them that loses, delays
+// and repeats messages.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "gate/upstream_gate.h"
+#include "routing/request_flow.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(40);
+constexpr int kPartsOfAnswer = 3;
+
+// One random step: what happens, and to which of the candidates.
+using Step = std::pair<std::uint8_t, std::uint8_t>;
+
+struct ToGate {
+  std::size_t gate;
+  GateEvent event;
+};
+using ToEntry = RequestEvent;
+using Message = std::variant<ToGate, ToEntry>;
+
+// How one caller's request went.
+struct Told {
+  std::vector<std::pair<AttemptKey, std::uint32_t>> parts = {};
+  bool complete = false;
+  bool broken = false;
+  std::optional<ErrorKind> error = {};
+  int ends = 0;
+};
+
+struct Call {
+  AttemptKey id;
+  std::uint32_t produced = 0;  // parts, the head included
+  std::uint32_t first = 0;
+};
+
+// An agent's core and its upstream.
+struct Agent {
+  std::string name;
+  std::uint64_t incarnation = 1;
+  std::optional<UpstreamGate> gate = {};
+  std::vector<Call> calls = {};
+  bool upstream_up = true;
+  std::uint64_t upstream_incarnation = 1;
+  bool probe_wanted = false;
+};
+
+class World {
+ public:
+  explicit World(bool engine) : engine(engine) {
+    wire::Tables tables;
+    wire::Pool& pool = *tables.add_pools();
+    pool.set_name("p");
+    pool.set_service("s");
+    if (engine) pool.set_model("m");
+    for (const bool idempotent : {true, false}) {
+      wire::Route& route = *tables.add_routes();
+      route.set_path_prefix(idempotent ? "/read" : "/book");
+      route.set_pool("p");
+      route.set_idempotent(idempotent);
+    }
+    this->Enter(TablesChanged{.tables = tables});
+    std::vector<Member> members;
+    for (const char* name : {"a", "b"}) {
+      members.push_back(
+          Member{.vm = name, .peer = name, .region = "r", .data_centre = "d", .service = "s"});
+      Agent& agent = this->agents.emplace_back(Agent{.name = name});
+      this->Restart(agent);
+    }
+    this->Enter(MembersChanged{.members = members});
+    this->Report();
+  }
+
+  void Apply(const Step& step) {
+    Agent& agent = this->agents[step.second % this->agents.size()];
+    switch (step.first % 16) {
+      case 0:
+      case 1:
+        return this->Arrive(step.second);
+      case 2:
+        return this->Lose(step.second);
+      case 3:
+        return this->RepeatStart(step.second);
+      case 4:
+      case 5:
+      case 6:
+      case 7:
+        return this->Deliver(step.second);
+      case 8:
+        return this->Advance(step.second);
+      case 9:
+      case 10:
+      case 11:
+        return this->Progress(agent, step.second);
+      case 12:
+        return this->BreakCall(agent, step.second);
+      case 13:
+        return this->Probe(agent);
+      case 14:
+        if (step.second % 8 == 0) return this->Restart(agent);
+        if (step.second % 8 == 1) return this->CrashUpstream(agent);
+        if (step.second % 8 == 2) return this->Feed(agent, DrainRequested{});
+        return this->Report();
+      default:
+        agent.upstream_up = true;
+        if (step.second % 4 == 0) this->Hangup(step.second);
+        return this->Report();
+    }
+  }
+
+  // Lets every message arrive and every request end.
+  void Settle() {
+    for (int round = 0; round < 3000 && this->flow.InProgress() > 0; ++round) {
+      while (!this->network.empty()) this->Deliver(0);
+      for (Agent& agent : this->agents) {
+        agent.upstream_up = true;
+        this->Probe(agent);
+        this->Progress(agent, 0);
+      }
+      this->Report();
+      this->Advance(0);
+    }
+    while (!this->network.empty()) this->Deliver(0);
+  }
+
+  void Check() const {
+    RC_ASSERT(this->flow.InProgress() == 0);
+    for (const auto& [id, told] : this->told) {
+      const int runs = this->runs.contains(id) ? this->runs.at(id) : 0;
+      if (this->non_idempotent.contains(id)) RC_ASSERT(runs <= 1);
+      if (this->hung_up.contains(id)) continue;
+      RC_ASSERT(told.ends == 1);
+      if (told.error.has_value()) {
+        RC_ASSERT(told.parts.empty());
+        const RunOutcome outcome = AnswerFor(*told.error).outcome;
+        const bool certain = outcome != RunOutcome::kOutcomeUnknown;
+        if (certain) RC_ASSERT(runs == 0);
+      }
+      this->CheckParts(told);
+    }
+  }
+
+ private:
+  void CheckParts(const Told& told) const {
+    for (std::size_t i = 0; i < told.parts.size(); ++i) {
+      RC_ASSERT(told.parts[i].second == i);
+      if (!this->engine) RC_ASSERT(told.parts[i].first == told.parts[0].first);
+    }
+    if (told.complete) RC_ASSERT(told.parts.size() == kPartsOfAnswer);
+  }
+
+  void Arrive(std::uint8_t choice) {
+    const RequestId id = this->next_request++;
+    const bool idempotent = choice % 2 == 0;
+    if (!idempotent) this->non_idempotent.insert(id);
+    this->told[id];
+    this->Enter(RequestArrived{.id = id,
+                               .account = "acct",
+                               .method = "POST",
+                               .path = idempotent ? "/read" : "/book",
+                               .deadline = std::chrono::milliseconds(500 + 100 * choice),
+                               .fingerprint = Sha256(std::to_string(id))});
+  }
+
+  void Hangup(std::uint8_t choice) {
+    if (this->told.empty()) return;
+    const RequestId id = 1 + choice % this->told.size();
+    if (this->told.at(id).ends > 0) return;
+    this->hung_up.insert(id);
+    this->Enter(CallerGone{.id = id});
+  }
+
+  void Lose(std::uint8_t choice) {
+    if (this->network.empty()) return;
+    this->network.erase(this->network.begin() + choice % this->network.size());
+  }
+
+  void RepeatStart(std::uint8_t choice) {
+    std::vector<Message> starts;
+    for (const Message& message : this->network) {
+      const auto* to_gate = std::get_if<ToGate>(&message);
+      if (to_gate == nullptr) continue;
+      if (std::holds_alternative<StartReceived>(to_gate->event)) starts.push_back(message);
+    }
+    if (!starts.empty()) this->network.push_back(starts[choice % starts.size()]);
+  }
+
+  void Deliver(std::uint8_t choice) {
+    if (this->network.empty()) return;
+    const auto position = this->network.begin() + choice % this->network.size();
+    const Message message = std::move(*position);
+    this->network.erase(position);
+    if (const auto* to_gate = std::get_if<ToGate>(&message)) {
+      this->Feed(this->agents[to_gate->gate], to_gate->event);
+    } else {
+      this->Enter(std::get<ToEntry>(message));
+    }
+  }
+
+  void Advance(std::uint8_t choice) {
+    this->now += kStep * (1 + choice % 16);
+    this->Enter(FlowTick{});
+    for (Agent& agent : this->agents) this->Feed(agent, GateTick{});
+  }
+
+  void Report() {
+    for (const Agent& agent : this->agents) {
+      this->Enter(ReportArrived{.report = {.vm = agent.name,
+                                           .incarnation = agent.incarnation,
+                                           .capacity = 2,
+                                           .ready = agent.gate->IsReady(),
+                                           .leaving = agent.gate->IsLeaving()}});
+    }
+  }
+
+  // The upstream produces the next part of one call, or its end.
+  void Progress(Agent& agent, std::uint8_t choice) {
+    if (agent.calls.empty() || !agent.upstream_up) return;
+    const std::size_t index = choice % agent.calls.size();
+    Call& call = agent.calls[index];
+    const AttemptKey id = call.id;
+    if (call.produced == 0) {
+      call.produced = std::max(1u, call.first);
+      return this->Feed(agent, HeadReceived{.id = id});
+    }
+    if (call.produced < kPartsOfAnswer) {
+      ++call.produced;
+      return this->Feed(agent, BodyReceived{.id = id, .bytes = 10});
+    }
+    agent.calls.erase(agent.calls.begin() + static_cast<std::ptrdiff_t>(index));
+    this->Feed(agent, CallEnded{.id = id, .result = CallResult::kComplete});
+  }
+
+  void BreakCall(Agent& agent, std::uint8_t choice) {
+    if (agent.calls.empty()) return;
+    const std::size_t index = choice % agent.calls.size();
+    const AttemptKey id = agent.calls[index].id;
+    agent.calls.erase(agent.calls.begin() + static_cast<std::ptrdiff_t>(index));
+    this->Feed(agent, CallEnded{.id = id, .result = CallResult::kBroken});
+  }
+
+  void CrashUpstream(Agent& agent) {
+    agent.upstream_up = false;
+    ++agent.upstream_incarnation;
+    while (!agent.calls.empty()) this->BreakCall(agent, 0);
+  }
+
+  void Probe(Agent& agent) {
+    if (!agent.probe_wanted) return;
+    agent.probe_wanted = false;
+    this->Feed(agent, UpstreamProbed{.reachable = agent.upstream_up,
+                                     .incarnation = this->engine ? agent.upstream_incarnation : 0});
+  }
+
+  // The agent's process starts anew; what it knew is gone.
+  void Restart(Agent& agent) {
+    ++agent.incarnation;
+    agent.calls.clear();
+    agent.probe_wanted = false;
+    agent.gate.emplace(UpstreamGateOptions{.incarnation = agent.incarnation,
+                                           .engine = this->engine,
+                                           .max_running = 2,
+                                           .max_queued = 2});
+    this->Feed(agent, ReadinessSet{.ready = true});
+  }
+
+  void Feed(Agent& agent, const GateEvent& event) {
+    const std::vector<GateAction> actions = agent.gate->Handle(event, this->now);
+    for (const GateAction& action : actions) this->DoGate(agent, action);
+  }
+
+  void DoGate(Agent& agent, const GateAction& action) {
+    if (const auto* call = std::get_if<CallUpstream>(&action)) return this->StartCall(agent, *call);
+    if (const auto* cancel = std::get_if<CancelCall>(&action)) return this->Cancel(agent, *cancel);
+    if (std::holds_alternative<ProbeUpstream>(action)) agent.probe_wanted = true;
+    if (const auto* part = std::get_if<SendPart>(&action)) {
+      this->network.emplace_back(
+          ToEntry(PartArrived{.attempt = part->id, .number = part->number, .status = 200}));
+    }
+    if (const auto* end = std::get_if<SendEnd>(&action)) {
+      this->network.emplace_back(
+          ToEntry(EndArrived{.attempt = end->id,
+                             .outcome = end->outcome,
+                             .parts = end->parts,
+                             .reason = std::string(AnswerFor(end->reason).name)}));
+    }
+    if (const auto* status = std::get_if<SendStatus>(&action)) {
+      this->network.emplace_back(ToEntry(StatusArrived{.attempt = status->id,
+                                                       .knowledge = status->knowledge,
+                                                       .outcome = status->outcome,
+                                                       .parts = status->parts}));
+    }
+  }
+
+  void StartCall(Agent& agent, const CallUpstream& call) {
+    if (!agent.upstream_up) {
+      this->Feed(agent, CallEnded{.id = call.id, .result = CallResult::kNotSent});
+      return;
+    }
+    ++this->runs[this->request_of.at(call.id)];
+    agent.calls.push_back(Call{.id = call.id, .first = call.resume_from});
+  }
+
+  void Cancel(Agent& agent, const CancelCall& cancel) {
+    const auto erased =
+        std::erase_if(agent.calls, [&](const Call& call) { return call.id == cancel.id; });
+    if (erased > 0) {
+      this->Feed(agent, CallEnded{.id = cancel.id, .result = CallResult::kCancelled});
+    }
+  }
+
+  void Enter(const RequestEvent& event) {
+    const std::vector<RequestAction> actions = this->flow.Handle(event, this->now);
+    for (const RequestAction& action : actions) this->DoEntry(event, action);
+  }
+
+  void DoEntry(const RequestEvent& event, const RequestAction& action) {
+    if (const auto* start = std::get_if<StartAttempt>(&action)) return this->SendStart(*start);
+    if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+      this->network.emplace_back(
+          ToGate{.gate = GateOf(cancel->peer),
+                 .event = CancelReceived{.id = cancel->attempt,
+                                         .agent_incarnation = cancel->agent_incarnation}});
+    }
+    if (const auto* query = std::get_if<QueryAttempt>(&action)) {
+      this->network.emplace_back(
+          ToGate{.gate = GateOf(query->peer),
+                 .event = QueryReceived{.id = query->attempt,
+                                        .agent_incarnation = query->agent_incarnation,
+                                        .next_part = query->next_part}});
+    }
+    if (const auto* part = std::get_if<DeliverPart>(&action)) {
+      const auto& arrived = std::get<PartArrived>(event);
+      this->told.at(part->request).parts.emplace_back(arrived.attempt, arrived.number);
+    }
+    if (const auto* done = std::get_if<CompleteAnswer>(&action)) {
+      this->told.at(done->request).complete = true;
+      ++this->told.at(done->request).ends;
+    }
+    if (const auto* broken = std::get_if<BreakAnswer>(&action)) {
+      this->told.at(broken->request).broken = true;
+      ++this->told.at(broken->request).ends;
+    }
+    if (const auto* error = std::get_if<AnswerError>(&action)) {
+      this->told.at(error->request).error = error->error.kind;
+      ++this->told.at(error->request).ends;
+    }
+  }
+
+  void SendStart(const StartAttempt& start) {
+    this->request_of[start.attempt] = start.request;
+    this->network.emplace_back(
+        ToGate{.gate = GateOf(start.agent.peer),
+               .event = StartReceived{.id = start.attempt,
+                                      .agent_incarnation = start.agent.incarnation,
+                                      .time_left = start.time_left,
+                                      .idempotent = start.idempotent,
+                                      .fingerprint = start.fingerprint,
+                                      .resume_from = start.resume_from}});
+  }
+
+  static std::size_t GateOf(const std::string& peer) { return peer == "a" ? 0 : 1; }
+
+  bool engine;
+  Instant now = Instant{} + std::chrono::seconds(1);
+  Random random{11};
+  RequestFlow flow{{.vm = "e", .incarnation = 1, .balancer = {.vm = "e"}}, random};
+  std::vector<Agent> agents;
+  std::vector<Message> network;
+  std::map<RequestId, Told> told;
+  std::map<RequestId, int> runs;
+  std::map<AttemptKey, RequestId> request_of;
+  std::set<RequestId> non_idempotent;
+  std::set<RequestId> hung_up;
+  RequestId next_request = 1;
+};
+
+void RunSteps(bool engine) {
+  const auto steps = *rc::gen::resize(
+      400, rc::gen::container<std::vector<Step>>(rc::gen::pair(
+               rc::gen::arbitrary<std::uint8_t>(), rc::gen::arbitrary<std::uint8_t>())));
+  World world(engine);
+  for (const Step& step : steps) world.Apply(step);
+  world.Settle();
+  world.Check();
+}
+
+// Guards against a second run of a non-idempotent request, a false "not run", and an answer that is
+// neither whole nor marked broken, at plain services.
+RC_GTEST_PROP(RequestPathProperty, PlainService, ()) { RunSteps(false); }
+
+// As above at engines, whose streams may be resumed on another upstream.
+RC_GTEST_PROP(RequestPathProperty, Engine, ()) { RunSteps(true); }
+
+}  // namespace
+}  // namespace savory
--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -189,8 +189,10 @@
 }
 
 void GateDriver::Impl::OnCancel(const wire::Envelope& message) {
-  this->Feed(
-      CancelReceived{.id = KeyOf(message.attempt_cancel().id()), .reply_to = message.from_peer()});
+  const wire::AttemptCancel& cancel = message.attempt_cancel();
+  this->Feed(CancelReceived{.id = KeyOf(cancel.id()),
+                            .reply_to = message.from_peer(),
+                            .agent_incarnation = cancel.agent_incarnation()});
 }
 
 void GateDriver::Impl::OnQuery(const wire::Envelope& message) {
--- a/src/gate/gate_events.h
+++ b/src/gate/gate_events.h
@@ -18,7 +18,7 @@
 
 struct StartReceived {
   AttemptKey id;
-  std::string reply_to;  // IP:PORT of the entry
+  std::string reply_to = {};  // IP:PORT of the entry
   std::uint64_t agent_incarnation = 0;
   Digest manifest = {};  // pinned by the pool row; zero for plain services
   Duration time_left = {};
@@ -29,11 +29,12 @@
 };
 struct CancelReceived {
   AttemptKey id;
-  std::string reply_to;
+  std::string reply_to = {};
+  std::uint64_t agent_incarnation = 0;
 };
 struct QueryReceived {
   AttemptKey id;
-  std::string reply_to;
+  std::string reply_to = {};
   std::uint64_t agent_incarnation = 0;
   std::uint32_t next_part = 0;  // first part that the entry lacks
   bool bulk_lane = false;       // answer over the other connection
@@ -87,13 +88,13 @@
 // Sends the stored part `number`.
 struct SendPart {
   AttemptKey id;
-  std::string reply_to;
+  std::string reply_to = {};
   std::uint32_t number = 0;
   bool bulk_lane = false;
 };
 struct SendEnd {
   AttemptKey id;
-  std::string reply_to;
+  std::string reply_to = {};
   wire::AttemptOutcome outcome = wire::ATTEMPT_COMPLETE;
   std::uint32_t parts = 0;
   ErrorKind reason = ErrorKind::kNotRun;  // without meaning when complete
@@ -101,7 +102,7 @@
 };
 struct SendStatus {
   AttemptKey id;
-  std::string reply_to;
+  std::string reply_to = {};
   wire::AttemptKnowledge knowledge = wire::KNOWLEDGE_UNKNOWN;
   wire::AttemptOutcome outcome = wire::ATTEMPT_COMPLETE;
   std::uint32_t parts = 0;
--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -38,7 +38,10 @@
     if (over) this->actions.push_back(DropRequest{.id = event.id});
     return;
   }
-  if (this->WasForgotten(event.id)) {
+  // Another incarnation may have run it: a start that is delivered twice, around a restart of the
+  // agent, must not be answered "not run".
+  const bool other_incarnation = event.agent_incarnation != this->options.incarnation;
+  if (other_incarnation || this->WasForgotten(event.id)) {
     this->actions.push_back(DropRequest{.id = event.id});
     this->actions.push_back(SendStatus{.id = event.id, .reply_to = event.reply_to});
     return;
@@ -55,7 +58,6 @@
 }
 
 std::optional<ErrorKind> UpstreamGate::RefusalOf(const StartReceived& start) const {
-  if (start.agent_incarnation != this->options.incarnation) return ErrorKind::kNotRun;
   if (this->draining) return ErrorKind::kDraining;
   if (!this->IsReady()) return ErrorKind::kNoUpstream;
   if (!start.manifest.IsZero() && start.manifest != this->serving) return ErrorKind::kNoUpstream;
@@ -84,7 +86,11 @@
 void UpstreamGate::On(const CancelReceived& event) {
   const auto found = this->records.find(event.id);
   if (found == this->records.end()) {
-    if (this->WasForgotten(event.id)) return;
+    const bool other_incarnation = event.agent_incarnation != this->options.incarnation;
+    if (other_incarnation || this->WasForgotten(event.id)) {
+      this->actions.push_back(SendStatus{.id = event.id, .reply_to = event.reply_to});
+      return;
+    }
     this->Bar(event.id);
     this->actions.push_back(SendEnd{.id = event.id,
                                     .reply_to = event.reply_to,
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -473,7 +473,9 @@
 
 void EntryDriver::Impl::Do(const CancelAttempt& action) {
   wire::Envelope envelope;
-  FillId(action.attempt, *envelope.mutable_attempt_cancel()->mutable_id());
+  wire::AttemptCancel& cancel = *envelope.mutable_attempt_cancel();
+  FillId(action.attempt, *cancel.mutable_id());
+  cancel.set_agent_incarnation(action.agent_incarnation);
   this->node.peers.Send(action.peer, Lane::kControl, std::move(envelope));
 }
 
--- a/src/routing/request_events.h
+++ b/src/routing/request_events.h
@@ -103,6 +103,7 @@
 struct CancelAttempt {
   AttemptKey attempt;
   std::string peer = {};
+  std::uint64_t agent_incarnation = 0;
 };
 struct QueryAttempt {
   AttemptKey attempt;
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -312,8 +312,7 @@
     request.attempt->head_checked = true;
     return;
   }
-  this->actions.push_back(
-      CancelAttempt{.attempt = request.attempt->key, .peer = request.attempt->agent.peer});
+  this->Cancel(*request.attempt);
   this->OnAttemptFailed(
       request, false,
       {.kind = ErrorKind::kAnswerBroken, .detail = "the stream could not be resumed"});
@@ -567,14 +566,19 @@
   const bool own_claim = request.claim.has_value() && !request.attempt->adopted;
   if (request.phase == Phase::kClaiming || own_claim) return;
   if (!request.attempt->adopted) {
-    this->actions.push_back(
-        CancelAttempt{.attempt = request.attempt->key, .peer = request.attempt->agent.peer});
+    this->Cancel(*request.attempt);
   }
   this->Fail(request, {.kind = ErrorKind::kCancelled});
 }
 
 // ---- time ----
 
+void RequestFlow::Cancel(const Attempt& attempt) {
+  this->actions.push_back(CancelAttempt{.attempt = attempt.key,
+                                        .peer = attempt.agent.peer,
+                                        .agent_incarnation = attempt.agent.incarnation});
+}
+
 void RequestFlow::Query(Request& request) {
   Attempt& attempt = *request.attempt;
   const bool repeated = attempt.queries > 0;
@@ -656,7 +660,7 @@
   const bool cancels = !attempt.adopted && !request.claim.has_value() && !attempt.cancelled;
   if (cancels) {
     attempt.cancelled = true;
-    this->actions.push_back(CancelAttempt{.attempt = attempt.key, .peer = attempt.agent.peer});
+    this->Cancel(*request.attempt);
     return;
   }
   request.may_have_run = true;
@@ -669,7 +673,7 @@
   const int limit = patient ? this->options.max_queries_non_idempotent : this->options.max_queries;
   if (attempt.queries < limit) return this->Query(request);
   if (!attempt.adopted) {
-    this->actions.push_back(CancelAttempt{.attempt = attempt.key, .peer = attempt.agent.peer});
+    this->Cancel(*request.attempt);
   }
   this->OnAttemptFailed(
       request, false,
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -119,6 +119,7 @@
   void OnClaimFound(Request& request, const wire::Claim& found);
   void Adopt(Request& request, const wire::Claim& found);
   void Send(Request& request);
+  void Cancel(const Attempt& attempt);
   void Query(Request& request);
   void OnSilence(Request& request);
   void OnDeadline(Request& request);
--- a/src/routing/request_flow_test.cc
+++ b/src/routing/request_flow_test.cc
@@ -36,18 +36,20 @@
     void operator()(const DeliverPart& a) const {
       this->out << "deliver part " << a.number << " to request " << a.request;
     }
-    void operator()(const CompleteAnswer& a) const { this->out << "complete request " << a.request; }
+    void operator()(const CompleteAnswer& a) const {
+      this->out << "complete request " << a.request;
+    }
     void operator()(const BreakAnswer& a) const { this->out << "break request " << a.request; }
     void operator()(const AnswerError& a) const {
-      this->out << "answer request " << a.request << " with " << AnswerFor(a.error.kind).name << ": "
-                << a.error.detail;
+      this->out << "answer request " << a.request << " with " << AnswerFor(a.error.kind).name
+                << ": " << a.error.detail;
     }
     void operator()(const AnswerRecorded& a) const {
       this->out << "answer request " << a.request << " as recorded: " << a.status << " " << a.body;
     }
     void operator()(const WriteClaim& a) const {
-      this->out << "claim for request " << a.request << " attempt "
-                << a.claim.attempt().sequence() << " at " << a.claim.agent_vm();
+      this->out << "claim for request " << a.request << " attempt " << a.claim.attempt().sequence()
+                << " at " << a.claim.agent_vm();
       if (a.replaced.has_value()) {
         this->out << " in place of attempt " << a.replaced->attempt().sequence();
       }
@@ -80,9 +82,7 @@
     this->flow.Handle(MembersChanged{.members = {this->Agent("a"), this->Agent("b")}}, this->now);
   }
 
-  void At(std::int64_t millis) {
-    this->now = Instant{} + std::chrono::milliseconds(1000 + millis);
-  }
+  void At(std::int64_t millis) { this->now = Instant{} + std::chrono::milliseconds(1000 + millis); }
   void Report(const std::string& vm, bool leaving = false, std::uint64_t incarnation = 0) {
     const AgentReport report = {.vm = vm,
                                 .incarnation = incarnation == 0 ? kAgentIncarnation : incarnation,
@@ -107,17 +107,17 @@
   }
   void End(std::uint64_t attempt, wire::AttemptOutcome outcome, std::uint32_t parts,
            const std::string& reason = "") {
-    this->Feed("end of attempt " + std::to_string(attempt) + " " +
-                   wire::AttemptOutcome_Name(outcome) + " " + reason,
-               EndArrived{.attempt = this->Key(attempt),
-                          .outcome = outcome,
-                          .parts = parts,
-                          .reason = reason});
+    this->Feed(
+        "end of attempt " + std::to_string(attempt) + " " + wire::AttemptOutcome_Name(outcome) +
+            " " + reason,
+        EndArrived{
+            .attempt = this->Key(attempt), .outcome = outcome, .parts = parts, .reason = reason});
   }
   void Status(std::uint64_t attempt, wire::AttemptKnowledge knowledge, std::uint32_t parts = 0) {
-    this->Feed("status of attempt " + std::to_string(attempt) + " " +
-                   wire::AttemptKnowledge_Name(knowledge),
-               StatusArrived{.attempt = this->Key(attempt), .knowledge = knowledge, .parts = parts});
+    this->Feed(
+        "status of attempt " + std::to_string(attempt) + " " +
+            wire::AttemptKnowledge_Name(knowledge),
+        StatusArrived{.attempt = this->Key(attempt), .knowledge = knowledge, .parts = parts});
   }
   void Tick() { this->Feed("tick", FlowTick{}); }
   // Ticks from now on every 10 ms up to `until`, while agents keep reporting.
