--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -24,13 +24,15 @@
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 constexpr Duration kSubscriptionLifetime = std::chrono::seconds(15);
-constexpr Duration kEngineProbePeriod = std::chrono::seconds(1);
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 // A call without any byte for this long is given up; the deadline usually ends it before.
 constexpr Duration kUpstreamReadTimeout = std::chrono::seconds(300);
 // The transport discards what is unsent when the process exits, so the last parts get this long.
 constexpr Duration kFlushTime = std::chrono::seconds(1);
 constexpr std::size_t kMaxIdleClients = 64;
+// Servers close idle connections after about 5 s; a call on a connection that is being closed
+// breaks off, and its outcome would be unknown.
+constexpr Duration kMaxClientIdle = std::chrono::seconds(2);
 
 using SharedBytes = PeerTransport::SharedBytes;
 
@@ -44,6 +46,11 @@
   std::shared_ptr<UpstreamCall> call = {};
 };
 
+struct IdleClient {
+  std::unique_ptr<HttpClient> client;
+  Instant since;
+};
+
 AttemptKey KeyOf(const wire::AttemptId& id) {
   return AttemptKey{.entry_vm = id.entry_vm(),
                     .entry_incarnation = id.entry_incarnation(),
@@ -85,8 +92,8 @@
   UpstreamGate gate;
   std::map<AttemptKey, AttemptData> attempts = {};
   std::map<std::string, Instant> subscribers = {};  // peer -> end of the subscription
-  std::vector<std::unique_ptr<HttpClient>> idle_clients = {};
-  std::vector<std::byte> incoming = {};  // bytes of the part being handled
+  std::vector<IdleClient> idle_clients = {};        // the one used last is at the end
+  std::vector<std::byte> incoming = {};             // bytes of the part being handled
   std::function<void()> drained = {};
   std::function<void(std::uint64_t)> on_bytes = {};
   bool engine_probing = false;
@@ -156,9 +163,6 @@
                   });
   this->node.loop.Every(kTickPeriod, [this] { this->Feed(GateTick{}); });
   this->node.loop.Every(kReportPeriod, [this] { this->Do(ReportLoad{}); });
-  if (this->IsEngine()) {
-    this->node.loop.Every(kEngineProbePeriod, [this] { this->Do(ProbeUpstream{}); });
-  }
 }
 
 void GateDriver::Impl::Feed(const GateEvent& event) {
@@ -233,14 +237,17 @@
     found->second.call.reset();
     const bool reusable =
         result == CallResult::kComplete && this->idle_clients.size() < kMaxIdleClients;
-    if (reusable) this->idle_clients.push_back(std::move(client));
+    if (reusable) this->idle_clients.push_back({std::move(client), this->node.loop.Now()});
   }
   this->Feed(CallEnded{.id = key, .result = result});
 }
 
 std::unique_ptr<HttpClient> GateDriver::Impl::TakeClient() {
+  const Instant oldest = this->node.loop.Now() - kMaxClientIdle;
+  std::erase_if(this->idle_clients,
+                [oldest](const IdleClient& idle) { return idle.since < oldest; });
   if (this->idle_clients.empty()) return std::make_unique<HttpClient>(this->options.upstream);
-  std::unique_ptr<HttpClient> client = std::move(this->idle_clients.back());
+  std::unique_ptr<HttpClient> client = std::move(this->idle_clients.back().client);
   this->idle_clients.pop_back();
   return client;
 }
--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -301,7 +301,8 @@
     return;
   }
   this->probing = true;
-  this->next_probe = this->now + this->options.probe_period;
+  const bool down = this->upstream_down;
+  this->next_probe = this->now + (down ? this->options.probe_period : this->options.watch_period);
   this->actions.push_back(ProbeUpstream{});
 }
 
@@ -329,7 +330,8 @@
 void UpstreamGate::On(const GateTick&) {
   this->CancelOverdue();
   this->Forget();
-  if (this->upstream_down && !this->probing && this->now >= this->next_probe) this->Probe();
+  const bool watches = this->upstream_down || this->options.engine;
+  if (watches && !this->probing && this->now >= this->next_probe) this->Probe();
 }
 
 void UpstreamGate::CancelOverdue() {
@@ -388,7 +390,9 @@
 }
 
 void UpstreamGate::Dispatch() {
-  while (this->running < this->options.max_running && !this->queue.empty() && this->IsReady()) {
+  // While a broken call is being settled the upstream may be away: what was not sent is certain.
+  if (!this->IsReady() || this->active.size() > this->running) return;
+  while (this->running < this->options.max_running && !this->queue.empty()) {
     const AttemptKey id = this->queue.begin()->second;
     this->queue.erase(this->queue.begin());
     this->Run(id, this->records.at(id));
--- a/src/gate/upstream_gate.h
+++ b/src/gate/upstream_gate.h
@@ -25,6 +25,7 @@
   std::size_t max_result_bytes = 1u << 20;  // kept of one answer, for a repeated send
   std::size_t max_kept_bytes = 64u << 20;   // kept of all answers
   Duration probe_period = std::chrono::milliseconds(200);  // while the upstream is away
+  Duration watch_period = std::chrono::seconds(1);         // of an engine that is reachable
   // A non-idempotent call may finish this long after its deadline, so that a query learns of it.
   Duration overrun = std::chrono::seconds(30);
 };
