Read a missing settings section as empty

The process ended with YAML::InvalidNode when a section such as 'log' was left out: assigning to the node of a missing key throws. The new test failed with that exception before.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -193,13 +193,13 @@
   for (const auto& child : this->impl->children) {
     if (child->path == path) return SettingsReader(child);
   }
-  YAML::Node found = this->impl->Find(key);
-  if (found.IsDefined() && !found.IsNull() && !found.IsMap()) {
-    this->Fail(key, "must be a mapping");
-  }
-  if (!found.IsDefined() || !found.IsMap()) found = YAML::Node(YAML::NodeType::Map);
+  const YAML::Node found = this->impl->Find(key);
+  const bool defined = found.IsDefined();
+  if (defined && !found.IsNull() && !found.IsMap()) this->Fail(key, "must be a mapping");
+  // Assigning to the node of a missing key throws, so an empty mapping is a node of its own.
+  const YAML::Node node = defined && found.IsMap() ? found : YAML::Node(YAML::NodeType::Map);
   auto child =
-      std::make_shared<Impl>(Impl{.report = this->impl->report, .node = found, .path = path});
+      std::make_shared<Impl>(Impl{.report = this->impl->report, .node = node, .path = path});
   this->impl->children.push_back(child);
   return SettingsReader(std::move(child));
 }
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -20,6 +20,14 @@
   EXPECT_EQ(result.error().detail, "agent.yaml:4: listen.pier: is not a known setting");
 }
 
+// Guards against an exception at a section that the file leaves out.
+TEST(SettingsTest, MissingSectionReadsAsEmpty) {
+  auto reader = SettingsReader::FromText("vm: a\n", "f.yaml").value();
+  EXPECT_EQ(reader.Text("vm"), "a");
+  EXPECT_EQ(reader.Section("log").Text("level", "info"), "info");
+  EXPECT_TRUE(reader.Finish().has_value());
+}
+
 // Guards against a section whose keys are read by two callers being reported as unknown.
 TEST(SettingsTest, SectionCanBeReadTwice) {
   SettingsReader reader = Read("listen: {peer: 127.0.0.1:1, http: 127.0.0.1:2}\n");
