--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -1,6 +1,7 @@
 #include "distribution/chunk_spreader.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <cstdio>
 
@@ -193,5 +194,49 @@
   EXPECT_EQ(harness.control_messages, before);
 }
 
+// Guards against storing bytes that were not verified, whatever peers and the origin send in
+// whatever order.
+RC_GTEST_PROP(ChunkSpreader, StoresOnlyVerifiedBytes, ()) {
+  const std::string weights = "0123456789abcdefghijklmnopqrstuvwxyz";
+  const auto manifest =
+      std::make_shared<const Manifest>(Manifest::Build(AsBytes(weights), 4, "model"));
+  Random random(*rc::gen::arbitrary<std::uint32_t>());
+  ChunkStore store(0);
+  ChunkSpreader spreader(SpreadOptions{.vm = "vm0", .region = "a", .origin_region = "a"}, store,
+                         random);
+  store.Want(manifest);
+  Instant now = Instant(std::chrono::hours(1));
+  spreader.Handle(now, CopyWanted{.manifest = manifest});
+  spreader.Handle(now, PoolMembersChanged{{{"vm0", "vm0", "a"}, {"vm1", "vm1", "a"}}});
+  const auto steps = *rc::gen::container<std::vector<std::tuple<int, std::uint32_t, std::string>>>(
+      rc::gen::tuple(rc::gen::inRange(0, 10), rc::gen::inRange<std::uint32_t>(0, 12),
+                     rc::gen::arbitrary<std::string>()));
+  for (const auto& [kind, chunk, text] : steps) {
+    now += std::chrono::milliseconds(100);
+    const std::string from = chunk % 2 == 0 ? "vm1" : "vm7";
+    const bool right = kind < 2 && chunk < manifest->ChunkCount();
+    const std::string sent = right ? weights.substr(chunk * 4, 4) : text;
+    const auto bytes = AsBytes(sent);
+    auto verified = VerifiedChunk::Verify(
+        *manifest, chunk,
+        std::make_shared<const std::vector<std::byte>>(bytes.begin(), bytes.end()));
+    const Digest id = kind == 9 ? Digest{} : manifest->Id();
+    SpreadEvent event = SpreadTick{};
+    if (kind < 3 && verified) event = ChunkArrived{.from = from, .chunk = std::move(*verified)};
+    if (kind < 3 && !verified) event = ChunkCorrupt{.from = from, .manifest = id, .chunk = chunk};
+    if (kind == 3) event = MapReceived{from, id, text, true};
+    if (kind == 4) event = HaveReceived{from, id, {chunk, chunk + 1}};
+    if (kind == 5) event = RequestReceived{from, id, chunk, chunk};
+    if (kind == 6) event = RefusalReceived{from, id, chunk, chunk, false};
+    if (kind == 7) event = OriginMismatch{id, chunk};
+    if (kind == 8) event = OriginFailed{id, chunk};
+    spreader.Handle(now, event);
+  }
+  const WeightsCopy& copy = *store.Find(manifest->Id());
+  for (std::uint32_t i = 0; i < copy.chunks.size(); ++i) {
+    if (copy.Holds(i)) RC_ASSERT(VerifiedChunk::Verify(*manifest, i, copy.chunks[i]).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -16,6 +16,7 @@
 #include "runtime/kv_client.h"
 #include "runtime/peer_transport.h"
 #include "runtime/workers.h"
+#include "tables/pool_members.h"
 
 namespace savory {
 namespace {
@@ -58,11 +59,11 @@
   Counter& loads;
 };
 
-bool IsInPool(const Member& member, const wire::Pool& pool) {
+// Live agents of the pool; a suspected one counts as live.
+bool TakesPart(const Member& member, const wire::Pool& pool) {
   if (member.role != MemberRole::kAgent) return false;
   if (member.state != MemberState::kAlive && member.state != MemberState::kSuspect) return false;
-  if (pool.vms_size() == 0) return member.service == pool.service();
-  return std::find(pool.vms().begin(), pool.vms().end(), member.vm) != pool.vms().end();
+  return IsPoolMember(pool, member.vm, member.service);
 }
 
 SpreadOptions SpreadOptionsOf(const NodeIdentity& identity,
@@ -99,8 +100,10 @@
   std::shared_ptr<const Manifest> manifest = {};  // of `wanted`, once it has arrived
   std::set<Digest> accepted = {};                 // versions that the engine may serve
   bool engine_seen = false;                       // it has reported its state at least once
+  std::optional<EngineReported> engine_state = {};
   Digest serving = {};
   bool ready = false;
+  bool stopped = false;
   std::string stop_detail = {};
   std::string mismatch_etag = {};
   std::uint64_t request_bytes = 0;
@@ -272,8 +275,6 @@
     this->Order(WeightsWhole{.manifest = this->wanted});
   }
 
-  bool stopped = false;
-
   // ---- messages of peers ----
 
   void Subscribe() {
@@ -466,7 +467,7 @@
   void UpdateMembers(bool force) {
     std::vector<SpreadPeer> found;
     for (const Member& member : this->members.Members()) {
-      if (!IsInPool(member, this->pool)) continue;
+      if (!TakesPart(member, this->pool)) continue;
       found.push_back({.vm = member.vm, .peer = member.peer, .region = member.region});
     }
     const auto same = [](const SpreadPeer& left, const SpreadPeer& right) {
@@ -561,8 +562,6 @@
     this->Order(*state);
   }
 
-  std::optional<EngineReported> engine_state = {};
-
   bool IsEngineReady() const {
     return this->engine_state && this->engine_state->loading.IsZero() &&
            !this->engine_state->loaded.IsZero() && !this->order.BlocksServing() &&
@@ -575,7 +574,6 @@
     if (loaded == this->serving && now_ready == this->ready) return;
     this->serving = loaded;
     this->ready = now_ready;
-    this->members.SetReady(now_ready ? loaded : Digest{}, now_ready);
     if (this->ready_listener) this->ready_listener(loaded, now_ready);
   }
 
@@ -607,14 +605,12 @@
   RolloutPhase Phase() const {
     if (this->wanted.IsZero()) return RolloutPhase::kIdle;
     if (this->ready && this->serving == this->wanted) return RolloutPhase::kReady;
-    const LoadOrder::Step step = this->order.CurrentStep();
     if (this->order.BlocksServing()) return RolloutPhase::kLoading;
     if (!this->manifest) return RolloutPhase::kFetchingManifest;
     if (this->stopped) return RolloutPhase::kStopped;
     const WeightsCopy* copy = this->store.Find(this->wanted);
     if (copy == nullptr || !copy->IsWhole()) return RolloutPhase::kCopying;
-    return step == LoadOrder::Step::kLoading ? RolloutPhase::kLoading
-                                             : RolloutPhase::kWaitingForLease;
+    return RolloutPhase::kWaitingForLease;
   }
 
   RolloutStatus Status() const {
--- a/src/distribution/distribution_driver.h
+++ b/src/distribution/distribution_driver.h
@@ -33,8 +33,8 @@
   Duration lease_ttl = std::chrono::seconds(10);
 };
 
-// Reads the section `distribution`; errors stay in `reader`. `engine` and `weights_address` belong
-// to other sections and are left empty.
+// Reads the section `distribution`; errors stay in `reader`. `weights_address` is the process's
+// operator port and is left empty.
 DistributionDriverOptions ReadDistributionOptions(SettingsReader reader);
 
 enum class RolloutPhase {
--- a/src/distribution/distribution_options.cc
+++ b/src/distribution/distribution_options.cc
@@ -17,8 +17,9 @@
 
 DistributionDriverOptions ReadDistributionOptions(SettingsReader reader) {
   DistributionDriverOptions options;
-  options.origin = reader.Address("origin", "");
-  options.origin_region = reader.Text("origin_region", "");
+  options.engine = reader.Address("engine");
+  options.origin = reader.Address("origin");
+  options.origin_region = reader.Text("origin_region");
   options.link_bytes_per_second =
       reader.Number("link_bytes_per_second", kBytesPerSecond, options.link_bytes_per_second);
   options.weights_share = reader.Number("weights_share", kShare, options.weights_share);
