--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tables/pool_members.h"
+
 namespace savory {
 
 Balancer::Balancer(BalancerOptions options) : options(std::move(options)) {}
@@ -21,7 +23,9 @@
   this->entries.clear();
   for (const Member& member : members) {
     if (member.role == MemberRole::kEntry) {
-      if (member.state != MemberState::kDead) this->entries.push_back(member.vm);
+      const bool live =
+          member.state == MemberState::kAlive || member.state == MemberState::kSuspect;
+      if (live) this->entries.push_back(member.vm);
       continue;
     }
     const auto known = this->agents.find(member.vm);
@@ -49,7 +53,8 @@
 void Balancer::AddSubsetOf(const wire::Pool& pool) {
   std::vector<std::pair<std::uint64_t, const Member*>> ranked;
   for (const auto& [vm, agent] : this->agents) {
-    if (agent.member.state == MemberState::kDead || !Belongs(agent.member, pool)) continue;
+    if (agent.member.state == MemberState::kDead || !IsPoolMember(pool, vm, agent.member.service))
+      continue;
     ranked.emplace_back(RendezvousScore(this->options.vm, vm), &agent.member);
   }
   std::sort(ranked.rbegin(), ranked.rend(),
@@ -72,11 +77,6 @@
   return higher < static_cast<std::ptrdiff_t>(this->options.agents_pick);
 }
 
-bool Balancer::Belongs(const Member& member, const wire::Pool& pool) {
-  if (pool.vms().empty()) return member.service == pool.service();
-  return std::find(pool.vms().begin(), pool.vms().end(), member.vm) != pool.vms().end();
-}
-
 void Balancer::AddReport(const AgentReport& report, Instant now) {
   const auto found = this->agents.find(report.vm);
   if (found == this->agents.end()) return;
@@ -94,6 +94,30 @@
   return found == this->pools.end() ? nullptr : &found->second;
 }
 
+std::uint32_t Balancer::LiveEntries() const {
+  return static_cast<std::uint32_t>(std::max<std::size_t>(this->entries.size(), 1));
+}
+
+double Balancer::ShareOfCapacity(std::string_view pool, Instant now) const {
+  const wire::Pool* row = this->FindPool(pool);
+  if (row == nullptr) return 0;
+  std::size_t members = 0;
+  for (const auto& [vm, agent] : this->agents) {
+    const bool alive = agent.member.state == MemberState::kAlive;
+    if (alive && IsPoolMember(*row, vm, agent.member.service)) ++members;
+  }
+  double capacity = 0;
+  const Candidates candidates = this->CandidatesFor(*row, PickQuery{.pool = pool}, now);
+  for (const Agent* agent : candidates) capacity += agent->report.capacity;
+  if (candidates.empty() || capacity == 0) return 0;
+  const double mean = capacity / static_cast<double>(candidates.size());
+  // Agents outside the subset are taken to be as large as those inside, and those of the subset
+  // that are not ready as missing.
+  const std::size_t in_subset = this->pool_agents.find(row->name())->second.size();
+  const double ready = static_cast<double>(candidates.size()) / static_cast<double>(in_subset);
+  return mean * static_cast<double>(members) * ready / this->LiveEntries();
+}
+
 bool Balancer::Eligible(const Agent& agent, const wire::Pool& pool, const PickQuery& query,
                         Instant now) const {
   const MemberState state = agent.member.state;
