--- a/src/distribution/spread_harness.h
+++ b/src/distribution/spread_harness.h
@@ -74,7 +74,7 @@
   std::vector<Agent> agents = {};
   bool origin_down = false;
   bool origin_changed = false;
-  Duration origin_retry_after = {};  // above 0: answers 429
+  Duration throttle_next = {};  // above 0: the next read is answered 429
   std::size_t control_messages = 0;
   std::shared_ptr<const Manifest> manifest = {};
   Instant begin = Instant(std::chrono::hours(1));
