--- /dev/null
+++ b/src/apps/process_group.cc
@@ -0,0 +1,329 @@
+#include "apps/process_group.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <condition_variable>
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include "runtime/http_client.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kPoll = std::chrono::milliseconds(10);
+constexpr Duration kStopGrace = std::chrono::seconds(2);
+constexpr int kSignalStatus = 128;
+constexpr int kExecFailed = 127;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+// Runs in the child between fork() and exec(): async-signal-safe calls only.
+[[noreturn]] void BecomeChild(char* const* arguments, int output, int errors) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  setpgid(0, 0);
+  dup2(output, STDOUT_FILENO);
+  dup2(errors, STDERR_FILENO);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  execv(arguments[0], arguments);
+  _exit(kExecFailed);
+}
+
+int ExitStatus(int wait_status) {
+  if (WIFSIGNALED(wait_status)) return kSignalStatus + WTERMSIG(wait_status);
+  return WEXITSTATUS(wait_status);
+}
+
+std::string ReadFile(const std::string& path) {
+  const std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string MakeDirectory() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "savoryrouter-XXXXXX").string();
+  const char* made = mkdtemp(pattern.data());
+  if (made == nullptr) {
+    std::perror("mkdtemp");
+    std::exit(EXIT_FAILURE);
+  }
+  return made;
+}
+
+struct Child {
+  pid_t pid = 0;
+  std::optional<int> status = std::nullopt;
+};
+
+}  // namespace
+
+struct ProcessGroup::Impl {
+  std::string directory = MakeDirectory();
+  bool keep = false;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, Child> children;
+  // PR_SET_PDEATHSIG refers to the thread that forks, so one thread that lives
+  // as long as the group starts all children.
+  std::deque<std::packaged_task<pid_t()>> starts;
+  bool ending = false;
+  sigset_t previous_mask = {};
+  std::thread starter;
+  std::thread signal_thread;
+
+  void RunStarter() {
+    std::unique_lock lock(this->mutex);
+    while (true) {
+      this->changed.wait(lock, [this] { return this->ending || !this->starts.empty(); });
+      if (this->ending) return;
+      auto task = std::move(this->starts.front());
+      this->starts.pop_front();
+      lock.unlock();
+      task();
+      lock.lock();
+    }
+  }
+
+  void RunSignals() {
+    const sigset_t signals = StopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+    const std::unique_lock lock(this->mutex);
+    if (this->ending) return;
+    for (auto& [name, child] : this->children) {
+      if (!child.status) kill(child.pid, SIGKILL);
+    }
+    if (!this->keep) RemoveDirectory();
+    _exit(kSignalStatus + received);
+  }
+
+  void RemoveDirectory() const {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->directory, ignored);
+  }
+
+  pid_t Fork(const std::vector<std::string>& command, const std::string& output_file,
+             const std::string& error_file) {
+    std::vector<char*> arguments;
+    for (const std::string& part : command) arguments.push_back(const_cast<char*>(part.c_str()));
+    arguments.push_back(nullptr);
+    constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC;
+    const int output = open(output_file.c_str(), kFlags, 0644);
+    const int errors = open(error_file.c_str(), kFlags, 0644);
+    std::packaged_task<pid_t()> task([&] {
+      const pid_t pid = fork();
+      if (pid == 0) BecomeChild(arguments.data(), output, errors);
+      return pid;
+    });
+    std::future<pid_t> started = task.get_future();
+    {
+      const std::lock_guard lock(this->mutex);
+      this->starts.push_back(std::move(task));
+    }
+    this->changed.notify_all();
+    const pid_t pid = started.get();
+    close(output);
+    close(errors);
+    return pid;
+  }
+
+  // Notes an end, if there was one. The lock is held.
+  static bool HasEnded(Child& child) {
+    if (child.status) return true;
+    int wait_status = 0;
+    if (waitpid(child.pid, &wait_status, WNOHANG) != child.pid) return false;
+    child.status = ExitStatus(wait_status);
+    return true;
+  }
+
+  Child* Running(const std::string& name) {
+    const auto found = this->children.find(name);
+    if (found == this->children.end() || HasEnded(found->second)) return nullptr;
+    return &found->second;
+  }
+
+  bool AllEnded() {
+    const std::lock_guard lock(this->mutex);
+    bool all = true;
+    for (auto& [name, child] : this->children) all = HasEnded(child) && all;
+    return all;
+  }
+
+  void SignalAll(int signal) {
+    const std::lock_guard lock(this->mutex);
+    for (auto& [name, child] : this->children) {
+      if (!HasEnded(child)) kill(child.pid, signal);
+    }
+  }
+
+  Result<void> Launch(const std::string& name, const std::vector<std::string>& command,
+                      const std::string& output_file) {
+    assert(!command.empty());
+    {
+      const std::lock_guard lock(this->mutex);
+      if (this->Running(name) != nullptr) {
+        return Error{.kind = ErrorKind::kUnavailable, .detail = name + " runs already"};
+      }
+    }
+    if (access(command[0].c_str(), X_OK) != 0) {
+      return Error{.kind = ErrorKind::kUnavailable, .detail = command[0] + " cannot be run"};
+    }
+    const pid_t pid = this->Fork(command, output_file, this->directory + "/" + name + ".log");
+    if (pid <= 0) return Error{.kind = ErrorKind::kUnavailable, .detail = name + ": fork failed"};
+    const std::lock_guard lock(this->mutex);
+    this->children[name] = Child{.pid = pid};
+    return success();
+  }
+};
+
+ProcessGroup::ProcessGroup() : impl(std::make_unique<Impl>()) {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, &this->impl->previous_mask);
+  this->impl->starter = std::thread([self = this->impl.get()] { self->RunStarter(); });
+  this->impl->signal_thread = std::thread([self = this->impl.get()] { self->RunSignals(); });
+}
+
+ProcessGroup::~ProcessGroup() {
+  this->StopAll(kStopGrace);
+  {
+    const std::lock_guard lock(this->impl->mutex);
+    this->impl->ending = true;
+  }
+  this->impl->changed.notify_all();
+  this->impl->starter.join();
+  pthread_kill(this->impl->signal_thread.native_handle(), SIGTERM);
+  this->impl->signal_thread.join();
+  pthread_sigmask(SIG_SETMASK, &this->impl->previous_mask, nullptr);
+  if (!this->impl->keep) this->impl->RemoveDirectory();
+}
+
+const std::string& ProcessGroup::Directory() const { return this->impl->directory; }
+
+void ProcessGroup::KeepDirectory() { this->impl->keep = true; }
+
+Result<void> ProcessGroup::Start(const std::string& name, const std::vector<std::string>& command) {
+  return this->impl->Launch(name, command, this->impl->directory + "/" + name + ".log");
+}
+
+Result<ProcessResult> ProcessGroup::RunToEnd(const std::string& name,
+                                             const std::vector<std::string>& command,
+                                             Duration timeout) {
+  const std::string output = this->impl->directory + "/" + name + ".out";
+  std::filesystem::remove(output);
+  BOOST_OUTCOME_TRY(this->impl->Launch(name, command, output));
+  const auto status = this->WaitForEnd(name, timeout);
+  if (!status) {
+    this->Signal(name, SIGKILL);
+    return status.error();
+  }
+  return ProcessResult{.status = status.value(), .output = ReadFile(output)};
+}
+
+Result<void> ProcessGroup::WaitUntilHealthy(const std::string& address, const std::string& path,
+                                            Duration timeout) const {
+  const Instant limit = MonotonicClock::now() + timeout;
+  while (MonotonicClock::now() < limit) {
+    HttpClient client(address);
+    const auto answer = client.Call({.target = path, .read_timeout = std::chrono::seconds(1)});
+    if (answer && answer.value().status == 200) return success();
+    std::this_thread::sleep_for(kPoll);
+  }
+  return Error{.kind = ErrorKind::kTimeout, .detail = address + path + " does not answer"};
+}
+
+bool ProcessGroup::Signal(const std::string& name, int signal) {
+  const std::lock_guard lock(this->impl->mutex);
+  const Child* child = this->impl->Running(name);
+  return child != nullptr && kill(child->pid, signal) == 0;
+}
+
+Result<int> ProcessGroup::WaitForEnd(const std::string& name, Duration timeout) {
+  const Instant limit = MonotonicClock::now() + timeout;
+  while (true) {
+    {
+      const std::lock_guard lock(this->impl->mutex);
+      const auto found = this->impl->children.find(name);
+      if (found == this->impl->children.end()) return Error{.kind = ErrorKind::kNotFound};
+      if (Impl::HasEnded(found->second)) return *found->second.status;
+    }
+    if (MonotonicClock::now() >= limit) {
+      return Error{.kind = ErrorKind::kTimeout, .detail = name + " runs on"};
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
+bool ProcessGroup::IsRunning(const std::string& name) {
+  const std::lock_guard lock(this->impl->mutex);
+  return this->impl->Running(name) != nullptr;
+}
+
+std::optional<ProcessUsage> ProcessGroup::Usage(const std::string& name) {
+  pid_t pid = 0;
+  {
+    const std::lock_guard lock(this->impl->mutex);
+    const Child* child = this->impl->Running(name);
+    if (child == nullptr) return std::nullopt;
+    pid = child->pid;
+  }
+  const std::string folder = "/proc/" + std::to_string(pid);
+  // The fields after the last parenthesis start with field 3, the state.
+  const std::string stat = ReadFile(folder + "/stat");
+  std::istringstream fields(stat.substr(std::min(stat.size(), stat.rfind(')') + 1)));
+  std::string skipped;
+  for (int field = 3; field < 14; ++field) fields >> skipped;
+  std::uint64_t user_ticks = 0;
+  std::uint64_t system_ticks = 0;
+  fields >> user_ticks >> system_ticks;
+  ProcessUsage usage;
+  usage.processor_seconds =
+      static_cast<double>(user_ticks + system_ticks) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  std::istringstream status(ReadFile(folder + "/status"));
+  for (std::string line; std::getline(status, line);) {
+    const auto bytes = [&line] {
+      return std::strtoull(line.substr(line.find(':') + 1).c_str(), nullptr, 10) * 1024;
+    };
+    if (line.starts_with("VmRSS:")) usage.resident_bytes = bytes();
+    if (line.starts_with("VmHWM:")) usage.peak_resident_bytes = bytes();
+  }
+  return usage;
+}
+
+std::string ProcessGroup::LogOf(const std::string& name) const {
+  return ReadFile(this->impl->directory + "/" + name + ".log");
+}
+
+void ProcessGroup::StopAll(Duration grace) {
+  this->impl->SignalAll(SIGCONT);
+  this->impl->SignalAll(SIGTERM);
+  const Instant limit = MonotonicClock::now() + grace;
+  while (!this->impl->AllEnded() && MonotonicClock::now() < limit) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  this->impl->SignalAll(SIGKILL);
+  while (!this->impl->AllEnded()) std::this_thread::sleep_for(kPoll);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/process_group_test.cc
@@ -0,0 +1,90 @@
+#include "apps/process_group.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+
+namespace savory {
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(10);
+
+bool Exists(pid_t pid) { return kill(pid, 0) == 0; }
+
+// Process id that a child printed as its first line.
+pid_t PidOf(const ProcessGroup& group, const std::string& name) {
+  const Instant limit = MonotonicClock::now() + kLimit;
+  while (MonotonicClock::now() < limit) {
+    const std::string log = group.LogOf(name);
+    if (log.find('\n') != std::string::npos) return std::stoi(log);
+  }
+  return 0;
+}
+
+// Guards against child processes and log folders that outlive an experiment, also when a child is
+// stopped by SIGSTOP or ignores SIGTERM.
+TEST(ProcessGroupTest, EndsAllChildrenWhenDestroyed) {
+  pid_t stopped = 0;
+  pid_t deaf = 0;
+  std::string directory;
+  {
+    ProcessGroup group;
+    directory = group.Directory();
+    ASSERT_TRUE(group.Start("stopped", {"/bin/sh", "-c", "echo $$; exec sleep 100"}));
+    ASSERT_TRUE(group.Start("deaf", {"/bin/sh", "-c", "trap '' TERM; echo $$; exec sleep 100"}));
+    stopped = PidOf(group, "stopped");
+    deaf = PidOf(group, "deaf");
+    ASSERT_TRUE(group.Signal("stopped", SIGSTOP));
+    EXPECT_TRUE(group.IsRunning("stopped"));
+    EXPECT_TRUE(group.Usage("deaf").has_value());
+  }
+  EXPECT_FALSE(Exists(stopped));
+  EXPECT_FALSE(Exists(deaf));
+  EXPECT_FALSE(std::filesystem::exists(directory));
+}
+
+// Guards against children left behind when the parent gets SIGINT or is killed.
+TEST(ProcessGroupTest, EndsAllChildrenWhenTheParentIsEnded) {
+  for (const int signal : {SIGINT, SIGKILL}) {
+    std::array<int, 2> pipe_ends = {};
+    ASSERT_EQ(pipe(pipe_ends.data()), 0);
+    const pid_t parent = fork();
+    if (parent == 0) {
+      ProcessGroup group;
+      const bool started = group.Start("child", {"/bin/sh", "-c", "echo $$; exec sleep 100"});
+      const pid_t child = started ? PidOf(group, "child") : 0;
+      if (write(pipe_ends[1], &child, sizeof(child)) != sizeof(child)) _exit(1);
+      while (true) pause();
+    }
+    pid_t child = 0;
+    ASSERT_EQ(read(pipe_ends[0], &child, sizeof(child)), static_cast<ssize_t>(sizeof(child)));
+    ASSERT_GT(child, 0);
+    kill(parent, signal);
+    int status = 0;
+    waitpid(parent, &status, 0);
+    const Instant limit = MonotonicClock::now() + kLimit;
+    // The orphan is reaped by another process, which may take a moment.
+    while (Exists(child) && MonotonicClock::now() < limit) usleep(1000);
+    EXPECT_FALSE(Exists(child)) << "after signal " << signal;
+    close(pipe_ends[0]);
+    close(pipe_ends[1]);
+  }
+}
+
+// Guards against a lost exit status, on which the checks of graceful shutdown rely.
+TEST(ProcessGroupTest, ReportsTheExitStatus) {
+  ProcessGroup group;
+  const auto result = group.RunToEnd("tool", {"/bin/sh", "-c", "echo out; exit 3"}, kLimit);
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result.value().status, 3);
+  EXPECT_EQ(result.value().output, "out\n");
+  ASSERT_TRUE(group.Start("killed", {"/bin/sleep", "100"}));
+  ASSERT_TRUE(group.Signal("killed", SIGKILL));
+  EXPECT_EQ(group.WaitForEnd("killed", kLimit).value(), 128 + SIGKILL);
+}
+
+}  // namespace
+}  // namespace savory
