--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -29,7 +29,7 @@
 // Changes of the member list within this time are handled together.
 constexpr Duration kMemberDelay = std::chrono::milliseconds(50);
 // How often a waiting thread looks whether its caller has hung up.
-constexpr Duration kHangUpCheck = std::chrono::milliseconds(250);
+constexpr Duration kHangUpCheck = std::chrono::seconds(1);
 // After a stop signal, callers on kept connections are told that this entry stops.
 constexpr Duration kMinDrain = std::chrono::seconds(1);
 // Threads beyond `max_streams`, so that more requests are refused with an answer.
--- a/src/runtime/caller_socket.cc
+++ b/src/runtime/caller_socket.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <utility>
 
 namespace savory {
 namespace {
@@ -13,42 +14,51 @@
 // Descriptors are given out from the lowest free number: a run of unused ones ends the table.
 constexpr int kMaxUnusedRun = 512;
 
-bool Connects(int fd, const sockaddr_in& remote, int local_port, bool* open) {
+bool IsOpen(int fd) {
+  char byte = 0;
+  const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) return true;
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+}  // namespace
+
+CallerSocket::CallerSocket(std::string remote_address, int remote_port, int local_port)
+    : remote_address(std::move(remote_address)), remote_port(remote_port), local_port(local_port) {}
+
+bool CallerSocket::Matches(int fd, bool* open) const {
   sockaddr_in peer = {};
   socklen_t size = sizeof(peer);
   errno = 0;
   const bool connected = getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
   *open = connected || errno != EBADF;
   if (!connected || peer.sin_family != AF_INET) return false;
-  if (peer.sin_port != remote.sin_port || peer.sin_addr.s_addr != remote.sin_addr.s_addr) {
-    return false;
-  }
+  if (ntohs(peer.sin_port) != this->remote_port) return false;
+  in_addr remote = {};
+  if (inet_pton(AF_INET, this->remote_address.c_str(), &remote) != 1) return false;
+  if (peer.sin_addr.s_addr != remote.s_addr) return false;
   sockaddr_in own = {};
   size = sizeof(own);
   if (getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size) != 0) return false;
-  return ntohs(own.sin_port) == local_port;
+  return ntohs(own.sin_port) == this->local_port;
 }
 
-bool IsOpen(int fd) {
-  char byte = 0;
-  const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) return true;
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-}
-
-}  // namespace
-
-bool IsCallerConnected(const std::string& remote_address, int remote_port, int local_port) {
-  sockaddr_in remote = {};
-  remote.sin_port = htons(static_cast<std::uint16_t>(remote_port));
-  if (inet_pton(AF_INET, remote_address.c_str(), &remote.sin_addr) != 1) return true;
+int CallerSocket::Search() const {
   int unused = 0;
   for (int fd = 0; fd < kMaxDescriptors && unused < kMaxUnusedRun; ++fd) {
     bool open = false;
-    if (Connects(fd, remote, local_port, &open)) return IsOpen(fd);
+    if (this->Matches(fd, &open)) return fd;
     unused = open ? 0 : unused + 1;
   }
-  return false;
+  return -1;
+}
+
+bool CallerSocket::IsConnected() {
+  bool open = false;
+  // The descriptor's number may have gone to another connection in the meantime.
+  const bool known = this->descriptor >= 0 && this->Matches(this->descriptor, &open);
+  if (!known) this->descriptor = this->Search();
+  return this->descriptor >= 0 && IsOpen(this->descriptor);
 }
 
 }  // namespace savory
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -26,6 +26,8 @@
 };
 
 HttpRequest FromLibrary(const httplib::Request& request) {
+  const auto socket =
+      std::make_shared<CallerSocket>(request.remote_addr, request.remote_port, request.local_port);
   return HttpRequest{.method = request.method,
                      .path = request.path,
                      .target = request.target,
@@ -33,10 +35,7 @@
                      .query = std::multimap<std::string, std::string>(request.params.begin(),
                                                                       request.params.end()),
                      .body = request.body,
-                     .is_connected = [remote = request.remote_addr, port = request.remote_port,
-                                      local = request.local_port] {
-                       return IsCallerConnected(remote, port, local);
-                     }};
+                     .is_connected = [socket] { return socket->IsConnected(); }};
 }
 
 void SetStream(HttpReply reply, httplib::Response& response) {
