--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -194,12 +194,15 @@
     if (child->path == path) return SettingsReader(child);
   }
   const YAML::Node found = this->impl->Find(key);
-  const bool defined = found.IsDefined();
-  if (defined && !found.IsNull() && !found.IsMap()) this->Fail(key, "must be a mapping");
-  // Assigning to the node of a missing key throws, so an empty mapping is a node of its own.
-  const YAML::Node node = defined && found.IsMap() ? found : YAML::Node(YAML::NodeType::Map);
+  if (found.IsDefined() && !found.IsNull() && !found.IsMap()) {
+    this->Fail(key, "must be a mapping");
+  }
+  // Assigning to a node that was not found throws, so the empty section is a node of its own.
+  const bool present = found.IsDefined() && found.IsMap();
   auto child =
-      std::make_shared<Impl>(Impl{.report = this->impl->report, .node = node, .path = path});
+      std::make_shared<Impl>(Impl{.report = this->impl->report,
+                                  .node = present ? found : YAML::Node(YAML::NodeType::Map),
+                                  .path = path});
   this->impl->children.push_back(child);
   return SettingsReader(std::move(child));
 }
