--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -1,14 +1,327 @@
 #include "apps/experiment_requests.h"
 
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
 
+#include "apps/process_group.h"
+#include "apps/request_fleet.h"
+#include "apps/request_load.h"
 #include "base/command_line.h"
+#include "runtime/http_client.h"
 
 namespace savory {
+namespace {
 
-int RunRequestsExperiment(int, const char* const*) {
-  std::cerr << "requests: not built yet\n";
-  return kExitUsage;
+namespace po = boost::program_options;
+
+constexpr Duration kSettleTime = std::chrono::seconds(3);
+constexpr int kOverloadRunning = 4;  // attempts at each service at the same time, under overload
+constexpr Duration kFreeze = std::chrono::seconds(4);
+// A load balancer looks at /readyz this often.
+constexpr Duration kHealthPeriod = std::chrono::milliseconds(500);
+
+struct Options {
+  int entries = 2;
+  int agents = 3;
+  double rate = 85;
+  double seconds = 20;
+  int streams = 0;
+  std::string fault = "none";
+  double non_idempotent = 0.3;
+  int base_port = 14000;
+  std::string bin_dir = "build/bin";
+  std::string json = {};
+};
+
+std::optional<Options> Parse(int argc, const char* const* argv) {
+  Options options;
+  po::options_description known("Options of the experiment 'requests'");
+  const auto add = [&known](const char* name, auto& target, const char* help) {
+    known.add_options()(name, po::value(&target)->default_value(target), help);
+  };
+  known.add_options()("help", "prints this text");
+  add("entries", options.entries, "entry processes");
+  add("agents", options.agents, "upstreams, each with an agent");
+  add("rate", options.rate, "requests per second of all callers");
+  add("seconds", options.seconds, "length of the load");
+  add("streams", options.streams, "open streams");
+  add("fault", options.fault,
+      "none, kill-agent, freeze-agent, silent-connection, kv-outage, lost-reply, poison, overload "
+      "or drain");
+  add("non-idempotent", options.non_idempotent, "share of the requests, from 0 to 1");
+  add("base-port", options.base_port, "first of 1,000 ports on 127.0.0.1");
+  add("bin-dir", options.bin_dir, "directory of the programs");
+  add("json", options.json, "file that the result is also written to");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, known), values);
+    po::notify(values);
+    if (!values.contains("help")) return options;
+    std::cout << known;
+  } catch (const po::error& error) {
+    std::cerr << error.what() << '\n';
+  }
+  return std::nullopt;
+}
+
+// Load and capacity of one run.
+struct Plan {
+  wire::Tables tables = {};
+  std::vector<LoadSource> sources = {};
+  RequestFleetOptions fleet = {};
+};
+
+wire::Route& AddRoute(wire::Tables& tables, const std::string& prefix, bool idempotent) {
+  wire::Route& route = *tables.add_routes();
+  route.set_name(prefix.substr(1));
+  route.set_path_prefix(prefix);
+  route.set_pool("bookings");
+  route.set_request_class("interactive");
+  route.set_idempotent(idempotent);
+  route.set_deadline_ms(20'000);
+  return route;
+}
+
+int CallersFor(double rate) { return std::clamp(static_cast<int>(rate * 4), 16, 300); }
+
+Plan PlanOf(const Options& options) {
+  Plan plan;
+  plan.tables.set_revision(1);
+  plan.tables.set_edit_id("experiment");
+  wire::Pool& pool = *plan.tables.add_pools();
+  pool.set_name("bookings");
+  pool.set_service("bookings");
+  AddRoute(plan.tables, "/read", true);
+  AddRoute(plan.tables, "/book", false);
+  plan.fleet = {.bin_dir = options.bin_dir,
+                .base_port = options.base_port,
+                .entries = options.entries,
+                .agents = options.agents};
+  if (options.fault != "overload") {
+    plan.sources.push_back({.account = "kochi-7",
+                            .rate = options.rate,
+                            .non_idempotent = options.non_idempotent,
+                            .callers = CallersFor(options.rate)});
+    return plan;
+  }
+  // Twice the capacity: a small account within its share, a large one at ten times its limit, and
+  // one without a limit that alone would take most of the capacity.
+  const double capacity = options.rate / 2;
+  plan.fleet.max_running = kOverloadRunning;
+  plan.fleet.max_queued = kOverloadRunning;
+  plan.fleet.latency_ms = static_cast<int>(1e3 * kOverloadRunning * options.agents / capacity);
+  const auto source = [&](const char* account, double share) {
+    return LoadSource{.account = account,
+                      .rate = capacity * share,
+                      .non_idempotent = options.non_idempotent,
+                      .callers = 150};
+  };
+  plan.sources = {source("small", 0.25), source("large", 1.0), source("bulk", 0.75)};
+  for (wire::Route& route : *plan.tables.mutable_routes()) {
+    wire::AccountLimit& limit = *route.add_limits();
+    limit.set_account("large");
+    limit.set_rate_per_second(capacity * 0.1);
+    limit.set_share(1);
+    wire::AccountLimit& small = *route.add_limits();
+    small.set_account("small");
+    small.set_share(1);
+  }
+  return plan;
+}
+
+void Post(const std::string& address, const std::string& target, const nlohmann::json& body) {
+  const auto answer = HttpClient(address).Call({.method = "POST",
+                                                .target = target,
+                                                .body = body.dump(),
+                                                .content_type = "application/json"});
+  if (!answer.has_value()) std::cerr << target << ": " << Describe(answer.error()) << '\n';
+}
+
+// Runs the fleet, the load and the fault of one experiment.
+class Experiment {
+ public:
+  Experiment(ProcessGroup& processes, Options options)
+      : options(std::move(options)),
+        processes(processes),
+        plan(PlanOf(this->options)),
+        fleet(processes, this->plan.fleet),
+        load([this] { return this->ChooseEntry(); }) {
+    for (int i = 0; i < this->options.entries; ++i) this->in_rotation.push_back(i);
+  }
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRYV(this->fleet.Start(this->plan.tables));
+    std::this_thread::sleep_for(kSettleTime);
+    std::vector<std::string> services;
+    for (int i = 0; i < this->options.agents; ++i) services.push_back(this->fleet.Service(i));
+    std::thread direct([this, services] { this->load.CompareDirectly(services); });
+    std::thread fault([this] { this->InjectFault(); });
+    this->load.Run(this->plan.sources, FromSeconds(this->options.seconds));
+    fault.join();
+    direct.join();
+    return success();
+  }
+
+  nlohmann::json Judge() const;
+
+ private:
+  std::string ChooseEntry() {
+    const std::scoped_lock lock(this->mutex);
+    return this->fleet.EntryHttp(this->in_rotation[this->turn++ % this->in_rotation.size()]);
+  }
+
+  void Sleep(double share_of_run) const {
+    std::this_thread::sleep_for(FromSeconds(this->options.seconds * share_of_run));
+  }
+
+  void InjectFault();
+  void KillAgents();
+  void FreezeAgent();
+  void Drain();
+
+  Options options;
+  ProcessGroup& processes;
+  Plan plan;
+  RequestFleet fleet;
+  RequestLoad load;
+  std::mutex mutex;
+  std::vector<int> in_rotation;
+  std::size_t turn = 0;
+  std::optional<Instant> stop_from;
+};
+
+void Experiment::InjectFault() {
+  const std::string& fault = this->options.fault;
+  this->Sleep(0.3);
+  if (fault == "kill-agent") this->KillAgents();
+  if (fault == "freeze-agent") this->FreezeAgent();
+  if (fault == "drain") this->Drain();
+  if (fault == "kv-outage") {
+    Post(this->fleet.Kv(), "/admin/fault", {{"outage", true}});
+    this->Sleep(0.3);
+    Post(this->fleet.Kv(), "/admin/fault", {{"outage", false}});
+  }
+  if (fault == "lost-reply") {
+    for (int i = 0; i < 10; ++i) {
+      Post(this->fleet.Kv(), "/admin/fault", {{"lose_replies", 3}, {"key_prefix", "claims/"}});
+      this->Sleep(0.05);
+    }
+  }
+}
+
+// A third of the agents die at once and come back later.
+void Experiment::KillAgents() {
+  const int killed = std::max(1, this->options.agents / 3);
+  for (int i = 0; i < killed; ++i) this->processes.Signal(RequestFleet::AgentName(i), SIGKILL);
+  this->Sleep(0.3);
+  for (int i = 0; i < killed; ++i) {
+    (void)this->processes.WaitForEnd(RequestFleet::AgentName(i), std::chrono::seconds(5));
+    const auto started = this->fleet.StartAgent(i);
+    if (!started) std::cerr << Describe(started.error()) << '\n';
+  }
+}
+
+void Experiment::FreezeAgent() {
+  this->processes.Signal(RequestFleet::AgentName(0), SIGSTOP);
+  std::this_thread::sleep_for(kFreeze);
+  this->processes.Signal(RequestFleet::AgentName(0), SIGCONT);
+}
+
+void Experiment::Drain() {
+  this->stop_from = MonotonicClock::now();
+  this->processes.Signal(RequestFleet::AgentName(0), SIGTERM);
+  this->Sleep(0.2);
+  if (this->options.entries < 2) return;
+  this->processes.Signal(RequestFleet::EntryName(1), SIGTERM);
+  std::this_thread::sleep_for(kHealthPeriod);
+  const std::scoped_lock lock(this->mutex);
+  std::erase(this->in_rotation, 1);
+}
+
+nlohmann::json Experiment::Judge() const {
+  const std::map<std::string, int> runs = this->fleet.CountRuns();
+  const auto runs_of = [&runs](const std::string& key) {
+    const auto found = runs.find(key);
+    return found == runs.end() ? 0 : found->second;
+  };
+  std::map<ToldOutcome, int> outcomes;
+  std::map<std::string, int> kinds;
+  std::map<std::string, std::pair<int, int>> accounts;  // sent, answered
+  std::vector<double> routed;
+  std::vector<double> claimed;
+  int wrong = 0;
+  int double_runs = 0;
+  int false_not_run = 0;
+  int cut_off = 0;
+  int repeat_not_run_after_run = 0;
+  for (const ToldRequest& request : this->load.Told()) {
+    ++outcomes[request.outcome];
+    if (!request.kind.empty()) ++kinds[request.kind];
+    const int count = runs_of(request.key);
+    wrong += request.wrong ? 1 : 0;
+    if (request.non_idempotent && count > 1 && !request.repeat) ++double_runs;
+    const bool denies = request.outcome == ToldOutcome::kNotRun && count > 0;
+    if (denies && request.repeat) ++repeat_not_run_after_run;
+    if (denies && !request.repeat) ++false_not_run;
+    const bool failed =
+        request.outcome == ToldOutcome::kUnknown || request.outcome == ToldOutcome::kNoAnswer;
+    if (failed && this->stop_from.has_value()) ++cut_off;
+    auto& [sent, answered] = accounts[request.account];
+    ++sent;
+    if (request.outcome != ToldOutcome::kAnswered) continue;
+    ++answered;
+    (request.keyed ? claimed : routed).push_back(request.millis);
+  }
+  const std::vector<double>& direct = this->load.Direct();
+  const auto small = accounts.find("small");
+  const double sent = this->fleet.SumOfSeries("savory_requests_sent_total");
+  const double attempts = this->fleet.SumOfSeries("savory_request_attempts_total");
+  return {{"fault", this->options.fault},
+          {"requests", this->load.Told().size()},
+          {"answered", outcomes[ToldOutcome::kAnswered]},
+          {"not_run", outcomes[ToldOutcome::kNotRun]},
+          {"unknown", outcomes[ToldOutcome::kUnknown]},
+          {"no_answer", outcomes[ToldOutcome::kNoAnswer]},
+          {"wrong_answers", wrong},
+          {"double_runs", double_runs},
+          {"false_not_run", false_not_run},
+          {"repeat_not_run_after_run", repeat_not_run_after_run},
+          {"cut_off_by_planned_stop", cut_off},
+          {"attempts_per_request", sent == 0 ? 0 : attempts / sent},
+          {"added_ms_p50", QuantileOf(routed, 0.5) - QuantileOf(direct, 0.5)},
+          {"added_ms_p99", QuantileOf(routed, 0.99) - QuantileOf(direct, 0.99)},
+          {"claimed_ms_p50", QuantileOf(claimed, 0.5)},
+          {"direct_ms_p50", QuantileOf(direct, 0.5)},
+          {"small_account_share",
+           small == accounts.end()
+               ? 1.0
+               : static_cast<double>(small->second.second) / std::max(1, small->second.first)},
+          {"kinds", kinds}};
+}
+
+}  // namespace
+
+int RunRequestsExperiment(int argc, const char* const* argv) {
+  const std::optional<Options> options = Parse(argc, argv);
+  if (!options.has_value()) return kExitUsage;
+  ProcessGroup processes;
+  Experiment experiment(processes, *options);
+  const auto run = experiment.Run();
+  if (!run) {
+    std::cerr << Describe(run.error()) << '\n';
+    processes.KeepDirectory();
+    return EXIT_FAILURE;
+  }
+  const std::string result = experiment.Judge().dump();
+  if (!options->json.empty()) std::ofstream(options->json) << result << '\n';
+  std::cout << result << std::endl;
+  return EXIT_SUCCESS;
 }
 
 }  // namespace savory
--- /dev/null
+++ b/src/apps/request_load.cc
@@ -0,0 +1,135 @@
+#include "apps/request_load.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "runtime/http_client.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kCallerTimeout = std::chrono::seconds(40);
+constexpr Duration kRepeatPause = std::chrono::seconds(2);
+constexpr int kRefusedConnections = 5;
+constexpr Duration kDirectPause = std::chrono::milliseconds(20);
+
+ToldOutcome OutcomeNamed(std::string_view name) {
+  if (name == "answered") return ToldOutcome::kAnswered;
+  if (name == "not-run" || name == "refused-by-limit") return ToldOutcome::kNotRun;
+  if (name == "rejected") return ToldOutcome::kRejected;
+  return ToldOutcome::kUnknown;
+}
+
+HttpCall CallOf(const ToldRequest& request) {
+  HttpCall call = {.method = "POST",
+                   .target = (request.non_idempotent ? "/book?k=" : "/read?k=") + request.key,
+                   .headers = {{"X-Account", request.account}},
+                   .body = request.key,
+                   .read_timeout = kCallerTimeout};
+  if (request.keyed) call.headers.emplace("Idempotency-Key", request.key);
+  return call;
+}
+
+bool IsAnswerTo(const ToldRequest& request, const HttpAnswer& answer) {
+  const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+  return answer.status == 200 && body.is_object() && body.value("key", "") == request.key &&
+         body.value("body", "") == request.key &&
+         body.value("target", "") == CallOf(request).target;
+}
+
+}  // namespace
+
+RequestLoad::RequestLoad(std::function<std::string()> choose_entry)
+    : choose_entry(std::move(choose_entry)) {}
+
+void RequestLoad::Run(const std::vector<LoadSource>& sources, Duration length) {
+  this->start = MonotonicClock::now();
+  std::vector<std::atomic<int>> next(sources.size());
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    for (int caller = 0; caller < sources[i].callers; ++caller) {
+      callers.emplace_back([this, &sources, &next, i, end = this->start + length] {
+        this->RunCaller(sources[i], static_cast<int>(i), next[i], end);
+      });
+    }
+  }
+  for (std::thread& caller : callers) caller.join();
+  this->ended.store(true);
+}
+
+void RequestLoad::RunCaller(const LoadSource& source, int source_index, std::atomic<int>& next,
+                            Instant end) {
+  while (true) {
+    const int number = next.fetch_add(1);
+    const Instant due = this->start + FromSeconds(number / source.rate);
+    if (due >= end) return;
+    std::this_thread::sleep_for(due - MonotonicClock::now());
+    // Fractions of the golden ratio spread the shares evenly over the numbers.
+    const double spread = number * 0.6180339887 - static_cast<int>(number * 0.6180339887);
+    ToldRequest request = {
+        .key = source.account + "-" + std::to_string(source_index) + "-" + std::to_string(number),
+        .account = source.account};
+    request.non_idempotent = spread < source.non_idempotent;
+    request.keyed = spread < source.non_idempotent * source.keyed;
+    request = this->Send(std::move(request));
+    const bool repeats = request.keyed && (request.outcome == ToldOutcome::kUnknown ||
+                                           request.outcome == ToldOutcome::kNoAnswer);
+    this->Keep(request);
+    if (!repeats) continue;
+    std::this_thread::sleep_for(kRepeatPause);
+    request.repeat = true;
+    this->Keep(this->Send(std::move(request)));
+  }
+}
+
+ToldRequest RequestLoad::Send(ToldRequest request) {
+  request.sent = MonotonicClock::now();
+  request.outcome = ToldOutcome::kNoAnswer;
+  request.kind.clear();
+  for (int attempt = 0; attempt < kRefusedConnections; ++attempt) {
+    const auto answer = HttpClient(this->choose_entry()).Call(CallOf(request));
+    request.ended = MonotonicClock::now();
+    request.millis = ToSeconds(request.ended - request.sent) * 1e3;
+    if (answer.has_value()) {
+      request.outcome = OutcomeNamed(HeaderValue(answer.value().headers, "X-Savoryrouter-Outcome"));
+      const auto body = nlohmann::json::parse(answer.value().body, nullptr, false);
+      if (body.is_object()) request.kind = body.value("error", "");
+      const bool answered = request.outcome == ToldOutcome::kAnswered && request.kind.empty();
+      request.wrong = answered && !IsAnswerTo(request, answer.value());
+      return request;
+    }
+    request.kind = answer.error().detail;
+    // A refused connection was certainly not sent; a load balancer tries the next entry.
+    if (answer.error().kind != ErrorKind::kUnavailable) return request;
+  }
+  return request;
+}
+
+void RequestLoad::Keep(ToldRequest request) {
+  const std::scoped_lock lock(this->mutex);
+  this->told.push_back(std::move(request));
+}
+
+void RequestLoad::CompareDirectly(const std::vector<std::string>& services) {
+  for (std::size_t i = 0; !this->ended.load(); ++i) {
+    const std::string key = "direct-" + std::to_string(i);
+    const Instant sent = MonotonicClock::now();
+    const auto answer =
+        HttpClient(services[i % services.size()])
+            .Call(CallOf({.key = key, .account = "direct", .non_idempotent = true}));
+    const double millis = ToSeconds(MonotonicClock::now() - sent) * 1e3;
+    if (answer.has_value()) this->direct.push_back(millis);
+    std::this_thread::sleep_for(kDirectPause);
+  }
+}
+
+double QuantileOf(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+  return values[std::min(index, values.size() - 1)];
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/apps/request_load.h
@@ -0,0 +1,72 @@
+// Callers of the experiment "requests", and the judge of what they were told.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace savory {
+
+// One kind of requests, sent at even distances by callers that do not wait for each other.
+struct LoadSource {
+  std::string account;
+  double rate = 0;            // requests per second
+  double non_idempotent = 0;  // share of the requests
+  double keyed = 0.5;         // share of the non-idempotent ones with an Idempotency-Key
+  int callers = 64;           // threads
+};
+
+enum class ToldOutcome { kAnswered, kNotRun, kUnknown, kRejected, kNoAnswer };
+
+// What one caller sent and was told.
+struct ToldRequest {
+  std::string key;
+  std::string account;
+  bool non_idempotent = false;
+  bool keyed = false;
+  bool repeat = false;  // second request of an Idempotency-Key
+  ToldOutcome outcome = ToldOutcome::kNoAnswer;
+  bool wrong = false;  // an answer that is not the one to this request
+  std::string kind = {};
+  double millis = 0;
+  Instant sent = {};
+  Instant ended = {};
+};
+
+// Sends requests to entries and direct calls to the services, for comparison.
+class RequestLoad {
+ public:
+  // `choose_entry` returns the IP:PORT to send to, like the platform's load balancer.
+  explicit RequestLoad(std::function<std::string()> choose_entry);
+
+  // Blocks for `length`, plus the time of the last answers.
+  void Run(const std::vector<LoadSource>& sources, Duration length);
+  // Calls `services` directly, one call at a time, until Run() has ended.
+  void CompareDirectly(const std::vector<std::string>& services);
+
+  const std::vector<ToldRequest>& Told() const { return this->told; }
+  // Milliseconds of each direct call.
+  const std::vector<double>& Direct() const { return this->direct; }
+
+ private:
+  void RunCaller(const LoadSource& source, int source_index, std::atomic<int>& next, Instant end);
+  ToldRequest Send(ToldRequest request);
+  void Keep(ToldRequest request);
+
+  std::function<std::string()> choose_entry;
+  std::atomic<bool> ended = false;
+  std::mutex mutex;
+  Instant start = {};
+  std::vector<ToldRequest> told;
+  std::vector<double> direct;
+};
+
+// The value below which `share` of `values` lie; 0 without values.
+double QuantileOf(std::vector<double> values, double share);
+
+}  // namespace savory
--- a/src/routing/request_series.cc
+++ b/src/routing/request_series.cc
@@ -32,13 +32,15 @@
                     .part_gap = &all.HistogramFor("savory_request_part_gap_seconds", labels),
                     .total = &all.HistogramFor("savory_request_total_seconds", labels),
                     .attempts = &all.CounterFor("savory_request_attempts_total", labels),
-                    .requests = &all.CounterFor("savory_requests_total", labels)};
+                    .requests = &all.CounterFor("savory_requests_total", labels),
+                    .sent = &all.CounterFor("savory_requests_sent_total", labels)};
   return this->sets.emplace(key, made).first->second;
 }
 
 void RequestSeries::Add(const MeasureRequest& measured) {
   Set& set = this->SetFor(measured.account, measured.request_class);
   set.requests->Add();
+  if (measured.attempts > 0) set.sent->Add();
   set.attempts->Add(static_cast<std::uint64_t>(measured.attempts));
   set.queued->Observe(ToSeconds(measured.queued));
   set.total->Observe(ToSeconds(measured.total));
--- a/src/routing/request_series.h
+++ b/src/routing/request_series.h
@@ -35,6 +35,7 @@
     Histogram* total;
     Counter* attempts;
     Counter* requests;
+    Counter* sent;  // requests with at least one attempt
   };
 
   Set& SetFor(const std::string& account, const std::string& request_class);
