--- a/src/apps/fleet_status.cc
+++ b/src/apps/fleet_status.cc
@@ -1,5 +1,6 @@
 #include "apps/fleet_status.h"
 
+#include <oneapi/tbb/global_control.h>
 #include <oneapi/tbb/parallel_for.h>
 #include <oneapi/tbb/task_arena.h>
 
@@ -77,6 +78,9 @@
 std::vector<NodeStatus> ReadFleetStatus(const std::vector<std::string>& addresses,
                                         Duration timeout) {
   std::vector<NodeStatus> statuses(addresses.size());
+  // These calls block, so their number is not limited by the cores.
+  const oneapi::tbb::global_control parallelism(
+      oneapi::tbb::global_control::max_allowed_parallelism, kParallelCalls);
   oneapi::tbb::task_arena arena(kParallelCalls);
   arena.execute([&] {
     oneapi::tbb::parallel_for(std::size_t{0}, addresses.size(), [&](std::size_t i) {
--- a/src/apps/process_group_test.cc
+++ b/src/apps/process_group_test.cc
@@ -54,7 +54,8 @@
     const pid_t parent = fork();
     if (parent == 0) {
       ProcessGroup group;
-      const bool started = group.Start("child", {"/bin/sh", "-c", "echo $$; exec sleep 100"});
+      const bool started =
+          group.Start("child", {"/bin/sh", "-c", "echo $$; exec sleep 100"}).has_value();
       const pid_t child = started ? PidOf(group, "child") : 0;
       if (write(pipe_ends[1], &child, sizeof(child)) != sizeof(child)) _exit(1);
       while (true) pause();
