--- a/src/apps/experiment_distribution.cc
+++ b/src/apps/experiment_distribution.cc
@@ -1,14 +1,446 @@
 #include "apps/experiment_distribution.h"
 
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <csignal>
 #include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <thread>
 
+#include "apps/fleet.h"
+#include "apps/fleet_status.h"
+#include "apps/process_group.h"
+#include "apps/rollout_load.h"
 #include "base/command_line.h"
+#include "runtime/http_client.h"
+#include "runtime/kv_connection.h"
+#include "wire/savoryrouter.pb.h"
 
 namespace savory {
+namespace {
 
-int RunDistributionExperiment(int, const char* const*) {
-  std::cerr << "distribution: not built yet\n";
-  return kExitUsage;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kSamplePeriod = milliseconds(200);
+constexpr Duration kStatusTimeout = milliseconds(500);
+constexpr Duration kPrepareTimeout = seconds(90);
+constexpr Duration kQuietTime = seconds(10);
+constexpr Duration kOutage = seconds(10);
+constexpr Duration kPause = seconds(5);
+constexpr Duration kRestartDelay = seconds(3);
+// Part of the copy after which the fault is injected.
+constexpr double kFaultAt = 0.3;
+constexpr int kLoadThreads = 4;
+// The weights that are served before the measured rollout.
+constexpr std::uint64_t kFirstVersionParts = 16;
+
+struct ExperimentOptions {
+  int agents = 32;
+  std::uint64_t bytes = 32u << 20;
+  std::uint32_t chunk_bytes = 64u << 10;
+  double origin_rate = 0;  // bytes/s; 0: twice the link
+  double link_rate = 3e6;  // bytes/s
+  std::string strategy = "swarm";
+  std::string fault = "none";
+  std::string favour = "time";
+  int base_port = 11'000;
+  int max_loading = 0;  // 0: all agents
+  double limit = 300;   // seconds
+  std::string bin_dir = ".";
+  bool json_only = false;
+};
+
+// Returns nullopt when the process is to end with `status`.
+std::optional<ExperimentOptions> ParseOptions(int argc, const char* const* argv, int& status) {
+  namespace po = boost::program_options;
+  ExperimentOptions options;
+  po::options_description description("Options of savoryrouter-experiment distribution");
+  const auto add = [&](const char* name, auto& target, const char* help) {
+    description.add_options()(name, po::value(&target)->default_value(target), help);
+  };
+  add("agents", options.agents, "number of agents, each with an engine");
+  add("bytes", options.bytes, "size of the weights");
+  add("chunk-bytes", options.chunk_bytes, "size of a chunk");
+  add("origin-rate", options.origin_rate, "bytes per second; 0: twice the link rate");
+  add("link-rate", options.link_rate, "bytes per second of each VM, each way");
+  add("strategy", options.strategy, "swarm, origin-only or tree");
+  add("fault", options.fault, "none, kill, stall, corrupt, origin-outage or version-change");
+  add("favour", options.favour, "time or origin_bytes");
+  add("base-port", options.base_port, "first TCP port");
+  add("max-loading", options.max_loading, "engines that load at the same time; 0: all");
+  add("limit", options.limit, "longest time of the rollout in seconds");
+  add("bin-dir", options.bin_dir, "folder of the binaries");
+  description.add_options()("json", po::bool_switch(&options.json_only),
+                            "print the last line only")("help", "print this text");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, description), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << "distribution: " << error.what() << '\n';
+    status = kExitUsage;
+    return std::nullopt;
+  }
+  if (values.contains("help")) {
+    std::cout << description;
+    status = 0;
+    return std::nullopt;
+  }
+  if (options.origin_rate <= 0) options.origin_rate = 2 * options.link_rate;
+  return options;
+}
+
+// Sum of the control bytes that a process has sent and received, from its metrics.
+double ControlBytes(const std::string& address) {
+  HttpClient client(address);
+  const auto answer = client.Call({.target = "/metrics"});
+  if (!answer) return 0;
+  double total = 0;
+  std::istringstream lines(answer.value().body);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with("savory_peer_bytes{lane=\"control\"")) continue;
+    total += std::strtod(line.substr(line.rfind(' ')).c_str(), nullptr);
+  }
+  return total;
+}
+
+// One rollout of new weights to a fleet that serves older ones.
+class RolloutExperiment {
+ public:
+  explicit RolloutExperiment(ExperimentOptions given)
+      : options(std::move(given)), fleet(this->processes, FleetOf(this->options)) {
+    for (const FleetNode& agent : this->fleet.Agents()) {
+      this->addresses.push_back(agent.operator_address);
+    }
+  }
+
+  Result<json> Run() {
+    BOOST_OUTCOME_TRY(this->fleet.Start());
+    BOOST_OUTCOME_TRY(
+        first, this->fleet.AddRandomWeights("first", this->options.bytes / kFirstVersionParts, 1,
+                                            this->options.chunk_bytes));
+    BOOST_OUTCOME_TRY(second, this->fleet.AddRandomWeights("model", this->options.bytes, 2,
+                                                           this->options.chunk_bytes));
+    BOOST_OUTCOME_TRY(this->Prepare(first));
+    BOOST_OUTCOME_TRY(before, this->fleet.OriginStats());
+    RolloutLoad load(this->fleet.Entries().front().http, kLoadThreads);
+    load.AddVersion(first.Hex());
+    load.AddVersion(second.Hex());
+    this->load = &load;
+    this->wanted = second;
+    this->started = MonotonicClock::now();
+    BOOST_OUTCOME_TRY(this->Pin(second));
+    BOOST_OUTCOME_TRY(this->Watch());
+    this->loads = load.Stop();
+    BOOST_OUTCOME_TRY(after, this->fleet.OriginStats());
+    return this->Report(before, after);
+  }
+
+ private:
+  static FleetOptions FleetOf(const ExperimentOptions& options) {
+    FleetOptions fleet{.bin_directory = options.bin_dir,
+                       .base_port = options.base_port,
+                       .entries = {FleetEntryOptions{}},
+                       .agents = {},
+                       .origin_bytes_per_second = options.origin_rate,
+                       .link_bytes_per_second = options.link_rate,
+                       .weights_share = 1.0,
+                       .strategy = options.strategy};
+    for (int i = 0; i < options.agents; ++i) {
+      fleet.agents.push_back(FleetAgentOptions{.upstream_arguments = {"--load-ms", "200"}});
+    }
+    return fleet;
+  }
+
+  double Elapsed() const { return ToSeconds(MonotonicClock::now() - this->started); }
+
+  void Say(const std::string& text) const {
+    if (!this->options.json_only) std::cout << text << std::endl;
+  }
+
+  // Writes a table with one pool and one route that pins `manifest`.
+  Result<void> Pin(const Digest& manifest) {
+    KvConnection kv(this->fleet.Kv(), seconds(2));
+    wire::Tables tables;
+    tables.set_revision(++this->revision);
+    tables.set_edit_id("experiment-" + std::to_string(this->revision));
+    wire::Pool& pool = *tables.add_pools();
+    pool.set_name("chat");
+    pool.set_service("chat");
+    pool.set_model("model");
+    pool.set_version(std::to_string(this->revision));
+    pool.set_manifest(std::string(manifest.View()));
+    pool.set_favours(this->options.favour == "time" ? wire::FAVOUR_TIME
+                                                    : wire::FAVOUR_ORIGIN_BYTES);
+    const int loading =
+        this->options.max_loading > 0 ? this->options.max_loading : 4 * this->options.agents;
+    pool.set_max_loading(static_cast<std::uint32_t>(loading));
+    pool.set_engine_checks_fence(true);
+    wire::Route& route = *tables.add_routes();
+    route.set_name("chat");
+    route.set_path_prefix("/");
+    route.set_pool("chat");
+    route.set_request_class("interactive");
+    route.set_idempotent(true);
+    route.set_deadline_ms(5000);
+    BOOST_OUTCOME_TRY(swap, kv.CompareAndSwap("tables", tables.SerializeAsString(), this->version));
+    if (!swap.written) return Error{.kind = ErrorKind::kEditConflict, .detail = "tables"};
+    this->version = swap.version;
+    return success();
+  }
+
+  // Waits until every process knows every other, and every engine serves the first version.
+  Result<void> Prepare(const Digest& first) {
+    const Instant end = MonotonicClock::now() + kPrepareTimeout;
+    const auto wait_for = [&](const auto& holds) {
+      while (MonotonicClock::now() < end) {
+        const auto statuses = ReadFleetStatus(this->addresses, kStatusTimeout);
+        if (std::all_of(statuses.begin(), statuses.end(), holds)) return true;
+        std::this_thread::sleep_for(kSamplePeriod);
+      }
+      return false;
+    };
+    const auto processes_known = static_cast<std::uint64_t>(this->options.agents) + 1;
+    if (!wait_for([&](const NodeStatus& s) { return s.members == processes_known; })) {
+      return Error{.kind = ErrorKind::kTimeout, .detail = "the member lists are not complete"};
+    }
+    this->Say("member lists are complete");
+    BOOST_OUTCOME_TRY(this->Pin(first));
+    if (!wait_for([&](const NodeStatus& s) { return s.ready && s.serving == first.Hex(); })) {
+      return Error{.kind = ErrorKind::kTimeout, .detail = "the first version is not served"};
+    }
+    this->Say("every engine serves the first version");
+    return success();
+  }
+
+  // Samples the fleet until every engine serves the wanted version or the limit has passed.
+  Result<void> Watch() {
+    while (this->Elapsed() < this->options.limit) {
+      const auto statuses = ReadFleetStatus(this->addresses, kStatusTimeout);
+      this->Note(statuses);
+      BOOST_OUTCOME_TRY(this->Inject(statuses));
+      if (this->ready == statuses.size()) return success();
+      std::this_thread::sleep_for(kSamplePeriod);
+    }
+    return success();
+  }
+
+  void Note(const std::vector<NodeStatus>& statuses) {
+    const std::string hex = this->wanted.Hex();
+    std::size_t now_whole = 0;
+    std::size_t now_ready = 0;
+    for (const NodeStatus& status : statuses) {
+      const bool is_whole =
+          status.wanted == hex && status.total_bytes > 0 && status.bytes == status.total_bytes;
+      now_whole += is_whole ? 1 : 0;
+      now_ready += status.ready && status.serving == hex ? 1 : 0;
+      this->stops_seen = this->stops_seen || status.phase == "stopped";
+    }
+    if (now_whole != this->whole || now_ready != this->ready) {
+      this->replicas.push_back(
+          {{"seconds", this->Elapsed()}, {"whole", now_whole}, {"ready", now_ready}});
+      this->Say(this->replicas.back().dump());
+    }
+    this->whole = now_whole;
+    this->ready = now_ready;
+    if (!this->to_half && 2 * this->whole >= statuses.size()) this->to_half = this->Elapsed();
+    if (!this->to_all && this->whole == statuses.size()) this->to_all = this->Elapsed();
+    if (!this->to_ready && this->ready == statuses.size()) this->to_ready = this->Elapsed();
+  }
+
+  // ---- faults ----
+
+  Result<void> Inject(const std::vector<NodeStatus>& statuses) {
+    if (this->undo && this->Elapsed() >= this->undo_at) {
+      const auto step = std::exchange(this->undo, {});
+      return step();
+    }
+    if (this->fault_done || this->options.fault == "none") return this->CorrectRow();
+    double progress = 0;
+    for (const NodeStatus& status : statuses) {
+      const bool copies = status.wanted == this->wanted.Hex();
+      progress += copies ? static_cast<double>(status.bytes) : 0;
+    }
+    progress /= static_cast<double>(this->options.bytes) * static_cast<double>(statuses.size());
+    if (progress < kFaultAt) return success();
+    this->fault_done = true;
+    this->Say("fault: " + this->options.fault);
+    return this->Begin(this->options.fault);
+  }
+
+  void UndoAfter(Duration delay, std::function<Result<void>()> step) {
+    this->undo_at = this->Elapsed() + ToSeconds(delay);
+    this->undo = std::move(step);
+  }
+
+  Result<void> Begin(const std::string& fault) {
+    if (fault == "kill") return this->KillAgents();
+    if (fault == "stall") return this->Stall();
+    if (fault == "corrupt") return this->fleet.SetOriginFault({{"corrupt", 4}});
+    if (fault == "origin-outage") {
+      this->UndoAfter(kOutage, [this] { return this->fleet.SetOriginFault({{"outage", false}}); });
+      return this->fleet.SetOriginFault({{"outage", true}});
+    }
+    return this->ChangeVersion();
+  }
+
+  // One agent in sixteen dies and is started again with empty memory.
+  Result<void> KillAgents() {
+    const std::size_t count = std::max<std::size_t>(1, this->fleet.Agents().size() / 16);
+    for (std::size_t i = 0; i < count; ++i) {
+      this->processes.Signal(this->fleet.Agents()[i].vm, SIGKILL);
+    }
+    this->UndoAfter(kRestartDelay, [this, count]() -> Result<void> {
+      for (std::size_t i = 0; i < count; ++i) {
+        BOOST_OUTCOME_TRY(this->fleet.StartNode(this->fleet.Agents()[i]));
+      }
+      return success();
+    });
+    return success();
+  }
+
+  // Four transfers of the origin stall partway, and one agent's connections fall silent.
+  Result<void> Stall() {
+    const std::string vm = this->fleet.Agents().front().vm;
+    this->processes.Signal(vm, SIGSTOP);
+    this->UndoAfter(kPause, [this, vm]() -> Result<void> {
+      this->processes.Signal(vm, SIGCONT);
+      return success();
+    });
+    return this->fleet.SetOriginFault({{"stall", 4}});
+  }
+
+  // The origin's content changes under its name; the row pins it once an agent has stopped.
+  Result<void> ChangeVersion() {
+    BOOST_OUTCOME_TRY(changed, this->fleet.AddRandomWeights("model", this->options.bytes, 3,
+                                                            this->options.chunk_bytes));
+    this->corrected = changed;
+    this->load->AddVersion(changed.Hex());
+    return success();
+  }
+
+  Result<void> CorrectRow() {
+    if (!this->corrected || !this->stops_seen) return success();
+    this->wanted = *this->corrected;
+    this->corrected.reset();
+    this->correction_at = this->Elapsed();
+    this->to_half.reset();
+    this->to_all.reset();
+    this->Say("the row pins the new content");
+    return this->Pin(this->wanted);
+  }
+
+  // ---- results ----
+
+  double ControlRate() const {
+    const auto sum = [this] {
+      double total = 0;
+      for (const std::string& address : this->addresses) total += ControlBytes(address);
+      return total;
+    };
+    const Instant begin = MonotonicClock::now();
+    const double before = sum();
+    std::this_thread::sleep_for(kQuietTime);
+    const double after = sum();
+    return (after - before) / ToSeconds(MonotonicClock::now() - begin) /
+           static_cast<double>(this->addresses.size());
+  }
+
+  double Bound() const {
+    const auto size = static_cast<double>(this->options.bytes);
+    const double link = this->options.link_rate;
+    const double rate = this->options.origin_rate;
+    const double count = this->options.agents;
+    return std::max({size / rate, size / link, count * size / (rate + count * link)});
+  }
+
+  std::uint64_t BadServes() const {
+    std::uint64_t bad = this->loads.unknown_weights;
+    for (const FleetNode& agent : this->fleet.Agents()) {
+      const auto stats = this->fleet.UpstreamStats(agent);
+      if (stats) bad += stats.value().value("bad_serves", std::uint64_t{0});
+    }
+    return bad;
+  }
+
+  json Report(const json& before, const json& after) const {
+    const auto since = [&](const char* name) {
+      return after.value(name, std::uint64_t{0}) - before.value(name, std::uint64_t{0});
+    };
+    const std::uint64_t origin_bytes = since("bytes_sent") + since("manifest_bytes");
+    const double start = this->correction_at.value_or(0);
+    const auto or_null = [](const std::optional<double>& value) {
+      return value ? json(*value) : json(nullptr);
+    };
+    const json ratio = this->to_all ? json((*this->to_all - start) / this->Bound()) : json(nullptr);
+    return {{"strategy", this->options.strategy},
+            {"fault", this->options.fault},
+            {"favour", this->options.favour},
+            {"agents", this->options.agents},
+            {"weight_bytes", this->options.bytes},
+            {"chunk_bytes", this->options.chunk_bytes},
+            {"link_rate", this->options.link_rate},
+            {"origin_rate", this->options.origin_rate},
+            {"origin_bytes", origin_bytes},
+            {"origin_copies",
+             static_cast<double>(origin_bytes) / static_cast<double>(this->options.bytes)},
+            {"seconds_to_all", or_null(this->to_all)},
+            {"seconds_to_half", or_null(this->to_half)},
+            {"seconds_to_all_ready", or_null(this->to_ready)},
+            {"seconds_of_row_correction", or_null(this->correction_at)},
+            {"bound_seconds", this->Bound()},
+            {"time_ratio", ratio},
+            {"agents_whole", this->whole},
+            {"agents_ready", this->ready},
+            {"bad_serves", this->BadServes()},
+            {"requests_answered", this->loads.answered},
+            {"requests_not_answered", this->loads.not_answered},
+            {"control_bytes_per_agent_per_second", this->ControlRate()},
+            {"replicas", this->replicas}};
+  }
+
+  ExperimentOptions options;
+  ProcessGroup processes;
+  Fleet fleet;
+  RolloutLoad* load = nullptr;
+  RolloutLoadCounts loads = {};
+  std::vector<std::string> addresses = {};
+  Digest wanted = {};
+  Instant started = {};
+  std::uint64_t revision = 0;
+  std::uint64_t version = 0;  // of the key `tables`
+  std::size_t whole = 0;
+  std::size_t ready = 0;
+  bool stops_seen = false;
+  json replicas = json::array();
+  std::optional<double> to_half = {};
+  std::optional<double> to_all = {};
+  std::optional<double> to_ready = {};
+  bool fault_done = false;
+  double undo_at = 0;
+  std::function<Result<void>()> undo = {};
+  std::optional<Digest> corrected = {};
+  std::optional<double> correction_at = {};
+};
+
+}  // namespace
+
+int RunDistributionExperiment(int argc, const char* const* argv) {
+  int status = 0;
+  const auto options = ParseOptions(argc, argv, status);
+  if (!options) return status;
+  RolloutExperiment experiment(*options);
+  const auto result = experiment.Run();
+  if (!result) {
+    std::cerr << "distribution: " << Describe(result.error()) << '\n';
+    return EXIT_FAILURE;
+  }
+  std::cout << result.value().dump() << std::endl;
+  return EXIT_SUCCESS;
 }
 
 }  // namespace savory
