Repair four faults of the load order and the copy

An idle check made before the lease was granted let the order go out while the gate still admitted requests; the check now counts only after the gate has closed. An engine that died or hung kept its slot for ever. Two damaged reads in a row stopped a copy for good when the origin had not changed. A version dropped for the memory limit stayed in memory until the next copy was complete.

--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -48,6 +48,7 @@
 constexpr std::size_t kCandidatesPerLevel = 16;
 constexpr std::size_t kLevels = 22;  // number of holders among at most 20 neighbours
 constexpr int kStoppingMismatches = 2;
+constexpr int kProbesBeforeRetry = 5;
 
 struct Pending {
   std::string peer;
@@ -110,6 +111,7 @@
   int mismatches = 0;  // in a row
   bool stopped = false;
   bool probing = false;
+  int probes = 0;
   Instant next_probe = {};
   Duration probe_interval = kFirstProbe;
 
@@ -344,6 +346,7 @@
     this->mismatches = 0;
     this->stopped = false;
     this->probing = false;
+    this->probes = 0;
     this->probe_interval = kFirstProbe;
     for (SpreadNeighbour& neighbour : this->neighbours) {
       neighbour.map_known = false;
@@ -758,14 +761,17 @@
   void On(Instant now, const OriginProbed& event) {
     this->probing = false;
     if (!this->stopped) return;
-    if (!event.changed) {
+    // Bytes that were damaged on the way look like a changed origin, so the read is repeated now
+    // and then although the origin is unchanged.
+    const bool retry = ++this->probes % kProbesBeforeRetry == 0;
+    if (!event.changed && !retry) {
       this->probe_interval = std::min(kMaxProbe, this->probe_interval * 2);
       this->next_probe = now + this->Jittered(this->probe_interval);
       return;
     }
     this->stopped = false;
     this->mismatches = kStoppingMismatches - 1;
-    this->probe_interval = kFirstProbe;
+    if (event.changed) this->probe_interval = kFirstProbe;
     this->actions.push_back(CopyResumed{});
   }
 
--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -93,6 +93,7 @@
   OriginClient origin;
   EngineClient engine;
   WeightsServer server = {};
+  std::size_t published = 0;  // number of versions that the server knows
   wire::Pool pool = {};
   Digest wanted = {};
   std::vector<SpreadPeer> pool_members = {};
@@ -271,7 +272,7 @@
 
   void Do(const CopyComplete&) {
     this->stopped = false;
-    this->server.Publish(this->store.Copies());
+    this->Publish();
     this->Order(WeightsWhole{.manifest = this->wanted});
   }
 
@@ -447,7 +448,7 @@
     this->stop_detail.clear();
     this->manifest = std::move(found);
     this->store.Want(this->manifest);
-    this->server.Publish(this->store.Copies());
+    this->Publish();
     for (const std::string& peer : this->manifest_waiters) {
       this->PushManifest(peer, *this->manifest);
     }
@@ -481,6 +482,11 @@
     this->Spread(PoolMembersChanged{.members = this->pool_members});
   }
 
+  void Publish() {
+    this->published = this->store.Copies().size();
+    this->server.Publish(this->store.Copies());
+  }
+
   // ---- load order and engine ----
 
   void Order(const LoadEvent& event) {
@@ -591,6 +597,8 @@
 
   void Tick() {
     const Instant now = this->Now();
+    // The store may have dropped the previous version for its memory limit.
+    if (this->store.Copies().size() != this->published) this->Publish();
     if (this->request_bytes > 0) {
       this->Spread(RequestBytesSeen{.bytes = std::exchange(this->request_bytes, 0)});
     }
--- a/src/distribution/load_order.cc
+++ b/src/distribution/load_order.cc
@@ -26,10 +26,16 @@
 
 void LoadOrder::On(Instant now, const EngineReported& event) {
   this->engine = event;
+  this->silent_since.reset();
   if (this->step == Step::kLoading && event.asked >= this->order_answered) this->FinishLoad(now);
 }
 
-void LoadOrder::On(Instant, const EngineSilent&) { this->engine.reset(); }
+void LoadOrder::On(Instant now, const EngineSilent&) {
+  this->engine.reset();
+  if (!this->silent_since) this->silent_since = now;
+  const bool gone = now - *this->silent_since >= this->options.lease_ttl;
+  if (this->step == Step::kLoading && gone) this->EndOrder(now, true);
+}
 
 void LoadOrder::FinishLoad(Instant now) {
   if (!this->engine->loading.IsZero()) return;
@@ -50,6 +56,8 @@
     this->EndOrder(now, too_late);
     return;
   }
+  // Only an idle check made after the gate has closed counts.
+  this->idle = false;
   this->step = Step::kDraining;
 }
 
@@ -124,12 +132,14 @@
     return;
   }
   if (this->step == Step::kDraining && this->idle) this->SendOrder(now);
+  const bool overdue =
+      this->step == Step::kLoading && now >= this->order_answered + this->options.longest_load;
+  if (overdue) this->GiveUpLease();
   this->Renew(now);
 }
 
 void LoadOrder::Acquire(Instant now) {
   this->step = Step::kAcquiring;
-  this->idle = false;
   this->call = LeaseCall{.id = this->next_call++, .started = now, .lease = this->SlotName()};
   this->actions.push_back(AcquireSlot{.call = this->call.id, .lease = this->call.lease});
 }
@@ -151,12 +161,16 @@
                                     .not_after = this->lease->usable_until});
 }
 
-void LoadOrder::EndOrder(Instant now, bool failed) {
+void LoadOrder::GiveUpLease() {
   if (this->lease) {
     this->actions.push_back(ReleaseSlot{.lease = this->lease->name, .fence = this->lease->fence});
   }
   this->lease.reset();
   this->call = {};
+}
+
+void LoadOrder::EndOrder(Instant now, bool failed) {
+  this->GiveUpLease();
   this->step = Step::kWaiting;
   if (failed) {
     this->Delay(now);
--- a/src/distribution/load_order.h
+++ b/src/distribution/load_order.h
@@ -105,6 +105,8 @@
   Duration lease_margin = std::chrono::seconds(1);
   Duration first_retry = std::chrono::milliseconds(250);
   Duration max_retry = std::chrono::seconds(5);
+  // A load that lasts longer gives its slot to other agents; the engine is watched on.
+  Duration longest_load = std::chrono::minutes(30);
 };
 
 // At most one order at a time: a further version waits until the engine has finished the last one.
@@ -159,6 +161,7 @@
   void FinishLoad(Instant now);
   // Ends the order; `failed` delays the next one.
   void EndOrder(Instant now, bool failed);
+  void GiveUpLease();
   void Delay(Instant now);
   std::string SlotName() const;
 
@@ -168,6 +171,7 @@
   OrderWanted wanted = {};
   Digest whole = {};
   std::optional<EngineReported> engine = {};
+  std::optional<Instant> silent_since = {};  // the engine has not answered since then
   Step step = Step::kWaiting;
   std::optional<Lease> lease = {};
   LeaseCall call = {};
--- a/src/distribution/load_order_test.cc
+++ b/src/distribution/load_order_test.cc
@@ -153,6 +153,37 @@
   EXPECT_TRUE(this->Take<OrderLoad>());
 }
 
+// Guards against an order after an idle check that was made while the gate still let requests in.
+TEST_F(LoadOrderTest, AnIdleCheckBeforeTheLeaseDoesNotCount) {
+  this->WantAndHold(kNew);
+  this->Give(OrderTick{.idle = true});
+  this->Grant();
+  EXPECT_FALSE(this->Take<OrderLoad>());
+  EXPECT_TRUE(this->order->BlocksServing());
+  this->Give(OrderTick{.idle = true});
+  EXPECT_TRUE(this->Take<OrderLoad>());
+}
+
+// Guards against an engine that died or hangs keeping a slot from the other agents for ever.
+TEST_F(LoadOrderTest, ASlotIsGivenUpForAnEngineThatDiedOrHangs) {
+  for (const bool dies : {true, false}) {
+    this->Restart();
+    this->engine = {};
+    const OrderLoad load = this->OrderUnderLease(kNew);
+    this->Give(LoadAnswered{.answer = this->engine.Receive(load, this->now)});
+    for (int i = 0; i < 20; ++i) {
+      this->Wait(seconds(1));
+      if (dies) this->Give(EngineSilent{});
+    }
+    if (!dies) this->Wait(std::chrono::minutes(30));
+    this->Give(OrderTick{});
+    if (!dies) this->Report();
+    EXPECT_EQ(this->order->BlocksServing(), !dies);
+    EXPECT_FALSE(this->Take<OrderLoad>());
+    this->actions.clear();
+  }
+}
+
 // Guards against an order by a process that was paused while it held the lease.
 TEST_F(LoadOrderTest, APausedHolderDoesNotOrder) {
   this->WantAndHold(kNew);
--- a/src/distribution/manifest_test.cc
+++ b/src/distribution/manifest_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "distribution/chunk_store.h"
+#include "distribution/weights_server.h"
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
@@ -128,5 +129,32 @@
   EXPECT_FALSE(store.Find(two->Id())->Holds(1));
 }
 
+// Guards against handing partial weights to the engine.
+TEST(WeightsServer, ServesWholeVersionsOnly) {
+  const std::string weights = "aaaabbbbcc";
+  ChunkStore store(0);
+  WeightsServer server;
+  const auto manifest = std::make_shared<const Manifest>(Describe(weights, 4));
+  HttpRequest request;
+  request.path = "/weights/" + manifest->Id().Hex();
+  store.Want(manifest);
+  store.Put(*VerifiedChunk::Verify(*manifest, 0, Chunk("aaaa")));
+  server.Publish(store.Copies());
+  EXPECT_EQ(server.ServeWeights(request).status, 404);
+  PutAll(store, *manifest, weights);
+  server.Publish(store.Copies());
+  const HttpReply reply = server.ServeWeights(request);
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.stream_length, weights.size());
+  std::string sent;
+  EXPECT_TRUE(reply.stream([&sent](std::span<const std::byte> part) {
+    sent += AsText(part);
+    return true;
+  }));
+  EXPECT_EQ(sent, weights);
+  request.path += "/manifest";
+  EXPECT_EQ(server.ServeManifest(request).body, manifest->Content());
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/distribution/spread_harness.h
+++ b/src/distribution/spread_harness.h
@@ -74,6 +74,7 @@
   std::vector<Agent> agents = {};
   bool origin_down = false;
   bool origin_changed = false;
+  bool probes_see_changes = true;
   Duration throttle_next = {};  // above 0: the next read is answered 429
   std::size_t control_messages = 0;
   std::shared_ptr<const Manifest> manifest = {};
--- a/src/distribution/weights_server.h
+++ b/src/distribution/weights_server.h
@@ -24,11 +24,13 @@
   // Serves exactly the whole versions among `copies` from now on. Streams in progress go on.
   void Publish(std::span<const WeightsCopy> copies);
 
- private:
-  std::shared_ptr<const WeightsCopy> Find(std::string_view hex) const;
+  // Replies for the two paths; status 404 when the version is not held whole.
   HttpReply ServeWeights(const HttpRequest& request) const;
   HttpReply ServeManifest(const HttpRequest& request) const;
 
+ private:
+  std::shared_ptr<const WeightsCopy> Find(std::string_view hex) const;
+
   mutable std::mutex mutex;
   std::map<Digest, std::shared_ptr<const WeightsCopy>> whole = {};
 };
