--- a/src/runtime/workers.cc
+++ b/src/runtime/workers.cc
@@ -1,7 +1,7 @@
 #include "runtime/workers.h"
 
-#include <condition_variable>
-#include <deque>
+#include <oneapi/tbb/concurrent_queue.h>
+
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -13,56 +13,39 @@
 struct Workers::Impl {
   EventLoop& loop;
   std::size_t max_threads;
-  std::mutex mutex = {};  // guards the fields below
-  std::condition_variable work_added = {};
-  std::condition_variable idle = {};
-  std::deque<std::function<void()>> queue = {};
+  // An empty function ends one thread.
+  oneapi::tbb::concurrent_bounded_queue<std::function<void()>> queue = {};
+  std::mutex mutex = {};  // guards `threads`
   std::vector<std::thread> threads = {};
-  std::size_t waiting = 0;  // threads without work
-  std::size_t running = 0;  // threads with work
-  bool stopping = false;
 
-  void Work() {
-    std::unique_lock lock(this->mutex);
+  void Serve() {
     while (true) {
-      ++this->waiting;
-      this->work_added.wait(lock, [this] { return this->stopping || !this->queue.empty(); });
-      --this->waiting;
-      if (this->queue.empty()) return;
-      const std::function<void()> work = std::move(this->queue.front());
-      this->queue.pop_front();
-      ++this->running;
-      lock.unlock();
+      std::function<void()> work;
+      this->queue.pop(work);
+      if (!work) return;
       work();
-      lock.lock();
-      --this->running;
-      if (this->running == 0 && this->queue.empty()) this->idle.notify_all();
     }
   }
+
+  void AddThread() {
+    const std::scoped_lock lock(this->mutex);
+    if (this->threads.size() >= this->max_threads) return;
+    this->threads.emplace_back([this] { this->Serve(); });
+  }
 };
 
 Workers::Workers(EventLoop& loop, int threads)
     : impl(new Impl{.loop = loop, .max_threads = static_cast<std::size_t>(threads)}) {}
 
 Workers::~Workers() {
-  {
-    std::unique_lock lock(this->impl->mutex);
-    this->impl->idle.wait(lock,
-                          [this] { return this->impl->running == 0 && this->impl->queue.empty(); });
-    this->impl->stopping = true;
-  }
-  this->impl->work_added.notify_all();
+  for (std::size_t i = 0; i < this->impl->threads.size(); ++i) this->impl->queue.push({});
   for (std::thread& thread : this->impl->threads) thread.join();
 }
 
 void Workers::Run(std::function<void()> work) {
-  Impl& self = *this->impl;
-  const std::scoped_lock lock(self.mutex);
-  self.queue.push_back(std::move(work));
-  if (self.queue.size() > self.waiting && self.threads.size() < self.max_threads) {
-    self.threads.emplace_back([&self] { self.Work(); });
-  }
-  self.work_added.notify_one();
+  this->impl->queue.push(std::move(work));
+  // The size counts threads that wait as negative: above zero, all threads are busy.
+  if (this->impl->queue.size() > 0) this->impl->AddThread();
 }
 
 void Workers::PostToLoop(std::function<void()> task) { this->impl->loop.Post(std::move(task)); }
