--- /dev/null
+++ b/src/routing/crash_registry_test.cc
@@ -0,0 +1,114 @@
+#include "routing/crash_registry.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <set>
+
+namespace savory {
+namespace {
+
+constexpr Instant kStart = Instant(std::chrono::hours(1));
+
+CrashSeen Crash(const std::string& request, const std::string& vm, std::uint64_t incarnation) {
+  return {{.fingerprint = Sha256(request), .vm = vm, .upstream_incarnation = incarnation}};
+}
+
+// Guards against a request that is refused after one crash, or after one crash that is reported
+// twice, and against the refusal of another request.
+TEST(CrashRegistryTest, TwoDistinctCrashesRefuseTheFingerprint) {
+  Random random(1);
+  CrashRegistry registry({}, random);
+  registry.Handle(Crash("bad", "vm-1", 1), kStart);
+  registry.Handle(Crash("bad", "vm-1", 1), kStart);
+  registry.Handle(Crash("other", "vm-1", 1), kStart);
+  EXPECT_FALSE(registry.IsRefused(Sha256("bad"), kStart));
+  registry.Handle(Crash("bad", "vm-1", 2), kStart);
+  EXPECT_TRUE(registry.IsRefused(Sha256("bad"), kStart));
+  EXPECT_FALSE(registry.IsRefused(Sha256("other"), kStart));
+  EXPECT_FALSE(registry.IsRefused(Sha256("unknown"), kStart));
+}
+
+// Guards against a refusal that ends early or never, and against records kept for good.
+TEST(CrashRegistryTest, TheRefusalEndsAfterTenMinutes) {
+  Random random(1);
+  CrashRegistry registry({}, random);
+  registry.Handle(Crash("bad", "vm-1", 1), kStart);
+  const Instant second = kStart + std::chrono::minutes(5);
+  registry.Handle(Crash("bad", "vm-2", 1), second);
+  const Instant end = second + std::chrono::minutes(10);
+  registry.Handle(CrashTick{}, end - Duration(1));
+  EXPECT_TRUE(registry.IsRefused(Sha256("bad"), end - Duration(1)));
+  EXPECT_FALSE(registry.IsRefused(Sha256("bad"), end));
+  registry.Handle(CrashTick{}, end);
+  EXPECT_EQ(registry.Fingerprints(), 0U);
+}
+
+// Guards against memory that grows with the number of crashing requests.
+TEST(CrashRegistryTest, MemoryIsBounded) {
+  Random random(1);
+  CrashRegistry registry({.max_fingerprints = 100}, random);
+  for (int i = 0; i < 1000; ++i) registry.Handle(Crash(std::to_string(i), "vm-1", 1), kStart);
+  EXPECT_EQ(registry.Fingerprints(), 100U);
+  registry.Handle(Crash("999", "vm-2", 1), kStart);
+  EXPECT_TRUE(registry.IsRefused(Sha256("999"), kStart));
+}
+
+// Guards against records that are forwarded more than once by a member, or beyond the hops.
+TEST(CrashRegistryTest, OnlyNewRecordsAreForwarded) {
+  Random random(1);
+  CrashRegistry registry({}, random);
+  registry.Handle(CrashMembers{.peers = {"p1", "p2", "p3", "p4", "p5", "p6"}}, kStart);
+  CrashSeen crash = Crash("bad", "vm-1", 1);
+  const auto actions = registry.Handle(crash, kStart);
+  std::set<std::string> peers;
+  for (const CrashAction& action : actions) {
+    const auto& forward = std::get<CrashForward>(action);
+    peers.insert(forward.peer);
+    EXPECT_EQ(forward.record.hops, 1U);
+  }
+  EXPECT_EQ(peers.size(), 4U);
+  EXPECT_TRUE(registry.Handle(crash, kStart).empty());
+  crash = Crash("bad", "vm-2", 1);
+  crash.record.hops = 6;
+  EXPECT_TRUE(registry.Handle(crash, kStart).empty());
+  EXPECT_TRUE(registry.IsRefused(Sha256("bad"), kStart));
+}
+
+// Guards against members that a record does not reach: one that arrives at a single entry must be
+// known at nearly all of 320 entries.
+TEST(CrashRegistryTest, RecordsReachTheFleet) {
+  constexpr std::size_t kMembers = 320;
+  Random random(1);
+  std::vector<std::unique_ptr<CrashRegistry>> fleet;
+  std::vector<std::string> peers;
+  for (std::size_t i = 0; i < kMembers; ++i) peers.push_back(std::to_string(i));
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    fleet.push_back(std::make_unique<CrashRegistry>(CrashRegistryOptions{}, random));
+    std::vector<std::string> others = peers;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+    fleet.back()->Handle(CrashMembers{.peers = others}, kStart);
+  }
+  std::deque<CrashForward> messages;
+  for (const char* vm : {"vm-1", "vm-2"}) {
+    messages.push_back({.peer = "0", .record = Crash("bad", vm, 1).record});
+  }
+  std::size_t sent = 0;
+  while (!messages.empty()) {
+    const CrashForward message = messages.front();
+    messages.pop_front();
+    ++sent;
+    CrashRegistry& member = *fleet[std::stoul(message.peer)];
+    for (const CrashAction& action : member.Handle(CrashSeen{message.record}, kStart)) {
+      messages.push_back(std::get<CrashForward>(action));
+    }
+  }
+  std::size_t refusing = 0;
+  for (const auto& member : fleet) refusing += member->IsRefused(Sha256("bad"), kStart) ? 1 : 0;
+  EXPECT_GE(refusing, kMembers * 9 / 10);
+  EXPECT_LE(sent, 2 * (4 * kMembers + 1));
+}
+
+}  // namespace
+}  // namespace savory
