--- /dev/null
+++ b/src/claims/claim_capacity_test.cc
@@ -0,0 +1,279 @@
+// Calls, latency and size of the claim protocol in virtual time, against a service with limited
+// rates. SAVORY_CLAIM_TABLE=1 prints the table of docs/decisions/claims.md.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <tuple>
+
+#include "claims/claim_test_util.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Of the platform's service, as the design page states them.
+constexpr double kWritesPerSecond = 300;
+constexpr double kReadsPerSecond = 2000;
+constexpr Duration kCallLatency = milliseconds(2);
+constexpr Duration kMaxServiceQueue = std::chrono::seconds(1);  // longer: the call is refused
+constexpr Duration kForwardLatency = milliseconds(2);           // one way, between entries
+
+struct Setup {
+  std::uint32_t entries = 1;
+  std::uint32_t shards = 64;
+  double claims_per_second = 10;
+  Duration batch_delay = milliseconds(5);
+  bool forwarded = false;  // the claims of a shard all go to one entry
+  Duration length = std::chrono::seconds(20);
+};
+
+struct Outcome {
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
+  double writes_per_second = 0;
+  double reads_per_second = 0;
+  double conflicts_per_second = 0;
+  double mean_ms = 0;
+  double p95_ms = 0;
+};
+
+class Simulation {
+ public:
+  explicit Simulation(Setup setup) : setup(setup) {
+    for (std::uint32_t i = 0; i < setup.entries; ++i) {
+      std::string prefix = std::to_string(i);
+      prefix.resize(ClaimShard::kNonceBytes / 2, '-');
+      this->batchers.push_back(std::make_unique<ClaimBatcher>(
+          ClaimBatcherOptions{
+              .shards = setup.shards, .batch_delay = setup.batch_delay, .nonce_prefix = prefix},
+          this->random));
+    }
+  }
+
+  Outcome Run() {
+    this->Schedule(this->now, [this] { this->Arrive(); });
+    const Instant end = this->now + this->setup.length;
+    while (this->now < end) this->Next();
+    return this->Result();
+  }
+
+ private:
+  struct Event {
+    Instant at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::tie(this->at, this->order) > std::tie(other.at, other.order);
+    }
+  };
+  struct Open {
+    Instant arrived;
+    Digest key;
+    std::size_t entry;
+  };
+
+  void Schedule(Instant at, std::function<void()> run) {
+    this->events.push({.at = at, .order = ++this->scheduled, .run = std::move(run)});
+  }
+
+  void Next() {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->now = event.at;
+    event.run();
+  }
+
+  void Arrive() {
+    const double gap = -std::log(1 - UniformUnit(this->random)) / this->setup.claims_per_second;
+    this->Schedule(this->now + FromSeconds(gap), [this] { this->Arrive(); });
+    const std::uint64_t id = ++this->last_id;
+    const wire::Claim claim = TestClaim(std::to_string(id), "request", "entry", id);
+    const Digest key = DigestFromRaw(claim.key());
+    std::size_t entry = UniformBelow(this->random, this->setup.entries);
+    Duration hop = {};
+    if (this->setup.forwarded) {
+      entry = ClaimBatcher::ShardOf(key, this->setup.shards) % this->setup.entries;
+      hop = kForwardLatency;
+    }
+    this->open.emplace(id, Open{.arrived = this->now, .key = key, .entry = entry});
+    const ClaimRequest request{
+        .id = id, .claim = claim, .deadline = this->now + std::chrono::seconds(2)};
+    this->Schedule(this->now + hop, [this, entry, request] { this->Handle(entry, request); });
+  }
+
+  void Handle(std::size_t entry, const ClaimEvent& event) {
+    ClaimBatcher& batcher = *this->batchers[entry];
+    for (ClaimAction& action : batcher.Handle(event, this->now, kTestUnixS)) {
+      std::visit([&](auto& typed) { this->Carry(entry, typed); }, action);
+    }
+    const Instant tick = batcher.NextTick();
+    if (tick == Instant::max()) return;
+    this->Schedule(std::max(tick, this->now), [this, entry, tick] {
+      if (this->batchers[entry]->NextTick() == tick) this->Handle(entry, ClaimTick{});
+    });
+  }
+
+  void Carry(std::size_t entry, ClaimRead& read) {
+    const Instant done = this->Serve(this->reads_free, kReadsPerSecond);
+    this->Schedule(done, [this, entry, read] { this->Handle(entry, this->kv.Read(read.shard)); });
+  }
+
+  void Carry(std::size_t entry, ClaimWrite& write) {
+    if (this->writes_free > this->now + kMaxServiceQueue) {
+      const ClaimWriteDone refused{.shard = write.shard, .result = ClaimWriteResult::kUnavailable};
+      this->Schedule(this->now + kCallLatency,
+                     [this, entry, refused] { this->Handle(entry, refused); });
+      return;
+    }
+    const Instant done = this->Serve(this->writes_free, kWritesPerSecond);
+    this->Schedule(done, [this, entry, write] { this->Handle(entry, this->kv.Write(write)); });
+  }
+
+  Instant Serve(Instant& free, double per_second) const {
+    free = std::max(free, this->now) + FromSeconds(1 / per_second);
+    return free + kCallLatency;
+  }
+
+  void Carry(std::size_t entry, ClaimReply& reply) {
+    const Open request = this->open.at(reply.id);
+    this->open.erase(reply.id);
+    if (!reply.answer) {
+      ++this->refused;
+      return;
+    }
+    const Duration hop = this->setup.forwarded ? kForwardLatency : Duration{};
+    this->latencies.push_back(ToSeconds(this->now + hop - request.arrived) * 1e3);
+    const ClaimFinish finish{.key = request.key,
+                             .nonce = std::get<ClaimGranted>(reply.answer.value()).nonce,
+                             .answer = {.status = 200, .record = false}};
+    this->Schedule(this->now + milliseconds(20),
+                   [this, entry, finish] { this->Handle(entry, finish); });
+  }
+
+  Outcome Result() {
+    const double seconds = ToSeconds(this->setup.length);
+    Outcome outcome{.granted = this->latencies.size(),
+                    .refused = this->refused,
+                    .writes_per_second = static_cast<double>(this->kv.writes) / seconds,
+                    .reads_per_second = static_cast<double>(this->kv.reads) / seconds,
+                    .conflicts_per_second = static_cast<double>(this->kv.conflicts) / seconds};
+    if (this->latencies.empty()) return outcome;
+    std::sort(this->latencies.begin(), this->latencies.end());
+    for (const double latency : this->latencies) outcome.mean_ms += latency;
+    outcome.mean_ms /= static_cast<double>(this->latencies.size());
+    outcome.p95_ms = this->latencies[this->latencies.size() * 95 / 100];
+    return outcome;
+  }
+
+  Setup setup;
+  Random random = Random(3);
+  FakeKv kv;
+  Instant now = Instant(std::chrono::hours(1));
+  Instant reads_free = {};
+  Instant writes_free = {};
+  std::vector<std::unique_ptr<ClaimBatcher>> batchers;
+  std::priority_queue<Event> events;
+  std::uint64_t scheduled = 0;
+  std::uint64_t last_id = 0;
+  std::map<std::uint64_t, Open> open;
+  std::vector<double> latencies;
+  std::uint64_t refused = 0;
+};
+
+Outcome Measure(const Setup& setup) {
+  const Outcome outcome = Simulation(setup).Run();
+  std::printf(
+      "%s E=%u S=%u R=%.0f/s delay=%lldms granted=%llu refused=%llu writes=%.0f/s "
+      "reads=%.0f/s conflicts=%.1f/s mean=%.1fms p95=%.1fms\n",
+      setup.forwarded ? "forwarded" : "direct", setup.entries, setup.shards,
+      setup.claims_per_second, static_cast<long long>(ToMillis(setup.batch_delay)),
+      static_cast<unsigned long long>(outcome.granted),
+      static_cast<unsigned long long>(outcome.refused), outcome.writes_per_second,
+      outcome.reads_per_second, outcome.conflicts_per_second, outcome.mean_ms, outcome.p95_ms);
+  return outcome;
+}
+
+// Guards against claims of one shard that each take a call: 200 claims/s in one shard of one entry
+// with a delay of 50 ms need at most one write for each delay and for each outcome delay.
+TEST(ClaimCapacityTest, ClaimsOfAShardShareWrites) {
+  const Outcome outcome =
+      Measure({.shards = 1, .claims_per_second = 200, .batch_delay = milliseconds(50)});
+  EXPECT_EQ(outcome.refused, 0U);
+  EXPECT_LE(outcome.writes_per_second, 20);
+}
+
+// Guards against competing entries that starve each other in one shard.
+TEST(ClaimCapacityTest, CompetingEntriesAllGetTheirClaims) {
+  const Outcome outcome = Measure({.entries = 8, .shards = 1, .claims_per_second = 20});
+  EXPECT_EQ(outcome.refused, 0U);
+}
+
+// Guards against stored claims that grow, since their size bounds the claims kept.
+TEST(ClaimCapacityTest, BytesForEachClaim) {
+  ClaimShard shard(ClaimShardLimits{});
+  std::size_t count = 0;
+  std::size_t unfinished = 0;
+  while (true) {
+    wire::Claim claim = TestClaim(std::to_string(count), "request", "entry-vm-17", count);
+    claim.set_nonce(std::string(ClaimShard::kNonceBytes, 'n'));
+    claim.set_claimed_unix_s(kTestUnixS);
+    const std::size_t before = shard.Bytes();
+    if (!shard.Add(claim)) break;
+    unfinished = shard.Bytes() - before;
+    shard.Finish(DigestFromRaw(claim.key()), claim.nonce(), {.status = 200, .record = false});
+    ++count;
+  }
+  const std::string bytes = shard.Encode();
+  const auto started = std::chrono::steady_clock::now();
+  const auto decoded = ClaimShard::Decode(bytes, ClaimShardLimits{});
+  const auto between = std::chrono::steady_clock::now();
+  EXPECT_EQ(decoded.value().Encode(), bytes);
+  const auto ended = std::chrono::steady_clock::now();
+  std::printf("unfinished=%zuB finished=%.1fB claims=%zu value=%zuB decode=%.2fms encode=%.2fms\n",
+              unfinished, static_cast<double>(bytes.size()) / static_cast<double>(count), count,
+              bytes.size(), std::chrono::duration<double, std::milli>(between - started).count(),
+              std::chrono::duration<double, std::milli>(ended - between).count());
+  EXPECT_LE(bytes.size() / count, 45U);
+}
+
+// The table of the decision page.
+TEST(ClaimCapacityTest, Table) {
+  if (std::getenv("SAVORY_CLAIM_TABLE") == nullptr) {
+    Measure({.entries = 2, .claims_per_second = 20, .length = std::chrono::seconds(2)});
+    return;
+  }
+  for (const int delay : {1, 5, 20, 50, 100, 200}) {
+    Measure({.shards = 1, .claims_per_second = 200, .batch_delay = milliseconds(delay)});
+  }
+  for (const std::uint32_t entries : {1, 2, 4, 8, 16, 32}) {
+    Measure({.entries = entries, .shards = 1, .claims_per_second = 40});
+  }
+  for (const std::uint32_t entries : {10, 20, 40, 80, 160, 320}) {
+    Measure({.entries = entries, .claims_per_second = entries * 270.0 / 320});
+  }
+  for (const bool forwarded : {false, true}) {
+    for (const int delay : {5, 50, 100, 200}) {
+      Measure({.entries = 320,
+               .claims_per_second = 270,
+               .batch_delay = milliseconds(delay),
+               .forwarded = forwarded});
+    }
+  }
+  for (const std::uint32_t shards : {16, 1536}) {
+    Measure({.entries = 320,
+             .shards = shards,
+             .claims_per_second = 270,
+             .batch_delay = milliseconds(100),
+             .forwarded = true});
+  }
+}
+
+}  // namespace
+}  // namespace savory
