--- a/src/apps/experiment_tables.cc
+++ b/src/apps/experiment_tables.cc
@@ -1,14 +1,596 @@
 #include "apps/experiment_tables.h"
 
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <csignal>
 #include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
 
+#include "apps/fleet.h"
+#include "apps/fleet_status.h"
+#include "apps/process_group.h"
 #include "base/command_line.h"
+#include "runtime/http_client.h"
+#include "runtime/kv_connection.h"
+#include "tables/table_edit_runner.h"
+#include "tables/table_keys.h"
 
 namespace savory {
+namespace {
 
-int RunTablesExperiment(int, const char* const*) {
-  std::cerr << "tables: not built yet\n";
-  return kExitUsage;
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+constexpr Duration kStatusTimeout = std::chrono::milliseconds(500);
+constexpr Duration kKvTimeout = std::chrono::seconds(1);
+constexpr Duration kInForceLimit = std::chrono::seconds(30);
+constexpr Duration kStartLimit = std::chrono::seconds(60);
+constexpr std::chrono::milliseconds kPollPause(20);
+constexpr int kPools = 8;
+constexpr std::size_t kDataCentres = 4;
+
+struct TablesOptions {
+  int entries = 4;
+  int agents = 12;
+  int edits = 20;
+  std::string fault = "none";
+  int base_port = 20'000;
+  std::string bin_directory = "build/bin";
+  int steady_seconds = 20;
+  int fault_seconds = 8;
+};
+
+const std::vector<std::string>& FaultNames() {
+  static const std::vector<std::string> names = {"none",          "kv-outage", "lost-reply",
+                                                 "two-operators", "partition", "paused-holder",
+                                                 "restart-wave"};
+  return names;
+}
+
+// An edit that was accepted.
+struct AcceptedEdit {
+  std::string id;
+  std::string pool;
+  std::string version;
+  std::uint64_t revision = 0;
+};
+
+// What the experiment counts.
+struct Findings {
+  std::vector<AcceptedEdit> accepted = {};
+  std::uint64_t not_written = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t reverts = 0;
+  std::vector<double> seconds_in_force = {};
+  std::vector<std::string> lagging = {};
+};
+
+// Control cost over a time without edits.
+struct SteadyCost {
+  double kv_calls_per_second = 0;
+  double bytes_per_node = 0;  // a second, sent and received
+  double cpu_percent_per_node = 0;
+};
+
+double Quantile(std::vector<double> values, double probability) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(probability * last + 0.5)];
+}
+
+std::string PoolName(int index) { return "pool-" + std::to_string(index); }
+
+wire::Pool MakePool(const std::string& name, const std::string& version) {
+  wire::Pool pool;
+  pool.set_name(name);
+  pool.set_service(name);
+  pool.set_version(version);
+  pool.set_max_loading(1);
+  return pool;
+}
+
+// Change that sets the version of `pool`, as `savoryrouterctl set-pool` makes it.
+TableEditOptions VersionEdit(const std::string& author, const std::string& pool,
+                             const std::string& version, Duration give_up_after) {
+  TableEditOptions options;
+  options.edit_id = MakeEditId();
+  options.author = author;
+  options.give_up_after = give_up_after;
+  options.change = [pool, version](const wire::Tables& base) -> Result<wire::Tables> {
+    wire::Tables wanted = base;
+    for (wire::Pool& row : *wanted.mutable_pools()) {
+      if (row.name() != pool) continue;
+      row.set_version(version);
+      return wanted;
+    }
+    *wanted.add_pools() = MakePool(pool, version);
+    return wanted;
+  };
+  return options;
+}
+
+// Sum of the series that start with `name` in the Prometheus text format.
+double SumSeries(const std::string& text, const std::string& name) {
+  double sum = 0;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with(name)) continue;
+    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+  }
+  return sum;
+}
+
+class TablesExperiment {
+ public:
+  explicit TablesExperiment(const TablesOptions& options)
+      : options(options), fleet(processes, MakeFleetOptions(options)) {
+    for (const auto* nodes : {&this->fleet.Entries(), &this->fleet.Agents()}) {
+      for (const FleetNode& node : *nodes) this->nodes.push_back(node);
+    }
+  }
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->Start());
+    BOOST_OUTCOME_TRY(this->MeasureSteady());
+    BOOST_OUTCOME_TRY(this->RunEdits());
+    BOOST_OUTCOME_TRY(this->CheckHistory());
+    return success();
+  }
+
+  void Print() const {
+    double slowest = 0;
+    for (const double seconds : this->findings.seconds_in_force) {
+      slowest = std::max(slowest, seconds);
+    }
+    const ordered_json json = {
+        {"experiment", "tables"},
+        {"fault", this->options.fault},
+        {"processes", this->nodes.size()},
+        {"edits_accepted", this->findings.accepted.size()},
+        {"edits_not_written", this->findings.not_written},
+        {"edits_in_conflict", this->findings.conflicts},
+        {"edits_unknown", this->findings.unknown},
+        {"edits_lost", this->findings.lost},
+        {"reverts_seen", this->findings.reverts},
+        {"seconds_in_force_p50", Quantile(this->findings.seconds_in_force, 0.5)},
+        {"seconds_in_force_max", slowest},
+        {"kv_calls_per_second_steady", this->steady.kv_calls_per_second},
+        {"kv_calls_per_second_peak", this->peak_calls},
+        {"control_bytes_per_node_per_second", this->steady.bytes_per_node},
+        {"control_cpu_percent_per_node", this->steady.cpu_percent_per_node},
+        {"stale_orders_accepted", this->stale_orders},
+        {"lagging", this->findings.lagging}};
+    std::cout << json.dump() << std::endl;
+  }
+
+ private:
+  static FleetOptions MakeFleetOptions(const TablesOptions& options) {
+    FleetOptions fleet;
+    fleet.bin_directory = options.bin_directory;
+    fleet.base_port = options.base_port;
+    fleet.log_level = "warn";
+    std::size_t number = 0;
+    const auto place = [&number] {
+      const std::string region = number % kDataCentres < kDataCentres / 2 ? "north" : "south";
+      return FleetPlace{.region = region,
+                        .data_centre = region + "-" + std::to_string(number++ % kDataCentres)};
+    };
+    for (int i = 0; i < options.entries; ++i) fleet.entries.push_back({.place = place()});
+    for (int i = 0; i < options.agents; ++i) {
+      fleet.agents.push_back({.service = PoolName(i % kPools), .engine = false, .place = place()});
+    }
+    return fleet;
+  }
+
+  // The agents' upstreams are not started: the tables do not need them.
+  Result<void> Start() {
+    BOOST_OUTCOME_TRY(this->fleet.StartPlatform());
+    KvConnection kv(this->fleet.Kv(), kKvTimeout);
+    for (int i = 0; i < kPools; ++i) {
+      BOOST_OUTCOME_TRY(RunTableEdit(kv, VersionEdit("start", PoolName(i), "start", kStartLimit)));
+    }
+    for (const FleetNode& node : this->nodes) {
+      BOOST_OUTCOME_TRY(this->fleet.StartNode(node));
+    }
+    for (const FleetNode& node : this->nodes) {
+      BOOST_OUTCOME_TRY(this->fleet.WaitForNode(node, kStartLimit));
+    }
+    return this->WaitForMembers();
+  }
+
+  // Until every process knows every other one.
+  Result<void> WaitForMembers() {
+    const Instant deadline = MonotonicClock::now() + kStartLimit;
+    while (MonotonicClock::now() < deadline) {
+      const auto statuses = this->ReadStatuses(this->nodes);
+      const bool complete =
+          std::all_of(statuses.begin(), statuses.end(), [this](const NodeStatus& status) {
+            return status.answered && status.members == this->nodes.size() &&
+                   status.tables_revision > 0;
+          });
+      if (complete) return success();
+      std::this_thread::sleep_for(kPollPause * 10);
+    }
+    return Error{.kind = ErrorKind::kTimeout, .detail = "the member lists did not become complete"};
+  }
+
+  // Reads the status of `from` and counts revisions that went down.
+  std::vector<NodeStatus> ReadStatuses(const std::vector<FleetNode>& from) {
+    std::vector<std::string> addresses;
+    for (const FleetNode& node : from) addresses.push_back(node.operator_address);
+    auto statuses = ReadFleetStatus(addresses, kStatusTimeout);
+    for (const NodeStatus& status : statuses) {
+      if (!status.answered) continue;
+      std::uint64_t& last = this->last_revision[status.vm];
+      if (status.tables_revision < last) ++this->findings.reverts;
+      last = std::max(last, status.tables_revision);
+    }
+    return statuses;
+  }
+
+  // ---- steady cost ----
+
+  Result<double> ControlBytes() const {
+    double sum = 0;
+    for (const FleetNode& node : this->nodes) {
+      HttpClient client(node.operator_address);
+      BOOST_OUTCOME_TRY(answer, client.Call({.target = "/metrics"}));
+      sum += SumSeries(answer.body, R"(savory_peer_bytes{lane="control")");
+    }
+    return sum;
+  }
+
+  double CpuSeconds() {
+    double sum = 0;
+    for (const FleetNode& node : this->nodes) {
+      if (const auto usage = this->processes.Usage(node.vm)) sum += usage->processor_seconds;
+    }
+    return sum;
+  }
+
+  Result<double> KvCalls() const {
+    BOOST_OUTCOME_TRY(stats, this->fleet.KvStats());
+    return stats.value("total", 0.0) + stats.value("refused", 0.0);
+  }
+
+  Result<void> MeasureSteady() {
+    // Long polls of processes that watched before their member list was complete come to an end.
+    std::this_thread::sleep_for(std::chrono::seconds(12));
+    BOOST_OUTCOME_TRY(calls_before, this->KvCalls());
+    BOOST_OUTCOME_TRY(bytes_before, this->ControlBytes());
+    const double cpu_before = this->CpuSeconds();
+    const Instant begin = MonotonicClock::now();
+    std::this_thread::sleep_for(std::chrono::seconds(this->options.steady_seconds));
+    const double cpu = this->CpuSeconds() - cpu_before;
+    const double seconds = ToSeconds(MonotonicClock::now() - begin);
+    BOOST_OUTCOME_TRY(calls, this->KvCalls());
+    BOOST_OUTCOME_TRY(bytes, this->ControlBytes());
+    const double node_seconds = seconds * static_cast<double>(this->nodes.size());
+    this->steady = {.kv_calls_per_second = (calls - calls_before) / seconds,
+                    .bytes_per_node = (bytes - bytes_before) / node_seconds,
+                    .cpu_percent_per_node = 100 * cpu / node_seconds};
+    return success();
+  }
+
+  // ---- edits ----
+
+  Result<void> RunEdits() {
+    const std::string& fault = this->options.fault;
+    Result<void> result = success();
+    if (fault == "none") result = this->RunPlain(this->options.edits);
+    if (fault == "lost-reply") result = this->RunLostReplies();
+    if (fault == "two-operators") result = this->RunTwoOperators();
+    if (fault == "kv-outage") result = this->RunOutage();
+    if (fault == "partition") result = this->RunPausedRegion();
+    if (fault == "paused-holder") result = this->RunPausedWatchers();
+    if (fault == "restart-wave") result = this->RunRestartWave();
+    BOOST_OUTCOME_TRY(result);
+    BOOST_OUTCOME_TRY(stats, this->fleet.KvStats());
+    this->peak_calls = std::max(this->peak_calls, stats.value("calls_per_second_peak", 0.0));
+    return success();
+  }
+
+  // One edit; returns its revision, or nullopt when it was not accepted.
+  std::optional<std::uint64_t> Edit(const std::string& author, int pool,
+                                    Duration give_up_after = std::chrono::seconds(10)) {
+    KvConnection kv(this->fleet.Kv(), kKvTimeout);
+    const std::string version = author + "-" + std::to_string(++this->edit_count);
+    TableEditOptions edit = VersionEdit(author, PoolName(pool), version, give_up_after);
+    const std::string id = edit.edit_id;
+    const auto outcome = RunTableEdit(kv, std::move(edit));
+    const std::lock_guard lock(this->mutex);
+    if (outcome) {
+      this->findings.accepted.push_back({.id = id,
+                                         .pool = PoolName(pool),
+                                         .version = version,
+                                         .revision = outcome.value().revision});
+      return outcome.value().revision;
+    }
+    const ErrorKind kind = outcome.error().kind;
+    if (kind == ErrorKind::kEditConflict) ++this->findings.conflicts;
+    if (kind == ErrorKind::kWriteOutcomeUnknown) ++this->findings.unknown;
+    if (kind == ErrorKind::kUnavailable) ++this->findings.not_written;
+    return std::nullopt;
+  }
+
+  // Waits until `revision` is in force at `where`; records the time since `since`.
+  void WaitInForce(std::uint64_t revision, Instant since, const std::vector<FleetNode>& where) {
+    std::vector<FleetNode> waiting = where;
+    while (true) {
+      const auto statuses = this->ReadStatuses(waiting);
+      std::vector<FleetNode> behind;
+      for (std::size_t i = 0; i < statuses.size(); ++i) {
+        if (statuses[i].tables_revision < revision) behind.push_back(waiting[i]);
+      }
+      const Duration elapsed = MonotonicClock::now() - since;
+      if (behind.empty() || elapsed > kInForceLimit) {
+        this->findings.seconds_in_force.push_back(ToSeconds(elapsed));
+        for (const FleetNode& node : behind) this->findings.lagging.push_back(node.vm);
+        return;
+      }
+      waiting = std::move(behind);
+      std::this_thread::sleep_for(kPollPause);
+    }
+  }
+
+  Result<void> RunPlain(int edits) {
+    for (int i = 0; i < edits; ++i) {
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
+    }
+    return success();
+  }
+
+  Result<void> RunLostReplies() {
+    for (int i = 0; i < this->options.edits; ++i) {
+      BOOST_OUTCOME_TRY(this->fleet.SetKvFault(
+          {{"lose_replies", 1 + i % 2}, {"lose_silently", i % 4 == 3}, {"key_prefix", "tables"}}));
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
+    }
+    return success();
+  }
+
+  // Both edit at the same moment; every third time the same row.
+  Result<void> RunTwoOperators() {
+    for (int i = 0; i < this->options.edits; ++i) {
+      std::optional<std::uint64_t> other;
+      std::thread second(
+          [&] { other = this->Edit("bilal", i % 3 == 0 ? i % kPools : (i + 1) % kPools); });
+      const auto own = this->Edit("anu", i % kPools);
+      second.join();
+      const std::uint64_t latest = std::max(own.value_or(0), other.value_or(0));
+      if (latest > 0) this->WaitInForce(latest, MonotonicClock::now(), this->nodes);
+    }
+    return success();
+  }
+
+  // Rounds of an outage, every second one silent. In each, an edit is tried in vain and one process
+  // is replaced; the first edit after the outage is measured from the end of the outage.
+  Result<void> RunOutage() {
+    const int rounds = std::max(2, this->options.edits / 5);
+    for (int i = 0; i < rounds; ++i) {
+      BOOST_OUTCOME_TRY(this->fleet.SetKvFault({{"outage", true}, {"outage_silent", i % 2 == 1}}));
+      const Instant begin = MonotonicClock::now();
+      (void)this->Edit("anu", i % kPools, std::chrono::seconds(2));
+      const FleetNode& replaced = this->nodes[static_cast<std::size_t>(i) % this->nodes.size()];
+      BOOST_OUTCOME_TRY(this->Restart(replaced, SIGKILL));
+      this->WaitInForce(this->Latest(), MonotonicClock::now(), {replaced});
+      std::this_thread::sleep_until(begin + std::chrono::seconds(this->options.fault_seconds));
+      BOOST_OUTCOME_TRY(this->fleet.SetKvFault({{"outage", false}}));
+      const Instant end = MonotonicClock::now();
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, end, this->nodes);
+    }
+    return success();
+  }
+
+  std::uint64_t Latest() const {
+    std::uint64_t latest = kPools;  // the rows made at the start
+    for (const AcceptedEdit& edit : this->findings.accepted) {
+      latest = std::max(latest, edit.revision);
+    }
+    return latest;
+  }
+
+  void SignalAll(const std::vector<FleetNode>& where, int signal) {
+    for (const FleetNode& node : where) this->processes.Signal(node.vm, signal);
+  }
+
+  // Loopback has no link between regions to cut: all processes of one region are paused instead,
+  // long enough to be declared dead.
+  Result<void> RunPausedRegion() {
+    std::vector<FleetNode> north;
+    std::vector<FleetNode> south;
+    for (const FleetNode& node : this->nodes) {
+      (node.place.region == "north" ? north : south).push_back(node);
+    }
+    const int rounds = std::max(2, this->options.edits / 10);
+    for (int i = 0; i < rounds; ++i) {
+      this->SignalAll(south, SIGSTOP);
+      const Instant begin = MonotonicClock::now();
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, begin, north);
+      std::this_thread::sleep_until(begin + std::chrono::seconds(2 * this->options.fault_seconds));
+      this->SignalAll(south, SIGCONT);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
+      BOOST_OUTCOME_TRY(this->WaitForMembers());
+    }
+    return success();
+  }
+
+  // The watchers of the first data centre are paused; one is woken after others have taken over and
+  // holds an old revision then.
+  Result<void> RunPausedWatchers() {
+    const int rounds = std::max(2, this->options.edits / 10);
+    for (int i = 0; i < rounds; ++i) {
+      const std::vector<FleetNode> watchers = this->Watchers();
+      if (watchers.empty()) {
+        return Error{.kind = ErrorKind::kNotFound, .detail = "no process watches the tables"};
+      }
+      std::vector<FleetNode> others;
+      for (const FleetNode& node : this->nodes) {
+        const bool paused =
+            std::any_of(watchers.begin(), watchers.end(),
+                        [&node](const FleetNode& watcher) { return watcher.vm == node.vm; });
+        if (!paused) others.push_back(node);
+      }
+      this->SignalAll(watchers, SIGSTOP);
+      const Instant begin = MonotonicClock::now();
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), others);
+      std::this_thread::sleep_until(begin + std::chrono::seconds(2 * this->options.fault_seconds));
+      this->SignalAll(watchers, SIGCONT);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
+      BOOST_OUTCOME_TRY(this->WaitForMembers());
+    }
+    return success();
+  }
+
+  // Watchers of the data centre of the first process.
+  std::vector<FleetNode> Watchers() const {
+    std::vector<FleetNode> watchers;
+    for (const FleetNode& node : this->nodes) {
+      if (node.place.data_centre != this->nodes.front().place.data_centre) continue;
+      HttpClient client(node.operator_address);
+      const auto answer = client.Call({.target = "/metrics"});
+      if (!answer) continue;
+      if (SumSeries(answer.value().body, "savory_tables_watcher") > 0) watchers.push_back(node);
+    }
+    return watchers;
+  }
+
+  Result<void> Restart(const FleetNode& node, int signal) {
+    this->processes.Signal(node.vm, signal);
+    BOOST_OUTCOME_TRY(this->processes.WaitForEnd(node.vm, std::chrono::seconds(10)));
+    this->last_revision.erase(node.vm);
+    return this->fleet.StartNode(node);
+  }
+
+  // Every second process is replaced at once while edits go on.
+  Result<void> RunRestartWave() {
+    const int rounds = std::max(2, this->options.edits / 10);
+    for (int i = 0; i < rounds; ++i) {
+      std::vector<FleetNode> wave;
+      for (std::size_t n = static_cast<std::size_t>(i) % 2; n < this->nodes.size(); n += 2) {
+        wave.push_back(this->nodes[n]);
+      }
+      this->SignalAll(wave, SIGKILL);
+      for (const FleetNode& node : wave) {
+        BOOST_OUTCOME_TRY(this->Restart(node, SIGKILL));
+      }
+      const auto revision = this->Edit("anu", i % kPools);
+      if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
+      BOOST_OUTCOME_TRY(this->RunPlain(3));
+      BOOST_OUTCOME_TRY(this->WaitForMembers());
+    }
+    return success();
+  }
+
+  // ---- afterwards ----
+
+  // Each accepted edit is the content of its revision, and the last one of each row is in force.
+  Result<void> CheckHistory() {
+    KvConnection kv(this->fleet.Kv(), kKvTimeout);
+    BOOST_OUTCOME_TRY(current, ReadCurrentTables(kv));
+    std::map<std::string, AcceptedEdit> last;
+    for (const AcceptedEdit& edit : this->findings.accepted) {
+      BOOST_OUTCOME_TRY(tables, ReadTablesRevision(kv, edit.revision));
+      const bool kept = tables.edit_id() == edit.id && HasVersion(tables, edit);
+      if (!kept) ++this->findings.lost;
+      AcceptedEdit& latest = last[edit.pool];
+      if (edit.revision > latest.revision) latest = edit;
+    }
+    for (const auto& [pool, edit] : last) {
+      // A write of unknown outcome may have followed.
+      if (this->findings.unknown == 0 && !HasVersion(current, edit)) ++this->findings.lost;
+    }
+    return success();
+  }
+
+  static bool HasVersion(const wire::Tables& tables, const AcceptedEdit& edit) {
+    return std::any_of(tables.pools().begin(), tables.pools().end(), [&](const wire::Pool& pool) {
+      return pool.name() == edit.pool && pool.version() == edit.version;
+    });
+  }
+
+  TablesOptions options;
+  ProcessGroup processes;
+  Fleet fleet;
+  std::vector<FleetNode> nodes;
+  std::mutex mutex;  // guards findings.accepted and the counts of edits
+  std::atomic<int> edit_count = 0;
+  Findings findings;
+  SteadyCost steady;
+  double peak_calls = 0;
+  std::uint64_t stale_orders = 0;
+  std::map<std::string, std::uint64_t> last_revision;
+};
+
+// nullopt after --help. Errors: kInvalidSettings.
+Result<std::optional<TablesOptions>> ParseOptions(int argc, const char* const* argv) {
+  namespace po = boost::program_options;
+  TablesOptions options;
+  bool json_only = false;
+  po::options_description shown("Options");
+  const auto add = [&shown](const char* name, auto& target, const char* help) {
+    shown.add_options()(name, po::value(&target)->default_value(target), help);
+  };
+  add("entries", options.entries, "entry processes");
+  add("agents", options.agents, "agent processes");
+  add("edits", options.edits, "edits, or tenths of it as rounds of a fault");
+  add("fault", options.fault,
+      "none, kv-outage, lost-reply, two-operators, partition, paused-holder or restart-wave");
+  add("base-port", options.base_port, "first TCP port");
+  add("bin-dir", options.bin_directory, "directory of the binaries");
+  add("steady-seconds", options.steady_seconds, "time over which the steady cost is measured");
+  add("fault-seconds", options.fault_seconds, "length of an outage; pauses last twice as long");
+  shown.add_options()("json", po::bool_switch(&json_only), "the output is JSON in any case")(
+      "help", "print this help");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, shown), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    return Error{.kind = ErrorKind::kInvalidSettings, .detail = error.what()};
+  }
+  if (values.contains("help")) {
+    std::cout << shown;
+    return std::optional<TablesOptions>();
+  }
+  const auto& faults = FaultNames();
+  if (std::find(faults.begin(), faults.end(), options.fault) == faults.end()) {
+    return Error{.kind = ErrorKind::kInvalidSettings, .detail = "unknown fault " + options.fault};
+  }
+  if (options.entries + options.agents < 1 || options.entries < 0 || options.agents < 0) {
+    return Error{.kind = ErrorKind::kInvalidSettings, .detail = "at least one process is needed"};
+  }
+  return std::optional(options);
+}
+
+}  // namespace
+
+int RunTablesExperiment(int argc, const char* const* argv) {
+  const auto options = ParseOptions(argc, argv);
+  if (!options) {
+    std::cerr << "tables: " << options.error().detail << '\n';
+    return kExitUsage;
+  }
+  if (!options.value()) return 0;
+  TablesExperiment experiment(*options.value());
+  const auto result = experiment.Run();
+  if (!result) {
+    std::cerr << "tables: " << Describe(result.error()) << '\n';
+    return 1;
+  }
+  experiment.Print();
+  return 0;
 }
 
 }  // namespace savory
