--- a/src/apps/process_group_test.cc
+++ b/src/apps/process_group_test.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <filesystem>
 
 namespace savory {
@@ -54,8 +55,8 @@
     const pid_t parent = fork();
     if (parent == 0) {
       ProcessGroup group;
-      const bool started = group.Start("child", {"/bin/sh", "-c", "echo $$; exec sleep 100"});
-      const pid_t child = started ? PidOf(group, "child") : 0;
+      const auto started = group.Start("child", {"/bin/sh", "-c", "echo $$; exec sleep 100"});
+      const pid_t child = started.has_value() ? PidOf(group, "child") : 0;
       if (write(pipe_ends[1], &child, sizeof(child)) != sizeof(child)) _exit(1);
       while (true) pause();
     }
