--- a/src/apps/experiment_costs.cc
+++ b/src/apps/experiment_costs.cc
@@ -1,7 +1,5 @@
 #include "apps/experiment_costs.h"
 
-#include <time.h>
-
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -11,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "apps/core_costs.h"
 #include "base/digest.h"
 #include "base/metrics.h"
 #include "base/time.h"
@@ -33,13 +32,6 @@
 constexpr int kConnections = 64;
 constexpr std::size_t kPageBytes = 4096;
 
-// Processor time of this process.
-double ProcessSeconds() {
-  timespec spent = {};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
-  return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
-}
-
 // Resident memory of this process, in bytes.
 std::size_t ResidentBytes() {
   std::ifstream file("/proc/self/statm");
@@ -189,6 +181,7 @@
   MeasurePing(result, port);
   MeasureChunk(result, port + 2);
   MeasureConnections(result, port + 4);
+  result["cores"] = MeasureCoreCosts();
   std::cout << result.dump() << '\n';
   return 0;
 }
