--- a/src/apps/demo_main.cc
+++ b/src/apps/demo_main.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <mutex>
 #include <sstream>
 #include <thread>
@@ -55,6 +56,7 @@
   int refused = 0;  // "not run" or refused by a limit
   int wrong = 0;
   double slowest_ms = 0;
+  std::map<std::string, int> refusals = {};  // by the body of the answer
 };
 
 // Expected content of an answer.
@@ -85,8 +87,9 @@
 // Callers that send requests to the entries until Stop().
 class Callers {
  public:
-  Callers(const Fleet& fleet, std::vector<std::string> weights)
-      : fleet(fleet), weights(std::move(weights)) {
+  // `series`: makes the keys and tokens of these callers different from those of others.
+  Callers(const Fleet& fleet, std::string series, std::vector<std::string> weights)
+      : fleet(fleet), series(std::move(series)), weights(std::move(weights)) {
     for (int i = 0; i < kChatCallers; ++i) {
       this->threads.emplace_back([this, i] { this->Chat(i); });
     }
@@ -114,9 +117,9 @@
   void Chat(int caller) {
     for (int i = 0; !this->stopping; ++i) {
       HttpClient client(this->EntryFor(caller + i));
-      const Expectation expected = {
-          .token = "caller" + std::to_string(caller) + "-" + std::to_string(this->next++),
-          .weights = this->weights};
+      const Expectation expected = {.token = this->series + "-caller" + std::to_string(caller) +
+                                             "-" + std::to_string(this->next++),
+                                    .weights = this->weights};
       const json body = {
           {"prompt", "hello"}, {"token", expected.token}, {"parts", kParts}, {"part_ms", 10}};
       const Instant start = MonotonicClock::now();
@@ -134,7 +137,7 @@
   void Book() {
     for (int i = 0; !this->stopping; ++i) {
       HttpClient client(this->EntryFor(i));
-      const std::string key = "booking-" + std::to_string(this->next++);
+      const std::string key = this->series + "-booking-" + std::to_string(this->next++);
       const Instant start = MonotonicClock::now();
       const auto answer = client.Call({.method = "POST",
                                        .target = "/bookings/new",
@@ -157,6 +160,7 @@
     this->counts.slowest_ms = std::max(this->counts.slowest_ms, ToSeconds(taken) * 1e3);
     if (answer && answer.value().status != 200 && IsCertainRefusal(answer.value())) {
       ++this->counts.refused;
+      ++this->counts.refusals[answer.value().body];
       return;
     }
     std::string fault = answer ? "" : Describe(answer.error());
@@ -172,6 +176,7 @@
   }
 
   const Fleet& fleet;
+  std::string series;
   std::vector<std::string> weights;
   std::atomic<bool> stopping = false;
   std::atomic<int> next = 0;
@@ -364,7 +369,7 @@
   // Sends requests while `work` runs, and for two seconds at least.
   template <typename Work>
   void Serve(const std::string& phase, std::vector<std::string> weights, Work work) {
-    Callers callers(this->fleet, std::move(weights));
+    Callers callers(this->fleet, "phase" + std::to_string(++this->phases), std::move(weights));
     const Instant end = MonotonicClock::now() + std::chrono::seconds(2);
     const Result<void> result = work();
     std::this_thread::sleep_until(end);
@@ -372,6 +377,9 @@
     std::cout << "requests " << phase << ": " << counts.answered << " answered, " << counts.refused
               << " refused as not run, " << counts.wrong << " wrong, slowest " << std::fixed
               << std::setprecision(0) << counts.slowest_ms << " ms\n";
+    for (const auto& [body, count] : counts.refusals) {
+      std::cout << "  refused " << count << " times: " << body << '\n';
+    }
     if (!result) this->wrong.push_back(phase + ": " + Describe(result.error()));
     if (counts.wrong > 0) this->wrong.push_back(phase + ": wrong answers");
     if (counts.answered == 0) this->wrong.push_back(phase + ": no answers");
@@ -430,6 +438,7 @@
   std::uint64_t second_bytes = 0;
   std::uint64_t origin_bytes = 0;
   std::uint64_t bookings = 0;
+  int phases = 0;
   std::vector<std::string> wrong;  // what failed
 };
 
