--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -22,6 +22,8 @@
 
 constexpr Duration kSettleTime = std::chrono::seconds(3);
 constexpr int kOverloadRunning = 4;  // attempts at each service at the same time, under overload
+constexpr double kStreamSeconds = 10;
+constexpr int kSpareRunning = 64;  // attempts beside the streams at each service
 constexpr Duration kFreeze = std::chrono::seconds(4);
 // A load balancer looks at /readyz this often.
 constexpr Duration kHealthPeriod = std::chrono::milliseconds(500);
@@ -103,6 +105,20 @@
                 .base_port = options.base_port,
                 .entries = options.entries,
                 .agents = options.agents};
+  if (options.streams > 0) {
+    const double length = std::min(kStreamSeconds, options.seconds);
+    // A part every 250 ms; ended streams are replaced, so that the number stays open.
+    plan.sources.push_back({.account = "kochi-8",
+                            .rate = options.streams / length,
+                            .callers = options.streams,
+                            .stream_parts = static_cast<int>(length * 4),
+                            .part_ms = 250});
+    const int per_agent = options.streams / options.agents + kSpareRunning;
+    plan.fleet.max_running = std::max(plan.fleet.max_running, per_agent);
+  }
+  if (options.fault == "poison") {
+    plan.sources.push_back({.account = "kochi-9", .rate = 2, .callers = 16, .poison = true});
+  }
   if (options.fault != "overload") {
     plan.sources.push_back({.account = "kochi-7",
                             .rate = options.rate,
@@ -262,7 +278,12 @@
   int false_not_run = 0;
   int cut_off = 0;
   int repeat_not_run_after_run = 0;
+  int poison_refused = 0;
   for (const ToldRequest& request : this->load.Told()) {
+    if (request.poison) {
+      poison_refused += request.kind == "request-crashes-upstream" ? 1 : 0;
+      continue;
+    }
     ++outcomes[request.outcome];
     if (!request.kind.empty()) ++kinds[request.kind];
     const int count = runs_of(request.key);
@@ -278,6 +299,7 @@
     ++sent;
     if (request.outcome != ToldOutcome::kAnswered) continue;
     ++answered;
+    if (request.stream_parts > 0) continue;
     (request.keyed ? claimed : routed).push_back(request.millis);
   }
   const std::vector<double>& direct = this->load.Direct();
@@ -294,6 +316,8 @@
           {"double_runs", double_runs},
           {"false_not_run", false_not_run},
           {"repeat_not_run_after_run", repeat_not_run_after_run},
+          {"poison_refused", poison_refused},
+          {"poison_runs", runs_of("poison")},
           {"cut_off_by_planned_stop", cut_off},
           {"attempts_per_request", sent == 0 ? 0 : attempts / sent},
           {"added_ms_p50", QuantileOf(routed, 0.5) - QuantileOf(direct, 0.5)},
--- a/src/apps/request_fleet.cc
+++ b/src/apps/request_fleet.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kStartTimeout = std::chrono::seconds(15);
+constexpr int kSpareWorkers = 32;  // of an agent, beside its attempts
 constexpr Duration kCallTimeout = std::chrono::seconds(5);
 
 std::string Get(const std::string& address, const std::string& target) {
@@ -52,8 +53,9 @@
   BOOST_OUTCOME_TRYV(kv.CompareAndSwap(kTablesKey, tables.SerializeAsString(), 0));
   for (int i = 0; i < this->options.agents; ++i) {
     BOOST_OUTCOME_TRYV(this->processes.Start(
-        this->ServiceName(i), {this->Binary("standin-service"), "--listen", this->Service(i),
-                               "--latency-ms", std::to_string(this->options.latency_ms)}));
+        this->ServiceName(i),
+        {this->Binary("standin-service"), "--listen", this->Service(i), "--latency-ms",
+         std::to_string(this->options.latency_ms), "--crash-word", "poison"}));
     BOOST_OUTCOME_TRYV(
         this->processes.WaitUntilHealthy(this->Service(i), "/counts", kStartTimeout));
   }
@@ -87,6 +89,7 @@
   const std::string name = AgentName(index);
   std::ostringstream text;
   text << this->CommonConfig(name) << "upstream: {service: bookings}\n"
+       << "workers: " << this->options.max_running + kSpareWorkers << "\n"
        << "listen: {peer: \"" << this->AgentPeer(index) << "\", operator: \""
        << this->AgentOperator(index) << "\"}\n"
        << "gate: {upstream: \"" << this->Service(index)
--- a/src/apps/request_load.cc
+++ b/src/apps/request_load.cc
@@ -29,11 +29,26 @@
                    .headers = {{"X-Account", request.account}},
                    .body = request.key,
                    .read_timeout = kCallerTimeout};
+  if (request.poison) {
+    call.target = "/read?k=poison";
+    call.body = "poison";
+  }
+  if (request.stream_parts > 0) {
+    call.target += "&parts=" + std::to_string(request.stream_parts) +
+                   "&part_ms=" + std::to_string(request.part_ms);
+  }
   if (request.keyed) call.headers.emplace("Idempotency-Key", request.key);
   return call;
 }
 
 bool IsAnswerTo(const ToldRequest& request, const HttpAnswer& answer) {
+  if (request.stream_parts > 0) {
+    std::string expected;
+    for (int i = 0; i < request.stream_parts; ++i) {
+      expected += request.key + " " + std::to_string(i) + "\n";
+    }
+    return answer.status == 200 && answer.body == expected;
+  }
   const auto body = nlohmann::json::parse(answer.body, nullptr, false);
   return answer.status == 200 && body.is_object() && body.value("key", "") == request.key &&
          body.value("body", "") == request.key &&
@@ -73,7 +88,10 @@
     const double spread = number * 0.6180339887 - static_cast<int>(number * 0.6180339887);
     ToldRequest request = {
         .key = source.account + "-" + std::to_string(source_index) + "-" + std::to_string(number),
-        .account = source.account};
+        .account = source.account,
+        .poison = source.poison,
+        .stream_parts = source.stream_parts,
+        .part_ms = source.part_ms};
     request.non_idempotent = spread < source.non_idempotent;
     request.keyed = spread < source.non_idempotent * source.keyed;
     request = this->Send(std::move(request), clients);
--- a/src/apps/request_load.h
+++ b/src/apps/request_load.h
@@ -22,6 +22,9 @@
   double non_idempotent = 0;  // share of the requests
   double keyed = 0.5;         // share of the non-idempotent ones with an Idempotency-Key
   int callers = 64;           // threads
+  bool poison = false;        // every request crashes its upstream; the same one each time
+  int stream_parts = 0;       // above 0: streams of this many parts
+  int part_ms = 0;            // time between two parts
 };
 
 enum class ToldOutcome { kAnswered, kNotRun, kUnknown, kRejected, kNoAnswer };
@@ -32,6 +35,9 @@
   std::string account;
   bool non_idempotent = false;
   bool keyed = false;
+  bool poison = false;
+  int stream_parts = 0;
+  int part_ms = 0;
   bool repeat = false;  // second request of an Idempotency-Key
   ToldOutcome outcome = ToldOutcome::kNoAnswer;
   bool wrong = false;  // an answer that is not the one to this request
--- a/src/routing/request_flow_test.cc
+++ b/src/routing/request_flow_test.cc
@@ -309,6 +309,11 @@
   session.Report("b");
   session.Report("a", true);
   session.Arrive(2, "/read");
+  // Several, so that a choice among both agents would show.
+  for (RequestId id = 4; id <= 7; ++id) session.Arrive(id, "/read");
+  for (std::uint64_t attempt = 3; attempt <= 6; ++attempt) {
+    session.End(attempt, wire::ATTEMPT_COMPLETE, 0);
+  }
   session.Feed("stop", StopAccepting{});
   session.Arrive(3, "/read");
   session.Part(1, 0);
--- a/standins/service_main.cc
+++ b/standins/service_main.cc
@@ -26,7 +26,8 @@
 
 class Service {
  public:
-  Service(int latency_ms, const nlohmann::json& carried) : latency_ms(latency_ms) {
+  Service(int latency_ms, std::string crash_word, const nlohmann::json& carried)
+      : latency_ms(latency_ms), crash_word(std::move(crash_word)) {
     this->runs = carried.value("runs", this->runs);
     this->crashes = carried.value("crashes", 0);
     this->total = carried.value("total", std::uint64_t{0});
@@ -80,11 +81,12 @@
     }
     const std::string key = KeyOf(request);
     const std::uint64_t run = this->Run(key);
-    if (this->Hits(this->faults.die_after)) this->Die();
+    if (this->Hits(this->faults.die_after) || this->IsPoison(request)) this->Die();
     if (this->Hits(this->faults.never_answer)) return StandinServer::NeverAnswer(kSilenceMs);
     if (this->latency_ms > 0) {
       std::this_thread::sleep_for(std::chrono::milliseconds(this->latency_ms));
     }
+    if (request.has_param("parts")) return Stream(request, key, response);
     ReplyJson(response, {{"method", request.method},
                          {"target", request.target},
                          {"key", key},
@@ -92,6 +94,27 @@
                          {"body", request.body}});
   }
 
+  bool IsPoison(const httplib::Request& request) const {
+    return !this->crash_word.empty() && request.body.find(this->crash_word) != std::string::npos;
+  }
+
+  // Answers "KEY NUMBER" lines, one every `part_ms`.
+  static void Stream(const httplib::Request& request, const std::string& key,
+                     httplib::Response& response) {
+    const int parts = std::atoi(request.get_param_value("parts").c_str());
+    const int part_ms = std::atoi(request.get_param_value("part_ms").c_str());
+    response.set_chunked_content_provider(
+        "text/plain", [parts, part_ms, key](std::size_t, httplib::DataSink& sink) {
+          for (int i = 0; i < parts; ++i) {
+            const std::string line = key + " " + std::to_string(i) + "\n";
+            if (!sink.write(line.data(), line.size())) return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(part_ms));
+          }
+          sink.done();
+          return true;
+        });
+  }
+
   [[noreturn]] void Die() {
     const std::lock_guard lock(this->mutex);
     CrashAndRestart({{"runs", this->runs},
@@ -125,7 +148,8 @@
   }
 
   std::atomic<int> latency_ms;
-  std::mutex mutex;  // guards the fields below
+  std::string crash_word;  // bodies with this word crash the service after the run; empty: none
+  std::mutex mutex;        // guards the fields below
   std::map<std::string, std::uint64_t> runs;
   std::uint64_t total = 0;
   int crashes = 0;
@@ -142,8 +166,10 @@
   int latency_ms = 0;
   savory::standins::StandinOptions options("standin-service", "plain service for tests");
   options.Add("latency-ms", latency_ms, "time that a call takes, in milliseconds");
+  std::string crash_word;
+  options.Add("crash-word", crash_word, "bodies with this word crash the service");
   options.ParseOrExit(argc, argv);
-  savory::standins::Service service(latency_ms, carried);
+  savory::standins::Service service(latency_ms, crash_word, carried);
   StandinServer server(options.Listen());
   service.Mount(server);
   server.ServeUntilSignal();
