--- a/src/runtime/workers.cc
+++ b/src/runtime/workers.cc
@@ -2,6 +2,7 @@
 
 #include <oneapi/tbb/concurrent_queue.h>
 
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -11,8 +12,10 @@
 
 struct Workers::Impl {
   EventLoop& loop;
+  std::size_t max_threads;
   // An empty function ends one thread.
   oneapi::tbb::concurrent_bounded_queue<std::function<void()>> queue = {};
+  std::mutex mutex = {};  // guards `threads`
   std::vector<std::thread> threads = {};
 
   void Serve() {
@@ -23,20 +26,27 @@
       work();
     }
   }
-};
 
-Workers::Workers(EventLoop& loop, int threads) : impl(std::make_unique<Impl>(Impl{.loop = loop})) {
-  for (int i = 0; i < threads; ++i) {
-    this->impl->threads.emplace_back([this] { this->impl->Serve(); });
+  void AddThread() {
+    const std::scoped_lock lock(this->mutex);
+    if (this->threads.size() >= this->max_threads) return;
+    this->threads.emplace_back([this] { this->Serve(); });
   }
-}
+};
+
+Workers::Workers(EventLoop& loop, int threads)
+    : impl(new Impl{.loop = loop, .max_threads = static_cast<std::size_t>(threads)}) {}
 
 Workers::~Workers() {
   for (std::size_t i = 0; i < this->impl->threads.size(); ++i) this->impl->queue.push({});
   for (std::thread& thread : this->impl->threads) thread.join();
 }
 
-void Workers::Run(std::function<void()> work) { this->impl->queue.push(std::move(work)); }
+void Workers::Run(std::function<void()> work) {
+  this->impl->queue.push(std::move(work));
+  // The size counts threads that wait as negative: above zero, all threads are busy.
+  if (this->impl->queue.size() > 0) this->impl->AddThread();
+}
 
 void Workers::PostToLoop(std::function<void()> task) { this->impl->loop.Post(std::move(task)); }
 
