Let the old version serve on during a rollout

Cause: an entry chose only agents that serve the manifest pinned by the pool row. From an accepted edit until the first engine had loaded the new version the pool answered nothing.

Change: an agent is eligible with any whole version it reports as loaded; the attempt names that version, so the gate still refuses it if the engine has changed meanwhile. An answer that breaks off is continued only on an engine that serves the version the first parts came from; before, an edit during a stream could continue it on other weights.

Ruled out: preferring agents with the new version, which would send the whole load to the first engine that is ready.

--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -125,9 +125,11 @@
   if (!agent.reported_at.has_value()) return false;
   if (now - *agent.reported_at > this->options.report_lifetime) return false;
   if (!agent.report.ready || agent.report.leaving) return false;
-  if (!pool.manifest().empty() && agent.report.loaded_manifest.View() != pool.manifest()) {
-    return false;
-  }
+  // The version before the pinned one serves on until an engine has loaded the new one, or every
+  // rollout would begin with a pool that answers nothing. Agents load only what a row pinned.
+  const Digest& serving = agent.report.loaded_manifest;
+  if (!pool.manifest().empty() && serving.IsZero()) return false;
+  if (!query.manifest.IsZero() && serving != query.manifest) return false;
   return query.excluded == nullptr || !query.excluded->contains(agent.member.vm);
 }
 
@@ -190,7 +192,7 @@
   return ChosenAgent{.vm = agent->member.vm,
                      .peer = agent->member.peer,
                      .incarnation = agent->report.incarnation,
-                     .manifest = DigestFromRaw(pool->manifest())};
+                     .manifest = agent->report.loaded_manifest};
 }
 
 }  // namespace savory
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -43,7 +43,7 @@
   std::string vm;
   std::string peer;  // IP:PORT
   std::uint64_t incarnation = 0;
-  Digest manifest = {};  // pinned by the pool row
+  Digest manifest = {};  // that it serves; zero for plain services
 };
 
 struct PickQuery {
@@ -51,6 +51,8 @@
   // Rendezvous key of the prompt's prefix; empty: no affinity.
   std::string_view affinity = {};
   const std::set<std::string>* excluded = nullptr;  // VM names
+  // Only agents that serve this manifest; zero: any. An answer is continued on the same version.
+  Digest manifest = {};
 };
 
 // Keeps the subset of agents that this entry uses, their reports and the own requests in flight.
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -164,7 +164,8 @@
 std::optional<ChosenAgent> RequestFlow::PickAgent(const Request& request) {
   return this->balancer.Pick(PickQuery{.pool = request.route.pool(),
                                        .affinity = request.arrived.affinity,
-                                       .excluded = &request.tried},
+                                       .excluded = &request.tried,
+                                       .manifest = request.answered_by},
                              this->now, this->random);
 }
 
@@ -298,7 +299,10 @@
   if (event.number < request.next_part) return;
   const bool head_missing = attempt.resumed && !attempt.head_checked;
   if (event.number > request.next_part || head_missing) return this->QueryGap(request);
-  if (event.number == 0) request.status = event.status;
+  if (event.number == 0) {
+    request.status = event.status;
+    request.answered_by = attempt.agent.manifest;
+  }
   ++request.next_part;
   if (!request.first_part.has_value()) request.first_part = this->now;
   this->actions.push_back(DeliverPart{.request = request.arrived.id,
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -83,6 +83,7 @@
     int attempts = 0;
     std::uint32_t next_part = 0;
     std::uint32_t status = 0;  // HTTP status of the delivered head
+    Digest answered_by = {};   // manifest that the delivered parts come from
     bool may_have_run = false;
     bool caller_gone = false;
     std::optional<wire::Claim> claim = {};  // held by this entry when it has a nonce
