--- a/src/claims/claim_capacity_test.cc
+++ b/src/claims/claim_capacity_test.cc
@@ -53,10 +53,16 @@
     for (std::uint32_t i = 0; i < setup.entries; ++i) {
       std::string prefix = std::to_string(i);
       prefix.resize(ClaimShard::kNonceBytes / 2, '-');
-      this->batchers.push_back(std::make_unique<ClaimBatcher>(
-          ClaimBatcherOptions{
-              .shards = setup.shards, .batch_delay = setup.batch_delay, .nonce_prefix = prefix},
-          this->random));
+      const ClaimBatcherOptions options{
+          .shards = setup.shards, .batch_delay = setup.batch_delay, .nonce_prefix = prefix};
+      this->batchers.push_back(std::make_unique<ClaimBatcher>(options, this->random));
+      this->routers.emplace_back(ClaimRouterOptions{
+          .vm = std::to_string(i), .shards = setup.shards, .nonce_prefix = prefix});
+      peers.push_back({.vm = std::to_string(i), .peer = std::to_string(i)});
+    }
+    if (!setup.forwarded) return;
+    for (ClaimRouter& router : this->routers) {
+      router.Handle(RouteEntries{.entries = peers}, this->now);
     }
   }
 
