Keep an explicit release until a current value has been read

The time of arrival was not set, so a release was dropped when the cached value was older than the claim that another entry had written.

--- a/src/claims/claim_batcher.cc
+++ b/src/claims/claim_batcher.cc
@@ -167,8 +167,10 @@
     shard.claims.erase(same);
     return;
   }
-  shard.releases.push_back(PendingRelease{
-      .key = event.key, .nonce = event.nonce, .ready = this->now + this->options.batch_delay});
+  shard.releases.push_back(PendingRelease{.key = event.key,
+                                          .nonce = event.nonce,
+                                          .arrived = this->now,
+                                          .ready = this->now + this->options.batch_delay});
   this->BoundUnwritten();
 }
 
