--- a/src/apps/experiment_tables.cc
+++ b/src/apps/experiment_tables.cc
@@ -31,6 +31,10 @@
 constexpr std::chrono::milliseconds kPollPause(20);
 constexpr int kPools = 8;
 constexpr std::size_t kDataCentres = 4;
+// Engines of the fault paused-holder; they do not check fencing numbers, which is the harder case.
+constexpr int kEngines = 4;
+constexpr std::string_view kEnginePool = "engines";
+constexpr std::uint64_t kWeightsBytes = 4u << 20;
 
 struct TablesOptions {
   int entries = 4;
@@ -165,6 +169,7 @@
         {"control_bytes_per_node_per_second", this->steady.bytes_per_node},
         {"control_cpu_percent_per_node", this->steady.cpu_percent_per_node},
         {"stale_orders_accepted", this->stale_orders},
+        {"engines_ready", this->engines_ready},
         {"lagging", this->findings.lagging}};
     std::cout << json.dump() << std::endl;
   }
@@ -185,12 +190,23 @@
     for (int i = 0; i < options.agents; ++i) {
       fleet.agents.push_back({.service = PoolName(i % kPools), .engine = false, .place = place()});
     }
+    if (options.fault != "paused-holder") return fleet;
+    fleet.distribution_extra = "lease_ttl_ms: 4000";
+    for (int i = 0; i < kEngines; ++i) {
+      fleet.agents.push_back({.service = std::string(kEnginePool),
+                              .place = place(),
+                              .upstream_arguments = {"--check-fence", "0", "--load-ms", "1500"}});
+    }
     return fleet;
   }
 
-  // The agents' upstreams are not started: the tables do not need them.
+  // Upstreams other than engines are not started: the tables do not need them.
   Result<void> Start() {
     BOOST_OUTCOME_TRY(this->fleet.StartPlatform());
+    for (const FleetNode& node : this->nodes) {
+      if (!node.engine) continue;
+      BOOST_OUTCOME_TRY(this->fleet.StartUpstream(node));
+    }
     KvConnection kv(this->fleet.Kv(), kKvTimeout);
     for (int i = 0; i < kPools; ++i) {
       BOOST_OUTCOME_TRY(RunTableEdit(kv, VersionEdit("start", PoolName(i), "start", kStartLimit)));
@@ -425,12 +441,12 @@
     return success();
   }
 
-  // The watchers of the first data centre are paused; one is woken after others have taken over and
-  // holds an old revision then.
+  // The watchers of the first data centre and an agent whose engine loads are paused, until others
+  // have taken over and the agent's lease has expired. They hold an old revision when they wake.
   Result<void> RunPausedWatchers() {
     const int rounds = std::max(2, this->options.edits / 10);
     for (int i = 0; i < rounds; ++i) {
-      const std::vector<FleetNode> watchers = this->Watchers();
+      std::vector<FleetNode> watchers = this->Watchers();
       if (watchers.empty()) {
         return Error{.kind = ErrorKind::kNotFound, .detail = "no process watches the tables"};
       }
@@ -450,6 +466,49 @@
       if (revision) this->WaitInForce(*revision, MonotonicClock::now(), this->nodes);
       BOOST_OUTCOME_TRY(this->WaitForMembers());
     }
+    return this->CountStaleOrders();
+  }
+
+  // Pins new weights for the engines; returns an agent that holds the lease for its load order, or
+  // nullopt when none has got so far in time.
+  Result<std::optional<FleetNode>> StartLoading(int round) {
+    const std::string name = "weights-" + std::to_string(round);
+    BOOST_OUTCOME_TRY(manifest, this->fleet.AddRandomWeights(
+                                    name, kWeightsBytes, static_cast<std::uint64_t>(round + 1)));
+    BOOST_OUTCOME_TRY(this->fleet.Ctl(
+        {"set-pool", std::string(kEnginePool), "service=" + std::string(kEnginePool), "model=m",
+         "version=" + name, "manifest=" + manifest.Hex()},
+        std::chrono::seconds(20)));
+    const Instant deadline = MonotonicClock::now() + std::chrono::seconds(10);
+    while (MonotonicClock::now() < deadline) {
+      const auto statuses = this->ReadStatuses(this->nodes);
+      for (std::size_t i = 0; i < statuses.size(); ++i) {
+        if (statuses[i].phase == "loading") return std::optional(this->nodes[i]);
+      }
+      std::this_thread::sleep_for(kPollPause);
+    }
+    return std::optional<FleetNode>();
+  }
+
+  // Waits until every engine serves the pinned weights, then reads what the engines saw.
+  Result<void> CountStaleOrders() {
+    const Instant deadline = MonotonicClock::now() + kStartLimit;
+    bool ready = false;
+    while (!ready && MonotonicClock::now() < deadline) {
+      ready = true;
+      for (const NodeStatus& status : this->ReadStatuses(this->nodes)) {
+        if (!status.phase.empty() && status.service == kEnginePool) {
+          ready = ready && status.phase == "ready";
+        }
+      }
+      std::this_thread::sleep_for(kPollPause * 10);
+    }
+    this->engines_ready = ready;
+    for (const FleetNode& node : this->nodes) {
+      if (!node.engine) continue;
+      BOOST_OUTCOME_TRY(stats, this->fleet.UpstreamStats(node));
+      this->stale_orders += stats.value("stale_orders_accepted", std::uint64_t{0});
+    }
     return success();
   }
 
@@ -530,6 +589,7 @@
   SteadyCost steady;
   double peak_calls = 0;
   std::uint64_t stale_orders = 0;
+  bool engines_ready = true;  // at the end of the fault paused-holder
   std::map<std::string, std::uint64_t> last_revision;
 };
 
--- a/src/membership/membership_driver.cc
+++ b/src/membership/membership_driver.cc
@@ -16,7 +16,7 @@
 
 using nlohmann::json;
 
-constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kTick = std::chrono::milliseconds(100);
 // The list is the second source only, and every process reads it: it is read rarely, and at times
 // that spread over the fleet.
 constexpr Duration kListPeriod = std::chrono::seconds(30);
--- a/src/tables/table_driver.cc
+++ b/src/tables/table_driver.cc
@@ -13,7 +13,7 @@
 namespace savory {
 namespace {
 
-constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kTick = std::chrono::milliseconds(100);
 
 // A value that does not parse counts as a failed call, so that the replica keeps what it has.
 Result<std::optional<TableReplica::KvTables>> Decode(const Result<std::optional<KvValue>>& answer) {
