--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -38,7 +38,10 @@
     if (over) this->actions.push_back(DropRequest{.id = event.id});
     return;
   }
-  if (this->WasForgotten(event.id)) {
+  // Another incarnation may have run it: a start that is delivered twice, around a restart of the
+  // agent, must not be answered "not run".
+  const bool other_incarnation = event.agent_incarnation != this->options.incarnation;
+  if (other_incarnation || this->WasForgotten(event.id)) {
     this->actions.push_back(DropRequest{.id = event.id});
     this->actions.push_back(SendStatus{.id = event.id, .reply_to = event.reply_to});
     return;
@@ -55,7 +58,6 @@
 }
 
 std::optional<ErrorKind> UpstreamGate::RefusalOf(const StartReceived& start) const {
-  if (start.agent_incarnation != this->options.incarnation) return ErrorKind::kNotRun;
   if (this->draining) return ErrorKind::kDraining;
   if (!this->IsReady()) return ErrorKind::kNoUpstream;
   if (!start.manifest.IsZero() && start.manifest != this->serving) return ErrorKind::kNoUpstream;
@@ -84,7 +86,11 @@
 void UpstreamGate::On(const CancelReceived& event) {
   const auto found = this->records.find(event.id);
   if (found == this->records.end()) {
-    if (this->WasForgotten(event.id)) return;
+    const bool other_incarnation = event.agent_incarnation != this->options.incarnation;
+    if (other_incarnation || this->WasForgotten(event.id)) {
+      this->actions.push_back(SendStatus{.id = event.id, .reply_to = event.reply_to});
+      return;
+    }
     this->Bar(event.id);
     this->actions.push_back(SendEnd{.id = event.id,
                                     .reply_to = event.reply_to,
@@ -295,7 +301,8 @@
     return;
   }
   this->probing = true;
-  this->next_probe = this->now + this->options.probe_period;
+  const bool down = this->upstream_down;
+  this->next_probe = this->now + (down ? this->options.probe_period : this->options.watch_period);
   this->actions.push_back(ProbeUpstream{});
 }
 
@@ -323,7 +330,8 @@
 void UpstreamGate::On(const GateTick&) {
   this->CancelOverdue();
   this->Forget();
-  if (this->upstream_down && !this->probing && this->now >= this->next_probe) this->Probe();
+  const bool watches = this->upstream_down || this->options.engine;
+  if (watches && !this->probing && this->now >= this->next_probe) this->Probe();
 }
 
 void UpstreamGate::CancelOverdue() {
@@ -382,7 +390,9 @@
 }
 
 void UpstreamGate::Dispatch() {
-  while (this->running < this->options.max_running && !this->queue.empty() && this->IsReady()) {
+  // While a broken call is being settled the upstream may be away: what was not sent is certain.
+  if (!this->IsReady() || this->active.size() > this->running) return;
+  while (this->running < this->options.max_running && !this->queue.empty()) {
     const AttemptKey id = this->queue.begin()->second;
     this->queue.erase(this->queue.begin());
     this->Run(id, this->records.at(id));
