Measure silent connections through relays

listen.peer_bind is new: a process can bind another address than the one others reach it by, which the relay of the experiment needs and address translation needs as well.

--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -105,6 +105,7 @@
                 .base_port = options.base_port,
                 .entries = options.entries,
                 .agents = options.agents};
+  plan.fleet.relays = options.fault == "silent-connection";
   if (options.streams > 0) {
     const double length = std::min(kStreamSeconds, options.seconds);
     // A part every 250 ms; ended streams are replaced, so that the number stays open.
@@ -220,6 +221,7 @@
   if (fault == "kill-agent") this->KillAgents();
   if (fault == "freeze-agent") this->FreezeAgent();
   if (fault == "drain") this->Drain();
+  if (fault == "silent-connection") this->fleet.SilenceAgent(0);
   if (fault == "kv-outage") {
     Post(this->fleet.Kv(), "/admin/fault", {{"outage", true}});
     this->Sleep(0.3);
--- a/src/apps/process_host.cc
+++ b/src/apps/process_host.cc
@@ -69,6 +69,7 @@
         workers(loop, settings.workers),
         peers(loop, metrics,
               {.listen = settings.identity.peer,
+               .bind = settings.peer_bind,
                .vm = settings.identity.vm,
                .incarnation = settings.identity.incarnation}),
         kv(workers, metrics, settings.kv, settings.kv_timeout),
--- a/src/apps/process_settings.cc
+++ b/src/apps/process_settings.cc
@@ -39,6 +39,7 @@
 
   SettingsReader listen = reader.Section("listen");
   settings.identity.peer = listen.Address("peer");
+  settings.peer_bind = listen.Address("peer_bind", "");
   settings.operator_listen = listen.Address("operator");
 
   SettingsReader platform = reader.Section("platform");
--- a/src/apps/process_settings.h
+++ b/src/apps/process_settings.h
@@ -12,6 +12,7 @@
 
 struct ProcessSettings {
   NodeIdentity identity;
+  std::string peer_bind;        // IP:PORT bound in place of identity.peer; empty: the same
   std::string operator_listen;  // IP:PORT of /metrics, /healthz, /readyz and /status
   std::string kv;               // IP:PORT of the key-value service
   Duration kv_timeout;          // for one call
--- a/src/apps/request_fleet.cc
+++ b/src/apps/request_fleet.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kStartTimeout = std::chrono::seconds(15);
+constexpr int kBindOffset = 700;   // ports of agents behind relays
 constexpr int kSpareWorkers = 32;  // of an agent, beside its attempts
 constexpr Duration kCallTimeout = std::chrono::seconds(5);
 
@@ -59,6 +60,10 @@
     BOOST_OUTCOME_TRYV(
         this->processes.WaitUntilHealthy(this->Service(i), "/counts", kStartTimeout));
   }
+  for (int i = 0; this->options.relays && i < this->options.agents; ++i) {
+    this->agent_relays.push_back(std::make_unique<SilentRelay>(this->options.base_port + 200 + i,
+                                                               this->Address(kBindOffset + i)));
+  }
   for (int i = 0; i < this->options.entries; ++i) {
     BOOST_OUTCOME_TRYV(this->StartEntry(i));
   }
@@ -87,10 +92,12 @@
 
 Result<void> RequestFleet::StartAgent(int index) {
   const std::string name = AgentName(index);
+  const std::string bind =
+      this->options.relays ? "peer_bind: \"" + this->Address(kBindOffset + index) + "\", " : "";
   std::ostringstream text;
   text << this->CommonConfig(name) << "upstream: {service: bookings}\n"
        << "workers: " << this->options.max_running + kSpareWorkers << "\n"
-       << "listen: {peer: \"" << this->AgentPeer(index) << "\", operator: \""
+       << "listen: {peer: \"" << this->AgentPeer(index) << "\", " << bind << "operator: \""
        << this->AgentOperator(index) << "\"}\n"
        << "gate: {upstream: \"" << this->Service(index)
        << "\", kind: plain, max_running: " << this->options.max_running
--- a/src/apps/request_fleet.h
+++ b/src/apps/request_fleet.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "apps/process_group.h"
+#include "apps/silent_relay.h"
 #include "base/error.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -19,6 +21,7 @@
   int latency_ms = 5;    // of one call at a plain service
   int max_running = 64;  // of each gate
   int max_queued = 64;
+  bool relays = false;  // the processes reach each other's peer sockets through relays
 };
 
 // A key-value service, plain services with an agent each, and entries, on 127.0.0.1.
@@ -35,7 +38,12 @@
   std::string ServiceName(int index) const { return "service-" + std::to_string(index); }
   std::string Kv() const { return this->Address(0); }
   std::string Service(int index) const { return this->Address(100 + index); }
+  // Address that other processes use; that of the relay, if there is one.
   std::string AgentPeer(int index) const { return this->Address(200 + index); }
+  // Ends the flow of bytes on the open connections to the agent.
+  void SilenceAgent(int index) {
+    this->agent_relays.at(static_cast<std::size_t>(index))->Silence();
+  }
   std::string AgentOperator(int index) const { return this->Address(300 + index); }
   std::string EntryPeer(int index) const { return this->Address(400 + index); }
   std::string EntryOperator(int index) const { return this->Address(500 + index); }
@@ -55,6 +63,7 @@
 
   ProcessGroup& processes;
   RequestFleetOptions options;
+  std::vector<std::unique_ptr<SilentRelay>> agent_relays = {};
 };
 
 }  // namespace savory
--- /dev/null
+++ b/src/apps/silent_relay.h
@@ -0,0 +1,31 @@
+// TCP relay whose open connections can be made silent.
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace savory {
+
+// Passes connections on 127.0.0.1:`port` on to `target` (IP:PORT). After Silence(), the connections
+// that are open carry no more bytes but stay open, and new ones work: the platform's fault "open
+// connections go silent permanently".
+class SilentRelay {
+ public:
+  SilentRelay(int port, std::string target);
+  ~SilentRelay();
+
+  void Silence() { this->generation.fetch_add(1); }
+
+ private:
+  void Accept();
+  void Carry(int near, int far, int born) const;
+
+  std::string target;
+  int listener;
+  std::atomic<int> generation = 0;
+  std::atomic<bool> stopping = false;
+  std::thread acceptor;
+};
+
+}  // namespace savory
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -32,8 +32,9 @@
 constexpr Duration kHangUpCheck = std::chrono::seconds(1);
 // After a stop signal, callers on kept connections are told that this entry stops.
 constexpr Duration kMinDrain = std::chrono::seconds(1);
-// Threads beyond `max_streams`, so that more requests are refused with an answer.
-constexpr int kRefusalThreads = 32;
+// Threads beyond `max_streams`, for kept connections without a request and so that more requests
+// are refused with an answer.
+constexpr int kSpareThreads = 400;
 constexpr std::size_t kAffinityBytes = 256;
 // More of an answer is never recorded with a claim.
 constexpr std::size_t kMaxRecordedBytes = 64u << 10;
@@ -238,9 +239,8 @@
   this->OnMembersChanged();
   this->node.loop.Every(kTickPeriod, [this] { this->Feed(FlowTick{}); });
   this->node.loop.Every(kSubscribePeriod, [this] { this->SubscribeToAgents(true); });
-  this->server = std::make_unique<HttpServer>(
-      HttpServerOptions{.listen = this->options.http,
-                        .max_connections = this->options.max_streams + kRefusalThreads});
+  this->server = std::make_unique<HttpServer>(HttpServerOptions{
+      .listen = this->options.http, .max_connections = this->options.max_streams + kSpareThreads});
   this->server->Handle("*", ".*",
                        [this](const HttpRequest& request) { return this->Serve(request); });
   this->server->Start();
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -59,7 +59,8 @@
     SetCommonOptions(this->router);
     this->router.set(zmq::sockopt::rcvhwm, kSendQueueMessages);
     try {
-      this->router.bind("tcp://" + this->options.listen);
+      const bool translated = !this->options.bind.empty();
+      this->router.bind("tcp://" + (translated ? this->options.bind : this->options.listen));
     } catch (const zmq::error_t& error) {
       Log(LogLevel::kError, "peer_bind_failed",
           {{"address", this->options.listen}, {"reason", error.what()}});
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -23,6 +23,7 @@
 
 struct PeerTransportOptions {
   std::string listen;             // IP:PORT of the ROUTER socket; also the sender address
+  std::string bind = {};          // IP:PORT bound in its place, when others reach it by translation
   std::string vm;                 // name of this VM, sent with every message
   std::uint64_t incarnation = 0;  // distinguishes starts of this process
 };
