--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -254,7 +254,8 @@
   };
   std::map<ToldOutcome, int> outcomes;
   std::map<std::string, int> kinds;
-  std::map<std::string, std::pair<int, int>> accounts;  // sent, answered
+  std::map<std::string, std::pair<int, int>> accounts;        // sent, answered
+  std::map<std::string, std::vector<double>> account_millis;  // of answered requests
   std::vector<double> routed;
   std::vector<double> claimed;
   int wrong = 0;
@@ -278,8 +279,17 @@
     ++sent;
     if (request.outcome != ToldOutcome::kAnswered) continue;
     ++answered;
+    account_millis[request.account].push_back(request.millis);
     (request.keyed ? claimed : routed).push_back(request.millis);
   }
+  nlohmann::json by_account = nlohmann::json::object();
+  for (const auto& [account, millis] : account_millis) {
+    by_account[account] = {{"sent", accounts[account].first},
+                           {"answered", millis.size()},
+                           {"ms_p50", QuantileOf(millis, 0.5)},
+                           {"ms_p95", QuantileOf(millis, 0.95)},
+                           {"ms_p99", QuantileOf(millis, 0.99)}};
+  }
   const std::vector<double>& direct = this->load.Direct();
   const auto small = accounts.find("small");
   const double sent = this->fleet.SumOfSeries("savory_requests_sent_total");
@@ -304,6 +314,7 @@
            small == accounts.end()
                ? 1.0
                : static_cast<double>(small->second.second) / std::max(1, small->second.first)},
+          {"accounts", by_account},
           {"kinds", kinds}};
 }
 
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Runs the experiments and writes bench/DATE.jsonl, bench/DATE.md and SVG plots:
+#   tools/bench.sh BIN_DIR
+# The experiments use fixed seeds. BENCH_QUICK=1 runs small fleets. BASE_PORT: first TCP port.
+set -euo pipefail
+bin=$(cd "${1:?usage: tools/bench.sh BIN_DIR}" && pwd)
+cd "$(dirname "$0")/.."
+port=${BASE_PORT:-24000}
+quick=${BENCH_QUICK:-0}
+out=bench/$(date -u +%Y-%m-%d)
+[ "$quick" = 0 ] || out=$out-quick
+mkdir -p bench
+: >"$out.jsonl"
+failures=0
+
+# run EXPERIMENT OPTIONS...: appends the last line of the output, which is one JSON object.
+run() {
+  local line
+  echo "== $*" >&2
+  if line=$("$bin/savoryrouter-experiment" "$@" --bin-dir "$bin" --base-port "$port" | tail -n 1) &&
+    [ "${line:0:1}" = "{" ]; then
+    printf '{"command": "%s", "result": %s}\n' "$*" "$line" >>"$out.jsonl"
+  else
+    failures=$((failures + 1))
+    printf '{"command": "%s", "result": null}\n' "$*" >>"$out.jsonl"
+  fi
+}
+
+distribution=(--agents 32)
+requests=(--seconds 20)
+tables=(--entries 8 --agents 16)
+if [ "$quick" != 0 ]; then
+  distribution=(--agents 6 --bytes 8388608)
+  requests=(--seconds 6)
+  tables=(--entries 2 --agents 4 --edits 10 --steady-seconds 5)
+fi
+
+for strategy in swarm origin-only tree; do
+  run distribution "${distribution[@]}" --strategy "$strategy"
+done
+run distribution "${distribution[@]}" --strategy swarm --favour origin_bytes
+for fault in kill stall corrupt origin-outage version-change; do
+  run distribution "${distribution[@]}" --fault "$fault"
+done
+for fault in none kill-agent freeze-agent silent-connection kv-outage lost-reply poison overload drain; do
+  run requests "${requests[@]}" --fault "$fault"
+done
+for fault in none kv-outage lost-reply two-operators partition paused-holder restart-wave; do
+  run tables "${tables[@]}" --fault "$fault"
+done
+run costs
+
+python3 tools/bench_report.py "$out"
+echo "wrote $out.jsonl, $out.md and the plots" >&2
+if [ "$failures" -gt 0 ]; then
+  echo "$failures experiments failed" >&2
+  exit 1
+fi
