--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -226,7 +226,7 @@
     now += std::chrono::milliseconds(100);
     const std::string from = chunk % 2 == 0 ? "vm1" : "vm7";
     const bool right = kind < 2 && chunk < manifest->ChunkCount();
-    const std::string sent = right ? weights.substr(chunk * 4, 4) : text;
+    const std::string sent = right ? weights.substr(std::size_t{4} * chunk, 4) : text;
     const auto bytes = AsBytes(sent);
     auto verified = VerifiedChunk::Verify(
         *manifest, chunk,
--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -299,7 +299,7 @@
     this->On(wire::Envelope::kOriginHold, [this](const auto& message, auto) {
       const wire::OriginHold& hold = message.origin_hold();
       if (hold.origin() != this->options.origin) return;
-      this->Spread(HoldReceived{.hold = milliseconds(hold.hold_ms())});
+      this->Spread(HoldReceived{.hold = std::chrono::milliseconds{hold.hold_ms()}});
     });
     this->SubscribeChunks();
   }
--- a/src/distribution/manifest.cc
+++ b/src/distribution/manifest.cc
@@ -76,8 +76,8 @@
 
 Digest Manifest::DigestOf(std::uint32_t chunk) const {
   assert(chunk < this->chunk_count);
-  return DigestFromRaw(
-      std::string_view(this->chunk_digests).substr(chunk * Digest::kSize, Digest::kSize));
+  const std::string_view digests = this->chunk_digests;
+  return DigestFromRaw(digests.substr(chunk * Digest::kSize, Digest::kSize));
 }
 
 }  // namespace savory
--- a/src/distribution/manifest_test.cc
+++ b/src/distribution/manifest_test.cc
@@ -40,7 +40,7 @@
     const ChunkRange range = parsed.value().RangeOf(i);
     RC_ASSERT(range.offset == next);
     next += range.length;
-    const std::string_view part = std::string_view(weights).substr(range.offset, range.length);
+    const std::string part = weights.substr(range.offset, range.length);
     RC_ASSERT(Sha256(part) == parsed.value().DigestOf(i));
   }
   RC_ASSERT(next == weights.size());
--- a/src/distribution/origin_ranks.cc
+++ b/src/distribution/origin_ranks.cc
@@ -63,7 +63,8 @@
 std::vector<SpreadPeer> Ring(std::span<const SpreadPeer> members, const std::string& region) {
   std::vector<SpreadPeer> ring = MembersOf(members, region);
   const auto key = [](const SpreadPeer& member) {
-    return std::pair(RendezvousScore("ring", member.vm), std::string_view(member.vm));
+    return std::pair<std::uint64_t, std::string_view>(RendezvousScore("ring", member.vm),
+                                                      member.vm);
   };
   std::sort(ring.begin(), ring.end(),
             [&](const auto& left, const auto& right) { return key(left) < key(right); });
--- a/src/distribution/session_test.cc
+++ b/src/distribution/session_test.cc
@@ -223,7 +223,7 @@
 // Brings a session to the state in which the engine serves the first version.
 std::shared_ptr<const Manifest> RollOutFirst(Session& session) {
   session.Members({"vm-a", "vm-b", "vm-c"});
-  const auto first = session.Describe(kFirst);
+  auto first = session.Describe(kFirst);
   session.Pin(first);
   session.Wait(milliseconds(5));
   session.ManifestArrives();
--- a/src/distribution/weights_server.cc
+++ b/src/distribution/weights_server.cc
@@ -44,7 +44,7 @@
 }
 
 HttpReply WeightsServer::ServeWeights(const HttpRequest& request) const {
-  const auto copy = this->Find(std::string_view(request.path).substr(kPrefix.size(), kHexDigits));
+  const auto copy = this->Find(request.path.substr(kPrefix.size(), kHexDigits));
   if (!copy) return NotFound();
   return HttpReply{.content_type = "application/octet-stream",
                    .stream =
@@ -58,7 +58,7 @@
 }
 
 HttpReply WeightsServer::ServeManifest(const HttpRequest& request) const {
-  const auto copy = this->Find(std::string_view(request.path).substr(kPrefix.size(), kHexDigits));
+  const auto copy = this->Find(request.path.substr(kPrefix.size(), kHexDigits));
   if (!copy) return NotFound();
   return HttpReply{.content_type = "application/octet-stream", .body = copy->manifest->Content()};
 }
--- a/src/runtime/workers.h
+++ b/src/runtime/workers.h
@@ -9,9 +9,9 @@
 class EventLoop;
 
 // Threads that wait on a oneTBB queue; they are started when they are needed and then kept. Results
-// are handed back to the event loop. A task arena does not suit calls that block: each enqueued call
-// woke every thread of the arena, which cost an agent with 160 threads a quarter of a core at 10
-// calls a second.
+// are handed back to the event loop. A task arena does not suit calls that block: each enqueued
+// call woke every thread of the arena, which cost an agent with 160 threads a quarter of a core at
+// 10 calls a second.
 class Workers {
  public:
   // `threads`: number of calls that may block at the same time.
