End the answer of a caller that reads too slowly as broken

Its thread would have waited for an end that never came. The new test of the queue guards the end of a full queue. Also findings of clang-tidy.

--- a/src/apps/request_load.cc
+++ b/src/apps/request_load.cc
@@ -144,6 +144,7 @@
 
 void RequestLoad::CompareDirectly(const std::vector<std::string>& services) {
   std::vector<HttpClient> clients;
+  clients.reserve(services.size());
   for (const std::string& service : services) clients.emplace_back(service);
   for (std::size_t i = 0; !this->ended.load(); ++i) {
     const std::string key = "direct-" + std::to_string(i);
--- a/src/routing/caller_queue.h
+++ b/src/routing/caller_queue.h
@@ -39,7 +39,8 @@
 // Thread-safe; one producer and one consumer.
 class CallerQueue {
  public:
-  // Returns false when more than `kMaxBytes` wait for a caller that reads too slowly.
+  // Returns false when more than `kMaxBytes` wait for a caller that reads too slowly. Items without
+  // bytes are always taken.
   bool Push(AnswerItem item);
   // Waits up to `timeout`; nullopt when nothing came.
   std::optional<AnswerItem> Pop(Duration timeout);
--- /dev/null
+++ b/src/routing/caller_queue_test.cc
@@ -0,0 +1,21 @@
+#include "routing/caller_queue.h"
+
+#include <gtest/gtest.h>
+
+namespace savory {
+namespace {
+
+// Guards against a thread that waits forever for the end of an answer that its caller read too
+// slowly.
+TEST(CallerQueueTest, FullQueueStillTakesTheEnd) {
+  CallerQueue queue;
+  EXPECT_TRUE(queue.Push(AnswerBytes{.bytes = std::vector<std::byte>(16u << 20)}));
+  EXPECT_FALSE(queue.Push(AnswerBytes{.bytes = std::vector<std::byte>(1)}));
+  EXPECT_TRUE(queue.Push(AnswerBrokenOff{}));
+  EXPECT_TRUE(std::holds_alternative<AnswerBytes>(*queue.Pop(Duration::zero())));
+  EXPECT_TRUE(std::holds_alternative<AnswerBrokenOff>(*queue.Pop(Duration::zero())));
+  EXPECT_FALSE(queue.Pop(Duration::zero()).has_value());
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -495,7 +495,8 @@
   const auto found = this->callers.find(id);
   if (found == this->callers.end()) return;
   if (found->second->queue.Push(std::move(item))) return;
-  // The caller reads too slowly; its answer ends as broken.
+  // The caller reads too slowly; its answer ends as broken after what is queued.
+  found->second->queue.Push(AnswerBrokenOff{});
   this->node.metrics.CounterFor("savory_request_slow_callers_total").Add();
   this->node.loop.Post([this, id] { this->Feed(CallerGone{.id = id}); });
 }
