--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -178,6 +178,7 @@
     BOOST_OUTCOME_TRYV(this->fleet.Start(this->plan.tables));
     std::this_thread::sleep_for(kSettleTime);
     std::vector<std::string> services;
+    services.reserve(static_cast<std::size_t>(this->options.agents));
     for (int i = 0; i < this->options.agents; ++i) services.push_back(this->fleet.Service(i));
     std::thread direct([this, services] { this->load.CompareDirectly(services); });
     std::thread fault([this] { this->InjectFault(); });
--- a/src/apps/request_path_test.cc
+++ b/src/apps/request_path_test.cc
@@ -179,7 +179,8 @@
 
   void Lose(std::uint8_t choice) {
     if (this->network.empty()) return;
-    this->network.erase(this->network.begin() + choice % this->network.size());
+    this->network.erase(this->network.begin() +
+                        static_cast<std::ptrdiff_t>(choice % this->network.size()));
   }
 
   void RepeatStart(std::uint8_t choice) {
@@ -194,7 +195,8 @@
 
   void Deliver(std::uint8_t choice) {
     if (this->network.empty()) return;
-    const auto position = this->network.begin() + choice % this->network.size();
+    const auto position =
+        this->network.begin() + static_cast<std::ptrdiff_t>(choice % this->network.size());
     const Message message = std::move(*position);
     this->network.erase(position);
     if (const auto* to_gate = std::get_if<ToGate>(&message)) {
--- a/src/gate/upstream_call.cc
+++ b/src/gate/upstream_call.cc
@@ -19,14 +19,15 @@
   }
   const HttpStream stream = {.on_head =
                                  [this](const HttpAnswer& head) {
-                                   if (!this->cancelled.load()) this->listener.on_head(head);
-                                   return !this->cancelled.load();
+                                   if (this->cancelled.load()) return false;
+                                   this->listener.on_head(head);
+                                   return true;
                                  },
                              .on_part =
                                  [this](std::span<const std::byte> part) {
-                                   if (!this->cancelled.load())
-                                     this->listener.on_part({part.begin(), part.end()});
-                                   return !this->cancelled.load();
+                                   if (this->cancelled.load()) return false;
+                                   this->listener.on_part({part.begin(), part.end()});
+                                   return true;
                                  }};
   const Result<HttpAnswer> answer = this->client->Call(this->call, stream);
   if (answer.has_value()) {
