--- a/src/apps/ctl_fleet.cc
+++ b/src/apps/ctl_fleet.cc
@@ -25,6 +25,7 @@
 // Names printed of a long list.
 constexpr std::size_t kMaxNames = 10;
 constexpr std::size_t kShortDigest = 12;
+constexpr double kMegabyte = 1e6;
 
 Result<std::vector<std::string>> FindOperators(const CtlOptions& options) {
   if (!options.operators.empty()) return options.operators;
@@ -158,7 +159,6 @@
     std::cout << json.dump() << std::endl;
     return;
   }
-  constexpr double kMegabyte = 1e6;
   std::ostringstream line;
   line << progress.ready << '/' << progress.agents << " ready  " << std::fixed
        << std::setprecision(1) << static_cast<double>(progress.bytes) / kMegabyte << '/'
--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -21,7 +21,7 @@
 using Command = Result<void> (*)(const CtlOptions& options);
 
 const std::map<std::string, Command, std::less<>>& Commands() {
-  static const std::map<std::string, Command, std::less<>> commands = {
+  static const std::map<std::string, Command, std::less<>> kCommands = {
       {"check", RunCheck},
       {"get", RunGet},
       {"diff", RunDiff},
@@ -36,7 +36,7 @@
       {"watch", RunWatch},
       {"manifest", RunManifest},
   };
-  return commands;
+  return kCommands;
 }
 
 int ExitStatusOf(ErrorKind kind) {
--- a/src/apps/ctl_row.cc
+++ b/src/apps/ctl_row.cc
@@ -10,6 +10,8 @@
 namespace savory {
 namespace {
 
+constexpr std::string_view kLimits = "limits.";
+
 struct FieldChange {
   std::string field;
   std::string value;
@@ -75,7 +77,6 @@
 }
 
 void ChangeRouteField(YAML::Node row, const FieldChange& change) {
-  constexpr std::string_view kLimits = "limits.";
   if (change.field == "path_prefix" || change.field == "method") {
     return SetOrRemove(row["match"], change.field, change.value);
   }
@@ -111,9 +112,9 @@
   const auto finished = reader.value().Finish();
   if (finished) return read;
   // The line is one of the dumped row, which the operator has not seen.
-  static const std::regex line(R"(:\d+: )");
+  static const std::regex kLine(R"(:\d+: )");
   return Error{.kind = ErrorKind::kInvalidTable,
-               .detail = std::regex_replace(finished.error().detail, line, ": ",
+               .detail = std::regex_replace(finished.error().detail, kLine, ": ",
                                             std::regex_constants::format_first_only)};
 }
 
--- a/src/apps/experiment_tables.cc
+++ b/src/apps/experiment_tables.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cmath>
 #include <csignal>
 #include <iostream>
 #include <map>
@@ -48,10 +49,10 @@
 };
 
 const std::vector<std::string>& FaultNames() {
-  static const std::vector<std::string> names = {"none",          "kv-outage", "lost-reply",
-                                                 "two-operators", "partition", "paused-holder",
-                                                 "restart-wave"};
-  return names;
+  static const std::vector<std::string> kNames = {"none",          "kv-outage", "lost-reply",
+                                                  "two-operators", "partition", "paused-holder",
+                                                  "restart-wave"};
+  return kNames;
 }
 
 // An edit that was accepted.
@@ -85,7 +86,7 @@
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(probability * last + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(probability * last))];
 }
 
 std::string PoolName(int index) { return "pool-" + std::to_string(index); }
@@ -239,6 +240,7 @@
   // Reads the status of `from` and counts revisions that went down.
   std::vector<NodeStatus> ReadStatuses(const std::vector<FleetNode>& from) {
     std::vector<std::string> addresses;
+    addresses.reserve(from.size());
     for (const FleetNode& node : from) addresses.push_back(node.operator_address);
     auto statuses = ReadFleetStatus(addresses, kStatusTimeout);
     for (const NodeStatus& status : statuses) {
--- a/src/membership/membership_test.cc
+++ b/src/membership/membership_test.cc
@@ -239,6 +239,10 @@
   return member;
 }
 
+constexpr double kControlBudget = 23'000;  // bytes a second for all control at 1,010 members
+constexpr int kMeasuredSeconds = 120;
+constexpr int kChangesPerSecond = 12;
+
 // Bytes that one member sends each second while twelve others change each second. It is pinged once
 // a second, which is the average in a fleet, and its own pings are answered.
 double BytesPerSecond(int members) {
@@ -262,12 +266,13 @@
     }
     return acks;
   };
-  constexpr int kSeconds = 120;
-  for (int second = 0; second < kSeconds; ++second) {
+  for (int second = 0; second < kMeasuredSeconds; ++second) {
     std::vector<Member> changed;
-    for (int i = 0; i < 12; ++i) {
-      changed.push_back(FleetMember(1 + ((second * 12 + i) % (members - 1)),
-                                    static_cast<std::uint64_t>(second + 1)));
+    changed.reserve(kChangesPerSecond);
+    const auto update = static_cast<std::uint64_t>(second) + 1;
+    for (int i = 0; i < kChangesPerSecond; ++i) {
+      const int number = 1 + ((second * kChangesPerSecond + i) % (members - 1));
+      changed.push_back(FleetMember(number, update));
     }
     wire::Envelope ping = PingWith(changed);
     ping.mutable_ping()->set_sequence(1);
@@ -276,17 +281,16 @@
       for (const auto& ack : take(Membership::Tick{})) take(Membership::MessageArrived{ack});
     }
   }
-  return static_cast<double>(bytes) / kSeconds;
+  return static_cast<double>(bytes) / kMeasuredSeconds;
 }
 
 // Guards against a cost of membership that grows with the fleet.
 TEST(MembershipTest, BytesDoNotGrowWithTheFleet) {
-  constexpr double kBudget = 23'000;  // bytes a second for all control at 1,010 members
   const double small = BytesPerSecond(100);
   const double planned = BytesPerSecond(1010);
   EXPECT_GT(small, 1000);
   EXPECT_LE(planned, 1.1 * small);
-  EXPECT_LE(planned, kBudget);
+  EXPECT_LE(planned, kControlBudget);
 }
 
 }  // namespace
--- a/src/tables/table_check.cc
+++ b/src/tables/table_check.cc
@@ -150,8 +150,9 @@
     }
     const auto [first, added] =
         matches.emplace(route.method() + " " + route.path_prefix(), route.name());
-    if (!added)
+    if (!added) {
       return RouteFault(tables, i, "match", "route " + first->second + " has the same match");
+    }
     if (!pools.contains(route.pool())) {
       return RouteFault(tables, i, "pool", "no pool has the name " + route.pool());
     }
--- a/src/tables/table_edit_test.cc
+++ b/src/tables/table_edit_test.cc
@@ -41,7 +41,7 @@
     if (fault == Fault::kDelayed) {
       this->delayed.push_back([this, key, bytes, expected] { this->Apply(key, bytes, expected); });
     }
-    const Swap swap = fault == Fault::kDelayed ? Swap(KvSwap{}) : this->Apply(key, bytes, expected);
+    Swap swap = fault == Fault::kDelayed ? Swap(KvSwap{}) : this->Apply(key, bytes, expected);
     if (fault == Fault::kNone) return swap;
     return Error{.kind = ErrorKind::kWriteOutcomeUnknown, .detail = "no answer"};
   }
--- a/src/tables/table_file.cc
+++ b/src/tables/table_file.cc
@@ -20,14 +20,14 @@
 constexpr std::int64_t kDefaultDeadlineMs = 30'000;
 
 const std::vector<std::string>& Methods() {
-  static const std::vector<std::string> names = {"",      "GET",    "POST", "PUT",
-                                                 "PATCH", "DELETE", "HEAD"};
-  return names;
+  static const std::vector<std::string> kNames = {"",      "GET",    "POST", "PUT",
+                                                  "PATCH", "DELETE", "HEAD"};
+  return kNames;
 }
 
 const std::vector<std::string>& FavourNames() {
-  static const std::vector<std::string> names = {"time", "origin_bytes"};
-  return names;
+  static const std::vector<std::string> kNames = {"time", "origin_bytes"};
+  return kNames;
 }
 
 wire::AccountLimit ReadLimit(SettingsReader& reader) {
@@ -45,9 +45,9 @@
 
 // Names the row beside its position: "(route chat)".
 std::string RowNameOf(const std::string& detail, const wire::Tables& tables) {
-  static const std::regex pattern(R"((routes|pools)\[(\d+)\])");
+  static const std::regex kPattern(R"((routes|pools)\[(\d+)\])");
   std::smatch match;
-  if (!std::regex_search(detail, match, pattern)) return "";
+  if (!std::regex_search(detail, match, kPattern)) return "";
   const int index = std::stoi(match[2].str());
   const bool route = match[1].str() == "routes";
   const int rows = route ? tables.routes_size() : tables.pools_size();
