--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -22,6 +22,8 @@
 
 constexpr Duration kSettleTime = std::chrono::seconds(3);
 constexpr int kOverloadRunning = 4;  // attempts at each service at the same time, under overload
+constexpr double kStreamSeconds = 10;
+constexpr int kSpareRunning = 64;  // attempts beside the streams at each service
 constexpr Duration kFreeze = std::chrono::seconds(4);
 // A load balancer looks at /readyz this often.
 constexpr Duration kHealthPeriod = std::chrono::milliseconds(500);
@@ -103,6 +105,21 @@
                 .base_port = options.base_port,
                 .entries = options.entries,
                 .agents = options.agents};
+  plan.fleet.relays = options.fault == "silent-connection";
+  if (options.streams > 0) {
+    const double length = std::min(kStreamSeconds, options.seconds);
+    // A part every 250 ms; ended streams are replaced, so that the number stays open.
+    plan.sources.push_back({.account = "kochi-8",
+                            .rate = options.streams / length,
+                            .callers = options.streams,
+                            .stream_parts = static_cast<int>(length * 4),
+                            .part_ms = 250});
+    const int per_agent = options.streams / options.agents + kSpareRunning;
+    plan.fleet.max_running = std::max(plan.fleet.max_running, per_agent);
+  }
+  if (options.fault == "poison") {
+    plan.sources.push_back({.account = "kochi-9", .rate = 2, .callers = 16, .poison = true});
+  }
   if (options.fault != "overload") {
     plan.sources.push_back({.account = "kochi-7",
                             .rate = options.rate,
@@ -151,7 +168,9 @@
         processes(processes),
         plan(PlanOf(this->options)),
         fleet(processes, this->plan.fleet),
-        load([this] { return this->ChooseEntry(); }) {
+        // A kept connection may be closed by a stopping entry while the caller sends on it; a load
+        // balancer sees that in its own way.
+        load([this] { return this->ChooseEntry(); }, this->options.fault != "drain") {
     for (int i = 0; i < this->options.entries; ++i) this->in_rotation.push_back(i);
   }
 
@@ -202,6 +221,7 @@
   if (fault == "kill-agent") this->KillAgents();
   if (fault == "freeze-agent") this->FreezeAgent();
   if (fault == "drain") this->Drain();
+  if (fault == "silent-connection") this->fleet.SilenceAgent(0);
   if (fault == "kv-outage") {
     Post(this->fleet.Kv(), "/admin/fault", {{"outage", true}});
     this->Sleep(0.3);
@@ -252,7 +272,8 @@
   };
   std::map<ToldOutcome, int> outcomes;
   std::map<std::string, int> kinds;
-  std::map<std::string, std::pair<int, int>> accounts;  // sent, answered
+  std::map<std::string, std::pair<int, int>> accounts;        // sent, answered
+  std::map<std::string, std::vector<double>> account_millis;  // of answered requests
   std::vector<double> routed;
   std::vector<double> claimed;
   int wrong = 0;
@@ -260,7 +281,12 @@
   int false_not_run = 0;
   int cut_off = 0;
   int repeat_not_run_after_run = 0;
+  int poison_refused = 0;
   for (const ToldRequest& request : this->load.Told()) {
+    if (request.poison) {
+      poison_refused += request.kind == "request-crashes-upstream" ? 1 : 0;
+      continue;
+    }
     ++outcomes[request.outcome];
     if (!request.kind.empty()) ++kinds[request.kind];
     const int count = runs_of(request.key);
@@ -276,8 +302,18 @@
     ++sent;
     if (request.outcome != ToldOutcome::kAnswered) continue;
     ++answered;
+    if (request.stream_parts > 0) continue;
+    account_millis[request.account].push_back(request.millis);
     (request.keyed ? claimed : routed).push_back(request.millis);
   }
+  nlohmann::json by_account = nlohmann::json::object();
+  for (const auto& [account, millis] : account_millis) {
+    by_account[account] = {{"sent", accounts[account].first},
+                           {"answered", millis.size()},
+                           {"ms_p50", QuantileOf(millis, 0.5)},
+                           {"ms_p95", QuantileOf(millis, 0.95)},
+                           {"ms_p99", QuantileOf(millis, 0.99)}};
+  }
   const std::vector<double>& direct = this->load.Direct();
   const auto small = accounts.find("small");
   const double sent = this->fleet.SumOfSeries("savory_requests_sent_total");
@@ -292,6 +328,8 @@
           {"double_runs", double_runs},
           {"false_not_run", false_not_run},
           {"repeat_not_run_after_run", repeat_not_run_after_run},
+          {"poison_refused", poison_refused},
+          {"poison_runs", runs_of("poison")},
           {"cut_off_by_planned_stop", cut_off},
           {"attempts_per_request", sent == 0 ? 0 : attempts / sent},
           {"added_ms_p50", QuantileOf(routed, 0.5) - QuantileOf(direct, 0.5)},
@@ -302,6 +340,7 @@
            small == accounts.end()
                ? 1.0
                : static_cast<double>(small->second.second) / std::max(1, small->second.first)},
+          {"accounts", by_account},
           {"kinds", kinds}};
 }
 
--- a/src/distribution/load_order_test.cc
+++ b/src/distribution/load_order_test.cc
@@ -153,6 +153,53 @@
   EXPECT_TRUE(this->Take<OrderLoad>());
 }
 
+// Guards against an order after an idle check that was made while the gate still let requests in.
+TEST_F(LoadOrderTest, AnIdleCheckBeforeTheLeaseDoesNotCount) {
+  this->WantAndHold(kNew);
+  this->Give(OrderTick{.idle = true});
+  this->Grant();
+  EXPECT_FALSE(this->Take<OrderLoad>());
+  EXPECT_TRUE(this->order->BlocksServing());
+  this->Give(OrderTick{.idle = true});
+  EXPECT_TRUE(this->Take<OrderLoad>());
+}
+
+// Guards against an engine that died keeping a slot from the other agents for ever.
+TEST_F(LoadOrderTest, ASlotIsGivenUpForAnEngineThatDied) {
+  const OrderLoad load = this->OrderUnderLease(kNew);
+  this->Give(LoadAnswered{.answer = this->engine.Receive(load, this->now)});
+  this->Give(EngineSilent{});
+  EXPECT_TRUE(this->order->BlocksServing());
+  this->Wait(seconds(10));
+  this->Give(EngineSilent{});
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_FALSE(this->order->BlocksServing());
+}
+
+// Guards against an engine that hangs while it loads keeping a slot for ever, and against it being
+// sent requests.
+TEST_F(LoadOrderTest, ASlotIsGivenUpForAnEngineThatHangs) {
+  const OrderLoad load = this->OrderUnderLease(kNew);
+  this->Give(LoadAnswered{.answer = this->engine.Receive(load, this->now)});
+  for (int i = 0; i < 29 * 60; i += 3) {
+    this->Wait(seconds(3));
+    this->Report();
+    if (const auto renewal = this->Take<RenewSlot>()) {
+      this->Give(LeaseRenewed{.call = renewal->call});
+    }
+  }
+  EXPECT_FALSE(this->Take<ReleaseSlot>());
+  for (int i = 0; i < 60; i += 3) {
+    this->Wait(seconds(3));
+    this->Report();
+    if (const auto renewal = this->Take<RenewSlot>()) {
+      this->Give(LeaseRenewed{.call = renewal->call});
+    }
+  }
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_TRUE(this->order->BlocksServing());
+}
+
 // Guards against an order by a process that was paused while it held the lease.
 TEST_F(LoadOrderTest, APausedHolderDoesNotOrder) {
   this->WantAndHold(kNew);
--- a/src/runtime/workers.cc
+++ b/src/runtime/workers.cc
@@ -1,52 +1,51 @@
 #include "runtime/workers.h"
 
-#include <oneapi/tbb/global_control.h>
-#include <oneapi/tbb/task_arena.h>
+#include <oneapi/tbb/concurrent_queue.h>
 
-#include <atomic>
-#include <condition_variable>
 #include <mutex>
+#include <thread>
+#include <vector>
 
 #include "runtime/event_loop.h"
 
 namespace savory {
 
-namespace tbb = oneapi::tbb;
-
 struct Workers::Impl {
   EventLoop& loop;
-  // Raises the limit of oneTBB, which is otherwise the number of cores: this
-  // work mostly blocks.
-  tbb::global_control parallelism;
-  tbb::task_arena arena;
-  std::mutex mutex = {};
-  std::condition_variable idle = {};
-  int running = 0;
-
-  Impl(EventLoop& loop, int threads)
-      : loop(loop),
-        parallelism(tbb::global_control::max_allowed_parallelism,
-                    static_cast<std::size_t>(threads) + 1),
-        arena(threads, 0) {}
+  std::size_t max_threads;
+  // An empty function ends one thread.
+  oneapi::tbb::concurrent_bounded_queue<std::function<void()>> queue = {};
+  std::mutex mutex = {};  // guards `threads`
+  std::vector<std::thread> threads = {};
+
+  void Serve() {
+    while (true) {
+      std::function<void()> work;
+      this->queue.pop(work);
+      if (!work) return;
+      work();
+    }
+  }
+
+  void AddThread() {
+    const std::scoped_lock lock(this->mutex);
+    if (this->threads.size() >= this->max_threads) return;
+    this->threads.emplace_back([this] { this->Serve(); });
+  }
 };
 
-Workers::Workers(EventLoop& loop, int threads) : impl(std::make_unique<Impl>(loop, threads)) {}
+Workers::Workers(EventLoop& loop, int threads)
+    : impl(new Impl{.loop = loop, .max_threads = static_cast<std::size_t>(threads)}) {}
 
 Workers::~Workers() {
-  std::unique_lock lock(this->impl->mutex);
-  this->impl->idle.wait(lock, [this] { return this->impl->running == 0; });
+  for (std::size_t i = 0; i < this->impl->threads.size(); ++i) this->impl->queue.push({});
+  for (std::thread& thread : this->impl->threads) thread.join();
 }
 
 void Workers::Run(std::function<void()> work) {
-  {
-    const std::scoped_lock lock(this->impl->mutex);
-    ++this->impl->running;
-  }
-  this->impl->arena.enqueue([this, work = std::move(work)] {
-    work();
-    const std::scoped_lock lock(this->impl->mutex);
-    if (--this->impl->running == 0) this->impl->idle.notify_all();
-  });
+  this->impl->queue.push(std::move(work));
+  // The size counts threads that wait as negative: above zero, all threads are busy.
+  if (this->impl->queue.size() > 0) this->impl->AddThread();
 }
 
 void Workers::PostToLoop(std::function<void()> task) { this->impl->loop.Post(std::move(task)); }
