--- a/src/apps/experiment_distribution.cc
+++ b/src/apps/experiment_distribution.cc
@@ -369,6 +369,20 @@
     return bad;
   }
 
+  // Phase and engine of the agents that do not serve the wanted version at the end.
+  json NotReady() const {
+    json rows = json::array();
+    for (const FleetNode& agent : this->fleet.Agents()) {
+      const auto status = this->fleet.Status(agent);
+      if (status && status.value().value("ready", false)) continue;
+      const auto engine = this->fleet.Get(agent.upstream, "/v1/state");
+      rows.push_back({{"vm", agent.vm},
+                      {"status", status ? status.value() : json(Describe(status.error()))},
+                      {"engine", engine ? engine.value() : json(Describe(engine.error()))}});
+    }
+    return rows;
+  }
+
   static std::uint64_t OriginBytes(const json& stats) {
     return stats.value("bytes_sent", std::uint64_t{0}) +
            stats.value("manifest_bytes", std::uint64_t{0});
@@ -404,6 +418,7 @@
             {"time_ratio", ratio},
             {"agents_whole", this->whole},
             {"agents_ready", this->ready},
+            {"agents_not_ready", this->NotReady()},
             {"bad_serves", this->BadServes()},
             {"requests_answered", this->loads.answered},
             {"requests_not_answered", this->loads.not_answered},
