--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -634,6 +634,9 @@
     const bool waits_for_origin =
         status.phase == RolloutPhase::kStopped || status.phase == RolloutPhase::kFetchingManifest;
     if (waits_for_origin) status.detail = this->stop_detail;
+    if (this->order.CurrentStep() == LoadOrder::Step::kDraining) {
+      status.detail = "waits until no request runs at the engine";
+    }
     return status;
   }
 
