Repair findings of clang-tidy; let bench.sh run chosen experiments

The signal thread of ProcessGroup is woken by SIGUSR1, as a SIGTERM sent to a thread ends the whole process when it is not blocked.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
-	printf '%s\n' $(filter %.cc,$(SOURCES)) | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD) --extra-arg=-Wno-unknown-warning-option
+	printf '%s\n' $(filter %.cc,$(SOURCES)) | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD) --extra-arg=-Wno-unknown-warning-option --extra-arg=-Wno-unknown-warning-option
 
 # Needs protobuf-compiler; the generated code is committed.
 proto:
--- a/src/apps/fleet.cc
+++ b/src/apps/fleet.cc
@@ -319,7 +319,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) const {
-  const std::string path = this->impl->processes.Directory() + "/" + name;
+  std::string path = this->impl->processes.Directory() + "/" + name;
   std::ofstream(path, std::ios::binary) << text;
   return path;
 }
--- a/src/apps/process_group.cc
+++ b/src/apps/process_group.cc
@@ -28,12 +28,17 @@
 constexpr Duration kStopGrace = std::chrono::seconds(2);
 constexpr int kSignalStatus = 128;
 constexpr int kExecFailed = 127;
+constexpr int kLogFlags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC;
+constexpr mode_t kLogMode = 0644;
+// Ends the wait of the thread that takes signals.
+constexpr int kWakeUpSignal = SIGUSR1;
 
 sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGINT);
   sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, kWakeUpSignal);
   return signals;
 }
 
@@ -111,7 +116,7 @@
     int received = 0;
     sigwait(&signals, &received);
     const std::unique_lock lock(this->mutex);
-    if (this->ending) return;
+    if (this->ending || received == kWakeUpSignal) return;
     for (auto& [name, child] : this->children) {
       if (!child.status) kill(child.pid, SIGKILL);
     }
@@ -127,11 +132,11 @@
   pid_t Fork(const std::vector<std::string>& command, const std::string& output_file,
              const std::string& error_file) {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& part : command) arguments.push_back(const_cast<char*>(part.c_str()));
     arguments.push_back(nullptr);
-    constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC;
-    const int output = open(output_file.c_str(), kFlags, 0644);
-    const int errors = open(error_file.c_str(), kFlags, 0644);
+    const int output = open(output_file.c_str(), kLogFlags, kLogMode);
+    const int errors = open(error_file.c_str(), kLogFlags, kLogMode);
     std::packaged_task<pid_t()> task([&] {
       const pid_t pid = fork();
       if (pid == 0) BecomeChild(arguments.data(), output, errors);
@@ -213,7 +218,7 @@
   }
   this->impl->changed.notify_all();
   this->impl->starter.join();
-  pthread_kill(this->impl->signal_thread.native_handle(), SIGTERM);
+  pthread_kill(this->impl->signal_thread.native_handle(), kWakeUpSignal);
   this->impl->signal_thread.join();
   pthread_sigmask(SIG_SETMASK, &this->impl->previous_mask, nullptr);
   if (!this->impl->keep) this->impl->RemoveDirectory();
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -223,7 +223,7 @@
   std::string Begin(Answer& answer) {
     const std::lock_guard lock(this->mutex);
     answer.generation = this->memory.Generation();
-    const std::string weights = this->memory.WeightsInUse();
+    std::string weights = this->memory.WeightsInUse();
     if (!weights.empty() && this->runs.size() < kMaxTokens) ++this->runs[answer.prompt.token];
     return weights;
   }
--- a/standins/engine_loader.cc
+++ b/standins/engine_loader.cc
@@ -8,6 +8,7 @@
 namespace savory::standins {
 namespace {
 
+constexpr std::string_view kScheme = "http://";
 constexpr Duration kReadTimeout = std::chrono::seconds(30);
 
 Result<wire::Manifest> ReadManifest(HttpClient& client, const WeightsSource& source) {
@@ -30,7 +31,6 @@
 }  // namespace
 
 Result<WeightsSource> ParseSource(const std::string& url, const std::string& manifest) {
-  constexpr std::string_view kScheme = "http://";
   const std::string rest = url.starts_with(kScheme) ? url.substr(kScheme.size()) : url;
   const std::size_t slash = rest.find('/');
   if (slash == std::string::npos || rest.find(':') > slash) {
--- a/standins/kv_main.cc
+++ b/standins/kv_main.cc
@@ -19,7 +19,7 @@
                      .body = request.body};
 }
 
-void Answer(KvAnswer answer, httplib::Response& response) {
+void Answer(const KvAnswer& answer, httplib::Response& response) {
   if (answer.delivery == Delivery::kClose) {
     StandinServer::DropConnection();
     return;
@@ -30,7 +30,7 @@
   }
   response.status = answer.reply.status;
   for (const auto& [name, value] : answer.reply.headers) response.set_header(name, value);
-  response.set_content(std::move(answer.reply.body), answer.reply.content_type);
+  response.set_content(answer.reply.body, answer.reply.content_type);
 }
 
 void Mount(StandinServer& server, KvService& service) {
--- a/standins/service_main.cc
+++ b/standins/service_main.cc
@@ -54,7 +54,7 @@
 
  private:
   static std::string KeyOf(const httplib::Request& request) {
-    const std::string key = request.get_header_value("Idempotency-Key");
+    std::string key = request.get_header_value("Idempotency-Key");
     if (!key.empty()) return key;
     if (request.body.size() <= kLongestKey) return request.body;
     return Sha256(request.body).Hex();
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -25,7 +25,7 @@
 // Socket of the connection whose handler runs on this thread.
 thread_local int current_socket = -1;
 
-bool WaitFor(int socket, short events, int timeout_ms) {
+bool WaitFor(int socket, std::int16_t events, int timeout_ms) {
   pollfd entry = {.fd = socket, .events = events, .revents = 0};
   return poll(&entry, 1, timeout_ms) > 0;
 }
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the experiments and writes bench/DATE.jsonl, bench/DATE.md and SVG plots:
 #   tools/bench.sh BIN_DIR
-# The experiments use fixed seeds. BENCH_QUICK=1 runs small fleets. BASE_PORT: first TCP port.
+# The experiments use fixed seeds. BENCH_QUICK=1 runs small fleets. BENCH_ONLY="requests tables" runs
+# only these experiments. BASE_PORT: first TCP port.
 set -euo pipefail
 bin=$(cd "${1:?usage: tools/bench.sh BIN_DIR}" && pwd)
 cd "$(dirname "$0")/.."
@@ -16,6 +17,7 @@
 # run EXPERIMENT OPTIONS...: appends the last line of the output, which is one JSON object.
 run() {
   local line
+  [[ " ${BENCH_ONLY:-$1} " == *" $1 "* ]] || return 0
   echo "== $*" >&2
   if line=$("$bin/savoryrouter-experiment" "$@" --bin-dir "$bin" --base-port "$port" | tail -n 1) &&
     [ "${line:0:1}" = "{" ]; then
