--- a/src/runtime/kv_connection.cc
+++ b/src/runtime/kv_connection.cc
@@ -53,7 +53,11 @@
   Result<HttpAnswer> Write(const HttpCall& call) {
     auto answer = this->client.Call(call);
     if (!answer) return WriteError(answer.error());
-    if (answer.value().status == 503) return UnexpectedStatus(503);
+    // A service or something in front of it can fail after the write took effect.
+    if (answer.value().status >= 500) {
+      return WriteError(Error{.kind = ErrorKind::kTimeout,
+                              .detail = UnexpectedStatus(answer.value().status).detail});
+    }
     return answer;
   }
 };
