Guard the incarnation of a cancel with a golden session

With the rule broken in a scratch copy, the property with 200 cases did not fail (it had first failed after 761); the golden session covers the case.

--- a/src/gate/upstream_gate_test.cc
+++ b/src/gate/upstream_gate_test.cc
@@ -61,9 +61,9 @@
                              .priority = priority,
                              .idempotent = true});
   }
-  void Cancel(std::uint64_t sequence) {
+  void Cancel(std::uint64_t sequence, std::uint64_t incarnation = kIncarnation) {
     this->Feed("cancel " + std::to_string(sequence),
-               CancelReceived{.id = Key(sequence), .agent_incarnation = kIncarnation});
+               CancelReceived{.id = Key(sequence), .agent_incarnation = incarnation});
   }
   void Query(std::uint64_t sequence, std::uint32_t next_part = 0,
              std::uint64_t incarnation = kIncarnation) {
@@ -142,6 +142,7 @@
   session.Cancel(2);
   session.Start(2);
   session.Query(3, 0, kIncarnation - 1);
+  session.Cancel(6, kIncarnation - 1);
   session.Start(4);
   session.Start(4);
   session.Head(4);
