--- a/standins/origin.cc
+++ b/standins/origin.cc
@@ -90,8 +90,8 @@
   void SendManifest(const httplib::Request& request, httplib::Response& response) {
     ++this->manifest_requests;
     if (this->outage) return Refuse(response);
-    const auto file =
-        OriginFile::Open(this->options.dir + "/manifests/" + std::string(request.matches[1]));
+    const std::string digest = request.matches[1];
+    const auto file = OriginFile::Open(this->options.dir + "/manifests/" + digest);
     if (!file) return ReplyJson(response, {{"error", "no such manifest"}}, 404);
     this->manifest_bytes += file->Size();
     response.set_content(file->Read(0, file->Size()), "application/octet-stream");
