--- a/src/apps/experiment_requests.cc
+++ b/src/apps/experiment_requests.cc
@@ -105,6 +105,7 @@
                 .base_port = options.base_port,
                 .entries = options.entries,
                 .agents = options.agents};
+  plan.fleet.relays = options.fault == "silent-connection";
   if (options.streams > 0) {
     const double length = std::min(kStreamSeconds, options.seconds);
     // A part every 250 ms; ended streams are replaced, so that the number stays open.
@@ -177,6 +178,7 @@
     BOOST_OUTCOME_TRYV(this->fleet.Start(this->plan.tables));
     std::this_thread::sleep_for(kSettleTime);
     std::vector<std::string> services;
+    services.reserve(static_cast<std::size_t>(this->options.agents));
     for (int i = 0; i < this->options.agents; ++i) services.push_back(this->fleet.Service(i));
     std::thread direct([this, services] { this->load.CompareDirectly(services); });
     std::thread fault([this] { this->InjectFault(); });
@@ -220,6 +222,7 @@
   if (fault == "kill-agent") this->KillAgents();
   if (fault == "freeze-agent") this->FreezeAgent();
   if (fault == "drain") this->Drain();
+  if (fault == "silent-connection") this->fleet.SilenceAgent(0);
   if (fault == "kv-outage") {
     Post(this->fleet.Kv(), "/admin/fault", {{"outage", true}});
     this->Sleep(0.3);
--- a/src/apps/process_host.cc
+++ b/src/apps/process_host.cc
@@ -69,6 +69,7 @@
         workers(loop, settings.workers),
         peers(loop, metrics,
               {.listen = settings.identity.peer,
+               .bind = settings.peer_bind,
                .vm = settings.identity.vm,
                .incarnation = settings.identity.incarnation}),
         kv(workers, metrics, settings.kv, settings.kv_timeout),
@@ -162,10 +163,8 @@
   update_peers();
   members.OnChange(update_peers);
   members.OnHigherRevision([&tables](const Member& peer) { tables.PullFrom(peer.peer); });
-  tables.OnChange([&members](const wire::Tables& current) {
-    members.SetTablesRevision(current.revision());
-    Log(LogLevel::kInfo, "tables_in_force", {{"revision", current.revision()}});
-  });
+  tables.OnChange(
+      [&members](const wire::Tables& current) { members.SetTablesRevision(current.revision()); });
 }
 
 void ProcessHost::Run() {
--- a/src/claims/claim_batcher.h
+++ b/src/claims/claim_batcher.h
@@ -51,6 +51,12 @@
 // time that probes the service when the backoff has passed. Outcomes are kept through the outage,
 // within `max_unwritten`; an outcome that is dropped leaves the claim unfinished, so a repeat is
 // settled by a query to the agent.
+//
+// Capacity (docs/decisions/claims.md): with E entries, S shards, R claims/s of the fleet and batch
+// delay d, entries that all write directly cost about 2R writes/s and 2R reads/s, which breaks
+// between E = 80 and 160 at 0.84 claims/s each. With forwarding (ClaimRouter) the cost is about
+// S / (d + S/R) writes/s. An unfinished claim takes 103 bytes, a finished one 41 without its
+// answer, so a value of 900 kB keeps 21,949 finished claims, and the fleet S times as many.
 class ClaimBatcher {
  public:
   // `random` must outlive this object.
@@ -88,6 +94,7 @@
     Instant deadline = {};
     std::optional<Result<ClaimAnswer>> outcome = {};  // to give if the write in flight succeeds
     bool answered = false;
+    bool foreign = false;
     bool sent = false;                // its nonce was in a write that may have taken effect
     std::uint64_t sent_expected = 0;  // version expected by the latest such write
   };
@@ -146,6 +153,8 @@
   void On(const ClaimTick&) {}
 
   Shard& ShardFor(const Digest& key);
+  // Why a new claim is refused at once, if it is.
+  std::optional<Error> RefusalFor(const Shard& shard, Instant deadline) const;
   void Reply(std::uint64_t id, Result<ClaimAnswer> answer);
   void RefuseUnavailable(std::uint64_t id, std::string detail);
   std::string MakeNonce();
--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -299,7 +299,7 @@
     this->On(wire::Envelope::kOriginHold, [this](const auto& message, auto) {
       const wire::OriginHold& hold = message.origin_hold();
       if (hold.origin() != this->options.origin) return;
-      this->Spread(HoldReceived{.hold = milliseconds(hold.hold_ms())});
+      this->Spread(HoldReceived{.hold = std::chrono::milliseconds{hold.hold_ms()}});
     });
     this->SubscribeChunks();
   }
@@ -634,6 +634,9 @@
     const bool waits_for_origin =
         status.phase == RolloutPhase::kStopped || status.phase == RolloutPhase::kFetchingManifest;
     if (waits_for_origin) status.detail = this->stop_detail;
+    if (this->order.CurrentStep() == LoadOrder::Step::kDraining) {
+      status.detail = "waits until no request runs at the engine";
+    }
     return status;
   }
 
@@ -645,13 +648,33 @@
     if (status.phase == this->logged_phase) return;
     this->logged_phase = status.phase;
     Log(status.phase == RolloutPhase::kStopped ? LogLevel::kWarn : LogLevel::kInfo, "rollout_phase",
-        {{"phase", static_cast<int>(status.phase)},
+        {{"phase", PhaseName(status.phase)},
          {"wanted", status.wanted.Hex()},
          {"serving", status.serving.Hex()},
          {"detail", status.detail}});
   }
 };
 
+std::string_view PhaseName(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::kIdle:
+      return "idle";
+    case RolloutPhase::kFetchingManifest:
+      return "fetching-manifest";
+    case RolloutPhase::kCopying:
+      return "copying";
+    case RolloutPhase::kStopped:
+      return "stopped";
+    case RolloutPhase::kWaitingForLease:
+      return "waiting-for-lease";
+    case RolloutPhase::kLoading:
+      return "loading";
+    case RolloutPhase::kReady:
+      return "ready";
+  }
+  return "unknown";
+}
+
 DistributionDriver::DistributionDriver(Node& node, MembershipDriver& members,
                                        DistributionDriverOptions options)
     : impl(std::make_unique<Impl>(node, members, std::move(options))) {}
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -32,8 +32,9 @@
 constexpr Duration kHangUpCheck = std::chrono::seconds(1);
 // After a stop signal, callers on kept connections are told that this entry stops.
 constexpr Duration kMinDrain = std::chrono::seconds(1);
-// Threads beyond `max_streams`, so that more requests are refused with an answer.
-constexpr int kRefusalThreads = 32;
+// Threads beyond `max_streams`, for kept connections without a request and so that more requests
+// are refused with an answer.
+constexpr int kSpareThreads = 400;
 constexpr std::size_t kAffinityBytes = 256;
 // More of an answer is never recorded with a claim.
 constexpr std::size_t kMaxRecordedBytes = 64u << 10;
@@ -132,7 +133,6 @@
 
 EntryDriverOptions ReadEntryOptions(SettingsReader reader) {
   EntryDriverOptions options;
-  options.http = reader.Address("http", "");
   const Range streams = {.low = 1, .high = 4096};
   options.max_streams =
       static_cast<int>(reader.Integer("max_streams", streams, options.max_streams));
@@ -238,9 +238,8 @@
   this->OnMembersChanged();
   this->node.loop.Every(kTickPeriod, [this] { this->Feed(FlowTick{}); });
   this->node.loop.Every(kSubscribePeriod, [this] { this->SubscribeToAgents(true); });
-  this->server = std::make_unique<HttpServer>(
-      HttpServerOptions{.listen = this->options.http,
-                        .max_connections = this->options.max_streams + kRefusalThreads});
+  this->server = std::make_unique<HttpServer>(HttpServerOptions{
+      .listen = this->options.http, .max_connections = this->options.max_streams + kSpareThreads});
   this->server->Handle("*", ".*",
                        [this](const HttpRequest& request) { return this->Serve(request); });
   this->server->Start();
@@ -495,7 +494,8 @@
   const auto found = this->callers.find(id);
   if (found == this->callers.end()) return;
   if (found->second->queue.Push(std::move(item))) return;
-  // The caller reads too slowly; its answer ends as broken.
+  // The caller reads too slowly; its answer ends as broken after what is queued.
+  found->second->queue.Push(AnswerBrokenOff{});
   this->node.metrics.CounterFor("savory_request_slow_callers_total").Add();
   this->node.loop.Post([this, id] { this->Feed(CallerGone{.id = id}); });
 }
