--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+// Without attempts only records age; fewer wake-ups keep the control budget.
+constexpr Duration kIdleTickPeriod = std::chrono::milliseconds(100);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 constexpr Duration kSubscriptionLifetime = std::chrono::seconds(15);
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
@@ -97,6 +99,8 @@
   std::function<void()> drained = {};
   std::function<void(std::uint64_t)> on_bytes = {};
   bool engine_probing = false;
+  bool idle_tick = false;  // the next tick is far off, because no attempt runs
+  EventLoop::TimerId tick = 0;
 
   Impl(Node& node, GateDriverOptions given)
       : node(node),
@@ -111,6 +115,7 @@
 
   void Start();
   void Feed(const GateEvent& event);
+  void ScheduleTick();
   void CountBytes(std::size_t bytes) const {
     if (this->on_bytes) this->on_bytes(bytes);
   }
@@ -161,7 +166,7 @@
                   [this](const wire::Envelope& message, std::span<const std::byte>) {
                     this->OnSubscribe(message);
                   });
-  this->node.loop.Every(kTickPeriod, [this] { this->Feed(GateTick{}); });
+  this->ScheduleTick();
   this->node.loop.Every(kReportPeriod, [this] { this->Do(ReportLoad{}); });
 }
 
@@ -169,6 +174,17 @@
   for (const GateAction& action : this->gate.Handle(event, this->node.loop.Now())) {
     std::visit([this](const auto& typed) { this->Do(typed); }, action);
   }
+  if (this->idle_tick && !this->gate.IsIdle()) this->ScheduleTick();
+}
+
+void GateDriver::Impl::ScheduleTick() {
+  this->node.loop.Cancel(this->tick);
+  this->idle_tick = this->gate.IsIdle();
+  this->tick = this->node.loop.After(this->idle_tick ? kIdleTickPeriod : kTickPeriod, [this] {
+    this->idle_tick = false;
+    this->Feed(GateTick{});
+    this->ScheduleTick();
+  });
 }
 
 void GateDriver::Impl::OnStart(const wire::Envelope& message, std::span<const std::byte> payload) {
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
+// Without requests only limits and reports age; fewer wake-ups keep the control budget.
+constexpr Duration kIdleTickPeriod = std::chrono::milliseconds(100);
 constexpr Duration kSubscribePeriod = std::chrono::seconds(5);
 // Changes of the member list within this time are handled together.
 constexpr Duration kMemberDelay = std::chrono::milliseconds(50);
@@ -163,6 +165,8 @@
   std::set<std::string> subscribed = {};  // peers
   std::function<void()> drained = {};
   bool members_pending = false;
+  bool idle_tick = false;  // the next tick is far off, because no request is in progress
+  EventLoop::TimerId tick = 0;
   // Message whose part is being handled.
   const wire::AttemptPart* part = nullptr;
   std::span<const std::byte> payload = {};
@@ -189,6 +193,7 @@
   void Start();
   void SubscribeToPeers();
   void Feed(const RequestEvent& event);
+  void ScheduleTick();
 
   // On the callers' threads.
   HttpReply Serve(const HttpRequest& request);
@@ -236,7 +241,7 @@
     this->node.loop.After(kMemberDelay, [this] { this->OnMembersChanged(); });
   });
   this->OnMembersChanged();
-  this->node.loop.Every(kTickPeriod, [this] { this->Feed(FlowTick{}); });
+  this->ScheduleTick();
   this->node.loop.Every(kSubscribePeriod, [this] { this->SubscribeToAgents(true); });
   this->server = std::make_unique<HttpServer>(HttpServerOptions{
       .listen = this->options.http, .max_connections = this->options.max_streams + kSpareThreads});
@@ -267,6 +272,17 @@
   for (const RequestAction& action : this->flow.Handle(event, this->node.loop.Now())) {
     std::visit([this](const auto& typed) { this->Do(typed); }, action);
   }
+  if (this->idle_tick && this->flow.InProgress() > 0) this->ScheduleTick();
+}
+
+void EntryDriver::Impl::ScheduleTick() {
+  this->node.loop.Cancel(this->tick);
+  this->idle_tick = this->flow.InProgress() == 0;
+  this->tick = this->node.loop.After(this->idle_tick ? kIdleTickPeriod : kTickPeriod, [this] {
+    this->idle_tick = false;
+    this->Feed(FlowTick{});
+    this->ScheduleTick();
+  });
 }
 
 // ---- callers' threads ----
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "runtime/caller_socket.h"
+#include "runtime/thread_pool.h"
 
 namespace savory {
 namespace {
@@ -25,6 +26,21 @@
   void EnlargeBacklog() { ::listen(this->svr_sock_, kListenBacklog); }
 };
 
+// One thread for each open connection, started on demand: an entry allows hundreds, and a thread for
+// each of them from the start exhausted the threads of a machine that runs many entries.
+class ConnectionThreads : public httplib::TaskQueue {
+ public:
+  explicit ConnectionThreads(int max_threads) : threads(max_threads) {}
+
+  void enqueue(std::function<void()> task) override {  // NOLINT(readability-identifier-naming)
+    this->threads.Run(std::move(task));
+  }
+  void shutdown() override { this->threads.Join(); }  // NOLINT(readability-identifier-naming)
+
+ private:
+  ThreadPool threads;
+};
+
 HttpRequest FromLibrary(const httplib::Request& request) {
   const auto socket =
       std::make_shared<CallerSocket>(request.remote_addr, request.remote_port, request.local_port);
@@ -82,8 +98,8 @@
 HttpServer::HttpServer(HttpServerOptions options)
     : impl(std::make_unique<Impl>(std::move(options))) {
   httplib::Server& server = this->impl->server;
-  const auto threads = static_cast<std::size_t>(this->impl->options.max_connections);
-  server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  const int threads = this->impl->options.max_connections;
+  server.new_task_queue = [threads] { return new ConnectionThreads(threads); };
   server.set_payload_max_length(kMaxBodyBytes);
   server.set_keep_alive_timeout(this->impl->options.keep_alive / std::chrono::seconds(1));
   server.set_keep_alive_max_count(kKeepAliveRequests);
--- a/src/runtime/workers.cc
+++ b/src/runtime/workers.cc
@@ -1,52 +1,21 @@
 #include "runtime/workers.h"
 
-#include <oneapi/tbb/concurrent_queue.h>
-
-#include <mutex>
-#include <thread>
-#include <vector>
-
 #include "runtime/event_loop.h"
+#include "runtime/thread_pool.h"
 
 namespace savory {
 
 struct Workers::Impl {
   EventLoop& loop;
-  std::size_t max_threads;
-  // An empty function ends one thread.
-  oneapi::tbb::concurrent_bounded_queue<std::function<void()>> queue = {};
-  std::mutex mutex = {};  // guards `threads`
-  std::vector<std::thread> threads = {};
-
-  void Serve() {
-    while (true) {
-      std::function<void()> work;
-      this->queue.pop(work);
-      if (!work) return;
-      work();
-    }
-  }
-
-  void AddThread() {
-    const std::scoped_lock lock(this->mutex);
-    if (this->threads.size() >= this->max_threads) return;
-    this->threads.emplace_back([this] { this->Serve(); });
-  }
+  ThreadPool threads;
 };
 
 Workers::Workers(EventLoop& loop, int threads)
-    : impl(new Impl{.loop = loop, .max_threads = static_cast<std::size_t>(threads)}) {}
-
-Workers::~Workers() {
-  for (std::size_t i = 0; i < this->impl->threads.size(); ++i) this->impl->queue.push({});
-  for (std::thread& thread : this->impl->threads) thread.join();
-}
-
-void Workers::Run(std::function<void()> work) {
-  this->impl->queue.push(std::move(work));
-  // The size counts threads that wait as negative: above zero, all threads are busy.
-  if (this->impl->queue.size() > 0) this->impl->AddThread();
-}
+    : impl(new Impl{.loop = loop, .threads = ThreadPool(threads)}) {}
+
+Workers::~Workers() = default;
+
+void Workers::Run(std::function<void()> work) { this->impl->threads.Run(std::move(work)); }
 
 void Workers::PostToLoop(std::function<void()> task) { this->impl->loop.Post(std::move(task)); }
 
--- a/src/runtime/workers.h
+++ b/src/runtime/workers.h
@@ -8,10 +8,7 @@
 
 class EventLoop;
 
-// Threads that wait on a oneTBB queue; they are started when they are needed and then kept. Results
-// are handed back to the event loop. A task arena does not suit calls that block: each enqueued
-// call woke every thread of the arena, which cost an agent with 160 threads a quarter of a core at
-// 10 calls a second.
+// Runs blocking work on a ThreadPool and hands results back to the event loop.
 class Workers {
  public:
   // `threads`: number of calls that may block at the same time.
