--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -26,8 +26,8 @@
   void EnlargeBacklog() { ::listen(this->svr_sock_, kListenBacklog); }
 };
 
-// One thread for each open connection, started on demand: an entry allows hundreds, and a thread for
-// each of them from the start exhausted the threads of a machine that runs many entries.
+// One thread for each open connection, started on demand: an entry allows hundreds, and a thread
+// for each of them from the start exhausted the threads of a machine that runs many entries.
 class ConnectionThreads : public httplib::TaskQueue {
  public:
   explicit ConnectionThreads(int max_threads) : threads(max_threads) {}
--- a/src/runtime/thread_pool.h
+++ b/src/runtime/thread_pool.h
@@ -6,11 +6,11 @@
 
 namespace savory {
 
-// Runs work on up to `max_threads` threads that wait on a oneTBB queue. A thread is started when work
-// arrives while all others are busy, and then kept: hundreds of calls may block at the same time, but
-// a process that is idle has only a few threads. A task arena does not suit calls that block: each
-// enqueued call woke every thread of the arena, which cost an agent with 160 threads a quarter of a
-// core at 10 calls a second.
+// Runs work on up to `max_threads` threads that wait on a oneTBB queue. A thread is started when
+// work arrives while all others are busy, and then kept: hundreds of calls may block at the same
+// time, but a process that is idle has only a few threads. A task arena does not suit calls that
+// block: each enqueued call woke every thread of the arena, which cost an agent with 160 threads a
+// quarter of a core at 10 calls a second.
 class ThreadPool {
  public:
   explicit ThreadPool(int max_threads);
