--- a/src/apps/core_costs.cc
+++ b/src/apps/core_costs.cc
@@ -119,6 +119,7 @@
   options.balancer.agents_pick = 1'000;
   auto flow = std::make_unique<RequestFlow>(options, random);
   std::vector<Member> members;
+  members.reserve(static_cast<std::size_t>(agents));
   for (int i = 0; i < agents; ++i) members.push_back(MakeMember(i, MemberRole::kAgent));
   flow->Handle(TablesChanged{OneRoute()}, now);
   flow->Handle(MembersChanged{members}, now);
--- a/src/apps/whole_session_test.cc
+++ b/src/apps/whole_session_test.cc
@@ -32,6 +32,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 Member MakeMember(const std::string& vm, const std::string& peer, MemberRole role) {
   return Member{.vm = vm,
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -53,8 +53,8 @@
 void Balancer::AddSubsetOf(const wire::Pool& pool) {
   std::vector<std::pair<std::uint64_t, const Member*>> ranked;
   for (const auto& [vm, agent] : this->agents) {
-    if (agent.member.state == MemberState::kDead || !IsPoolMember(pool, vm, agent.member.service))
-      continue;
+    if (agent.member.state == MemberState::kDead) continue;
+    if (!IsPoolMember(pool, vm, agent.member.service)) continue;
     ranked.emplace_back(RendezvousScore(this->options.vm, vm), &agent.member);
   }
   std::sort(ranked.rbegin(), ranked.rend(),
