Share attempt identities, hop-by-hop headers and the golden comparison

Gate and entry each converted attempt identities and kept a list of hop-by-hop headers, request_flow had a third conversion, and four test files compared golden files on their own. Behaviour is unchanged, except that an agent no longer passes on REMOTE_ADDR and similar headers that the HTTP library adds. The stand-ins print their version. The public header is compiled by a test.

--- a/src/apps/status.cc
+++ b/src/apps/status.cc
@@ -3,23 +3,11 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "membership/member_update.h"
+
 namespace savory {
 namespace {
 
-std::string_view StateName(MemberState state) {
-  switch (state) {
-    case MemberState::kAlive:
-      return "alive";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 // Hexadecimal digits, or an empty text for "none".
 std::string DigestText(const Digest& digest) { return digest.IsZero() ? "" : digest.Hex(); }
 
@@ -51,7 +39,7 @@
   out << "<tr><td>" << EscapeHtml(member.vm) << "<td>"
       << (member.role == MemberRole::kAgent ? "agent" : "entry") << "<td>"
       << EscapeHtml(member.service) << "<td>" << EscapeHtml(member.region) << "<td>"
-      << EscapeHtml(member.data_centre) << "<td>" << StateName(member.state) << "<td>"
+      << EscapeHtml(member.data_centre) << "<td>" << MemberStateName(member.state) << "<td>"
       << member.tables_revision << "<td>" << (member.ready ? "yes" : "no") << "<td>"
       << DigestText(member.loaded_manifest) << "</tr>\n";
 }
--- a/src/apps/whole_session_test.cc
+++ b/src/apps/whole_session_test.cc
@@ -14,6 +14,7 @@
 #include "distribution/manifest.h"
 #include "gate/upstream_gate.h"
 #include "routing/request_flow.h"
+#include "savoryrouter.h"
 #include "tables/table_edit.h"
 #include "tables/table_replica.h"
 
--- a/src/claims/claim_session_test.cc
+++ b/src/claims/claim_session_test.cc
@@ -219,7 +219,7 @@
   session.Claim("a", 3, "k1", "r1");
   session.Claim("a", 4, "k1", "another");
   session.Advance(milliseconds(10));
-  ExpectGolden("normal_claim", session.out.str());
+  ExpectGoldenText("normal_claim", session.out.str());
 }
 
 // Guards against a second nonce for a claim whose write took effect without a reply, against a
@@ -244,7 +244,7 @@
   session.Claim("a", 3, "k2", "r2");
   session.Advance(milliseconds(10));
   session.End("a");
-  ExpectGolden("lost_reply", session.out.str());
+  ExpectGoldenText("lost_reply", session.out.str());
 }
 
 // Guards against a write without a reply that takes effect after it was found missing: its key
@@ -266,7 +266,7 @@
   session.Claim("a", 2, "k1", "r1");
   session.Advance(milliseconds(10));
   session.End("a");
-  ExpectGolden("late_write", session.out.str());
+  ExpectGoldenText("late_write", session.out.str());
 }
 
 // Guards against claims that queue up during an outage, and against outcomes lost in it.
@@ -297,7 +297,7 @@
   session.End("a");
   session.Claim("a", 6, "k1", "r1");
   session.Advance(milliseconds(10));
-  ExpectGolden("outage", session.out.str());
+  ExpectGoldenText("outage", session.out.str());
 }
 
 // Guards against two grants of one key through two entries, and against a conflict that overwrites
@@ -326,7 +326,7 @@
   session.Claim("b", 4, "k1", "r1");
   session.Advance(milliseconds(10));
   session.End("b");
-  ExpectGolden("repeat_through_another_entry", session.out.str());
+  ExpectGoldenText("repeat_through_another_entry", session.out.str());
 }
 
 // Guards against a claim that stays unfinished for good when its entry ended, and against effects
@@ -355,7 +355,7 @@
   session.Finish("b", "k1", session.granted[3]);
   session.Advance(milliseconds(600));
   session.End("b");
-  ExpectGolden("unfinished_claim_is_replaced", session.out.str());
+  ExpectGoldenText("unfinished_claim_is_replaced", session.out.str());
 }
 
 }  // namespace
--- a/src/claims/claim_test_util.h
+++ b/src/claims/claim_test_util.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/golden_test_util.h"
 #include "claims/claim_batcher.h"
 
 namespace savory {
@@ -73,17 +74,4 @@
   std::uint64_t written_bytes = 0;
 };
 
-// Compares `text` with golden/NAME.txt; SAVORY_UPDATE_GOLDEN=1 rewrites the file.
-inline void ExpectGolden(const std::string& name, const std::string& text) {
-  const std::string path = std::string(SAVORY_GOLDEN_DIR) + "/" + name + ".txt";
-  if (std::getenv("SAVORY_UPDATE_GOLDEN") != nullptr) {
-    std::ofstream(path) << text;
-    return;
-  }
-  std::ifstream file(path);
-  std::stringstream expected;
-  expected << file.rdbuf();
-  EXPECT_EQ(expected.str(), text) << "differs from " << path;
-}
-
 }  // namespace savory
--- a/src/distribution/session_test.cc
+++ b/src/distribution/session_test.cc
@@ -1,10 +1,9 @@
 // Golden sessions: a script of events in virtual time, and the actions of one agent.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
+#include "base/golden_test_util.h"
 #include "distribution/chunk_spreader.h"
 #include "distribution/chunk_store.h"
 #include "distribution/load_order.h"
@@ -123,14 +122,8 @@
 
   std::string NameOf(const Digest& id) { return id.IsZero() ? "nothing" : this->names[id]; }
 
-  // Compares the log with golden/NAME.txt; SAVORY_UPDATE_GOLDEN=1 rewrites the file.
-  void Check(const std::string& name) {
-    const std::string path = std::string(SAVORY_GOLDEN_DIR) + "/" + name + ".txt";
-    if (std::getenv("SAVORY_UPDATE_GOLDEN") != nullptr) std::ofstream(path) << this->log.str();
-    std::stringstream golden;
-    golden << std::ifstream(path).rdbuf();
-    EXPECT_EQ(golden.str(), this->log.str()) << "differs from " << path;
-  }
+  // Compares the log with golden/NAME.txt.
+  void Check(const std::string& name) { ExpectGoldenText(name, this->log.str()); }
 
   std::vector<std::uint32_t> reads = {};
   std::vector<SendRequest> requests = {};
--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -17,6 +17,7 @@
 #include "runtime/peer_transport.h"
 #include "runtime/tcp_probe.h"
 #include "runtime/workers.h"
+#include "wire/attempt_id.h"
 
 namespace savory {
 namespace {
@@ -53,27 +54,8 @@
   Instant since;
 };
 
-AttemptKey KeyOf(const wire::AttemptId& id) {
-  return AttemptKey{.entry_vm = id.entry_vm(),
-                    .entry_incarnation = id.entry_incarnation(),
-                    .sequence = id.sequence()};
-}
-
-void FillId(const AttemptKey& key, wire::AttemptId& id) {
-  id.set_entry_vm(key.entry_vm);
-  id.set_entry_incarnation(key.entry_incarnation);
-  id.set_sequence(key.sequence);
-}
-
 Lane LaneOf(bool bulk) { return bulk ? Lane::kBulk : Lane::kControl; }
 
-bool IsHopHeader(std::string_view name) {
-  static const std::set<std::string, HeaderLess> kHop = {"Connection", "Content-Length",    "Host",
-                                                         "Keep-Alive", "Transfer-Encoding", "TE",
-                                                         "Upgrade",    "Accept-Encoding"};
-  return kHop.contains(std::string(name));
-}
-
 }  // namespace
 
 GateDriverOptions ReadGateOptions(SettingsReader reader) {
@@ -189,7 +171,7 @@
 
 void GateDriver::Impl::OnStart(const wire::Envelope& message, std::span<const std::byte> payload) {
   const wire::AttemptStart& start = message.attempt_start();
-  const AttemptKey key = KeyOf(start.id());
+  const AttemptKey key = FromWire(start.id());
   this->CountBytes(payload.size());
   AttemptData& data = this->attempts[key];
   // A repeated start must not touch the data of the first.
@@ -210,14 +192,14 @@
 
 void GateDriver::Impl::OnCancel(const wire::Envelope& message) {
   const wire::AttemptCancel& cancel = message.attempt_cancel();
-  this->Feed(CancelReceived{.id = KeyOf(cancel.id()),
+  this->Feed(CancelReceived{.id = FromWire(cancel.id()),
                             .reply_to = message.from_peer(),
                             .agent_incarnation = cancel.agent_incarnation()});
 }
 
 void GateDriver::Impl::OnQuery(const wire::Envelope& message) {
   const wire::AttemptQuery& query = message.attempt_query();
-  this->Feed(QueryReceived{.id = KeyOf(query.id()),
+  this->Feed(QueryReceived{.id = FromWire(query.id()),
                            .reply_to = message.from_peer(),
                            .agent_incarnation = query.agent_incarnation(),
                            .next_part = query.next_part(),
@@ -274,7 +256,7 @@
                    .body = data.body,
                    .read_timeout = kUpstreamReadTimeout};
   for (const wire::Header& header : data.start.headers()) {
-    if (!IsHopHeader(header.name())) call.headers.emplace(header.name(), header.value());
+    if (!IsHopByHopHeader(header.name())) call.headers.emplace(header.name(), header.value());
   }
   if (!this->IsEngine()) return call;
   call.method = "POST";
@@ -344,12 +326,12 @@
   }
   wire::Envelope envelope;
   wire::AttemptPart& message = *envelope.mutable_attempt_part();
-  FillId(action.id, *message.mutable_id());
+  *message.mutable_id() = ToWire(action.id);
   message.set_number(action.number);
   if (action.number == 0) {
     message.set_status(data.status);
     for (const auto& [name, value] : data.headers) {
-      if (IsHopHeader(name) && name != "Content-Length") continue;
+      if (IsHopByHopHeader(name) && name != "Content-Length") continue;
       wire::Header& header = *message.add_headers();
       header.set_name(name);
       header.set_value(value);
@@ -363,7 +345,7 @@
 void GateDriver::Impl::Do(const SendEnd& action) {
   wire::Envelope envelope;
   wire::AttemptEnd& message = *envelope.mutable_attempt_end();
-  FillId(action.id, *message.mutable_id());
+  *message.mutable_id() = ToWire(action.id);
   message.set_outcome(action.outcome);
   message.set_parts(action.parts);
   message.set_reason(std::string(AnswerFor(action.reason).name));
@@ -377,7 +359,7 @@
 void GateDriver::Impl::Do(const SendStatus& action) {
   wire::Envelope envelope;
   wire::AttemptStatus& message = *envelope.mutable_attempt_status();
-  FillId(action.id, *message.mutable_id());
+  *message.mutable_id() = ToWire(action.id);
   message.set_knowledge(action.knowledge);
   message.set_outcome(action.outcome);
   message.set_parts(action.parts);
--- a/src/gate/upstream_gate_test.cc
+++ b/src/gate/upstream_gate_test.cc
@@ -2,10 +2,10 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
+#include "base/golden_test_util.h"
+
 namespace savory {
 namespace {
 
@@ -98,14 +98,7 @@
   }
 
   void ExpectGolden(const std::string& name) const {
-    const std::string path = std::string(SAVORY_GOLDEN_DIR) + "/" + name + ".txt";
-    if (std::getenv("SAVORY_UPDATE_GOLDEN") != nullptr) {
-      std::ofstream(path) << this->transcript.str();
-    }
-    std::ifstream file(path);
-    std::ostringstream expected;
-    expected << file.rdbuf();
-    EXPECT_EQ(this->transcript.str(), expected.str()) << path;
+    ExpectGoldenText(name, this->transcript.str());
   }
 
  private:
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -20,6 +20,7 @@
 #include "runtime/http_server.h"
 #include "runtime/peer_transport.h"
 #include "runtime/workers.h"
+#include "wire/attempt_id.h"
 
 namespace savory {
 namespace {
@@ -44,27 +45,6 @@
 
 using SharedBytes = PeerTransport::SharedBytes;
 
-AttemptKey KeyOf(const wire::AttemptId& id) {
-  return AttemptKey{.entry_vm = id.entry_vm(),
-                    .entry_incarnation = id.entry_incarnation(),
-                    .sequence = id.sequence()};
-}
-
-void FillId(const AttemptKey& key, wire::AttemptId& id) {
-  id.set_entry_vm(key.entry_vm);
-  id.set_entry_incarnation(key.entry_incarnation);
-  id.set_sequence(key.sequence);
-}
-
-// Headers that concern one connection only, or that the HTTP library adds by itself.
-bool IsHopHeader(std::string_view name) {
-  static const std::set<std::string, HeaderLess> kHop = {
-      "Connection",  "Content-Length",  "Host",    "Keep-Alive", "Transfer-Encoding",
-      "TE",          "Accept-Encoding", "Upgrade", "LOCAL_ADDR", "LOCAL_PORT",
-      "REMOTE_ADDR", "REMOTE_PORT"};
-  return kHop.contains(std::string(name));
-}
-
 OwnAnswer AnswerOf(const Error& error) {
   const ErrorAnswer& row = AnswerFor(error.kind);
   const std::string outcome(OutcomeName(row.outcome));
@@ -346,7 +326,7 @@
   HttpReply reply = {.status = static_cast<int>(head.status)};
   reply.content_type = std::string(HeaderValue(head.headers, "Content-Type"));
   for (const auto& [name, value] : head.headers) {
-    if (!IsHopHeader(name) && strcasecmp(name.c_str(), "Content-Type") != 0) {
+    if (!IsHopByHopHeader(name) && strcasecmp(name.c_str(), "Content-Type") != 0) {
       reply.headers.emplace(name, value);
     }
   }
@@ -407,7 +387,7 @@
 void EntryDriver::Impl::OnPart(const wire::Envelope& message, std::span<const std::byte> bytes) {
   this->part = &message.attempt_part();
   this->payload = bytes;
-  this->Feed(PartArrived{.attempt = KeyOf(this->part->id()),
+  this->Feed(PartArrived{.attempt = FromWire(this->part->id()),
                          .number = this->part->number(),
                          .status = this->part->status()});
   this->part = nullptr;
@@ -416,7 +396,7 @@
 
 void EntryDriver::Impl::OnEnd(const wire::Envelope& message) {
   const wire::AttemptEnd& end = message.attempt_end();
-  this->Feed(EndArrived{.attempt = KeyOf(end.id()),
+  this->Feed(EndArrived{.attempt = FromWire(end.id()),
                         .outcome = end.outcome(),
                         .parts = end.parts(),
                         .reason = end.reason()});
@@ -424,7 +404,7 @@
 
 void EntryDriver::Impl::OnStatus(const wire::Envelope& message) {
   const wire::AttemptStatus& status = message.attempt_status();
-  this->Feed(StatusArrived{.attempt = KeyOf(status.id()),
+  this->Feed(StatusArrived{.attempt = FromWire(status.id()),
                            .knowledge = status.knowledge(),
                            .outcome = status.outcome(),
                            .parts = status.parts()});
@@ -458,7 +438,7 @@
   const Caller& caller = *found->second;
   wire::Envelope envelope;
   wire::AttemptStart& start = *envelope.mutable_attempt_start();
-  FillId(action.attempt, *start.mutable_id());
+  *start.mutable_id() = ToWire(action.attempt);
   start.set_agent_incarnation(action.agent.incarnation);
   start.set_pool(action.pool);
   if (!action.agent.manifest.IsZero()) {
@@ -467,7 +447,7 @@
   start.set_method(action.method);
   start.set_target(caller.target);
   for (const auto& [name, value] : caller.headers) {
-    if (IsHopHeader(name)) continue;
+    if (IsHopByHopHeader(name)) continue;
     wire::Header& header = *start.add_headers();
     header.set_name(name);
     header.set_value(value);
@@ -489,7 +469,7 @@
 void EntryDriver::Impl::Do(const CancelAttempt& action) {
   wire::Envelope envelope;
   wire::AttemptCancel& cancel = *envelope.mutable_attempt_cancel();
-  FillId(action.attempt, *cancel.mutable_id());
+  *cancel.mutable_id() = ToWire(action.attempt);
   cancel.set_agent_incarnation(action.agent_incarnation);
   this->node.peers.Send(action.peer, Lane::kControl, std::move(envelope));
 }
@@ -497,7 +477,7 @@
 void EntryDriver::Impl::Do(const QueryAttempt& action) {
   wire::Envelope envelope;
   wire::AttemptQuery& query = *envelope.mutable_attempt_query();
-  FillId(action.attempt, *query.mutable_id());
+  *query.mutable_id() = ToWire(action.attempt);
   query.set_agent_incarnation(action.agent_incarnation);
   query.set_next_part(action.next_part);
   query.set_bulk_lane(action.bulk_lane);
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "wire/attempt_id.h"
+
 namespace savory {
 namespace {
 
@@ -11,20 +13,6 @@
 // The limiter and the crash records are looked after at this period.
 constexpr Duration kUpkeepPeriod = std::chrono::milliseconds(100);
 
-wire::AttemptId ToWire(const AttemptKey& key) {
-  wire::AttemptId id;
-  id.set_entry_vm(key.entry_vm);
-  id.set_entry_incarnation(key.entry_incarnation);
-  id.set_sequence(key.sequence);
-  return id;
-}
-
-AttemptKey FromWire(const wire::AttemptId& id) {
-  return AttemptKey{.entry_vm = id.entry_vm(),
-                    .entry_incarnation = id.entry_incarnation(),
-                    .sequence = id.sequence()};
-}
-
 bool MeansNotRun(ErrorKind kind) {
   const RunOutcome outcome = AnswerFor(kind).outcome;
   return outcome == RunOutcome::kNotRun || outcome == RunOutcome::kRefusedByLimit;
--- a/src/routing/request_flow_test.cc
+++ b/src/routing/request_flow_test.cc
@@ -2,10 +2,10 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
+#include "base/golden_test_util.h"
+
 namespace savory {
 namespace {
 
@@ -147,14 +147,7 @@
 
   // Compares the transcript with golden/NAME.txt.
   void ExpectGolden(const std::string& name) const {
-    const std::string path = std::string(SAVORY_GOLDEN_DIR) + "/" + name + ".txt";
-    if (std::getenv("SAVORY_UPDATE_GOLDEN") != nullptr) {
-      std::ofstream(path) << this->transcript.str();
-    }
-    std::ifstream file(path);
-    std::ostringstream expected;
-    expected << file.rdbuf();
-    EXPECT_EQ(this->transcript.str(), expected.str()) << path;
+    ExpectGoldenText(name, this->transcript.str());
   }
   std::string Transcript() const { return this->transcript.str(); }
 
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -22,6 +22,10 @@
 // Value of the first header `name`, or "".
 std::string_view HeaderValue(const HttpHeaders& headers, std::string_view name);
 
+// True for headers that concern one connection only, or that the HTTP library adds by itself: they
+// are not passed on between caller and upstream.
+bool IsHopByHopHeader(std::string_view name);
+
 // A call by HttpClient.
 struct HttpCall {
   std::string method = "GET";
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -3,6 +3,8 @@
 #include <httplib.h>
 #include <strings.h>
 
+#include <set>
+
 namespace savory {
 namespace {
 
@@ -33,6 +35,14 @@
   return found->second;
 }
 
+bool IsHopByHopHeader(std::string_view name) {
+  static const std::set<std::string, HeaderLess> kHeaders = {
+      "Connection",  "Content-Length",  "Host",    "Keep-Alive", "Transfer-Encoding",
+      "TE",          "Accept-Encoding", "Upgrade", "LOCAL_ADDR", "LOCAL_PORT",
+      "REMOTE_ADDR", "REMOTE_PORT"};
+  return kHeaders.contains(name);
+}
+
 struct HttpClient::Impl {
   httplib::Client client;
 };
--- a/standins/standin_options.cc
+++ b/standins/standin_options.cc
@@ -12,7 +12,7 @@
 StandinOptions::StandinOptions(std::string_view program, std::string_view summary)
     : program(program), summary(summary), description("Options") {
   this->description.add_options()("listen", po::value(&this->listen)->required(), "IP:PORT")(
-      "help", "print this help");
+      "help", "print this help")("version", "print the version");
 }
 
 void StandinOptions::ParseOrExit(int argc, const char* const* argv) {
@@ -23,6 +23,10 @@
       std::cout << this->program << ": " << this->summary << "\n\n" << this->description;
       std::exit(EXIT_SUCCESS);
     }
+    if (values.contains("version")) {
+      std::cout << this->program << ' ' << SAVORY_VERSION << '\n';
+      std::exit(EXIT_SUCCESS);
+    }
     po::notify(values);
   } catch (const po::error& error) {
     std::cerr << this->program << ": " << error.what() << '\n';
