--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -6,7 +6,8 @@
 set -euo pipefail
 bin=$(cd "${1:?usage: tools/bench.sh BIN_DIR}" && pwd)
 cd "$(dirname "$0")/.."
-port=${BASE_PORT:-24000}
+first_port=${BASE_PORT:-24000}
+port=$first_port
 quick=${BENCH_QUICK:-0}
 out=bench/$(date -u +%Y-%m-%d)
 [ "$quick" = 0 ] || out=$out-quick
@@ -19,6 +20,9 @@
   local line
   [[ " ${BENCH_ONLY:-$1} " == *" $1 "* ]] || return 0
   echo "== $*" >&2
+  # Each run has ports of its own: those of the last one can still be in use while it ends.
+  port=$((port + 300))
+  [ "$port" -lt $((first_port + 7000)) ] || port=$first_port
   if line=$("$bin/savoryrouter-experiment" "$@" --bin-dir "$bin" --base-port "$port" | tail -n 1) &&
     [ "${line:0:1}" = "{" ]; then
     printf '{"command": "%s", "result": %s}\n' "$*" "$line" >>"$out.jsonl"
