Let the experiment paused-holder start a load before it pauses the holder

Cause: the experiment tables never called the step that pins weights for its engines, so no agent held a lease, stale_orders_accepted could only be 0, and engines_ready was false at the end. Found while looking for the reason of engines_ready: the agents were idle and the tables had no row for their pool.

--- a/src/apps/experiment_tables.cc
+++ b/src/apps/experiment_tables.cc
@@ -453,6 +453,11 @@
       if (watchers.empty()) {
         return Error{.kind = ErrorKind::kNotFound, .detail = "no process watches the tables"};
       }
+      BOOST_OUTCOME_TRY(holder, this->StartLoading(i));
+      if (!holder) {
+        return Error{.kind = ErrorKind::kTimeout, .detail = "no engine was ordered to load"};
+      }
+      watchers.push_back(*holder);
       std::vector<FleetNode> others;
       for (const FleetNode& node : this->nodes) {
         const bool paused =
