--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy clang-tools \
-  libtbb-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev \
+  libtbb-dev libuv1-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev \
   libboost-program-options-dev libyaml-cpp-dev libcpp-httplib-dev liblog4cxx-dev \
   librapidcheck-dev libssl-dev libxxhash-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
   gnuplot-nox python3
--- /dev/null
+++ b/src/runtime/async_http_server.cc
@@ -0,0 +1,385 @@
+#include "runtime/async_http_server.h"
+
+#include <array>
+#include <cstdio>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "runtime/event_loop.h"
+#include "runtime/tcp_connection.h"
+#include "runtime/tcp_listener.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+// Input of further requests that is kept while one is in progress.
+constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+
+struct OwnAnswerOf {
+  int status;
+  std::string_view body;
+};
+
+OwnAnswerOf AnswerToMalformed(HttpParseFailure failure) {
+  switch (failure) {
+    case HttpParseFailure::kHeaderTooLarge:
+      return {431, "request header fields too large\n"};
+    case HttpParseFailure::kBodyTooLarge:
+      return {413, "request body too large\n"};
+    default:
+      return {400, "malformed request\n"};
+  }
+}
+
+}  // namespace
+
+class CallerConnection;
+
+struct HttpExchange::Impl {
+  CallerConnection* connection;  // null once the caller has left or the answer is complete
+  HttpHead head;
+  std::string body;
+  Instant received_at;
+  std::function<void()> on_gone = {};
+  bool begun = false;
+};
+
+struct AsyncHttpServer::Impl : std::enable_shared_from_this<AsyncHttpServer::Impl> {
+  EventLoop& loop;
+  AsyncHttpServerOptions options;
+  Handler handler;
+  std::unique_ptr<TcpListener> listener = {};
+  std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>> connections = {};
+  std::vector<std::unique_ptr<CallerConnection>> removed = {};  // destroyed later
+  std::size_t open_exchanges = 0;
+  std::optional<Instant> closing_since = {};
+  Duration linger = {};
+
+  Impl(EventLoop& loop, AsyncHttpServerOptions options, Handler handler)
+      : loop(loop), options(options), handler(std::move(handler)) {}
+
+  void Sweep();
+  void Remove(CallerConnection* connection);
+};
+
+class CallerConnection : public TcpHandler {
+ public:
+  CallerConnection(AsyncHttpServer::Impl& server, uv_stream_s* listener)
+      : server(server),
+        parser(HttpMessageKind::kRequest, server.options.limits),
+        phase_since(server.loop.Now()),
+        tcp(server.loop, listener, *this, {.user_timeout = server.options.user_timeout}) {}
+
+  void OnBytes(std::span<const std::byte> bytes) override {
+    if (this->closing) return;
+    if (this->exchange != nullptr) {
+      this->pipelined.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+      if (this->pipelined.size() > kMaxPipelinedBytes) this->tcp.PauseReading();
+      return;
+    }
+    if (this->phase == Phase::kIdle) this->Enter(Phase::kHead);
+    this->parser.Feed(bytes);
+    this->Advance();
+  }
+
+  void OnEnd(TcpEnd) override {
+    this->ended = true;
+    this->DropExchange();
+    this->server.Remove(this);
+  }
+
+  void OnFlushed() override {
+    if (this->closing) this->tcp.CloseWhenSent();
+  }
+
+  // Ends the exchange because the caller has left.
+  void DropExchange() {
+    if (this->exchange == nullptr) return;
+    const SharedExchange dropped = std::exchange(this->exchange, nullptr);
+    --this->server.open_exchanges;
+    HttpExchange::Impl& state = StateOf(*dropped);
+    state.connection = nullptr;
+    if (const auto listener = std::exchange(state.on_gone, nullptr)) listener();
+  }
+
+  void SendHead(int status, std::span<const HttpField> fields, std::string_view framing,
+                std::string_view body) {
+    std::vector<HttpField> all(fields.begin(), fields.end());
+    const std::size_t colon = framing.find(':');
+    all.push_back({.name = std::string(framing.substr(0, colon)),
+                   .value = std::string(framing.substr(colon + 1))});
+    if (!this->KeepsOpen()) all.push_back({.name = "Connection", .value = "close"});
+    std::string head;
+    head.reserve(512);
+    AppendResponseHead(head, status, all);
+    const std::string_view pieces[] = {head, body};
+    this->tcp.Write(pieces);
+  }
+
+  void SendChunk(std::string_view bytes) {
+    if (bytes.empty()) return;
+    std::array<char, 20> size = {};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    const std::string_view pieces[] = {
+        {size.data(), static_cast<std::size_t>(length)}, bytes, "\r\n"};
+    this->tcp.Write(pieces);
+  }
+
+  void SendLastChunk() {
+    const std::string_view piece = "0\r\n\r\n";
+    this->tcp.Write({&piece, 1});
+  }
+
+  // The answer is complete; the next request may follow.
+  void FinishExchange() {
+    const bool keep = this->KeepsOpen();
+    const SharedExchange done = std::exchange(this->exchange, nullptr);
+    --this->server.open_exchanges;
+    StateOf(*done).connection = nullptr;
+    StateOf(*done).on_gone = nullptr;
+    if (!keep) {
+      this->CloseGracefully();
+      return;
+    }
+    this->Enter(Phase::kIdle);
+    this->parser.Next();
+    // Later, so that the handler of this request returns before the next one starts.
+    if (this->parser.IsDone() || this->parser.HasInput() || !this->pipelined.empty()) {
+      const auto resume = [connection = this, weak = std::weak_ptr(this->alive)] {
+        if (!weak.expired()) connection->ResumePipelined();
+      };
+      this->server.loop.After(Duration(0), resume);
+    }
+  }
+
+  void BreakExchange() {
+    const SharedExchange broken = std::exchange(this->exchange, nullptr);
+    --this->server.open_exchanges;
+    StateOf(*broken).connection = nullptr;
+    StateOf(*broken).on_gone = nullptr;
+    this->ended = true;
+    this->tcp.Reset();
+    this->server.Remove(this);
+  }
+
+  std::size_t Unsent() const { return this->tcp.Unsent(); }
+
+  // Closes what has waited too long.
+  void CheckTime(Instant now) {
+    if (this->ended || this->exchange != nullptr) return;
+    const Duration waited = now - this->phase_since;
+    if (this->closing) {
+      if (waited > this->server.options.header_timeout) this->Abandon();
+      return;
+    }
+    const AsyncHttpServerOptions& options = this->server.options;
+    switch (this->phase) {
+      case Phase::kIdle:
+        if (waited > options.idle_timeout || this->LingeredEnough(now)) this->CloseGracefully();
+        return;
+      case Phase::kHead:
+        if (waited > options.header_timeout) this->Refuse(408, "request head not complete\n");
+        return;
+      case Phase::kBody:
+        if (waited > options.body_timeout) this->Refuse(408, "request body not complete\n");
+        return;
+    }
+  }
+
+ private:
+  enum class Phase { kIdle, kHead, kBody };
+
+  static HttpExchange::Impl& StateOf(HttpExchange& given) { return *given.impl; }
+
+  bool LingeredEnough(Instant now) const {
+    return this->server.closing_since && now - *this->server.closing_since > this->server.linger;
+  }
+
+  void Enter(Phase next) {
+    this->phase = next;
+    this->phase_since = this->server.loop.Now();
+  }
+
+  bool KeepsOpen() const {
+    return this->parser.Head().keep_alive && !this->server.closing_since && !this->refusing;
+  }
+
+  void ResumePipelined() {
+    if (this->exchange != nullptr || this->closing || this->ended) return;
+    this->Enter(Phase::kHead);
+    const std::string bytes = std::exchange(this->pipelined, {});
+    this->tcp.ResumeReading();
+    this->parser.Feed(std::as_bytes(std::span(bytes)));
+    this->Advance();
+  }
+
+  void Advance() {
+    if (this->parser.Failure() != HttpParseFailure::kNone) {
+      const OwnAnswerOf answer = AnswerToMalformed(this->parser.Failure());
+      this->Refuse(answer.status, answer.body);
+      return;
+    }
+    if (this->parser.HasHead()) this->body += this->parser.TakeBody();
+    if (this->parser.IsDone()) {
+      this->StartExchange();
+    } else if (this->parser.HasHead() && this->phase == Phase::kHead) {
+      this->Enter(Phase::kBody);
+      if (SameFieldName(FieldValue(this->parser.Head().fields, "Expect"), "100-continue")) {
+        const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        this->tcp.Write({&interim, 1});
+      }
+    }
+  }
+
+  void StartExchange() {
+    auto state = std::make_unique<HttpExchange::Impl>(
+        HttpExchange::Impl{.connection = this,
+                           .head = this->parser.Head(),
+                           .body = std::exchange(this->body, {}),
+                           .received_at = this->phase_since});
+    this->exchange = std::make_shared<HttpExchange>(std::move(state));
+    ++this->server.open_exchanges;
+    const SharedExchange started = this->exchange;
+    this->server.handler(started);
+  }
+
+  // Answers a request that was not read to its end, and closes.
+  void Refuse(int status, std::string_view body) {
+    this->refusing = true;
+    const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
+    this->SendHead(status, fields, "Content-Length:" + std::to_string(body.size()), body);
+    this->CloseGracefully();
+  }
+
+  // The sending side is closed first; the connection ends when the peer closes or time is up.
+  void CloseGracefully() {
+    this->closing = true;
+    this->phase_since = this->server.loop.Now();
+    this->tcp.CloseWhenSent();
+  }
+
+  void Abandon() {
+    this->ended = true;
+    this->server.Remove(this);
+  }
+
+  AsyncHttpServer::Impl& server;
+  HttpParser parser;
+  Phase phase = Phase::kIdle;
+  Instant phase_since;
+  SharedExchange exchange = {};
+  std::string body = {};
+  std::string pipelined = {};
+  bool refusing = false;
+  bool closing = false;
+  bool ended = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  TcpConnection tcp;
+};
+
+// ---- HttpExchange ----
+
+HttpExchange::HttpExchange(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+HttpExchange::~HttpExchange() = default;
+
+const HttpHead& HttpExchange::Head() const { return this->impl->head; }
+const std::string& HttpExchange::Body() const { return this->impl->body; }
+Instant HttpExchange::ReceivedAt() const { return this->impl->received_at; }
+bool HttpExchange::IsOver() const { return this->impl->connection == nullptr; }
+bool HttpExchange::HasBegun() const { return this->impl->begun; }
+
+void HttpExchange::OnCallerGone(std::function<void()> listener) {
+  this->impl->on_gone = std::move(listener);
+}
+
+void HttpExchange::Answer(int status, std::span<const HttpField> fields, std::string_view body) {
+  if (this->IsOver()) return;
+  CallerConnection& connection = *this->impl->connection;
+  this->impl->begun = true;
+  const bool is_head = this->impl->head.method == "HEAD";
+  connection.SendHead(status, fields, "Content-Length:" + std::to_string(body.size()),
+                      is_head ? std::string_view() : body);
+  connection.FinishExchange();
+}
+
+void HttpExchange::BeginStream(int status, std::span<const HttpField> fields) {
+  if (this->IsOver()) return;
+  this->impl->begun = true;
+  this->impl->connection->SendHead(status, fields, "Transfer-Encoding:chunked", "");
+}
+
+void HttpExchange::SendPart(std::string_view bytes) {
+  if (!this->IsOver()) this->impl->connection->SendChunk(bytes);
+}
+
+void HttpExchange::EndStream() {
+  if (this->IsOver()) return;
+  this->impl->connection->SendLastChunk();
+  this->impl->connection->FinishExchange();
+}
+
+void HttpExchange::Break() {
+  if (!this->IsOver()) this->impl->connection->BreakExchange();
+}
+
+std::size_t HttpExchange::Unsent() const {
+  return this->IsOver() ? 0 : this->impl->connection->Unsent();
+}
+
+// ---- AsyncHttpServer ----
+
+void AsyncHttpServer::Impl::Remove(CallerConnection* connection) {
+  const auto found = this->connections.find(connection);
+  if (found == this->connections.end()) return;
+  // Destroyed later: this runs inside a call of the connection.
+  this->removed.push_back(std::move(found->second));
+  this->connections.erase(found);
+  if (this->removed.size() > 1) return;
+  this->loop.After(Duration(0), [weak = this->weak_from_this()] {
+    if (const auto strong = weak.lock()) strong->removed.clear();
+  });
+}
+
+void AsyncHttpServer::Impl::Sweep() {
+  const Instant now = this->loop.Now();
+  std::vector<CallerConnection*> all;
+  all.reserve(this->connections.size());
+  for (const auto& [connection, owner] : this->connections) all.push_back(connection);
+  for (CallerConnection* connection : all) connection->CheckTime(now);
+}
+
+AsyncHttpServer::AsyncHttpServer(EventLoop& loop, AsyncHttpServerOptions options, Handler handler)
+    : impl(std::make_shared<Impl>(loop, options, std::move(handler))) {
+  loop.Every(kSweepPeriod, [weak = std::weak_ptr(this->impl)] {
+    if (const auto strong = weak.lock()) strong->Sweep();
+  });
+}
+
+AsyncHttpServer::~AsyncHttpServer() = default;
+
+Result<void> AsyncHttpServer::Listen(const std::string& address) {
+  Impl& self = *this->impl;
+  self.listener = std::make_unique<TcpListener>(self.loop);
+  return self.listener->Listen(address, [&self](uv_stream_s* listener) {
+    auto connection = std::make_unique<CallerConnection>(self, listener);
+    CallerConnection* const key = connection.get();
+    self.connections.emplace(key, std::move(connection));
+  });
+}
+
+void AsyncHttpServer::SetOptions(const AsyncHttpServerOptions& options) {
+  this->impl->options = options;
+}
+
+void AsyncHttpServer::BeginClosing(Duration linger) {
+  this->impl->closing_since = this->impl->loop.Now();
+  this->impl->linger = linger;
+}
+
+void AsyncHttpServer::StopListening() { this->impl->listener.reset(); }
+std::size_t AsyncHttpServer::Connections() const { return this->impl->connections.size(); }
+std::size_t AsyncHttpServer::OpenExchanges() const { return this->impl->open_exchanges; }
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/async_http_server.h
@@ -0,0 +1,58 @@
+// HTTP/1.1 server on the event loop.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "runtime/http_exchange.h"
+#include "runtime/http_parser.h"
+
+namespace savory {
+
+class EventLoop;
+
+struct AsyncHttpServerOptions {
+  HttpLimits limits = {};
+  // A request whose head is not complete after this time is answered 408.
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration body_timeout = std::chrono::seconds(30);
+  // An idle connection is closed after this time.
+  Duration idle_timeout = std::chrono::seconds(60);
+  // A caller that does not acknowledge sent bytes for this long counts as gone.
+  Duration user_timeout = std::chrono::seconds(10);
+};
+
+// Serves one request at a time on each connection. Requests that break the protocol or its limits
+// are answered here (400, 408, 413, 431).
+class AsyncHttpServer {
+ public:
+  using Handler = std::function<void(const SharedExchange& exchange)>;
+
+  AsyncHttpServer(EventLoop& loop, AsyncHttpServerOptions options, Handler handler);
+  ~AsyncHttpServer();
+
+  // Errors: kUnavailable when `address` (IP:PORT) is in use.
+  Result<void> Listen(const std::string& address);
+  void SetOptions(const AsyncHttpServerOptions& options);
+
+  // Asks callers to use other connections: answers carry "Connection: close" from now on, and
+  // connections without a request are closed after `linger`, so that a request on its way to one
+  // still arrives.
+  void BeginClosing(Duration linger);
+  // Takes no more connections.
+  void StopListening();
+
+  std::size_t Connections() const;
+  std::size_t OpenExchanges() const;
+
+ private:
+  friend class CallerConnection;
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/async_http_test.cc
@@ -0,0 +1,247 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "base/metrics.h"
+#include "runtime/async_http_server.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_connection_pool.h"
+
+namespace savory {
+namespace {
+
+constexpr char kAddress[] = "127.0.0.1:26911";
+
+// Collects the answer of one call.
+class Collector : public HttpCallHandler {
+ public:
+  explicit Collector(EventLoop& loop) : loop(loop) {}
+  void OnAnswerHead(const HttpHead& head) override { this->status = head.status; }
+  void OnAnswerBody(std::string_view bytes) override { this->body += bytes; }
+  void OnAnswerDone() override {
+    this->done = true;
+    this->loop.Stop();
+  }
+  void OnCallFailed(CallFailure ended) override {
+    this->failure = ended;
+    this->loop.Stop();
+  }
+
+  EventLoop& loop;
+  int status = 0;
+  std::string body = {};
+  bool done = false;
+  std::optional<CallFailure> failure = {};
+};
+
+// A peer that answers every connection with fixed bytes, after it has read something.
+class RawPeer {
+ public:
+  enum class End { kClose, kReset, kStayOpen };
+
+  RawPeer(int port, std::vector<std::string> answers, End end)
+      : thread([this, answers = std::move(answers), end] { this->Serve(answers, end); }) {
+    const sockaddr_in address = {.sin_family = AF_INET,
+                                 .sin_port = htons(static_cast<std::uint16_t>(port)),
+                                 .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
+                                 .sin_zero = {}};
+    const int on = 1;
+    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    EXPECT_EQ(bind(this->listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
+              0);
+    EXPECT_EQ(listen(this->listener, 8), 0);
+    this->ready = true;
+  }
+  ~RawPeer() {
+    shutdown(this->listener, SHUT_RDWR);
+    if (this->accepted >= 0) shutdown(this->accepted, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+
+ private:
+  void Serve(const std::vector<std::string>& answers, End end) {
+    while (!this->ready) std::this_thread::yield();
+    const int peer = accept(this->listener, nullptr, nullptr);
+    if (peer < 0) return;
+    this->accepted = peer;
+    char buffer[4096];
+    for (const std::string& answer : answers) {
+      if (read(peer, buffer, sizeof(buffer)) <= 0) break;
+      (void)!write(peer, answer.data(), answer.size());
+    }
+    if (end == End::kReset) {
+      usleep(50'000);
+      const linger now = {.l_onoff = 1, .l_linger = 0};
+      setsockopt(peer, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+    if (end == End::kStayOpen) (void)!read(peer, buffer, sizeof(buffer));
+    this->accepted = -1;
+    close(peer);
+  }
+
+  int listener = socket(AF_INET, SOCK_STREAM, 0);
+  std::atomic<bool> ready = false;
+  std::atomic<int> accepted = -1;
+  std::thread thread;
+};
+
+class AsyncHttpTest : public ::testing::Test {
+ protected:
+  HttpCallOptions CallTo(const std::string& address, const std::string& target,
+                         const std::string& body = "") {
+    std::string head;
+    AppendRequestHead(head, body.empty() ? "GET" : "POST", target,
+                      std::vector<HttpField>{
+                          {.name = "Host", .value = "test"},
+                          {.name = "Content-Length", .value = std::to_string(body.size())}});
+    return {.address = address, .head = head, .body = body};
+  }
+
+  // Runs one call to its end.
+  Collector Call(HttpCallOptions options) {
+    Collector collector(this->loop);
+    const auto call = this->pool.Start(std::move(options), collector);
+    const auto limit = this->loop.After(std::chrono::seconds(5), [this] {
+      ADD_FAILURE() << "the call did not end";
+      this->loop.Stop();
+    });
+    this->loop.Run();
+    this->loop.Cancel(limit);
+    return collector;
+  }
+
+  EventLoop loop;
+  Metrics metrics;
+  HttpConnectionPool pool{loop, metrics, {}};
+};
+
+class AsyncHttpServerTest : public AsyncHttpTest {
+ protected:
+  AsyncHttpServerTest() {
+    EXPECT_TRUE(this->server.Listen(kAddress).has_value());
+  }
+
+  void Handle(const SharedExchange& exchange) {
+    ++this->requests;
+    const std::string& target = exchange->Head().target;
+    if (target == "/stream" || target == "/broken") {
+      exchange->BeginStream(200, {});
+      exchange->SendPart("one ");
+      exchange->SendPart("two");
+      if (target == "/stream") {
+        exchange->EndStream();
+      } else {
+        exchange->Break();
+      }
+      return;
+    }
+    exchange->Answer(200, {}, "echo " + exchange->Body());
+  }
+
+  int requests = 0;
+  AsyncHttpServer server{loop, {}, [this](const SharedExchange& exchange) {
+                           this->Handle(exchange);
+                         }};
+};
+
+// Guards against a body that reaches the handler or the caller changed or cut.
+TEST_F(AsyncHttpServerTest, LargeBodiesArriveWhole) {
+  const std::string body(3'000'000, 'x');
+  const Collector answer = this->Call(this->CallTo(kAddress, "/echo", body));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body.size(), body.size() + 5);
+}
+
+// Guards against an answer that breaks off being taken for a complete one.
+TEST_F(AsyncHttpServerTest, BrokenStreamIsNoCompleteAnswer) {
+  EXPECT_TRUE(this->Call(this->CallTo(kAddress, "/stream")).done);
+  const Collector broken = this->Call(this->CallTo(kAddress, "/broken"));
+  EXPECT_FALSE(broken.done);
+  EXPECT_TRUE(broken.failure.has_value());
+}
+
+// Guards against a new connection for every call, which upstreams limit.
+TEST_F(AsyncHttpServerTest, ConnectionsAreUsedAgain) {
+  for (int i = 0; i < 5; ++i) EXPECT_TRUE(this->Call(this->CallTo(kAddress, "/echo")).done);
+  EXPECT_EQ(this->metrics.CounterFor("savory_upstream_connections_opened_total").Value(), 1u);
+  EXPECT_EQ(this->server.Connections(), 1u);
+}
+
+// Guards against the second of two pipelined requests being lost.
+TEST_F(AsyncHttpServerTest, PipelinedRequestsAreServedInOrder) {
+  const std::string request = "GET /echo HTTP/1.1\r\nHost: test\r\n\r\n";
+  HttpCallOptions options = {.address = kAddress, .head = request + request};
+  EXPECT_TRUE(this->Call(options).done);
+  this->loop.After(std::chrono::milliseconds(20), [this] { this->loop.Stop(); });
+  this->loop.Run();
+  EXPECT_EQ(this->requests, 2);
+}
+
+// Guards against a request without an end being kept forever.
+TEST_F(AsyncHttpServerTest, IncompleteHeadIsAnswered408) {
+  this->server.SetOptions({.header_timeout = std::chrono::milliseconds(50)});
+  const Collector answer = this->Call({.address = kAddress, .head = "GET /echo HTTP/1.1\r\n"});
+  EXPECT_EQ(answer.status, 408);
+}
+
+// Guards against smuggling: a request with two framings must not be parsed one way here and
+// another way upstream.
+TEST_F(AsyncHttpServerTest, ContradictoryFramingIsRefused) {
+  const Collector answer = this->Call(
+      {.address = kAddress,
+       .head = "POST /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 5\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"});
+  EXPECT_EQ(answer.status, 400);
+  EXPECT_EQ(this->requests, 0);
+}
+
+// Guards against an answer without a length that is cut by a reset being taken for complete.
+TEST_F(AsyncHttpTest, AnswerUntilCloseNeedsAnOrderlyClose) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nsome bytes";
+  {
+    RawPeer peer(26912, {answer}, RawPeer::End::kClose);
+    const Collector collector = this->Call(this->CallTo("127.0.0.1:26912", "/"));
+    EXPECT_TRUE(collector.done);
+    EXPECT_EQ(collector.body, "some bytes");
+  }
+  RawPeer peer(26913, {answer}, RawPeer::End::kReset);
+  const Collector collector = this->Call(this->CallTo("127.0.0.1:26913", "/"));
+  EXPECT_EQ(collector.failure, CallFailure::kBrokenOff);
+}
+
+// Guards against bytes after a complete answer being taken for the next call's answer.
+TEST_F(AsyncHttpTest, ConnectionWithStrayBytesIsNotUsedAgain) {
+  RawPeer peer(26914,
+               {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+                "Content-Length: 5\r\n\r\nwrong"},
+               RawPeer::End::kStayOpen);
+  const Collector first = this->Call(this->CallTo("127.0.0.1:26914", "/"));
+  EXPECT_EQ(first.body, "ok");
+  EXPECT_EQ(this->pool.Kept(), 0u);
+}
+
+// Guards against a late answer to an earlier call being delivered to a later one.
+TEST_F(AsyncHttpTest, AnswerOfAnotherCallIsDropped) {
+  RawPeer peer(26915,
+               {"HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 5\r\n\r\nwrong"
+                "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 5\r\n\r\nright"},
+               RawPeer::End::kStayOpen);
+  HttpCallOptions options = this->CallTo("127.0.0.1:26915", "/");
+  options.belongs = [](const HttpHead& head) { return FieldValue(head.fields, "Call") == "2"; };
+  const Collector collector = this->Call(std::move(options));
+  EXPECT_EQ(collector.body, "right");
+}
+
+// Guards against a refused connection being reported as a call that may have arrived.
+TEST_F(AsyncHttpTest, RefusedConnectionWasNotSent) {
+  const Collector collector = this->Call(this->CallTo("127.0.0.1:26919", "/"));
+  EXPECT_EQ(collector.failure, CallFailure::kNotSent);
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -1,92 +1,123 @@
 #include "runtime/event_loop.h"
 
 #include <oneapi/tbb/concurrent_queue.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
+#include <uv.h>
 #include <zmq.h>
 
 #include <algorithm>
-#include <atomic>
+#include <cassert>
 #include <map>
 #include <vector>
 
 namespace savory {
 namespace {
 
-// Longest wait of one round, so that a lost wake-up cannot stall the loop for
-// good.
-constexpr std::int64_t kMaxWaitMs = 1000;
+// Longest wait of one round, so that a lost wake-up cannot stall the loop for good.
+constexpr Duration kMaxWait = std::chrono::seconds(1);
 
 struct Watched {
-  void* socket;
+  uv_poll_t poll = {};
+  void* socket = nullptr;
   EventLoop::Task on_readable;
 };
 
+struct SignalHandler {
+  uv_signal_t signal = {};
+  EventLoop::Task task;
+};
+
+bool HasInput(void* socket) {
+  int events = 0;
+  std::size_t size = sizeof(events);
+  return zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size) == 0 && (events & ZMQ_POLLIN) != 0;
+}
+
+// The descriptor of a ZeroMQ socket signals changes, not input: the socket is read until it has
+// none left.
+void ReadAll(const Watched& watched) {
+  while (HasInput(watched.socket)) watched.on_readable();
+}
+
 }  // namespace
 
 struct EventLoop::Impl {
-  int wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  oneapi::tbb::concurrent_queue<Task> posted;
-  std::multimap<Instant, std::pair<TimerId, Task>> timers;
-  std::map<TimerId, Instant> timer_due;
-  std::vector<Watched> watched;
-  std::atomic<bool> stopping = false;
-  Instant now = MonotonicClock::now();
+  uv_loop_t loop = {};
+  uv_async_t wake = {};
+  uv_timer_t timer = {};
+  oneapi::tbb::concurrent_queue<Task> posted = {};
+  std::multimap<Instant, std::pair<TimerId, Task>> timers = {};
+  std::map<TimerId, Instant> timer_due = {};
+  std::vector<std::unique_ptr<Watched>> watched = {};
+  std::vector<std::unique_ptr<SignalHandler>> signals = {};
+  bool stopping = false;
   TimerId next_timer = 1;
 
+  Impl() {
+    uv_loop_init(&this->loop);
+    uv_async_init(&this->loop, &this->wake, [](uv_async_t* handle) {
+      static_cast<Impl*>(handle->data)->RunPosted();
+    });
+    uv_timer_init(&this->loop, &this->timer);
+    this->wake.data = this;
+    this->timer.data = this;
+  }
+
+  ~Impl() {
+    uv_walk(
+        &this->loop,
+        [](uv_handle_t* handle, void*) {
+          if (uv_is_closing(handle) == 0) uv_close(handle, nullptr);
+        },
+        nullptr);
+    uv_run(&this->loop, UV_RUN_DEFAULT);
+    uv_loop_close(&this->loop);
+  }
+
   TimerId Add(Instant due, Task task) {
     const TimerId id = this->next_timer++;
+    const bool earliest = this->timers.empty() || due < this->timers.begin()->first;
     this->timers.emplace(due, std::pair(id, std::move(task)));
     this->timer_due.emplace(id, due);
+    if (earliest) this->Arm();
     return id;
   }
 
-  std::int64_t WaitMs() const {
-    if (this->timers.empty()) return kMaxWaitMs;
-    const Duration wait = this->timers.begin()->first - MonotonicClock::now();
+  void Arm() {
+    Duration wait = kMaxWait;
+    if (!this->timers.empty()) {
+      wait = std::clamp(this->timers.begin()->first - MonotonicClock::now(), Duration(0), kMaxWait);
+    }
+    uv_update_time(&this->loop);
     // Rounded up: waking early would spin until the timer is due.
-    return std::clamp<std::int64_t>((wait.count() + 999) / 1000, 0, kMaxWaitMs);
+    const auto wait_ms = static_cast<std::uint64_t>((wait.count() + 999) / 1000);
+    uv_timer_start(
+        &this->timer,
+        [](uv_timer_t* handle) { static_cast<Impl*>(handle->data)->RunTimers(); }, wait_ms, 0);
   }
 
   void RunPosted() {
-    std::uint64_t wakeups = 0;
-    [[maybe_unused]] const auto read_bytes = read(this->wake_fd, &wakeups, sizeof(wakeups));
     Task task;
     while (this->posted.try_pop(task)) task();
   }
 
   void RunTimers() {
-    while (!this->timers.empty() && this->timers.begin()->first <= this->now) {
+    const Instant now = MonotonicClock::now();
+    while (!this->timers.empty() && this->timers.begin()->first <= now) {
       auto node = this->timers.extract(this->timers.begin());
       this->timer_due.erase(node.mapped().first);
       node.mapped().second();
     }
-  }
-
-  void RunRound() {
-    std::vector<zmq_pollitem_t> items = {{nullptr, this->wake_fd, ZMQ_POLLIN, 0}};
-    for (const Watched& entry : this->watched) items.push_back({entry.socket, 0, ZMQ_POLLIN, 0});
-    zmq_poll(items.data(), static_cast<int>(items.size()), this->WaitMs());
-    this->now = MonotonicClock::now();
-    this->RunPosted();
-    for (std::size_t i = 1; i < items.size(); ++i) {
-      if ((items[i].revents & ZMQ_POLLIN) != 0) this->watched[i - 1].on_readable();
-    }
-    this->now = MonotonicClock::now();
-    this->RunTimers();
+    for (const auto& entry : this->watched) ReadAll(*entry);
+    this->Arm();
   }
 };
 
 EventLoop::EventLoop() : impl(std::make_unique<Impl>()) {}
-
-EventLoop::~EventLoop() { close(this->impl->wake_fd); }
-
-Instant EventLoop::Now() const { return this->impl->now; }
+EventLoop::~EventLoop() = default;
 
 void EventLoop::Post(Task task) {
   this->impl->posted.push(std::move(task));
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = write(this->impl->wake_fd, &one, sizeof(one));
+  uv_async_send(&this->impl->wake);
 }
 
 EventLoop::TimerId EventLoop::After(Duration delay, Task task) {
@@ -111,15 +142,42 @@
 }
 
 void EventLoop::Watch(void* socket, Task on_readable) {
-  this->impl->watched.push_back({socket, std::move(on_readable)});
+  int descriptor = -1;
+  std::size_t size = sizeof(descriptor);
+  [[maybe_unused]] const int found = zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
+  assert(found == 0);
+  auto& entry = *this->impl->watched.emplace_back(std::make_unique<Watched>());
+  entry.socket = socket;
+  entry.on_readable = std::move(on_readable);
+  entry.poll.data = &entry;
+  uv_poll_init(&this->impl->loop, &entry.poll, descriptor);
+  uv_poll_start(&entry.poll, UV_READABLE, [](uv_poll_t* handle, int, int) {
+    ReadAll(*static_cast<Watched*>(handle->data));
+  });
+  this->After(Duration(0), [&entry] { ReadAll(entry); });
+}
+
+void EventLoop::OnSignal(int signal_number, Task task) {
+  auto& entry = *this->impl->signals.emplace_back(std::make_unique<SignalHandler>());
+  entry.task = std::move(task);
+  entry.signal.data = &entry;
+  uv_signal_init(&this->impl->loop, &entry.signal);
+  uv_signal_start(
+      &entry.signal,
+      [](uv_signal_t* handle, int) { static_cast<SignalHandler*>(handle->data)->task(); },
+      signal_number);
 }
 
 void EventLoop::Run() {
-  while (!this->impl->stopping.load()) this->impl->RunRound();
+  this->impl->Arm();
+  while (!this->impl->stopping) uv_run(&this->impl->loop, UV_RUN_ONCE);
+  this->impl->stopping = false;
 }
 
 void EventLoop::Stop() {
-  this->Post([this] { this->impl->stopping.store(true); });
+  this->Post([this] { this->impl->stopping = true; });
 }
 
+uv_loop_s* EventLoop::Native() { return &this->impl->loop; }
+
 }  // namespace savory
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -7,10 +7,12 @@
 
 #include "base/time.h"
 
+struct uv_loop_s;
+
 namespace savory {
 
-// Runs timers, posted closures and socket handlers on the thread that calls
-// Run(). Only Post() and Stop() may be called from other threads.
+// Runs timers, posted closures and socket handlers on the thread that calls Run(). Built on libuv.
+// Only Post() and Stop() may be called from other threads.
 class EventLoop {
  public:
   using Task = std::function<void()>;
@@ -19,8 +21,8 @@
   EventLoop();
   ~EventLoop();
 
-  // Current time, read once per round of the loop.
-  Instant Now() const;
+  // Current time.
+  Instant Now() const { return MonotonicClock::now(); }
 
   // Runs `task` on the loop's thread. Thread-safe.
   void Post(Task task);
@@ -30,15 +32,20 @@
   void Every(Duration period, Task task);
   void Cancel(TimerId timer);
 
-  // Calls `on_readable` when the ZeroMQ socket `socket` (a void* handle) has
-  // input.
+  // Calls `on_readable` when the ZeroMQ socket `socket` (a void* handle) has input. The socket may
+  // be used on the loop's thread only.
   void Watch(void* socket, Task on_readable);
+  // Calls `task` when the process receives `signal_number`.
+  void OnSignal(int signal_number, Task task);
 
-  // Runs until Stop().
+  // Runs until Stop(). May be called again afterwards.
   void Run();
   // Thread-safe.
   void Stop();
 
+  // For the sockets of this folder.
+  uv_loop_s* Native();
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl;
--- /dev/null
+++ b/src/runtime/http_connection_pool.cc
@@ -0,0 +1,301 @@
+#include "runtime/http_connection_pool.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "base/metrics.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_parser.h"
+#include "runtime/tcp_connection.h"
+
+namespace savory {
+namespace {
+
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+constexpr HttpLimits kAnswerLimits = {.max_header_bytes = 64 * 1024,
+                                      .max_body_bytes = std::uint64_t{1} << 40};
+
+// Idle timeout in a Keep-Alive field ("timeout=5, max=100"), or nullopt.
+std::optional<Duration> AnnouncedTimeout(const HttpHead& head) {
+  std::string_view list = FieldValue(head.fields, "Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t found = list.find(kName);
+  if (found == std::string_view::npos) return std::nullopt;
+  list.remove_prefix(found + kName.size());
+  const auto seconds = ParseDecimal(list.substr(0, list.find_first_not_of("0123456789")));
+  if (!seconds) return std::nullopt;
+  return std::chrono::seconds(*seconds);
+}
+
+}  // namespace
+
+// One connection; owned by its call while one is on it, by the pool otherwise.
+class KeptConnection : public TcpHandler {
+ public:
+  KeptConnection(EventLoop& loop, const std::string& address, const TcpOptions& options)
+      : address(address), tcp(loop, address, *this, options) {}
+
+  void OnConnected() override { this->connected = true; }
+  void OnBytes(std::span<const std::byte> bytes) override;
+  void OnEnd(TcpEnd end) override;
+
+  std::string address;
+  HttpParser parser{HttpMessageKind::kResponse, kAnswerLimits};
+  HttpCall::Impl* call = nullptr;
+  bool connected = false;
+  bool used_before = false;
+  bool ended = false;
+  Instant idle_since = {};
+  Instant usable_until = {};
+  TcpConnection tcp;
+};
+
+struct HttpCall::Impl {
+  std::weak_ptr<HttpConnectionPool::Impl> pool;
+  HttpCallHandler* handler;
+  std::function<bool(const HttpHead& head)> belongs;
+  bool answer_has_body;
+  std::unique_ptr<KeptConnection> connection = {};
+  bool head_given = false;
+  bool dropping = false;  // the current answer belongs to an earlier call
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  void OnInput();
+  void Fail(CallFailure failure);
+
+ private:
+  // Returns false when the call is over or was destroyed.
+  bool GiveHead(const std::weak_ptr<bool>& guard);
+  bool GiveBody(const std::weak_ptr<bool>& guard);
+  bool HandleDone();
+};
+
+struct HttpConnectionPool::Impl {
+  EventLoop& loop;
+  HttpConnectionPoolOptions options;
+  Counter& opened;
+  Counter& reused;
+  Counter& stray;
+  std::map<std::string, std::vector<std::unique_ptr<KeptConnection>>, std::less<>> kept = {};
+  std::vector<std::unique_ptr<KeptConnection>> ended = {};
+
+  Impl(EventLoop& loop, Metrics& metrics, HttpConnectionPoolOptions options)
+      : loop(loop),
+        options(options),
+        opened(metrics.CounterFor("savory_upstream_connections_opened_total")),
+        reused(metrics.CounterFor("savory_upstream_connections_reused_total")),
+        stray(metrics.CounterFor("savory_upstream_stray_answers_total")) {}
+
+  // The youngest kept connection that fits, or null.
+  std::unique_ptr<KeptConnection> TakeKept(const HttpCallOptions& call) {
+    const auto found = this->kept.find(call.address);
+    if (found == this->kept.end() || call.max_idle <= Duration(0)) return nullptr;
+    auto& list = found->second;
+    const Instant now = this->loop.Now();
+    while (!list.empty()) {
+      std::unique_ptr<KeptConnection> last = std::move(list.back());
+      list.pop_back();
+      if (last->ended || now >= last->usable_until) continue;
+      if (now - last->idle_since > call.max_idle) {
+        list.push_back(std::move(last));
+        return nullptr;
+      }
+      return last;
+    }
+    return nullptr;
+  }
+
+  void Keep(std::unique_ptr<KeptConnection> connection) {
+    auto& list = this->kept[connection->address];
+    const Instant now = this->loop.Now();
+    Duration usable = this->options.idle_timeout;
+    if (const auto announced = AnnouncedTimeout(connection->parser.Head())) {
+      usable = std::min(usable, FromSeconds(ToSeconds(*announced) * this->options.announced_part));
+    }
+    connection->call = nullptr;
+    connection->used_before = true;
+    connection->idle_since = now;
+    connection->usable_until = now + usable;
+    connection->parser.Next();
+    list.push_back(std::move(connection));
+    if (list.size() > this->options.max_kept) list.erase(list.begin());
+  }
+
+  void Sweep() {
+    const Instant now = this->loop.Now();
+    for (auto& [address, list] : this->kept) {
+      std::erase_if(list, [now](const auto& entry) {
+        return entry->ended || now >= entry->usable_until;
+      });
+    }
+    std::erase_if(this->kept, [](const auto& row) { return row.second.empty(); });
+  }
+};
+
+void KeptConnection::OnBytes(std::span<const std::byte> bytes) {
+  if (this->call == nullptr) {
+    // Nothing was asked: such bytes belong to no call, and the connection is not used again.
+    this->ended = true;
+    return;
+  }
+  this->parser.Feed(bytes);
+  this->call->OnInput();
+}
+
+void KeptConnection::OnEnd(TcpEnd end) {
+  this->ended = true;
+  if (this->call == nullptr) return;
+  if (end == TcpEnd::kRefused) {
+    this->call->Fail(CallFailure::kNotSent);
+    return;
+  }
+  if (end == TcpEnd::kClosed && this->parser.HasHead()) {
+    this->parser.FeedEnd();
+    if (this->parser.IsDone()) {
+      this->call->OnInput();
+      return;
+    }
+  }
+  const bool answered = this->call->head_given || this->parser.HasInput();
+  this->call->Fail(answered ? CallFailure::kBrokenOff : CallFailure::kNoAnswer);
+}
+
+bool HttpCall::Impl::GiveHead(const std::weak_ptr<bool>& guard) {
+  const HttpHead& head = this->connection->parser.Head();
+  this->dropping = head.status < 200 || (this->belongs && !this->belongs(head));
+  if (this->dropping) {
+    if (head.status >= 200) {
+      if (const auto owner = this->pool.lock()) owner->stray.Add();
+    }
+    return true;
+  }
+  this->head_given = true;
+  this->handler->OnAnswerHead(head);
+  return !guard.expired();
+}
+
+bool HttpCall::Impl::GiveBody(const std::weak_ptr<bool>& guard) {
+  const std::string body = this->connection->parser.TakeBody();
+  if (body.empty() || this->dropping) return true;
+  this->handler->OnAnswerBody(body);
+  return !guard.expired();
+}
+
+// Returns true when a further answer on the connection is awaited.
+bool HttpCall::Impl::HandleDone() {
+  if (std::exchange(this->dropping, false)) {
+    this->connection->parser.Next();
+    if (!this->answer_has_body) this->connection->parser.SkipBody();
+    return true;
+  }
+  std::unique_ptr<KeptConnection> done = std::move(this->connection);
+  done->call = nullptr;
+  const bool reusable = !done->ended && done->parser.Head().keep_alive &&
+                        !done->parser.HasInput() && done->tcp.Unsent() == 0;
+  if (const auto owner = this->pool.lock()) {
+    if (reusable) {
+      owner->Keep(std::move(done));
+    } else {
+      // Destroyed later: this runs inside a call of the connection.
+      owner->ended.push_back(std::move(done));
+      owner->loop.After(Duration(0), [weak = std::weak_ptr(owner)] {
+        if (const auto strong = weak.lock()) strong->ended.clear();
+      });
+    }
+  }
+  this->handler->OnAnswerDone();
+  return false;
+}
+
+void HttpCall::Impl::OnInput() {
+  const std::weak_ptr<bool> guard = this->alive;
+  for (;;) {
+    HttpParser& parser = this->connection->parser;
+    if (parser.HasHead() && !this->head_given && !this->dropping && !this->GiveHead(guard)) return;
+    if (parser.HasHead() && !this->GiveBody(guard)) return;
+    if (parser.Failure() != HttpParseFailure::kNone) {
+      this->Fail(this->head_given ? CallFailure::kBrokenOff : CallFailure::kMalformed);
+      return;
+    }
+    if (!parser.IsDone() || !this->HandleDone()) return;
+  }
+}
+
+void HttpCall::Impl::Fail(CallFailure failure) {
+  this->connection->call = nullptr;
+  this->connection->ended = true;
+  this->handler->OnCallFailed(failure);
+}
+
+HttpCall::HttpCall(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+HttpCall::~HttpCall() {
+  if (this->impl->connection) this->impl->connection->call = nullptr;
+}
+
+bool HttpCall::IsOnKeptConnection() const {
+  return this->impl->connection && this->impl->connection->used_before;
+}
+
+HttpConnectionPool::HttpConnectionPool(EventLoop& loop, Metrics& metrics,
+                                       HttpConnectionPoolOptions options)
+    : impl(std::make_shared<Impl>(loop, metrics, options)) {
+  const auto sweep = [weak = std::weak_ptr(this->impl)] {
+    if (const auto strong = weak.lock()) strong->Sweep();
+  };
+  loop.Every(kSweepPeriod, sweep);
+}
+
+HttpConnectionPool::~HttpConnectionPool() = default;
+
+std::unique_ptr<HttpCall> HttpConnectionPool::Start(HttpCallOptions options,
+                                                    HttpCallHandler& handler) {
+  Impl& self = *this->impl;
+  std::unique_ptr<KeptConnection> connection = self.TakeKept(options);
+  if (connection) {
+    self.reused.Add();
+  } else {
+    self.opened.Add();
+    connection = std::make_unique<KeptConnection>(
+        self.loop, options.address,
+        TcpOptions{.connect_timeout = options.connect_timeout,
+                   .user_timeout = self.options.user_timeout});
+  }
+  if (!options.answer_has_body) connection->parser.SkipBody();
+  const std::string_view pieces[] = {options.head, options.body};
+  connection->tcp.Write(pieces);
+  auto call = std::make_unique<HttpCall::Impl>(
+      HttpCall::Impl{.pool = this->impl,
+                     .handler = &handler,
+                     .belongs = std::move(options.belongs),
+                     .answer_has_body = options.answer_has_body,
+                     .connection = std::move(connection)});
+  call->connection->call = call.get();
+  return std::unique_ptr<HttpCall>(new HttpCall(std::move(call)));
+}
+
+void HttpConnectionPool::Forget(const std::string& address) { this->impl->kept.erase(address); }
+
+std::size_t HttpConnectionPool::Kept() const {
+  std::size_t total = 0;
+  for (const auto& [address, list] : this->impl->kept) total += list.size();
+  return total;
+}
+
+std::string_view CallFailureName(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNotSent:
+      return "not-sent";
+    case CallFailure::kNoAnswer:
+      return "no-answer";
+    case CallFailure::kBrokenOff:
+      return "broken-off";
+    case CallFailure::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/http_parser.cc
@@ -0,0 +1,185 @@
+#include "runtime/http_parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cassert>
+#include <optional>
+
+namespace savory {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+// Passes what Beast finds on to the fields of a message.
+template <bool kIsRequest>
+class MessageParser : public http::basic_parser<kIsRequest> {
+ public:
+  HttpHead head = {};
+  std::string body = {};
+
+ private:
+  void on_request_impl(http::verb, string_view method, string_view target, int,
+                       error_code&) override {
+    this->head.method.assign(method.data(), method.size());
+    this->head.target.assign(target.data(), target.size());
+  }
+  void on_response_impl(int code, string_view reason, int, error_code&) override {
+    this->head.status = code;
+    this->head.reason.assign(reason.data(), reason.size());
+  }
+  void on_field_impl(http::field, string_view name, string_view value, error_code&) override {
+    this->head.fields.push_back({.name = std::string(name.data(), name.size()),
+                                 .value = std::string(value.data(), value.size())});
+  }
+  void on_header_impl(error_code&) override { this->head.keep_alive = this->keep_alive(); }
+  void on_body_init_impl(boost::optional<std::uint64_t> const&, error_code&) override {}
+  std::size_t on_body_impl(string_view bytes, error_code&) override {
+    this->body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override {
+    this->body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+HttpParseFailure FailureOf(const error_code& error) {
+  if (error == http::error::header_limit) return HttpParseFailure::kHeaderTooLarge;
+  if (error == http::error::body_limit) return HttpParseFailure::kBodyTooLarge;
+  if (error == http::error::partial_message) return HttpParseFailure::kTruncated;
+  return HttpParseFailure::kMalformed;
+}
+
+// What HttpParser needs of a message of either kind.
+class Message {
+ public:
+  virtual ~Message() = default;
+  // Returns the number of bytes taken.
+  virtual std::size_t Put(std::string_view input, error_code& error) = 0;
+  virtual void PutEnd(error_code& error) = 0;
+  virtual bool GotSome() const = 0;
+  virtual bool HasHead() const = 0;
+  virtual bool IsDone() const = 0;
+  virtual void SkipBody() = 0;
+  virtual HttpHead& Head() = 0;
+  virtual std::string& Body() = 0;
+};
+
+template <bool kIsRequest>
+class MessageOf : public Message {
+ public:
+  explicit MessageOf(const HttpLimits& limits) {
+    this->parser.header_limit(limits.max_header_bytes);
+    this->parser.body_limit(limits.max_body_bytes);
+    this->parser.eager(true);
+  }
+  std::size_t Put(std::string_view input, error_code& error) override {
+    return this->parser.put(boost::asio::const_buffer(input.data(), input.size()), error);
+  }
+  void PutEnd(error_code& error) override { this->parser.put_eof(error); }
+  bool GotSome() const override { return this->parser.got_some(); }
+  bool HasHead() const override { return this->parser.is_header_done(); }
+  bool IsDone() const override { return this->parser.is_done(); }
+  void SkipBody() override { this->parser.skip(true); }
+  HttpHead& Head() override { return this->parser.head; }
+  std::string& Body() override { return this->parser.body; }
+
+ private:
+  MessageParser<kIsRequest> parser;
+};
+
+}  // namespace
+
+struct HttpParser::Impl {
+  HttpMessageKind kind;
+  HttpLimits limits;
+  std::unique_ptr<Message> message = {};
+  std::string input = {};  // not parsed yet
+  HttpParseFailure failure = HttpParseFailure::kNone;
+
+  Impl(HttpMessageKind kind, HttpLimits limits) : kind(kind), limits(limits) { this->Begin(); }
+
+  void Begin() {
+    if (this->kind == HttpMessageKind::kRequest) {
+      this->message = std::make_unique<MessageOf<true>>(this->limits);
+    } else {
+      this->message = std::make_unique<MessageOf<false>>(this->limits);
+    }
+  }
+
+  // Parses `bytes`; returns how many were taken.
+  std::size_t Parse(std::string_view bytes) {
+    std::size_t taken = 0;
+    while (!this->message->IsDone() && taken < bytes.size()) {
+      error_code error;
+      const std::size_t step = this->message->Put(bytes.substr(taken), error);
+      taken += step;
+      if (error == http::error::need_more) {
+        if (step == 0) break;
+        continue;
+      }
+      if (error) {
+        this->failure = FailureOf(error);
+        break;
+      }
+      if (step == 0) break;
+    }
+    return taken;
+  }
+
+  void Feed(std::string_view bytes) {
+    if (this->failure != HttpParseFailure::kNone) return;
+    if (this->input.empty()) {
+      const std::size_t taken = this->message->IsDone() ? 0 : this->Parse(bytes);
+      this->input.assign(bytes.substr(taken));
+      return;
+    }
+    this->input += bytes;
+    if (!this->message->IsDone()) this->input.erase(0, this->Parse(this->input));
+  }
+};
+
+HttpParser::HttpParser(HttpMessageKind kind, HttpLimits limits)
+    : impl(std::make_unique<Impl>(kind, limits)) {}
+HttpParser::~HttpParser() = default;
+
+void HttpParser::Feed(std::span<const std::byte> bytes) {
+  this->impl->Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+}
+
+void HttpParser::FeedEnd() {
+  Impl& self = *this->impl;
+  if (self.failure != HttpParseFailure::kNone || self.message->IsDone()) return;
+  if (!self.message->GotSome() && self.input.empty()) return;
+  error_code error;
+  self.message->PutEnd(error);
+  if (error) self.failure = FailureOf(error);
+  if (!self.message->IsDone() && self.failure == HttpParseFailure::kNone) {
+    self.failure = HttpParseFailure::kTruncated;
+  }
+}
+
+bool HttpParser::HasHead() const { return this->impl->message->HasHead(); }
+const HttpHead& HttpParser::Head() const { return this->impl->message->Head(); }
+std::string HttpParser::TakeBody() { return std::exchange(this->impl->message->Body(), {}); }
+bool HttpParser::IsDone() const { return this->impl->message->IsDone(); }
+HttpParseFailure HttpParser::Failure() const { return this->impl->failure; }
+void HttpParser::SkipBody() { this->impl->message->SkipBody(); }
+
+bool HttpParser::HasInput() const {
+  return !this->impl->input.empty() ||
+         (!this->impl->message->IsDone() && this->impl->message->GotSome());
+}
+
+void HttpParser::Next() {
+  Impl& self = *this->impl;
+  assert(self.message->IsDone());
+  self.Begin();
+  if (!self.input.empty()) self.input.erase(0, self.Parse(self.input));
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/tcp_connection.cc
@@ -0,0 +1,242 @@
+#include "runtime/tcp_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+// One read takes at most this many bytes; larger messages arrive in several calls.
+constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kMaxPieces = 16;  // of one Write()
+
+// Shared by all connections: a read is handed on before the next one starts.
+std::array<char, kReadBytes>& ReadBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+struct WriteRequest {
+  uv_write_t request = {};
+  std::string bytes;
+};
+
+bool ParseAddress(const std::string& address, sockaddr_in& parsed) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return false;
+  const int port = std::atoi(address.c_str() + colon + 1);
+  return uv_ip4_addr(address.substr(0, colon).c_str(), port, &parsed) == 0;
+}
+
+}  // namespace
+
+struct TcpConnection::Impl {
+  uv_tcp_t tcp = {};
+  uv_connect_t connect = {};
+  uv_shutdown_t shutdown = {};
+  EventLoop& loop;
+  TcpHandler* handler;  // null once no call may follow
+  TcpOptions options;
+  EventLoop::TimerId connect_timer = 0;
+  bool connected = false;
+  bool closing = false;
+  bool end_when_sent = false;
+  std::string before_connect = {};  // written before the connection stood
+
+  Impl(EventLoop& loop, TcpHandler& handler, const TcpOptions& options)
+      : loop(loop), handler(&handler), options(options) {
+    uv_tcp_init(loop.Native(), &this->tcp);
+    this->tcp.data = this;
+  }
+
+  uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
+
+  void Connect(const std::string& address) {
+    sockaddr_in target = {};
+    this->connect.data = this;
+    const auto on_connect = [](uv_connect_t* request, int status) {
+      static_cast<Impl*>(request->data)->OnConnect(status);
+    };
+    const bool started =
+        ParseAddress(address, target) &&
+        uv_tcp_connect(&this->connect, &this->tcp, reinterpret_cast<const sockaddr*>(&target),
+                       on_connect) == 0;
+    const Duration wait = started ? this->options.connect_timeout : Duration(0);
+    this->connect_timer = this->loop.After(wait, [this] {
+      this->connect_timer = 0;
+      this->End(TcpEnd::kRefused);
+    });
+  }
+
+  void OnConnect(int status) {
+    if (this->handler == nullptr) return;
+    if (status != 0) {
+      this->End(TcpEnd::kRefused);
+      return;
+    }
+    this->Start();
+    if (!this->before_connect.empty()) {
+      const std::string bytes = std::exchange(this->before_connect, {});
+      const std::string_view piece = bytes;
+      this->Write({&piece, 1});
+    }
+    if (this->handler != nullptr) this->handler->OnConnected();
+  }
+
+  void Start() {
+    this->connected = true;
+    if (this->connect_timer != 0) this->loop.Cancel(std::exchange(this->connect_timer, 0));
+    uv_tcp_nodelay(&this->tcp, 1);
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) == 0) {
+      const auto timeout_ms = static_cast<unsigned>(ToMillis(this->options.user_timeout));
+      setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+    }
+    this->Read();
+  }
+
+  void Read() {
+    uv_read_start(
+        this->Stream(),
+        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+          *buffer = uv_buf_init(ReadBuffer().data(), kReadBytes);
+        },
+        [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+          static_cast<Impl*>(stream->data)->OnRead(count, buffer->base);
+        });
+  }
+
+  void OnRead(ssize_t count, const char* data) {
+    if (this->handler == nullptr || count == 0) return;
+    if (count < 0) {
+      this->End(count == UV_EOF ? TcpEnd::kClosed : TcpEnd::kReset);
+      return;
+    }
+    this->handler->OnBytes(
+        {reinterpret_cast<const std::byte*>(data), static_cast<std::size_t>(count)});
+  }
+
+  void Write(std::span<const std::string_view> pieces) {
+    if (this->closing) return;
+    if (!this->connected) {
+      for (const std::string_view piece : pieces) this->before_connect += piece;
+      return;
+    }
+    const std::size_t taken = this->TryWrite(pieces);
+    this->WriteRest(pieces, taken);
+  }
+
+  std::size_t TryWrite(std::span<const std::string_view> pieces) {
+    std::array<uv_buf_t, kMaxPieces> buffers;
+    std::size_t count = 0;
+    for (const std::string_view piece : pieces.first(std::min(pieces.size(), kMaxPieces))) {
+      if (piece.empty()) continue;
+      buffers[count++] =
+          uv_buf_init(const_cast<char*>(piece.data()), static_cast<unsigned>(piece.size()));
+    }
+    if (count == 0) return 0;
+    const int written = uv_try_write(this->Stream(), buffers.data(), static_cast<unsigned>(count));
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+  }
+
+  void WriteRest(std::span<const std::string_view> pieces, std::size_t taken) {
+    auto* rest = new WriteRequest;
+    for (const std::string_view piece : pieces) {
+      const std::size_t skipped = std::min(taken, piece.size());
+      taken -= skipped;
+      rest->bytes += piece.substr(skipped);
+    }
+    if (rest->bytes.empty()) {
+      delete rest;
+      return;
+    }
+    rest->request.data = rest;
+    const uv_buf_t buffer =
+        uv_buf_init(rest->bytes.data(), static_cast<unsigned>(rest->bytes.size()));
+    const auto on_written = [](uv_write_t* request, int status) {
+      auto* self = static_cast<Impl*>(request->handle->data);
+      delete static_cast<WriteRequest*>(request->data);
+      self->OnWritten(status);
+    };
+    if (uv_write(&rest->request, this->Stream(), &buffer, 1, on_written) != 0) delete rest;
+  }
+
+  void OnWritten(int status) {
+    if (this->handler == nullptr) return;
+    if (status != 0) {
+      this->End(TcpEnd::kReset);
+      return;
+    }
+    if (uv_stream_get_write_queue_size(this->Stream()) == 0) this->handler->OnFlushed();
+  }
+
+  void CloseWhenSent() {
+    if (!this->connected || this->closing || this->end_when_sent) return;
+    this->end_when_sent = true;
+    uv_shutdown(&this->shutdown, this->Stream(), [](uv_shutdown_t*, int) {});
+  }
+
+  void End(TcpEnd end) {
+    if (this->handler == nullptr) return;
+    TcpHandler* const last = std::exchange(this->handler, nullptr);
+    last->OnEnd(end);
+  }
+
+  void Close() {
+    if (std::exchange(this->closing, true)) return;
+    this->handler = nullptr;
+    if (this->connect_timer != 0) this->loop.Cancel(std::exchange(this->connect_timer, 0));
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp),
+             [](uv_handle_t* handle) { delete static_cast<Impl*>(handle->data); });
+  }
+};
+
+TcpConnection::TcpConnection(EventLoop& loop, const std::string& address, TcpHandler& handler,
+                             const TcpOptions& options)
+    : impl(new Impl(loop, handler, options)) {
+  this->impl->Connect(address);
+}
+
+TcpConnection::TcpConnection(EventLoop& loop, uv_stream_s* server, TcpHandler& handler,
+                             const TcpOptions& options)
+    : impl(new Impl(loop, handler, options)) {
+  if (uv_accept(server, this->impl->Stream()) == 0) this->impl->Start();
+}
+
+TcpConnection::~TcpConnection() { this->impl->Close(); }
+
+void TcpConnection::Write(std::span<const std::string_view> pieces) { this->impl->Write(pieces); }
+
+std::size_t TcpConnection::Unsent() const {
+  return uv_stream_get_write_queue_size(this->impl->Stream()) + this->impl->before_connect.size();
+}
+
+void TcpConnection::PauseReading() { uv_read_stop(this->impl->Stream()); }
+
+void TcpConnection::ResumeReading() {
+  if (this->impl->connected && !this->impl->closing) this->impl->Read();
+}
+
+void TcpConnection::CloseWhenSent() { this->impl->CloseWhenSent(); }
+
+void TcpConnection::Reset() {
+  Impl& self = *this->impl;
+  if (self.closing) return;
+  self.handler = nullptr;
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&self.tcp), &descriptor) == 0) {
+    const linger now = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  }
+  self.Close();
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/tcp_listener.cc
@@ -0,0 +1,62 @@
+#include "runtime/tcp_listener.h"
+
+#include <netinet/in.h>
+#include <uv.h>
+
+#include <utility>
+
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+// Connections that wait to be accepted; a burst of a zone's clients fits.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+struct TcpListener::Impl {
+  uv_tcp_t tcp = {};
+  OnConnection on_connection;
+  bool closing = false;
+
+  void Close() {
+    if (std::exchange(this->closing, true)) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp),
+             [](uv_handle_t* handle) { delete static_cast<Impl*>(handle->data); });
+  }
+};
+
+TcpListener::TcpListener(EventLoop& loop) : impl(new Impl) {
+  uv_tcp_init(loop.Native(), &this->impl->tcp);
+  this->impl->tcp.data = this->impl;
+}
+
+TcpListener::~TcpListener() { this->Close(); }
+
+Result<void> TcpListener::Listen(const std::string& address, OnConnection on_connection) {
+  Impl& self = *this->impl;
+  self.on_connection = std::move(on_connection);
+  const std::size_t colon = address.rfind(':');
+  sockaddr_in parsed = {};
+  int status = uv_ip4_addr(address.substr(0, colon).c_str(),
+                           std::atoi(address.c_str() + colon + 1), &parsed);
+  if (status == 0) status = uv_tcp_bind(&self.tcp, reinterpret_cast<sockaddr*>(&parsed), 0);
+  if (status == 0) {
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(&self.tcp), kBacklog,
+                       [](uv_stream_t* server, int error) {
+                         if (error == 0) static_cast<Impl*>(server->data)->on_connection(server);
+                       });
+  }
+  if (status == 0) return success();
+  return Error{.kind = ErrorKind::kUnavailable,
+               .detail = "listen on " + address + ": " + uv_strerror(status)};
+}
+
+void TcpListener::Close() {
+  if (this->impl == nullptr) return;
+  this->impl->Close();
+  this->impl = nullptr;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/tcp_listener.h
@@ -0,0 +1,34 @@
+// Listening TCP socket on the event loop.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/error.h"
+
+struct uv_stream_s;
+
+namespace savory {
+
+class EventLoop;
+
+class TcpListener {
+ public:
+  // Called for each connection that waits; accept it with TcpConnection(loop, server, ...).
+  using OnConnection = std::function<void(uv_stream_s* server)>;
+
+  explicit TcpListener(EventLoop& loop);
+  ~TcpListener();
+
+  // Binds `address` (IP:PORT). Errors: kUnavailable when it is in use.
+  Result<void> Listen(const std::string& address, OnConnection on_connection);
+  // Takes no more connections.
+  void Close();
+
+ private:
+  struct Impl;
+  Impl* impl;  // owned by libuv until its close callback has run
+};
+
+}  // namespace savory
