--- a/src/apps/daemon_main.h
+++ b/src/apps/daemon_main.h
@@ -25,13 +25,15 @@
   if (!command.value()) return 0;
   auto reader = SettingsReader::FromFile(command.value()->config_file);
   if (!reader) return fail(reader.error());
-  const Settings settings = read(reader.value());
+  Settings settings = read(reader.value());
   const auto checked = reader.value().Finish();
   if (!checked) return fail(checked.error());
   if (command.value()->check_config) {
     std::cout << "ok\n";
     return 0;
   }
+  // A daemon that reads its settings again keeps the path.
+  if constexpr (requires { settings.file; }) settings.file = command.value()->config_file;
   return run(settings);
 }
 
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -5,14 +5,27 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "base/log_buffer.h"
+
 namespace savory {
 namespace {
 
+// Lines of some seconds under full load.
+constexpr std::size_t kMaxBufferedBytes = 512 * 1024;
+
 struct LogState {
   log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("savoryrouter");
   LogOptions options;
+  LogBuffer buffer{kMaxBufferedBytes};
+  std::atomic<std::int64_t> second = 0;  // that info_lines counts
+  std::atomic<std::uint32_t> info_lines = 0;
 };
 
 LogState& State() {
@@ -58,6 +71,46 @@
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+constexpr std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "DEBUG";
+    case LogLevel::kInfo:
+      return "INFO";
+    case LogLevel::kWarn:
+      return "WARN";
+    case LogLevel::kError:
+      return "ERROR";
+  }
+  return "INFO";
+}
+
+std::string Format(const LogOptions& options, std::string_view event,
+                   std::initializer_list<LogField> fields) {
+  return options.form == LogForm::kJson ? FormatJson(options, event, fields)
+                                        : FormatKeyValue(options, event, fields);
+}
+
+void AddBuffered(LogState& state, LogLevel level, std::string_view event,
+                 std::initializer_list<LogField> fields) {
+  if (level < state.options.level) return;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const std::int64_t millis = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  if (level < LogLevel::kWarn) {
+    if (state.second.exchange(millis / 1000) != millis / 1000) state.info_lines = 0;
+    if (++state.info_lines > state.options.max_info_lines) {
+      state.buffer.Skip();
+      return;
+    }
+  }
+  std::string line = std::to_string(millis);
+  line += ' ';
+  line += LevelName(level);
+  line += ' ';
+  line += Format(state.options, event, fields);
+  state.buffer.Add(line);
+}
+
 }  // namespace
 
 LogField::LogField(std::string_view name, std::string_view text) : name(name), text(text) {}
@@ -70,6 +123,10 @@
 
 void ConfigureLog(const LogOptions& options) {
   State().options = options;
+  if (options.output == LogOutput::kBuffered) {
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    return;
+  }
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %m%n");
   const auto appender =
       std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
@@ -79,13 +136,17 @@
 }
 
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  const LogState& state = State();
+  LogState& state = State();
+  if (state.options.output == LogOutput::kBuffered) {
+    AddBuffered(state, level, event, fields);
+    return;
+  }
   const log4cxx::LevelPtr log_level = ToLevel(level);
   if (!state.logger->isEnabledFor(log_level)) return;
-  const std::string line = state.options.form == LogForm::kJson
-                               ? FormatJson(state.options, event, fields)
-                               : FormatKeyValue(state.options, event, fields);
+  const std::string line = Format(state.options, event, fields);
   LOG4CXX_LOG(state.logger, log_level, line);
 }
 
+void FlushLog() { State().buffer.WriteTo(STDOUT_FILENO); }
+
 }  // namespace savory
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,9 +1,11 @@
-// Structured logs through log4cxx. A line is written for a change of state
-// only; anything that happens per request or per message is a counter
-// (base/metrics.h).
+// Structured logs. Processes with agents in the request path write lines for changes of state only,
+// through log4cxx to standard error. Entries that reach upstreams directly write a line for each
+// decision that touches a request; log4cxx formats and writes each line at once and blocks on a full
+// pipe, so their lines go through a LogBuffer to standard output.
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -12,6 +14,7 @@
 
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 enum class LogForm { kKeyValue, kJson };
+enum class LogOutput { kStandardError, kBuffered };
 
 // One key=value field of a line.
 struct LogField {
@@ -32,12 +35,19 @@
   LogLevel level = LogLevel::kInfo;
   LogForm form = LogForm::kKeyValue;
   std::string vm = {};  // field of every line
+  LogOutput output = LogOutput::kStandardError;
+  // Lines below kWarn in one second; further ones are counted, not written. For kBuffered.
+  std::uint32_t max_info_lines = 200;
 };
 
-// Directs the log to standard error. Call once, before the first line.
+// Call once, before the first line.
 void ConfigureLog(const LogOptions& options);
 
 // Writes one line: time, level, vm, event and `fields`. Thread-safe.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+// Writes what kBuffered holds to standard output, as far as that takes it without blocking. Call it
+// some times a second and before the process ends.
+void FlushLog();
+
 }  // namespace savory
--- /dev/null
+++ b/src/base/log_buffer.cc
@@ -0,0 +1,49 @@
+#include "base/log_buffer.h"
+
+#include <unistd.h>
+
+namespace savory {
+
+void LogBuffer::Add(std::string_view line) {
+  const std::scoped_lock lock(this->mutex);
+  if (this->lines.size() + line.size() + 1 > this->max_bytes) {
+    ++this->dropped;
+    ++this->dropped_untold;
+    return;
+  }
+  this->lines += line;
+  this->lines += '\n';
+}
+
+void LogBuffer::Skip() {
+  const std::scoped_lock lock(this->mutex);
+  ++this->skipped_untold;
+}
+
+void LogBuffer::AddCounts() {
+  if (this->dropped_untold == 0 && this->skipped_untold == 0) return;
+  this->lines += "event=log_lines_left_out dropped=" + std::to_string(this->dropped_untold) +
+                 " sampled_out=" + std::to_string(this->skipped_untold) + '\n';
+  this->dropped_untold = 0;
+  this->skipped_untold = 0;
+}
+
+void LogBuffer::WriteTo(int descriptor) {
+  const std::scoped_lock lock(this->mutex);
+  if (this->lines.size() < this->max_bytes / 2) this->AddCounts();
+  if (this->lines.empty()) return;
+  const ssize_t written = write(descriptor, this->lines.data(), this->lines.size());
+  if (written > 0) this->lines.erase(0, static_cast<std::size_t>(written));
+}
+
+std::size_t LogBuffer::Bytes() const {
+  const std::scoped_lock lock(this->mutex);
+  return this->lines.size();
+}
+
+std::uint64_t LogBuffer::Dropped() const {
+  const std::scoped_lock lock(this->mutex);
+  return this->dropped;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/entry.cc
@@ -0,0 +1,362 @@
+#include "direct/entry.h"
+
+#include <algorithm>
+#include <csignal>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <variant>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "fleet/entry_links.h"
+#include "records/record_sync.h"
+#include "relay/record_codec.h"
+#include "relay/relay.h"
+#include "relay/upstream_list.h"
+#include "runtime/async_http_server.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_connection_pool.h"
+#include "runtime/peer_transport.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kUpkeepPeriod = milliseconds(100);
+// Requests in flight when the platform stops sending connections here, two readiness checks after
+// SIGTERM, are still served.
+constexpr Duration kAcceptAfterStop = milliseconds(2800);
+// Idle connections are closed this long after SIGTERM; their callers have had answers that ask for
+// it, or send nothing.
+constexpr Duration kStopLinger = milliseconds(2000);
+constexpr Duration kShortestStop = milliseconds(3200);
+// Left of the grace when the process ends by itself, before it is killed.
+constexpr Duration kStopReserve = milliseconds(400);
+// A newer version is enforced this much before the deadline, since requests can wait at an engine.
+constexpr Duration kWeightsMargin = milliseconds(900);
+// Keys of the settings file are looked at this often: it may change without a signal.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
+
+std::uint64_t StartTime() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::string PeerAt(const std::string& address, std::uint16_t port) {
+  return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
+}
+
+EntryLinksOptions LinksOf(const DirectEntrySettings& settings) {
+  EntryLinksOptions options{.peer = settings.process.peer,
+                            .agent_port = settings.process.peer_port,
+                            .regions = settings.process.regions};
+  for (const std::string& seed : settings.seeds) {
+    options.seeds.push_back(PeerAt(seed, settings.process.peer_port));
+  }
+  return options;
+}
+
+RelayOptions RelayOf(const DirectEntrySettings& settings) {
+  return RelayOptions{.dispatcher = {.data_centre = settings.process.data_centre},
+                      .budget = settings.repeats};
+}
+
+}  // namespace
+
+struct DirectEntry::Impl {
+  EventLoop& loop;
+  Metrics& metrics;
+  DirectEntrySettings settings;
+  DirectEntryAdapter adapter;
+  Random random{std::random_device()()};
+  PeerTransport peers;
+  HttpConnectionPool connections;
+  Relay relay;
+  EntryLinks links;
+  RecordSync operator_records;
+  RecordSync upstream_records;
+  UpstreamList upstreams = UpstreamList();
+  AsyncHttpServer callers;
+  AsyncHttpServer ready_server;
+  AsyncHttpServer metrics_server;
+  SharedRouting rules = {};
+  std::map<std::string, WeightsOrder> weights = {};  // by model
+  std::optional<Instant> stopping_since = {};
+  bool was_ready = false;
+
+  Impl(EventLoop& loop, Metrics& metrics, DirectEntrySettings given, DirectEntryAdapter adapter)
+      : loop(loop),
+        metrics(metrics),
+        settings(std::move(given)),
+        adapter(adapter),
+        peers(loop, metrics,
+              {.listen = this->settings.process.peer,
+               .vm = this->settings.process.vm,
+               .incarnation = StartTime()}),
+        connections(loop, metrics, {}),
+        relay(loop, this->connections, adapter.requests, metrics, this->random,
+              RelayOf(this->settings)),
+        links(loop, this->peers, metrics, LinksOf(this->settings)),
+        operator_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.OperatorPrefix()}),
+        upstream_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.UpstreamPrefix()}),
+        callers(loop, {},
+                [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
+        ready_server(loop, {},
+                     [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
+        metrics_server(loop, {},
+                       [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }) {
+  }
+
+  // ---- records ----
+
+  void OnOperatorRecords(std::span<const Record> changed) {
+    std::optional<RoutingRules> newest;
+    for (const Record& record : changed) {
+      Result<DecodedRecord> decoded = this->adapter.records.Decode(record);
+      if (!decoded) {
+        this->LogMalformed(record, decoded.error());
+        continue;
+      }
+      if (auto* found = std::get_if<RoutingRules>(&decoded.value())) {
+        if (!newest || found->version > newest->version) newest = std::move(*found);
+      } else if (const auto* wanted = std::get_if<WeightsWanted>(&decoded.value())) {
+        this->OnWeightsWanted(*wanted);
+      }
+    }
+    if (newest) this->ApplyRules(std::move(*newest));
+  }
+
+  void ApplyRules(RoutingRules found) {
+    if (this->rules && found.version <= this->rules->Version()) return;
+    Log(LogLevel::kInfo, "rules_applied",
+        {{"version", found.version},
+         {"before", this->rules ? this->rules->Version() : 0},
+         {"routes", found.routes.size()},
+         {"pools", found.pools.size()},
+         {"accounts", found.accounts.size()}});
+    this->rules = std::make_shared<const RoutingIndex>(std::move(found));
+    this->relay.SetRules(this->rules);
+    const CallerLimits& limits = this->rules->Rules().limits;
+    this->callers.SetOptions({.limits = {.max_header_bytes = limits.max_header_bytes,
+                                         .max_body_bytes = limits.max_body_bytes},
+                              .header_timeout = limits.header_timeout,
+                              .idle_timeout = limits.idle_timeout});
+    this->links.SetOrigin(this->rules->Rules().origin);
+    this->ApplyWeights();
+    this->TellEngines();
+  }
+
+  void OnWeightsWanted(const WeightsWanted& wanted) {
+    WeightsOrder& order = this->weights[wanted.model];
+    if (wanted.version <= order.version) return;
+    order = {.model = wanted.model, .version = wanted.version, .known_since = this->loop.Now()};
+    Log(LogLevel::kInfo, "weights_wanted",
+        {{"model", wanted.model}, {"version", wanted.version}});
+    this->ApplyWeights();
+  }
+
+  void ApplyWeights() {
+    if (!this->rules) return;
+    for (const PoolRule& pool : this->rules->Rules().pools) {
+      if (!pool.engine) continue;
+      for (const std::string& model : pool.models) {
+        const auto found = this->weights.find(model);
+        if (found == this->weights.end()) continue;
+        const WeightsOrder& order = found->second;
+        this->relay.Places().SetWeightsRule(
+            pool.name, {.version = order.version,
+                        .enforced_at = order.known_since + this->settings.weights_deadline -
+                                       kWeightsMargin});
+        this->links.SetWeights(order);
+      }
+    }
+  }
+
+  void OnUpstreamRecords(std::span<const Record> changed) {
+    const Instant now = this->loop.Now();
+    for (const Record& record : changed) {
+      const Result<DecodedRecord> decoded = this->adapter.records.Decode(record);
+      if (!decoded) {
+        this->LogMalformed(record, decoded.error());
+        const std::string prefix = this->adapter.records.UpstreamPrefix();
+        this->Drop(record.key.substr(prefix.size()), "malformed entry");
+        continue;
+      }
+      if (const auto* upstream = std::get_if<Upstream>(&decoded.value())) {
+        this->OnUpstream(*upstream);
+      } else if (const auto* gone = std::get_if<UpstreamGone>(&decoded.value())) {
+        if (this->upstreams.Remove(gone->id, now, this->upstream_records.ReachableSince())) {
+          this->Drop(gone->id, "removed");
+        }
+      }
+    }
+    this->TellEngines();
+  }
+
+  void OnUpstream(const Upstream& upstream) {
+    const auto known = this->upstreams.All().find(upstream.id);
+    const bool is_new = known == this->upstreams.All().end();
+    if (is_new || known->second.draining != upstream.draining ||
+        known->second.weights_version != upstream.weights_version) {
+      Log(LogLevel::kInfo, is_new ? "upstream_added" : "upstream_changed",
+          {{"upstream", upstream.id},
+           {"pool", upstream.pool},
+           {"address", upstream.address},
+           {"draining", upstream.draining},
+           {"weights", upstream.weights_version}});
+    }
+    this->upstreams.Set(upstream);
+    this->relay.Places().SetUpstream(upstream);
+  }
+
+  void Drop(const std::string& id, std::string_view reason) {
+    Log(LogLevel::kInfo, "upstream_gone", {{"upstream", id}, {"reason", reason}});
+    this->relay.Places().RemoveUpstream(id);
+  }
+
+  // Agents run beside the engines of the list.
+  void TellEngines() {
+    std::vector<Upstream> engines;
+    for (const auto& [id, upstream] : this->upstreams.All()) {
+      if (upstream.is_engine) engines.push_back(upstream);
+    }
+    this->links.SetEngines(std::move(engines));
+  }
+
+  void LogMalformed(const Record& record, const Error& error) {
+    Log(LogLevel::kWarn, "record_malformed",
+        {{"key", record.key}, {"revision", record.revision}, {"reason", Describe(error)}});
+  }
+
+  // ---- readiness, metrics ----
+
+  bool IsReady() const { return this->rules && !this->stopping_since; }
+
+  void AnswerReady(HttpExchange& exchange) {
+    const bool ready = this->IsReady();
+    if (ready != this->was_ready) {
+      this->was_ready = ready;
+      Log(LogLevel::kInfo, ready ? "ready" : "not_ready");
+    }
+    const bool known = exchange.Head().target == this->adapter.ready_path;
+    exchange.Answer(!known ? 404 : (ready ? 200 : 503), {}, "");
+  }
+
+  void AnswerMetrics(HttpExchange& exchange) {
+    const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
+    exchange.Answer(200, fields, this->metrics.Render());
+  }
+
+  // ---- time ----
+
+  void Upkeep() {
+    FlushLog();
+    for (const std::string& id : this->upstreams.TakeExpired(this->loop.Now())) {
+      this->Drop(id, "not back after the store returned");
+    }
+    if (this->stopping_since) this->AdvanceStop();
+  }
+
+  void BeginStop() {
+    if (this->stopping_since) return;
+    this->stopping_since = this->loop.Now();
+    Log(LogLevel::kInfo, "stopping", {{"in_progress", this->relay.InProgress()}});
+    this->callers.BeginClosing(kStopLinger);
+  }
+
+  void AdvanceStop() {
+    const Duration stopped_for = this->loop.Now() - *this->stopping_since;
+    if (stopped_for >= kAcceptAfterStop) this->relay.StopAccepting();
+    const bool done = stopped_for >= kShortestStop && this->relay.InProgress() == 0;
+    if (!done && stopped_for < this->settings.stop_grace - kStopReserve) return;
+    Log(LogLevel::kInfo, "stopped", {{"cut_off", this->relay.InProgress()}});
+    this->loop.Stop();
+  }
+
+  void Reload() {
+    const Result<DirectEntrySettings> found = ReadDirectEntryFile(this->settings.file);
+    if (!found) {
+      Log(LogLevel::kWarn, "settings_rejected", {{"reason", Describe(found.error())}});
+      return;
+    }
+    const DirectEntrySettings& next = found.value();
+    const bool needs_restart = next.callers != this->settings.callers ||
+                               next.ready != this->settings.ready ||
+                               next.store != this->settings.store ||
+                               next.process.peer != this->settings.process.peer;
+    Log(LogLevel::kInfo, "settings_read", {{"needs_restart", needs_restart}});
+    this->settings.weights_deadline = next.weights_deadline;
+    this->settings.stop_grace = next.stop_grace;
+    this->ApplyWeights();
+  }
+
+  bool Listen(AsyncHttpServer& server, const std::string& address) {
+    const Result<void> listening = server.Listen(address);
+    if (listening) return true;
+    Log(LogLevel::kError, "listen_failed", {{"reason", Describe(listening.error())}});
+    return false;
+  }
+
+  void Connect() {
+    this->operator_records.OnChange(
+        [this](std::span<const Record> changed) { this->OnOperatorRecords(changed); });
+    this->upstream_records.OnChange(
+        [this](std::span<const Record> changed) { this->OnUpstreamRecords(changed); });
+    this->links.OnReport([this](const EngineReport& report) {
+      this->relay.Places().AddReport(report, this->loop.Now());
+    });
+    this->links.OnEntries([this](const std::vector<std::string>& others) {
+      this->SetOthers(others);
+    });
+    std::vector<std::string> seeds;
+    for (const std::string& seed : LinksOf(this->settings).seeds) {
+      if (seed != this->settings.process.peer) seeds.push_back(seed);
+    }
+    this->SetOthers(seeds);
+  }
+
+  void SetOthers(const std::vector<std::string>& others) {
+    this->relay.Repeats().SetEntries(static_cast<std::uint32_t>(others.size()) + 1);
+    this->operator_records.SetPeers(others);
+    this->upstream_records.SetPeers(others);
+  }
+
+  int Run() {
+    Log(LogLevel::kInfo, "started",
+        {{"callers", this->settings.callers},
+         {"store", this->settings.store},
+         {"data_centre", this->settings.process.data_centre}});
+    this->Connect();
+    const std::string& metrics_address = this->settings.process.metrics;
+    if (!this->Listen(this->ready_server, this->settings.ready) ||
+        !this->Listen(this->callers, this->settings.callers) ||
+        (!metrics_address.empty() && !this->Listen(this->metrics_server, metrics_address))) {
+      FlushLog();
+      return EXIT_FAILURE;
+    }
+    this->loop.OnSignal(SIGTERM, [this] { this->BeginStop(); });
+    this->loop.OnSignal(SIGHUP, [this] { this->Reload(); });
+    this->loop.Every(kUpkeepPeriod, [this] { this->Upkeep(); });
+    this->operator_records.Start();
+    this->upstream_records.Start();
+    this->links.Start();
+    this->loop.Run();
+    FlushLog();
+    return EXIT_SUCCESS;
+  }
+};
+
+DirectEntry::DirectEntry(EventLoop& loop, Metrics& metrics, DirectEntrySettings settings,
+                         DirectEntryAdapter adapter)
+    : impl(std::make_unique<Impl>(loop, metrics, std::move(settings), adapter)) {}
+DirectEntry::~DirectEntry() = default;
+
+int DirectEntry::Run() { return this->impl->Run(); }
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/entry_settings.cc
@@ -0,0 +1,64 @@
+#include "direct/entry_settings.h"
+
+namespace savory {
+namespace {
+
+constexpr Range kPort = {.low = 1, .high = 65'535};
+constexpr Range kSeconds = {.low = 0, .high = 3600};
+constexpr Range kMillis = {.low = 0, .high = 3'600'000};
+constexpr Range kRatio = {.low = 0, .high = 10};
+constexpr Range kCount = {.low = 0, .high = 1e9};
+
+}  // namespace
+
+DirectProcessSettings ReadDirectProcess(SettingsReader& reader) {
+  DirectProcessSettings settings;
+  settings.vm = reader.Text("vm");
+  settings.region = reader.Text("region");
+  settings.data_centre = reader.Text("data_centre");
+  SettingsReader listen = reader.Section("listen");
+  settings.peer = listen.Address("peer");
+  settings.peer_port = static_cast<std::uint16_t>(listen.Integer("peer_port", kPort));
+  settings.metrics = listen.Address("metrics", "");
+  for (SettingsReader& row : reader.Rows("data_centres")) {
+    settings.regions[row.Text("name")] = row.Text("region");
+  }
+  SettingsReader log = reader.Section("log");
+  settings.log.level = static_cast<LogLevel>(
+      log.Choice("level", {"debug", "info", "warn", "error"}, std::size_t{1}));
+  settings.log.form =
+      static_cast<LogForm>(log.Choice("form", {"key-value", "json"}, std::size_t{0}));
+  settings.log.vm = settings.vm;
+  settings.log.output = LogOutput::kBuffered;
+  return settings;
+}
+
+DirectEntrySettings ReadDirectEntry(SettingsReader& reader) {
+  DirectEntrySettings settings;
+  settings.process = ReadDirectProcess(reader);
+  SettingsReader listen = reader.Section("listen");
+  settings.callers = listen.Address("callers");
+  settings.ready = listen.Address("ready");
+  settings.store = reader.Address("store");
+  settings.seeds = reader.TextList("seeds");
+  SettingsReader repeats = reader.Section("repeats");
+  settings.repeats.ratio = repeats.Number("ratio", kRatio, settings.repeats.ratio);
+  settings.repeats.slack = repeats.Number("slack", kCount, settings.repeats.slack);
+  settings.repeats.window = FromSeconds(repeats.Number("window_s", kSeconds, 10));
+  settings.weights_deadline =
+      std::chrono::milliseconds(reader.Integer("weights_deadline_ms", kMillis, 8000));
+  settings.stop_grace = FromSeconds(reader.Number("stop_grace_s", kSeconds, 8));
+  return settings;
+}
+
+Result<DirectEntrySettings> ReadDirectEntryFile(const std::string& path) {
+  auto reader = SettingsReader::FromFile(path);
+  if (!reader) return reader.error();
+  DirectEntrySettings settings = ReadDirectEntry(reader.value());
+  const auto checked = reader.value().Finish();
+  if (!checked) return checked.error();
+  settings.file = path;
+  return settings;
+}
+
+}  // namespace savory
--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -10,6 +10,7 @@
 #include "distribution/load_order.h"
 #include "distribution/manifest_fetch.h"
 #include "distribution/origin_client.h"
+#include "distribution/spread_link.h"
 #include "distribution/weights_server.h"
 #include "membership/membership_driver.h"
 #include "runtime/event_loop.h"
@@ -40,10 +41,6 @@
         origin_bytes(metrics.CounterFor("savory_origin_bytes_total")),
         origin_errors(metrics.CounterFor("savory_origin_read_errors_total")),
         corrupt(metrics.CounterFor("savory_chunks_corrupt_total")),
-        sent(metrics.CounterFor("savory_chunks_sent_total")),
-        received(metrics.CounterFor("savory_chunks_received_total")),
-        refused(metrics.CounterFor("savory_chunk_requests_refused_total")),
-        cancelled(metrics.CounterFor("savory_chunk_requests_cancelled_total")),
         loads(metrics.CounterFor("savory_load_orders_total")) {}
 
   Gauge& bytes;
@@ -52,10 +49,6 @@
   Counter& origin_bytes;
   Counter& origin_errors;
   Counter& corrupt;
-  Counter& sent;
-  Counter& received;
-  Counter& refused;
-  Counter& cancelled;
   Counter& loads;
 };
 
@@ -79,6 +72,18 @@
                        .takeover_origin_bytes = options.takeover_origin_bytes};
 }
 
+// Digests are computed on workers.
+ChunkVerifier VerifyOn(Workers& workers) {
+  return [&workers](std::shared_ptr<const Manifest> manifest, std::uint32_t chunk,
+                    SharedChunk bytes, std::function<void(std::optional<VerifiedChunk>)> done) {
+    workers.RunThen(
+        [manifest = std::move(manifest), chunk, bytes = std::move(bytes)] {
+          return VerifiedChunk::Verify(*manifest, chunk, bytes);
+        },
+        std::move(done));
+  };
+}
+
 }  // namespace
 
 struct DistributionDriver::Impl {
@@ -88,6 +93,7 @@
   Counters counters;
   ChunkStore store;
   ChunkSpreader spreader;
+  SpreadLink link;
   ManifestFetch fetch;
   LoadOrder order;
   OriginClient origin;
@@ -125,6 +131,7 @@
         counters(node.metrics),
         store(this->options.memory_bytes),
         spreader(SpreadOptionsOf(node.identity, this->options), this->store, node.random),
+        link(node.peers, node.metrics, this->store, VerifyOn(node.workers)),
         fetch(ManifestFetchOptions{.vm = node.identity.vm,
                                    .region = node.identity.region,
                                    .origin_region = this->options.origin_region,
@@ -158,77 +165,10 @@
     if (this->spreader.IsActive() && !this->timer_is_active) this->ScheduleTick();
   }
 
-  void SendControl(const std::string& to, wire::Envelope message) {
-    this->node.peers.Send(to, Lane::kControl, std::move(message));
-  }
-
-  void Do(const SendMap& action) {
-    const WeightsCopy* copy = this->store.Find(action.manifest);
-    if (copy == nullptr) return;
-    wire::Envelope message;
-    wire::ChunkMap& map = *message.mutable_chunk_map();
-    map.set_manifest(std::string(action.manifest.View()));
-    map.set_bits(ChunkBits(*copy));
-    map.set_reply_wanted(action.reply_wanted);
-    this->SendControl(action.to, std::move(message));
-  }
-
-  void Do(const SendHave& action) {
-    wire::Envelope message;
-    wire::ChunkHave& have = *message.mutable_chunk_have();
-    have.set_manifest(std::string(action.manifest.View()));
-    have.mutable_chunks()->Add(action.chunks.begin(), action.chunks.end());
-    this->SendControl(action.to, std::move(message));
-  }
-
-  void Do(const SendRequest& action) {
-    wire::Envelope message;
-    wire::ChunkRequest& request = *message.mutable_chunk_request();
-    request.set_manifest(std::string(action.manifest.View()));
-    request.set_chunk(action.chunk);
-    request.set_request_id(action.request_id);
-    this->SendControl(action.to, std::move(message));
-  }
-
-  void Do(const SendCancel& action) {
-    this->counters.cancelled.Add();
-    wire::Envelope message;
-    wire::ChunkCancel& cancel = *message.mutable_chunk_cancel();
-    cancel.set_manifest(std::string(action.manifest.View()));
-    cancel.set_chunk(action.chunk);
-    cancel.set_request_id(action.request_id);
-    this->SendControl(action.to, std::move(message));
-  }
-
-  void Do(const SendChunk& action) {
-    const WeightsCopy* copy = this->store.Find(action.manifest);
-    if (copy == nullptr || !copy->Holds(action.chunk)) return;
-    wire::Envelope message;
-    wire::ChunkData& data = *message.mutable_chunk_data();
-    data.set_manifest(std::string(action.manifest.View()));
-    data.set_chunk(action.chunk);
-    data.set_request_id(action.request_id);
-    const SharedChunk& bytes = copy->chunks[action.chunk];
-    this->node.peers.SendShared(action.to, Lane::kBulk, std::move(message), bytes, *bytes);
-    this->counters.sent.Add();
-  }
-
-  void Do(const SendRefusal& action) {
-    this->counters.refused.Add();
-    wire::Envelope message;
-    wire::ChunkRefusal& refusal = *message.mutable_chunk_refusal();
-    refusal.set_manifest(std::string(action.manifest.View()));
-    refusal.set_chunk(action.chunk);
-    refusal.set_request_id(action.request_id);
-    refusal.set_busy(action.busy);
-    this->SendControl(action.to, std::move(message));
-  }
-
-  void Do(const SendHold& action) {
-    wire::Envelope message;
-    message.mutable_origin_hold()->set_origin(this->options.origin);
-    message.mutable_origin_hold()->set_hold_ms(static_cast<std::uint32_t>(ToMillis(action.hold)));
-    this->SendControl(action.to, std::move(message));
+  // Messages to peers.
+  template <typename Message>
+  void Do(const Message& action) {
+    this->link.Send(action);
   }
 
   void Do(const ReadOrigin& action) {
@@ -279,82 +219,18 @@
   // ---- messages of peers ----
 
   void Subscribe() {
+    this->link.SetOrigin(this->options.origin);
     this->On(wire::Envelope::kManifestPull,
              [this](const auto& message, auto) { this->OnManifestPull(message); });
     this->On(wire::Envelope::kManifestPush,
              [this](const auto& message, auto) { this->OnManifestPush(message.manifest_push()); });
-    this->On(wire::Envelope::kChunkMap, [this](const auto& message, auto) {
-      const wire::ChunkMap& map = message.chunk_map();
-      this->Spread(MapReceived{.from = message.from_peer(),
-                               .manifest = DigestFromRaw(map.manifest()),
-                               .bits = map.bits(),
-                               .reply_wanted = map.reply_wanted()});
-    });
-    this->On(wire::Envelope::kChunkHave, [this](const auto& message, auto) {
-      const wire::ChunkHave& have = message.chunk_have();
-      this->Spread(HaveReceived{.from = message.from_peer(),
-                                .manifest = DigestFromRaw(have.manifest()),
-                                .chunks = {have.chunks().begin(), have.chunks().end()}});
-    });
-    this->On(wire::Envelope::kOriginHold, [this](const auto& message, auto) {
-      const wire::OriginHold& hold = message.origin_hold();
-      if (hold.origin() != this->options.origin) return;
-      this->Spread(HoldReceived{.hold = std::chrono::milliseconds{hold.hold_ms()}});
-    });
-    this->SubscribeChunks();
-  }
-
-  void SubscribeChunks() {
-    this->On(wire::Envelope::kChunkRequest, [this](const auto& message, auto) {
-      const wire::ChunkRequest& request = message.chunk_request();
-      this->Spread(RequestReceived{.from = message.from_peer(),
-                                   .manifest = DigestFromRaw(request.manifest()),
-                                   .chunk = request.chunk(),
-                                   .request_id = request.request_id()});
-    });
-    this->On(wire::Envelope::kChunkCancel, [this](const auto& message, auto) {
-      this->Spread(ChunkCancelReceived{.from = message.from_peer(),
-                                       .request_id = message.chunk_cancel().request_id()});
-    });
-    this->On(wire::Envelope::kChunkRefusal, [this](const auto& message, auto) {
-      const wire::ChunkRefusal& refusal = message.chunk_refusal();
-      this->Spread(RefusalReceived{.from = message.from_peer(),
-                                   .manifest = DigestFromRaw(refusal.manifest()),
-                                   .chunk = refusal.chunk(),
-                                   .request_id = refusal.request_id(),
-                                   .busy = refusal.busy()});
-    });
-    this->On(wire::Envelope::kChunkData,
-             [this](const auto& message, auto payload) { this->OnChunkData(message, payload); });
+    this->link.Start(this->Guarded([this](const SpreadEvent& event) { this->Spread(event); }));
   }
 
   void On(int body, PeerTransport::Handler handler) {
     this->node.peers.Subscribe(body, this->Guarded(std::move(handler)));
   }
 
-  // The payload is copied once, into the buffer that the store keeps.
-  void OnChunkData(const wire::Envelope& message, std::span<const std::byte> payload) {
-    const wire::ChunkData& data = message.chunk_data();
-    const Digest id = DigestFromRaw(data.manifest());
-    const WeightsCopy* copy = this->store.Find(id);
-    if (copy == nullptr || copy->Holds(data.chunk())) return;
-    this->counters.received.Add();
-    auto bytes = std::make_shared<const std::vector<std::byte>>(payload.begin(), payload.end());
-    const auto work = [manifest = copy->manifest, index = data.chunk(), bytes] {
-      return VerifiedChunk::Verify(*manifest, index, bytes);
-    };
-    const auto done = [this, id, index = data.chunk(),
-                       from = message.from_peer()](std::optional<VerifiedChunk> chunk) {
-      if (chunk) {
-        this->Spread(ChunkArrived{.from = from, .chunk = std::move(*chunk)});
-        return;
-      }
-      this->counters.corrupt.Add();
-      this->Spread(ChunkCorrupt{.from = from, .manifest = id, .chunk = index});
-    };
-    this->node.workers.RunThen(work, this->Guarded(done));
-  }
-
   // ---- manifest ----
 
   void FetchManifest() {
@@ -362,7 +238,7 @@
       if (const auto* pull = std::get_if<PullManifest>(&action)) {
         wire::Envelope message;
         message.mutable_manifest_pull()->set_manifest(std::string(this->wanted.View()));
-        this->SendControl(pull->peer, std::move(message));
+        this->node.peers.Send(pull->peer, Lane::kControl, std::move(message));
       } else {
         this->ReadManifestFromOrigin();
       }
--- /dev/null
+++ b/src/distribution/engine_rollout.h
@@ -0,0 +1,113 @@
+// Brings one engine to the wanted version of its weights: staging, order, and its turn among others.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "distribution/engine_control.h"
+
+namespace savory {
+
+struct EngineRolloutOptions {
+  // From the naming of a version on, engines have this long; later they get no requests.
+  Duration deadline = std::chrono::seconds(8);
+  // The last turn comes this long before the deadline.
+  Duration last_turn_before = std::chrono::milliseconds(900);
+  // Staged pieces can turn bad where they lie: those that have lain longer are read back before the
+  // order.
+  Duration trust_staged = std::chrono::milliseconds(1800);
+  std::size_t max_stage_calls = 2;
+  // From the word to the entries that the engine takes no more requests until the order.
+  Duration settle = std::chrono::milliseconds(30);
+  Duration order_retry = std::chrono::milliseconds(250);
+};
+
+// Place of this engine among those that take the version.
+struct RolloutTurn {
+  std::size_t rank = 0;
+  std::size_t engines = 1;
+};
+
+// ---- actions ----
+
+struct StagePiece {
+  std::uint32_t piece = 0;
+};
+// Read the piece back and compare it with its digest.
+struct CheckPiece {
+  std::uint32_t piece = 0;
+};
+struct OrderWeights {
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint64_t orders = 0;  // that the engine has accepted
+};
+using RolloutAction = std::variant<StagePiece, CheckPiece, OrderWeights>;
+
+// No I/O. Engines take a version at different times between the moment that their pieces are there
+// and the deadline, because each is out of service until its running requests have ended. An engine
+// without weights takes them at once. At most one order is in progress; its number of accepted
+// orders is sent along, so that a repeat of an order cannot begin a second load.
+class EngineRollout {
+ public:
+  explicit EngineRollout(EngineRolloutOptions options) : options(options) {}
+
+  // A version to take, of which `pieces` pieces will be there.
+  void Want(const std::string& model, std::uint64_t version, std::uint32_t pieces,
+            Instant known_since, const RolloutTurn& turn);
+  void SetTurn(const RolloutTurn& next) { this->turn = next; }
+  // A verified piece of the wanted version is in memory.
+  void PieceHeld(std::uint32_t piece);
+  // `asked`: when the state was asked for.
+  void EngineSeen(const EngineState& state, Instant asked);
+  void EngineLost();
+  void PieceStaged(std::uint64_t version, std::uint32_t piece, bool stored, Instant now);
+  void PieceChecked(std::uint64_t version, std::uint32_t piece, bool intact, Instant now);
+  void OrderAnswered(OrderAnswer answer, Instant now);
+
+  // What is due. Call after each event and some times a second.
+  std::vector<RolloutAction> Advance(Instant now);
+
+  // Whether the engine may receive requests.
+  bool Accepting() const { return this->step < Step::kSettling; }
+  bool IsDone() const;
+  // Whether a newer version may replace the wanted one: no order was given, and none is about to be.
+  bool MayReplace(std::uint64_t version, Instant now) const;
+  std::uint64_t Version() const { return this->version; }
+  // Time of this engine's turn; nullopt while pieces are missing.
+  std::optional<Instant> TurnAt() const { return this->turn_at; }
+
+ private:
+  enum class Step { kStaging, kWaiting, kChecking, kSettling, kOrdering, kLoading };
+  enum class PieceState { kMissing, kHeld, kStaging, kStaged, kChecking };
+
+  struct Piece {
+    PieceState state = PieceState::kMissing;
+    Instant sound_at = {};  // when it was staged or checked last
+  };
+
+  bool AllStaged() const;
+  void StageSome(std::vector<RolloutAction>& actions);
+  void CheckSome(Instant now, std::vector<RolloutAction>& actions);
+  void Restart();
+
+  EngineRolloutOptions options;
+  std::string model = {};
+  std::uint64_t version = 0;
+  Instant known_since = {};
+  RolloutTurn turn = {};
+  std::vector<Piece> pieces = {};
+  std::size_t calls = 0;  // staging and checking calls in progress
+  std::optional<EngineState> engine = {};
+  Step step = Step::kStaging;
+  std::optional<Instant> turn_at = {};
+  Instant settle_until = {};
+  Instant retry_at = {};
+  Instant order_answered = {};
+};
+
+}  // namespace savory
--- a/src/distribution/manifest.cc
+++ b/src/distribution/manifest.cc
@@ -46,6 +46,19 @@
   return Parse(content, Sha256(content)).value();
 }
 
+Manifest Manifest::FromChunks(std::span<const Digest> digests, std::uint32_t chunk_size,
+                              std::string weights_name) {
+  assert(!digests.empty() && chunk_size > 0 && chunk_size <= kMaxChunkBytes);
+  wire::Manifest message;
+  message.set_size(std::uint64_t{chunk_size} * digests.size());
+  message.set_chunk_size(chunk_size);
+  message.set_weights_name(std::move(weights_name));
+  for (const Digest& digest : digests) message.mutable_chunk_digests()->append(digest.View());
+  message.set_whole_digest(std::string(Sha256(message.chunk_digests()).View()));
+  const std::string content = message.SerializeAsString();
+  return Parse(content, Sha256(content)).value();
+}
+
 Result<Manifest> Manifest::Parse(std::string_view content, const Digest& expected) {
   if (Sha256(content) != expected) {
     return Error{.kind = ErrorKind::kDigestMismatch, .detail = "manifest is not " + expected.Hex()};
--- a/src/distribution/manifest.h
+++ b/src/distribution/manifest.h
@@ -29,6 +29,11 @@
   static Manifest Build(std::span<const std::byte> weights, std::uint32_t chunk_size,
                         std::string weights_name);
 
+  // Describes weights of which only the digests of the chunks are known; all chunks have
+  // `chunk_size` bytes. The digest of the whole stands for the list of digests.
+  static Manifest FromChunks(std::span<const Digest> digests, std::uint32_t chunk_size,
+                             std::string weights_name);
+
   // Errors: kDigestMismatch when the SHA-256 of `content` is not `expected`; kMalformed.
   static Result<Manifest> Parse(std::string_view content, const Digest& expected);
 
--- /dev/null
+++ b/src/fleet/entry_links.h
@@ -0,0 +1,64 @@
+// Links of an entry to the agents beside the engines, and through them to the other entries.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "relay/routing_rules.h"
+#include "relay/upstream.h"
+
+namespace savory {
+
+class EventLoop;
+class Metrics;
+class PeerTransport;
+
+struct EntryLinksOptions {
+  std::string peer;                 // IP:PORT of this entry's peer socket
+  std::uint16_t agent_port = 0;     // peer port of the agents, on the machines of the engines
+  std::vector<std::string> seeds = {};  // peer sockets that may be other entries
+  std::map<std::string, std::string> regions = {};  // data centre -> region
+  Duration hello_period = std::chrono::seconds(1);
+  // An entry that no agent has heard of for this long counts as gone.
+  Duration entry_lifetime = std::chrono::seconds(5);
+};
+
+// What the agents are to bring onto their engines.
+struct WeightsOrder {
+  std::string model;
+  std::uint64_t version = 0;
+  Instant known_since = {};
+};
+
+// All calls on the loop's thread.
+class EntryLinks {
+ public:
+  using ReportListener = std::function<void(const EngineReport& report)>;
+  using EntriesListener = std::function<void(const std::vector<std::string>& peers)>;
+
+  // The references must outlive the object.
+  EntryLinks(EventLoop& loop, PeerTransport& peers, Metrics& metrics, EntryLinksOptions options);
+  ~EntryLinks();
+
+  void OnReport(ReportListener listener);
+  // Called with the peer sockets of the other live entries, when they change.
+  void OnEntries(EntriesListener listener);
+  void Start();
+
+  void SetEngines(std::vector<Upstream> engines);
+  void SetOrigin(const std::optional<WeightsOrigin>& origin);
+  void SetWeights(const WeightsOrder& order);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/records/record_sync.cc
@@ -0,0 +1,266 @@
+#include "records/record_sync.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "records/record_store.h"
+#include "runtime/event_loop.h"
+#include "runtime/peer_transport.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+namespace {
+
+// Records in one message to a peer; a longer update is sent in several.
+constexpr std::size_t kRecordsInMessage = 500;
+constexpr std::size_t kBytesInMessage = 512 * 1024;
+
+}  // namespace
+
+struct RecordSync::Impl : std::enable_shared_from_this<RecordSync::Impl> {
+  EventLoop& loop;
+  PeerTransport& transport;
+  RecordStore& store;
+  Random& random;
+  RecordSyncOptions options;
+  Counter& store_calls;
+  Counter& store_errors;
+  Counter& peer_pulls;
+  RecordMirror mirror = {};
+  Listener listener = {};
+  std::vector<std::string> peers = {};
+  bool listed = false;  // the store's history is followed from the mirror's revision on
+  bool reachable = false;
+  bool ever_reachable = false;
+  Instant reachable_since = {};
+  Duration retry = {};
+  std::optional<Instant> behind_since = {};
+  Instant next_pull = {};
+  // Records of a whole update that arrives in several messages.
+  RecordUpdate partial = {};
+
+  Impl(EventLoop& loop, PeerTransport& transport, RecordStore& store, Metrics& metrics,
+       Random& random, RecordSyncOptions given)
+      : loop(loop),
+        transport(transport),
+        store(store),
+        random(random),
+        options(std::move(given)),
+        store_calls(metrics.CounterFor("savory_store_calls_total", this->Label())),
+        store_errors(metrics.CounterFor("savory_store_errors_total", this->Label())),
+        peer_pulls(metrics.CounterFor("savory_record_pulls_total", this->Label())) {}
+
+  std::string Label() const { return "prefix=\"" + this->options.prefix + "\""; }
+
+  // Wraps a callback so that it does nothing once the object is gone.
+  template <typename Callback>
+  auto Guarded(Callback callback) {
+    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
+      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  void Apply(const RecordUpdate& update, std::string_view source) {
+    const std::vector<Record> changed = this->mirror.Apply(update);
+    if (changed.empty()) return;
+    Log(LogLevel::kInfo, "records_changed",
+        {{"prefix", this->options.prefix},
+         {"source", source},
+         {"changed", changed.size()},
+         {"as_of", this->mirror.AsOf()}});
+    if (this->listener) this->listener(changed);
+  }
+
+  // ---- the store ----
+
+  void Read() {
+    this->store_calls.Add();
+    auto done = this->Guarded([this](Result<RecordUpdate> update) { this->OnRead(update); });
+    if (this->listed) {
+      this->store.Watch(this->options.prefix, this->mirror.AsOf(), this->options.watch_wait,
+                        std::move(done));
+    } else {
+      this->store.List(this->options.prefix, std::move(done));
+    }
+  }
+
+  void OnRead(Result<RecordUpdate>& update) {
+    if (!update) {
+      this->OnError(update.error());
+      return;
+    }
+    this->SetReachable(true, "");
+    this->retry = this->options.first_retry;
+    this->listed = true;
+    this->Apply(update.value(), "store");
+    this->ReadAfter(this->options.watch_pause);
+  }
+
+  void OnError(const Error& error) {
+    // A long wait that ended without an answer is normal after the connection was cut.
+    if (error.kind == ErrorKind::kNotFound) {
+      Log(LogLevel::kInfo, "store_history_gone",
+          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}});
+      this->listed = false;
+      this->ReadAfter(Duration(0));
+      return;
+    }
+    this->store_errors.Add();
+    this->SetReachable(false, Describe(error));
+    this->ReadAfter(this->retry);
+    this->retry = std::min(this->options.longest_retry, this->retry * 2);
+  }
+
+  void ReadAfter(Duration delay) {
+    const auto jittered = FromSeconds(ToSeconds(delay) * (0.75 + 0.5 * UniformUnit(this->random)));
+    this->loop.After(jittered, this->Guarded([this] { this->Read(); }));
+  }
+
+  void SetReachable(bool now_reachable, const std::string& reason) {
+    if (now_reachable == this->reachable && this->ever_reachable) return;
+    this->reachable = now_reachable;
+    if (now_reachable && this->ever_reachable) this->reachable_since = this->loop.Now();
+    if (now_reachable) this->ever_reachable = true;
+    Log(now_reachable ? LogLevel::kInfo : LogLevel::kWarn,
+        now_reachable ? "store_reachable" : "store_lost",
+        {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"reason", reason}});
+  }
+
+  // ---- peers ----
+
+  void Offer() {
+    std::vector<std::string> chosen = this->peers;
+    std::shuffle(chosen.begin(), chosen.end(), this->random);
+    if (chosen.size() > this->options.offer_fan_out) chosen.resize(this->options.offer_fan_out);
+    for (const std::string& peer : chosen) {
+      wire::Envelope message;
+      wire::RecordsOffer& offer = *message.mutable_records_offer();
+      offer.set_prefix(this->options.prefix);
+      offer.set_as_of(this->mirror.AsOf());
+      this->transport.Send(peer, Lane::kControl, std::move(message));
+    }
+  }
+
+  void OnOffer(const std::string& from, const wire::RecordsOffer& offer) {
+    if (offer.prefix() != this->options.prefix) return;
+    const std::uint64_t as_of = this->mirror.AsOf();
+    if (offer.as_of() < as_of) {
+      // Tells the peer at once that it is behind.
+      if (offer.as_of() == 0) this->Push(from, 0);
+      return;
+    }
+    if (offer.as_of() == as_of) {
+      this->behind_since.reset();
+      return;
+    }
+    const Instant now = this->loop.Now();
+    if (!this->behind_since) this->behind_since = now;
+    const bool patient = as_of != 0 && now - *this->behind_since < this->options.behind_grace;
+    if (patient || now < this->next_pull) return;
+    this->next_pull = now + this->options.behind_grace;
+    this->Pull(from);
+  }
+
+  void Pull(const std::string& peer) {
+    this->peer_pulls.Add();
+    wire::Envelope message;
+    message.mutable_records_pull()->set_prefix(this->options.prefix);
+    message.mutable_records_pull()->set_after(this->mirror.AsOf());
+    this->transport.Send(peer, Lane::kControl, std::move(message));
+  }
+
+  void Push(const std::string& to, std::uint64_t after) {
+    if (this->mirror.AsOf() == 0) return;
+    const RecordUpdate update = this->mirror.Since(after);
+    std::size_t next = 0;
+    do {
+      wire::Envelope message;
+      wire::RecordsPush& push = *message.mutable_records_push();
+      push.set_prefix(this->options.prefix);
+      push.set_first(next == 0);
+      for (std::size_t bytes = 0; next < update.records.size() && bytes < kBytesInMessage &&
+                                  push.records_size() < static_cast<int>(kRecordsInMessage);
+           ++next) {
+        const Record& record = update.records[next];
+        wire::RecordRow& row = *push.add_records();
+        row.set_key(record.key);
+        row.set_value(record.value);
+        row.set_revision(record.revision);
+        row.set_removed(record.removed);
+        bytes += record.key.size() + record.value.size();
+      }
+      push.set_last(next == update.records.size());
+      push.set_as_of(update.as_of);
+      push.set_whole(update.whole);
+      this->transport.Send(to, Lane::kBulk, std::move(message));
+    } while (next < update.records.size());
+  }
+
+  void OnPush(const wire::RecordsPush& push) {
+    if (push.prefix() != this->options.prefix) return;
+    if (push.first()) this->partial = {};
+    for (const wire::RecordRow& row : push.records()) {
+      this->partial.records.push_back({.key = row.key(),
+                                       .value = row.value(),
+                                       .revision = row.revision(),
+                                       .removed = row.removed()});
+    }
+    if (!push.last()) return;
+    RecordUpdate update = std::exchange(this->partial, {});
+    update.as_of = push.as_of();
+    update.whole = push.whole();
+    if (update.as_of <= this->mirror.AsOf()) return;
+    this->behind_since.reset();
+    this->Apply(update, "peer");
+  }
+
+  void Subscribe() {
+    this->transport.Subscribe(
+        wire::Envelope::kRecordsOffer, this->Guarded([this](const auto& message, auto) {
+          this->OnOffer(message.from_peer(), message.records_offer());
+        }));
+    this->transport.Subscribe(
+        wire::Envelope::kRecordsPull, this->Guarded([this](const auto& message, auto) {
+          if (message.records_pull().prefix() != this->options.prefix) return;
+          this->Push(message.from_peer(), message.records_pull().after());
+        }));
+    this->transport.Subscribe(
+        wire::Envelope::kRecordsPush,
+        this->Guarded([this](const auto& message, auto) { this->OnPush(message.records_push()); }));
+  }
+
+  void OfferLater() {
+    this->loop.After(this->options.offer_period, this->Guarded([this] {
+      this->Offer();
+      this->OfferLater();
+    }));
+  }
+};
+
+RecordSync::RecordSync(EventLoop& loop, PeerTransport& peers, RecordStore& store, Metrics& metrics,
+                       Random& random, RecordSyncOptions options)
+    : impl(std::make_shared<Impl>(loop, peers, store, metrics, random, std::move(options))) {}
+RecordSync::~RecordSync() = default;
+
+void RecordSync::OnChange(Listener listener) { this->impl->listener = std::move(listener); }
+
+void RecordSync::Start() {
+  Impl& self = *this->impl;
+  self.retry = self.options.first_retry;
+  self.Subscribe();
+  self.Read();
+  self.Offer();
+  self.OfferLater();
+}
+
+void RecordSync::SetPeers(std::vector<std::string> peers) {
+  this->impl->peers = std::move(peers);
+}
+
+const RecordMirror& RecordSync::Mirror() const { return this->impl->mirror; }
+bool RecordSync::IsStoreReachable() const { return this->impl->reachable; }
+Instant RecordSync::ReachableSince() const { return this->impl->reachable_since; }
+
+}  // namespace savory
--- /dev/null
+++ b/src/records/record_sync.h
@@ -0,0 +1,64 @@
+// Keeps a mirror up to date from the store and, while the store turns this process away, from peers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "records/record_mirror.h"
+
+namespace savory {
+
+class EventLoop;
+class Metrics;
+class PeerTransport;
+class RecordStore;
+
+struct RecordSyncOptions {
+  std::string prefix;
+  // Longest wait of one watch. Each watch is a call that the platform counts.
+  Duration watch_wait = std::chrono::seconds(25);
+  // Pause between two watches: changes in quick succession arrive together.
+  Duration watch_pause = std::chrono::milliseconds(150);
+  Duration first_retry = std::chrono::milliseconds(100);
+  Duration longest_retry = std::chrono::seconds(1);
+  // Peers tell each other how far they are.
+  Duration offer_period = std::chrono::milliseconds(500);
+  std::size_t offer_fan_out = 3;
+  // A peer is asked when it stays ahead for this long: the store is a little slower to tell some.
+  Duration behind_grace = std::chrono::milliseconds(250);
+};
+
+// All calls on the loop's thread.
+class RecordSync {
+ public:
+  // Called with the records that changed.
+  using Listener = std::function<void(std::span<const Record> changed)>;
+
+  // The references must outlive the object.
+  RecordSync(EventLoop& loop, PeerTransport& peers, RecordStore& store, Metrics& metrics,
+             Random& random, RecordSyncOptions options);
+  ~RecordSync();
+
+  void OnChange(Listener listener);
+  void Start();
+  // Peer addresses of the other processes that keep this mirror.
+  void SetPeers(std::vector<std::string> peers);
+
+  const RecordMirror& Mirror() const;
+  // Whether the last call of the store succeeded.
+  bool IsStoreReachable() const;
+  // Since when the store can be reached again after it could not; the epoch when it always could.
+  Instant ReachableSince() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/relay/dispatch_types.h
@@ -0,0 +1,56 @@
+// Inputs and outputs of Dispatcher.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+
+namespace savory {
+
+// Number of one attempt of a request within one entry process.
+using AttemptNumber = std::uint64_t;
+
+struct DispatchRequest {
+  AttemptNumber attempt = 0;
+  std::string pool = {};
+  Instant arrived = {};   // of the request, not of this attempt
+  Duration target = {};   // latency up to which the answer has its full value
+  Instant deadline = {};  // after which nobody waits for the answer
+  int priority = 5;       // 0 is the most urgent
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;  // at most
+  Duration max_pause = std::chrono::hours(1);  // between two events, for full value
+  // The caller was refused before, so its answer is late whatever happens.
+  bool returned = false;
+  // Part of the answer was delivered: it is placed even when it has to wait.
+  bool begun = false;
+  bool may_repeat = false;                 // may try an upstream that failed before
+  std::vector<std::string> avoided = {};  // upstream ids that this request was sent to
+};
+
+struct SendTo {
+  std::string upstream;  // id
+  std::string address;
+  std::uint64_t weights_version = 0;
+  // What decided, for the log.
+  Duration predicted = {};  // until the first event
+  double load = 0;          // requests at the upstream
+  Duration report_age = {};
+};
+struct KeepWaiting {};
+struct RefuseRequest {
+  ErrorKind kind = ErrorKind::kOverloaded;
+  Duration retry_after = {};
+  Duration predicted = {};  // of the best upstream
+};
+
+struct DispatchVerdict {
+  AttemptNumber attempt = 0;
+  std::variant<SendTo, KeepWaiting, RefuseRequest> decision;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/relay/dispatcher.cc
@@ -0,0 +1,295 @@
+#include "relay/dispatcher.h"
+
+#include <algorithm>
+
+namespace savory {
+namespace {
+
+// Load of a plain service in units of its slots is compared as if a full service answered after
+// this time.
+constexpr Duration kPlainBusyTime = std::chrono::milliseconds(60);
+// Requests that a plain service may have waiting, as a part of its slots.
+constexpr double kPlainOverload = 1.0;
+
+bool IsAvoided(const DispatchRequest& request, const std::string& id) {
+  return std::find(request.avoided.begin(), request.avoided.end(), id) != request.avoided.end();
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
+    : options(std::move(options)), random(random) {}
+
+void Dispatcher::SetRules(SharedRouting given) { this->rules = std::move(given); }
+
+void Dispatcher::SetUpstream(const Upstream& upstream) {
+  const auto known = this->pool_of.find(upstream.id);
+  if (known != this->pool_of.end() && known->second != upstream.pool) {
+    this->RemoveUpstream(upstream.id);
+  }
+  Place& place = this->pools[upstream.pool][upstream.id];
+  if (place.upstream.born_unix_ms != upstream.born_unix_ms ||
+      place.upstream.address != upstream.address) {
+    // Another start of the upstream: what was known of it no longer holds.
+    const std::uint32_t own = place.own;
+    place = Place{.upstream = upstream, .own = own};
+  }
+  place.upstream = upstream;
+  this->pool_of[upstream.id] = upstream.pool;
+  this->id_at[upstream.address] = upstream.id;
+}
+
+void Dispatcher::RemoveUpstream(std::string_view id) {
+  const auto known = this->pool_of.find(id);
+  if (known == this->pool_of.end()) return;
+  const auto pool = this->pools.find(known->second);
+  if (pool != this->pools.end()) {
+    const auto place = pool->second.find(id);
+    if (place != pool->second.end()) {
+      const auto at = this->id_at.find(place->second.upstream.address);
+      if (at != this->id_at.end() && at->second == id) this->id_at.erase(at);
+      pool->second.erase(place);
+    }
+  }
+  this->pool_of.erase(known);
+}
+
+const Upstream* Dispatcher::FindUpstream(std::string_view id) const {
+  const auto known = this->pool_of.find(id);
+  if (known == this->pool_of.end()) return nullptr;
+  const auto pool = this->pools.find(known->second);
+  const auto place = pool->second.find(id);
+  return place == pool->second.end() ? nullptr : &place->second.upstream;
+}
+
+void Dispatcher::NoteLoad(Place& place, const UpstreamLoad& load, Instant now) {
+  place.load = load;
+  place.load_at = now;
+  place.others = std::max(0.0, static_cast<double>(load.running + load.waiting) - place.own);
+}
+
+void Dispatcher::AddReport(const EngineReport& report, Instant now) {
+  const auto id = this->id_at.find(report.address);
+  if (id == this->id_at.end()) return;
+  const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
+  Place& place = pool->second.find(id->second)->second;
+  place.report = report;
+  place.reported_at = now;
+  if (report.reachable) this->NoteLoad(place, report.load, now);
+}
+
+void Dispatcher::AddLoad(std::string_view upstream, const UpstreamLoad& load, Instant now) {
+  const auto known = this->pool_of.find(upstream);
+  if (known == this->pool_of.end()) return;
+  Place& place = this->pools.find(known->second)->second.find(upstream)->second;
+  // A fresh report of the agent is better than what one answer told.
+  if (place.reported_at && now - *place.reported_at < this->options.load_lifetime) return;
+  this->NoteLoad(place, load, now);
+}
+
+void Dispatcher::SetWeightsRule(const std::string& pool, const WeightsRule& rule) {
+  this->weights[pool] = rule;
+}
+
+std::uint64_t Dispatcher::WeightsOf(const Place& place) const {
+  return std::max(place.upstream.weights_version,
+                  place.report ? place.report->weights_version : 0);
+}
+
+bool Dispatcher::MayUse(const Place& place, const DispatchRequest& request, Instant now) const {
+  if (place.upstream.draining || IsAvoided(request, place.upstream.id)) return false;
+  if (!place.health.MayUse(now, request.may_repeat)) return false;
+  const bool reported =
+      place.reported_at && now - *place.reported_at < this->options.load_lifetime;
+  if (reported && (!place.report->reachable || !place.report->accepting)) return false;
+  if (!place.upstream.is_engine) return true;
+  const std::uint64_t held =
+      reported ? place.report->weights_version : place.upstream.weights_version;
+  if (held == 0) return false;
+  const auto rule = this->weights.find(place.upstream.pool);
+  return rule == this->weights.end() || now < rule->second.enforced_at ||
+         held >= rule->second.version;
+}
+
+double Dispatcher::LoadOf(const Place& place, Instant now) const {
+  const bool known = place.load_at && now - *place.load_at < this->options.load_lifetime;
+  return place.own + (known ? place.others : 0);
+}
+
+Dispatcher::Choice Dispatcher::Rate(const Place& place, const DispatchRequest& request,
+                                    const PoolRule* pool, Instant now) const {
+  Choice choice{.place = &place, .load = this->LoadOf(place, now)};
+  const double slots = std::max(1u, place.upstream.slots);
+  if (pool != nullptr && pool->engine) {
+    EngineRates rates = *pool->engine;
+    rates.slots = place.upstream.slots;
+    const double others_waiting = std::max(0.0, choice.load - place.own - slots);
+    const EngineWork work{
+        .requests = choice.load,
+        .unread_tokens =
+            place.own_unread_tokens + others_waiting * rates.usual_prompt_tokens,
+        .pace = place.report ? std::max(1.0, place.report->pace) : 1.0};
+    choice.forecast = Forecast(rates, work, request.prompt_tokens);
+  } else {
+    const double part = choice.load / slots;
+    choice.forecast.first_event = FromSeconds(ToSeconds(kPlainBusyTime) * (1 + part));
+  }
+  choice.score = choice.forecast.first_event +
+                 FromSeconds(0.010 * choice.load / slots + 0.2 * place.health.FailureRate());
+  if (place.upstream.data_centre != this->options.data_centre) {
+    choice.score += this->options.remote_penalty;
+  }
+  return choice;
+}
+
+Dispatcher::Choice Dispatcher::Best(const DispatchRequest& request, Instant now) {
+  const auto found = this->pools.find(request.pool);
+  if (found == this->pools.end()) return {};
+  const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
+  std::vector<const Place*> candidates;
+  for (const auto& [id, place] : found->second) {
+    if (this->MayUse(place, request, now)) candidates.push_back(&place);
+  }
+  if (candidates.size() > this->options.max_candidates) {
+    std::shuffle(candidates.begin(), candidates.end(), this->random);
+    candidates.resize(this->options.max_candidates);
+  }
+  Choice best;
+  for (const Place* place : candidates) {
+    Choice choice = this->Rate(*place, request, pool, now);
+    // Spreads the choices of entries that see the same load.
+    choice.score += FromSeconds(0.005 * UniformUnit(this->random));
+    if (best.place == nullptr || choice.score < best.score) best = choice;
+  }
+  return best;
+}
+
+bool Dispatcher::Fits(const Choice& choice, const DispatchRequest& request, Instant now) const {
+  if (choice.place == nullptr) return false;
+  const double slots = std::max(1u, choice.place->upstream.slots);
+  if (!choice.place->upstream.is_engine) return choice.load < slots * (1 + kPlainOverload);
+  if (request.begun) return choice.load < slots * 1.5;
+  const Duration left = request.deadline - now;
+  if (request.returned) {
+    return choice.load < slots * this->options.returned_places &&
+           choice.forecast.first_event < left / 2;
+  }
+  const Duration waited = now - request.arrived;
+  const auto usable = [this](Duration whole) {
+    return FromSeconds(ToSeconds(whole) * this->options.usable_part);
+  };
+  return waited + choice.forecast.first_event <= usable(request.target) &&
+         choice.forecast.longest_pause <= usable(request.max_pause) &&
+         choice.forecast.first_event < left;
+}
+
+std::optional<DispatchVerdict> Dispatcher::TryPlace(const DispatchRequest& request, Instant now,
+                                                    Choice& best) {
+  best = this->Best(request, now);
+  if (!this->Fits(best, request, now)) return std::nullopt;
+  const Upstream& upstream = best.place->upstream;
+  Place& place = this->pools.find(request.pool)->second.find(upstream.id)->second;
+  ++place.own;
+  place.own_unread_tokens += request.prompt_tokens;
+  place.health.OnStarted();
+  this->sent[request.attempt] = {.upstream = upstream.id,
+                                 .unread_tokens = static_cast<double>(request.prompt_tokens)};
+  return DispatchVerdict{
+      .attempt = request.attempt,
+      .decision = SendTo{.upstream = upstream.id,
+                         .address = upstream.address,
+                         .weights_version = this->WeightsOf(place),
+                         .predicted = best.forecast.first_event,
+                         .load = best.load,
+                         .report_age = place.load_at ? now - *place.load_at : Duration(-1)}};
+}
+
+Instant Dispatcher::WaitLimit(const DispatchRequest& request) const {
+  const Duration wait = request.begun
+                            ? this->options.begun_wait
+                            : FromSeconds(ToSeconds(request.target) * this->options.wait_part);
+  return std::min(request.deadline, request.arrived + wait);
+}
+
+DispatchVerdict Dispatcher::Refuse(const DispatchRequest& request, const Choice& best) {
+  const Duration spread = this->options.longest_return - this->options.shortest_return;
+  const Duration retry_after =
+      this->options.shortest_return + FromSeconds(ToSeconds(spread) * UniformUnit(this->random));
+  return DispatchVerdict{
+      .attempt = request.attempt,
+      .decision = RefuseRequest{
+          .kind = best.place == nullptr ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded,
+          .retry_after = retry_after,
+          .predicted = best.forecast.first_event}};
+}
+
+DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
+  Choice best;
+  if (auto placed = this->TryPlace(request, now, best)) return *placed;
+  if (request.begun) request.arrived = now;  // its wait counts from the break
+  if (now >= this->WaitLimit(request)) return this->Refuse(request, best);
+  const AttemptNumber attempt = request.attempt;
+  const auto later =
+      std::find_if(this->waiting.begin(), this->waiting.end(), [&](const DispatchRequest& other) {
+        if (request.begun != other.begun) return request.begun;
+        return request.priority < other.priority;
+      });
+  this->waiting.insert(later, std::move(request));
+  return {.attempt = attempt, .decision = KeepWaiting{}};
+}
+
+std::vector<DispatchVerdict> Dispatcher::Poll(Instant now) {
+  std::vector<DispatchVerdict> verdicts;
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    Choice best;
+    if (auto placed = this->TryPlace(*entry, now, best)) {
+      verdicts.push_back(std::move(*placed));
+    } else if (now >= this->WaitLimit(*entry)) {
+      verdicts.push_back(this->Refuse(*entry, best));
+    } else {
+      ++entry;
+      continue;
+    }
+    entry = this->waiting.erase(entry);
+  }
+  return verdicts;
+}
+
+void Dispatcher::Withdraw(AttemptNumber attempt) {
+  this->waiting.remove_if([attempt](const auto& entry) { return entry.attempt == attempt; });
+}
+
+void Dispatcher::OnFirstEvent(AttemptNumber attempt) {
+  const auto found = this->sent.find(attempt);
+  if (found == this->sent.end()) return;
+  const double tokens = std::exchange(found->second.unread_tokens, 0);
+  const auto known = this->pool_of.find(found->second.upstream);
+  if (known == this->pool_of.end()) return;
+  Place& place = this->pools.find(known->second)->second.find(known->first)->second;
+  place.own_unread_tokens = std::max(0.0, place.own_unread_tokens - tokens);
+}
+
+void Dispatcher::OnEnded(AttemptNumber attempt, AttemptResult result, Instant now) {
+  this->OnFirstEvent(attempt);
+  const auto found = this->sent.find(attempt);
+  if (found == this->sent.end()) return;
+  const auto known = this->pool_of.find(found->second.upstream);
+  if (known != this->pool_of.end()) {
+    Place& place = this->pools.find(known->second)->second.find(known->first)->second;
+    if (place.own > 0) --place.own;
+    place.health.OnEnded(result, now, this->random);
+  }
+  this->sent.erase(found);
+}
+
+std::size_t Dispatcher::Usable(std::string_view pool, Instant now) const {
+  const auto found = this->pools.find(pool);
+  if (found == this->pools.end()) return 0;
+  const DispatchRequest any{.may_repeat = true};
+  return static_cast<std::size_t>(
+      std::count_if(found->second.begin(), found->second.end(), [&](const auto& row) {
+        return this->MayUse(row.second, any, now);
+      }));
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/relay/dispatcher.h
@@ -0,0 +1,130 @@
+// Decides which request runs now, where, and which is refused.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/random.h"
+#include "relay/dispatch_types.h"
+#include "relay/engine_forecast.h"
+#include "relay/routing_index.h"
+#include "relay/upstream.h"
+#include "relay/upstream_health.h"
+
+namespace savory {
+
+struct DispatcherOptions {
+  std::string data_centre;  // of this entry
+  // Added to the prediction of an upstream in another data centre: its distance there and back, and
+  // the traffic on the link that all share.
+  Duration remote_penalty = std::chrono::milliseconds(15);
+  // A report or load sample older than this says nothing about the load of other entries.
+  Duration load_lifetime = std::chrono::milliseconds(1500);
+  // A request is refused rather than put where its first event is predicted after this part of its
+  // target, or its pauses after this part of the longest one; the rest covers the error of the
+  // prediction.
+  double usable_part = 0.8;
+  // Part of its target that a request waits here for a place before it is refused.
+  double wait_part = 0.125;
+  // A part of an answer was delivered: the next upstream is awaited for this long.
+  Duration begun_wait = std::chrono::milliseconds(800);
+  // Requests that come back are late already; they take only places that others leave free.
+  double returned_places = 0.9;
+  Duration shortest_return = std::chrono::milliseconds(700);
+  Duration longest_return = std::chrono::milliseconds(1900);
+  // Candidates looked at for one request; more are sampled.
+  std::size_t max_candidates = 64;
+};
+
+// From `enforced_at` on, only engines with `version` or a newer one receive requests.
+struct WeightsRule {
+  std::uint64_t version = 0;
+  Instant enforced_at = {};
+};
+
+// Places requests on upstreams. Each entry decides alone, from its own attempts, the engines' reports
+// and the load that answers tell; the load of the other entries at an upstream is what was reported
+// less what this entry had there. Not a queue for long waits: what finds no place within a fraction
+// of its target is refused, so that the caller knows at once.
+class Dispatcher {
+ public:
+  // `random` must outlive the dispatcher.
+  Dispatcher(DispatcherOptions options, Random& random);
+
+  void SetRules(SharedRouting rules);
+  void SetUpstream(const Upstream& upstream);
+  void RemoveUpstream(std::string_view id);
+  void AddReport(const EngineReport& report, Instant now);
+  void AddLoad(std::string_view upstream, const UpstreamLoad& load, Instant now);
+  void SetWeightsRule(const std::string& pool, const WeightsRule& rule);
+
+  DispatchVerdict Submit(DispatchRequest request, Instant now);
+  // Requests that waited and now have a place or are refused. Call after each end of an attempt and
+  // every 10 ms while something waits.
+  std::vector<DispatchVerdict> Poll(Instant now);
+  // Forgets a waiting request.
+  void Withdraw(AttemptNumber attempt);
+
+  // The prompt was read: its first event came.
+  void OnFirstEvent(AttemptNumber attempt);
+  void OnEnded(AttemptNumber attempt, AttemptResult result, Instant now);
+
+  std::size_t Waiting() const { return this->waiting.size(); }
+  // Upstreams of `pool` that may receive requests now.
+  std::size_t Usable(std::string_view pool, Instant now) const;
+  const Upstream* FindUpstream(std::string_view id) const;
+
+ private:
+  struct Place {
+    Upstream upstream;
+    UpstreamHealth health = UpstreamHealth();
+    std::uint32_t own = 0;         // attempts of this entry
+    double own_unread_tokens = 0;  // of their prompts
+    std::optional<EngineReport> report = {};
+    std::optional<Instant> reported_at = {};
+    UpstreamLoad load = {};
+    std::optional<Instant> load_at = {};
+    double others = 0;  // requests of other entries, at `load_at`
+  };
+  struct Sent {
+    std::string upstream;
+    double unread_tokens = 0;
+  };
+  struct Choice {
+    const Place* place = nullptr;
+    EngineForecast forecast = {};
+    double load = 0;
+    Duration score = {};
+  };
+  using Places = std::map<std::string, Place, std::less<>>;
+
+  bool MayUse(const Place& place, const DispatchRequest& request, Instant now) const;
+  std::uint64_t WeightsOf(const Place& place) const;
+  double LoadOf(const Place& place, Instant now) const;
+  Choice Rate(const Place& place, const DispatchRequest& request, const PoolRule* pool,
+              Instant now) const;
+  Choice Best(const DispatchRequest& request, Instant now);
+  bool Fits(const Choice& choice, const DispatchRequest& request, Instant now) const;
+  std::optional<DispatchVerdict> TryPlace(const DispatchRequest& request, Instant now,
+                                          Choice& best);
+  DispatchVerdict Refuse(const DispatchRequest& request, const Choice& best);
+  Instant WaitLimit(const DispatchRequest& request) const;
+  void NoteLoad(Place& place, const UpstreamLoad& load, Instant now);
+
+  DispatcherOptions options;
+  Random& random;
+  SharedRouting rules = {};
+  TextMap<Places> pools = {};               // by pool, then by upstream id
+  TextMap<std::string> pool_of = {};        // upstream id -> pool
+  TextMap<std::string> id_at = {};          // address -> upstream id
+  TextMap<WeightsRule> weights = {};        // by pool
+  std::unordered_map<AttemptNumber, Sent> sent = {};
+  std::list<DispatchRequest> waiting = {};  // most urgent first
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/relay/event_cutter.cc
@@ -0,0 +1,62 @@
+#include "relay/event_cutter.h"
+
+#include <algorithm>
+
+#include "runtime/http_head.h"
+
+namespace savory {
+namespace {
+
+// Number in the last line "id: N" of `event`.
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  std::optional<std::uint64_t> id;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.starts_with("id:")) continue;
+    line.remove_prefix(3);
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.remove_suffix(1);
+    id = ParseDecimal(line);
+  }
+  return id;
+}
+
+// Position after the empty line that ends the first event at or after `from`, or npos.
+std::size_t EndOfEvent(std::string_view buffer, std::size_t from) {
+  for (std::size_t line = buffer.find('\n', from); line != std::string_view::npos;
+       line = buffer.find('\n', line + 1)) {
+    std::size_t next = line + 1;
+    if (next < buffer.size() && buffer[next] == '\r') ++next;
+    if (next < buffer.size() && buffer[next] == '\n') return next + 1;
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventCutter::Feed(std::string_view bytes) {
+  this->buffer.erase(0, this->given);
+  this->scanned -= std::min(this->scanned, this->given);
+  this->given = 0;
+  this->buffer += bytes;
+  std::vector<StreamEvent> events;
+  const std::string_view all = this->buffer;
+  for (std::size_t end = EndOfEvent(all, this->scanned); end != std::string_view::npos;
+       end = EndOfEvent(all, end)) {
+    const std::string_view text = all.substr(this->given, end - this->given);
+    events.push_back({.text = text, .id = IdOf(text)});
+    this->given = end;
+  }
+  // The end of an event takes up to three bytes, which may arrive one by one.
+  this->scanned = std::max(this->given, all.size() - std::min<std::size_t>(all.size(), 3));
+  if (all.size() - this->given > kMaxEventBytes) {
+    events.push_back({.text = all.substr(this->given)});
+    this->given = all.size();
+    this->scanned = this->given;
+  }
+  return events;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/relay/record_codec.h
@@ -0,0 +1,43 @@
+// Meaning of the platform's records.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "base/error.h"
+#include "records/record_mirror.h"
+#include "relay/routing_rules.h"
+#include "relay/upstream.h"
+
+namespace savory {
+
+// The version of a model's weights that the operators want on every engine.
+struct WeightsWanted {
+  std::string model;
+  std::uint64_t version = 0;
+};
+
+struct UpstreamGone {
+  std::string id;
+};
+
+struct OtherRecord {};
+
+using DecodedRecord =
+    std::variant<RoutingRules, WeightsWanted, Upstream, UpstreamGone, OtherRecord>;
+
+class RecordCodec {
+ public:
+  virtual ~RecordCodec() = default;
+
+  // Prefix of the records that operators write: the routing rules and the wanted weights.
+  virtual std::string OperatorPrefix() const = 0;
+  // Prefix of the list of upstreams.
+  virtual std::string UpstreamPrefix() const = 0;
+  // Errors: kMalformed with the reason. A malformed entry of the list of upstreams stands for an
+  // upstream that must not be used.
+  virtual Result<DecodedRecord> Decode(const Record& record) const = 0;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/whole_call.cc
@@ -0,0 +1,62 @@
+#include "runtime/whole_call.h"
+
+#include <memory>
+#include <utility>
+
+#include "runtime/event_loop.h"
+#include "runtime/http_connection_pool.h"
+
+namespace savory {
+namespace {
+
+// Owns itself until the call has ended.
+class WholeCall : public HttpCallHandler, public std::enable_shared_from_this<WholeCall> {
+ public:
+  WholeCall(EventLoop& loop, std::function<void(Result<WholeAnswer>)> done)
+      : loop(loop), done(std::move(done)) {}
+
+  void Start(HttpConnectionPool& connections, HttpCallOptions options, Duration timeout) {
+    this->self = this->shared_from_this();
+    this->timer = this->loop.After(timeout, [weak = this->weak_from_this()] {
+      const auto call = weak.lock();
+      if (!call) return;
+      call->timer = 0;
+      call->End(Error{.kind = ErrorKind::kTimeout, .detail = "no answer in time"});
+    });
+    this->call = connections.Start(std::move(options), *this);
+  }
+
+  void OnAnswerHead(const HttpHead& head) override { this->answer.status = head.status; }
+  void OnAnswerBody(std::string_view bytes) override { this->answer.body += bytes; }
+  void OnAnswerDone() override { this->End(std::move(this->answer)); }
+  void OnCallFailed(CallFailure failure) override {
+    const bool sent = failure != CallFailure::kNotSent;
+    this->End(Error{.kind = sent ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
+                    .detail = std::string(CallFailureName(failure))});
+  }
+
+ private:
+  void End(Result<WholeAnswer> result) {
+    const auto keep = std::exchange(this->self, nullptr);
+    if (this->timer != 0) this->loop.Cancel(this->timer);
+    this->call.reset();
+    std::exchange(this->done, nullptr)(std::move(result));
+  }
+
+  EventLoop& loop;
+  std::function<void(Result<WholeAnswer>)> done;
+  std::unique_ptr<HttpCall> call = {};
+  EventLoop::TimerId timer = 0;
+  WholeAnswer answer = {};
+  std::shared_ptr<WholeCall> self = {};
+};
+
+}  // namespace
+
+void StartWholeCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
+                    Duration timeout, std::function<void(Result<WholeAnswer>)> done) {
+  std::make_shared<WholeCall>(loop, std::move(done))
+      ->Start(connections, std::move(options), timeout);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/runtime/whole_call.h
@@ -0,0 +1,26 @@
+// An HTTP call whose answer is wanted whole.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "runtime/http_call.h"
+
+namespace savory {
+
+class EventLoop;
+class HttpConnectionPool;
+
+struct WholeAnswer {
+  int status = 0;
+  std::string body = {};
+};
+
+// Calls `done` once. Errors: kUnavailable when there is no connection (the call was not sent),
+// kTimeout when no whole answer came within `timeout` (it may have been carried out).
+void StartWholeCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
+                    Duration timeout, std::function<void(Result<WholeAnswer>)> done);
+
+}  // namespace savory
