Let other regions wait for pieces where they are read; share their link by owned pieces

Cause: a copy took 5.6 s. Agents of other regions asked for pieces before their source had them, were refused, and asked again 200 ms later, two at a time; and each agent paced its part of the link between regions as if all brought in equally many pieces. Ruled out: processor (0.005 of a core), the origin (2.0 copies sent). A request for a piece on its way now waits at its source and goes first.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -34,11 +34,14 @@
 constexpr Duration kListRetry = milliseconds(300);
 // Answers to an engine's state that fail in a row before it counts as unreachable.
 constexpr int kLostAfter = 2;
+constexpr Duration kProgressPeriod = milliseconds(500);
 // Live requests share the links between regions: weights take this part.
 constexpr double kRegionShare = 0.7;
 // Another agent reads a piece from the origin when none has appeared for this long. Long enough for
 // a piece to pass through the origin's queue, short against the time that a version has.
 constexpr Duration kTakeover = milliseconds(1200);
+// A piece of a peer that has not come after this time is asked for elsewhere.
+constexpr Duration kPieceDeadline = milliseconds(1200);
 
 std::uint64_t StartTime() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -79,6 +82,7 @@
   bool polling = false;
   Instant next_poll = {};
   EngineReport reported = {};
+  Instant next_progress = {};
   bool stopping = false;
 
   Impl(EventLoop& loop, Metrics& metrics, DirectAgentSettings given, DirectAgentAdapter adapter)
@@ -132,7 +136,8 @@
             .weights_share = 0.95,
             .inter_region_bytes_per_second = this->settings.region_bytes_per_second * kRegionShare,
             .max_requests = 4,
-            .max_origin_reads = 2,
+            .request_deadline = kPieceDeadline,
+            .remote_deadline = kPieceDeadline,
             .takeover_time = kTakeover,
             .takeover_origin_bytes = kTakeover},
         this->store, this->random);
@@ -397,8 +402,17 @@
 
   // ---- time ----
 
+  void LogProgress() {
+    const WeightsCopy* copy = this->manifest ? this->store.Find(this->manifest->Id()) : nullptr;
+    if (copy == nullptr || copy->IsWhole() || this->Now() < this->next_progress) return;
+    this->next_progress = this->Now() + kProgressPeriod;
+    Log(LogLevel::kInfo, "copy_progress",
+        {{"version", this->wanted}, {"held", copy->held}, {"of", copy->chunks.size()}});
+  }
+
   void Tick() {
     FlushLog();
+    this->LogProgress();
     this->Spread(SpreadTick{});
     this->Poll();
     this->AdvanceRollout();
--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -30,8 +30,6 @@
 constexpr Duration kMapRefresh = seconds(5);
 constexpr Duration kScanPause = milliseconds(20);
 constexpr Duration kTakeoverScanPause = milliseconds(100);
-constexpr Duration kMinRequestDeadline = seconds(2);
-constexpr Duration kMinRemoteDeadline = seconds(10);
 constexpr Duration kRemoteRetry = milliseconds(200);
 constexpr Duration kMaxAvoidance = seconds(30);
 constexpr Duration kRecheckDelay = milliseconds(500);
@@ -44,7 +42,8 @@
 constexpr Duration kMaxBackoffOriginBytes = seconds(5);
 // A hold is forwarded only when it extends the known one by this much, which ends the forwarding.
 constexpr Duration kHoldStep = milliseconds(250);
-constexpr std::size_t kMaxRemoteRequests = 2;
+// Requests of other regions that wait for a chunk on its way here.
+constexpr std::size_t kMaxAwaited = 256;
 constexpr std::size_t kCandidatesPerLevel = 16;
 constexpr std::size_t kLevels = 22;  // number of holders among at most 20 neighbours
 constexpr int kStoppingMismatches = 2;
@@ -77,6 +76,7 @@
   std::vector<SpreadAction> actions = {};
   std::vector<SpreadNeighbour> neighbours = {};
   std::deque<Upload> uploads = {};
+  std::vector<Upload> awaited = {};  // requests for chunks that this agent is copying itself
   std::uint64_t next_request = 1;
 
   // The copy in progress.
@@ -217,6 +217,7 @@
       entry = drop ? this->pending.erase(entry) : std::next(entry);
     }
     std::erase_if(this->uploads, [&](const Upload& upload) { return upload.to == peer; });
+    std::erase_if(this->awaited, [&](const Upload& upload) { return upload.to == peer; });
   }
 
   void Rank(Instant now, const std::vector<SpreadPeer>& members) {
@@ -226,11 +227,21 @@
                                                .region = this->options.region,
                                                .origin_region = this->options.origin_region,
                                                .members = members});
-    const double sharers = std::max<double>(1, static_cast<double>(this->ranks.RegionSize()));
-    this->region_pacer.SetRate(now, this->options.inter_region_bytes_per_second / sharers);
     this->owned_ready = this->ranked ? now + kRankGrace : now;
     this->ranked = true;
     this->ListOwned();
+    this->region_pacer.SetRate(now, this->RegionRate());
+  }
+
+  // This agent's part of the region's link: as large as its part of the chunks, so that all agents
+  // are done at the same time.
+  double RegionRate() const {
+    std::uint32_t own = 0;
+    const std::uint32_t count = this->manifest->ChunkCount();
+    for (std::uint32_t chunk = 0; chunk < count; ++chunk) own += this->RankOf(chunk) == 0 ? 1 : 0;
+    const double equal = 1 / std::max<double>(1, static_cast<double>(this->ranks.RegionSize()));
+    const double part = own == 0 ? equal : static_cast<double>(own) / count;
+    return this->options.inter_region_bytes_per_second * part;
   }
 
   std::uint8_t RankOf(std::uint32_t chunk) const {
@@ -331,6 +342,7 @@
   void Reset(Instant) {
     for (const auto& [chunk, request] : this->pending) this->SendCancelOf(chunk, request);
     this->manifest.reset();
+    this->awaited.clear();
     this->complete = false;
     this->ranked = false;
     this->ranks = {};
@@ -359,6 +371,7 @@
   void Stored(Instant now, std::uint32_t chunk, bool by_takeover) {
     if (!by_takeover) this->last_progress = now;
     this->fresh.push_back(chunk);
+    this->ServeAwaited(chunk);
     if (!this->Copy().IsWhole()) return;
     this->complete = true;
     this->stopped = false;
@@ -467,10 +480,10 @@
     const double rate = this->options.link_bytes_per_second * this->options.weights_share;
     const double queue = static_cast<double>(this->options.max_uploads) + 2;
     const Duration sending = FromSeconds(queue * this->manifest->ChunkSize() / rate);
-    if (!remote) return std::max(kMinRequestDeadline + sending, this->round_trip * 5);
-    const double shared = static_cast<double>(this->ranks.RegionSize() * kMaxRemoteRequests) *
+    if (!remote) return std::max(this->options.request_deadline + sending, this->round_trip * 5);
+    const double shared = static_cast<double>(this->ranks.RegionSize() * this->options.max_remote_requests) *
                           this->manifest->ChunkSize() / this->options.inter_region_bytes_per_second;
-    return kMinRemoteDeadline + sending + FromSeconds(2 * shared);
+    return this->options.remote_deadline + sending + FromSeconds(2 * shared);
   }
 
   void Request(Instant now, std::uint32_t chunk, const std::string& peer, bool remote) {
@@ -508,7 +521,7 @@
     if (neighbour == nullptr || now < neighbour->avoid_until) return;
     const int doublings = std::min(neighbour->timeouts++, 4);
     neighbour->avoid_until =
-        now + this->Jittered(std::min(kMaxAvoidance, kMinRequestDeadline * (1 << doublings)));
+        now + this->Jittered(std::min(kMaxAvoidance, this->options.request_deadline * (1 << doublings)));
   }
 
   void PumpRequests(Instant now) {
@@ -580,11 +593,18 @@
   void On(Instant, const RequestReceived& event) {
     const WeightsCopy* copy = this->store.Find(event.manifest);
     const bool held = copy != nullptr && copy->Holds(event.chunk);
+    const Upload upload{.to = event.from,
+                        .manifest = event.manifest,
+                        .chunk = event.chunk,
+                        .request_id = event.request_id};
     if (held && this->uploads.size() < this->options.max_uploads) {
-      this->uploads.push_back(Upload{.to = event.from,
-                                     .manifest = event.manifest,
-                                     .chunk = event.chunk,
-                                     .request_id = event.request_id});
+      this->uploads.push_back(upload);
+      return;
+    }
+    // Neighbours ask for what was announced; another region asks before the chunk is here.
+    if (!held && this->IsCopying() && this->IsCurrent(event.manifest) &&
+        event.chunk < this->manifest->ChunkCount() && this->awaited.size() < kMaxAwaited) {
+      this->awaited.push_back(upload);
       return;
     }
     this->actions.push_back(SendRefusal{.to = event.from,
@@ -595,9 +615,22 @@
   }
 
   void On(Instant, const ChunkCancelReceived& event) {
-    std::erase_if(this->uploads, [&](const Upload& upload) {
+    const auto cancelled = [&](const Upload& upload) {
       return upload.to == event.from && upload.request_id == event.request_id;
-    });
+    };
+    std::erase_if(this->uploads, cancelled);
+    std::erase_if(this->awaited, cancelled);
+  }
+
+  // Chunks for another region go first: all of its agents wait for them.
+  void ServeAwaited(std::uint32_t chunk) {
+    const auto waits = [&](const Upload& upload) {
+      return upload.chunk == chunk && this->IsCurrent(upload.manifest);
+    };
+    for (const Upload& upload : this->awaited) {
+      if (waits(upload)) this->uploads.push_front(upload);
+    }
+    std::erase_if(this->awaited, waits);
   }
 
   void PumpUploads(Instant now) {
@@ -647,7 +680,7 @@
   }
 
   void PumpRemote(Instant now) {
-    while (now >= this->remote_ready && this->remote_pending < kMaxRemoteRequests &&
+    while (now >= this->remote_ready && this->remote_pending < this->options.max_remote_requests &&
            this->region_pacer.Ready(now) && this->down.Ready(now)) {
       bool takeover = false;
       const std::uint32_t chunk = this->NextFirstFetch(now, takeover);
--- a/src/distribution/chunk_spreader.h
+++ b/src/distribution/chunk_spreader.h
@@ -29,6 +29,11 @@
   std::size_t max_peer_requests = 2;  // in flight at one neighbour
   std::size_t max_uploads = 6;        // waiting; a further request is refused as busy
   std::size_t max_origin_reads = 1;
+  std::size_t max_remote_requests = 8;  // in flight at agents of the origin's region
+  // A chunk that has not come after this time, or after a multiple of the usual time when that is
+  // longer, is asked for elsewhere.
+  Duration request_deadline = std::chrono::seconds(2);
+  Duration remote_deadline = std::chrono::seconds(10);
   // A second agent reads a chunk from the origin when none has appeared for this long.
   Duration takeover_time = std::chrono::seconds(3);
   Duration takeover_origin_bytes = std::chrono::seconds(15);
--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -194,6 +194,25 @@
   for (std::size_t i = 4; i < 8; ++i) EXPECT_EQ(harness.agents[i].origin_reads, 0u);
 }
 
+// Pattern: a small version named in the middle of the day, for two regions. Guards against remote
+// agents that poll for chunks not read yet, and against one agent that brings in more chunks than
+// its part of the region's link carries.
+TEST(ChunkSpreader, SmallWeightsReachTheRemoteRegionNearTheBound) {
+  SpreadHarness harness(HarnessOptions{.agents = 18,
+                                       .chunks = 48,
+                                       .chunk_size = 49'152,
+                                       .last_chunk = 49'152,
+                                       .link = 1.175e6,
+                                       .origin_rate = 1.875e6,
+                                       .latency = std::chrono::milliseconds(3),
+                                       .remote_agents = 9,
+                                       .inter_region = 2.2e6});
+  harness.StartAll();
+  EXPECT_TRUE(harness.RunUntilWhole(seconds(20)));
+  EXPECT_LE(harness.Seconds() / harness.BoundSeconds(), kMaxTimeRatio);
+  EXPECT_LE(harness.CrossedCopies(), kMaxCopies);
+}
+
 // Guards against messages when nothing is being copied.
 TEST(ChunkSpreader, IsQuietWhenEveryAgentIsWhole) {
   SpreadHarness harness(HarnessOptions{.agents = 8});
