--- /dev/null
+++ b/src/direct/engine_loader.cc
@@ -0,0 +1,167 @@
+#include "direct/engine_loader.h"
+
+#include <variant>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "distribution/engine_control.h"
+#include "distribution/manifest.h"
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+std::string_view OrderAnswerName(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kBegun:
+      return "begun";
+    case OrderAnswer::kInEffect:
+      return "in-effect";
+    case OrderAnswer::kRefused:
+      return "refused";
+    case OrderAnswer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+struct EngineLoader::Impl : std::enable_shared_from_this<EngineLoader::Impl> {
+  EventLoop& loop;
+  EngineControl& engine;
+  const WeightsCopier& copier;
+  Counter& orders;
+  EngineRollout rollout;
+  VersionCopy loading = {};  // the version that `rollout` brings onto the engine
+  RolloutTurn turn = {};
+  std::uint32_t running = 0;
+  std::function<void()> on_order = {};
+
+  Impl(EventLoop& loop, Metrics& metrics, EngineControl& engine, const WeightsCopier& copier,
+       EngineRolloutOptions options)
+      : loop(loop),
+        engine(engine),
+        copier(copier),
+        orders(metrics.CounterFor("savory_load_orders_total")),
+        rollout(options) {}
+
+  template <typename Callback>
+  auto Guarded(Callback callback) {
+    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
+      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  bool IsWhole(const VersionCopy& version) const {
+    const WeightsCopy* copy =
+        version.manifest == nullptr ? nullptr : this->copier.Find(*version.manifest);
+    return copy != nullptr && copy->IsWhole();
+  }
+
+  // A newer version takes the place of the one in hand when it is whole, or when the older one can
+  // no longer become whole.
+  void FollowCopier() {
+    const std::optional<VersionCopy>& newest = this->copier.Newest();
+    if (!newest || newest->version <= this->rollout.Version()) return;
+    if (!this->rollout.MayReplace()) return;
+    const bool take = this->rollout.Version() == 0 || this->rollout.IsDone() ||
+                      this->IsWhole(*newest) || !this->IsWhole(this->loading);
+    if (!take) return;
+    this->loading = *newest;
+    const std::uint32_t pieces = newest->manifest->ChunkCount();
+    this->rollout.Want(newest->model, newest->version, pieces, newest->known_since, this->turn);
+    const WeightsCopy* copy = this->copier.Find(*newest->manifest);
+    for (std::uint32_t i = 0; copy != nullptr && i < pieces; ++i) {
+      if (copy->Holds(i)) this->rollout.PieceHeld(i);
+    }
+  }
+
+  void Advance(const RolloutTurn& next) {
+    this->turn = next;
+    this->FollowCopier();
+    this->rollout.SetTurn(next);
+    for (const RolloutAction& action : this->rollout.Advance(this->loop.Now())) {
+      std::visit([this](const auto& item) { this->Do(item); }, action);
+    }
+  }
+
+  void Do(const StagePiece& action) {
+    const std::uint64_t version = this->loading.version;
+    const WeightsCopy* copy = this->copier.Find(*this->loading.manifest);
+    if (copy == nullptr || !copy->Holds(action.piece)) {
+      this->rollout.PieceStaged(version, action.piece, false, this->loop.Now());
+      return;
+    }
+    const auto done = [this, version, piece = action.piece](const Result<void>& stored) {
+      if (!stored) {
+        Log(LogLevel::kWarn, "stage_failed",
+            {{"version", version}, {"piece", piece}, {"reason", Describe(stored.error())}});
+      }
+      this->rollout.PieceStaged(version, piece, stored.has_value(), this->loop.Now());
+      if (stored) this->Advance(this->turn);
+    };
+    this->engine.Stage(this->loading.model, action.piece,
+                       std::string(AsText(*copy->chunks[action.piece])), this->Guarded(done));
+  }
+
+  void Do(const CheckPiece& action) {
+    const auto done = [this, source = this->loading.manifest, version = this->loading.version,
+                       piece = action.piece](const Result<std::string>& bytes) {
+      const bool intact =
+          bytes && Sha256(std::string_view(bytes.value())) == source->DigestOf(piece);
+      if (!intact) {
+        Log(LogLevel::kWarn, "staged_piece_bad", {{"version", version}, {"piece", piece}});
+      }
+      this->rollout.PieceChecked(version, piece, intact, this->loop.Now());
+      this->Advance(this->turn);
+    };
+    this->engine.ReadStaged(this->loading.model, action.piece, this->Guarded(done));
+  }
+
+  void Do(const OrderWeights& action) {
+    this->orders.Add();
+    Log(LogLevel::kInfo, "load_ordered",
+        {{"version", action.version},
+         {"orders", action.orders},
+         {"known_for_ms", ToMillis(this->loop.Now() - this->loading.known_since)},
+         {"rank", this->turn.rank},
+         {"engines", this->turn.engines},
+         {"running", this->running}});
+    const auto done = [this, version = action.version](OrderAnswer answer) {
+      Log(LogLevel::kInfo, "load_answered",
+          {{"version", version}, {"answer", OrderAnswerName(answer)}});
+      this->rollout.OrderAnswered(answer, this->loop.Now());
+      if (this->on_order) this->on_order();
+    };
+    this->engine.OrderLoad(action.model, action.version, action.orders, this->Guarded(done));
+  }
+};
+
+EngineLoader::EngineLoader(EventLoop& loop, Metrics& metrics, EngineControl& engine,
+                           const WeightsCopier& copier, EngineRolloutOptions options)
+    : impl(std::make_shared<Impl>(loop, metrics, engine, copier, options)) {}
+EngineLoader::~EngineLoader() = default;
+
+void EngineLoader::OnOrder(std::function<void()> listener) {
+  this->impl->on_order = std::move(listener);
+}
+
+void EngineLoader::PieceHeld(std::uint64_t version, std::uint32_t piece, bool staged) {
+  this->impl->FollowCopier();
+  if (version != this->impl->rollout.Version()) return;
+  this->impl->rollout.PieceHeld(piece);
+  if (staged) this->impl->rollout.PieceStaged(version, piece, true, this->impl->loop.Now());
+}
+
+void EngineLoader::EngineSeen(const EngineState& state, Instant asked) {
+  this->impl->running = state.running;
+  this->impl->rollout.EngineSeen(state, asked);
+}
+
+void EngineLoader::EngineLost() { this->impl->rollout.EngineLost(); }
+void EngineLoader::Advance(const RolloutTurn& turn) { this->impl->Advance(turn); }
+bool EngineLoader::Accepting() const { return this->impl->rollout.Accepting(); }
+bool EngineLoader::IsDone() const { return this->impl->rollout.IsDone(); }
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/engine_loader.h
@@ -0,0 +1,44 @@
+// Brings copied weights onto the engine beside this agent.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "base/time.h"
+#include "direct/weights_copier.h"
+#include "distribution/engine_rollout.h"
+
+namespace savory {
+
+class EngineControl;
+class EventLoop;
+class Metrics;
+
+// Carries out what EngineRollout decides. All calls on the loop's thread.
+class EngineLoader {
+ public:
+  // The references must outlive the loader.
+  EngineLoader(EventLoop& loop, Metrics& metrics, EngineControl& engine,
+               const WeightsCopier& copier, EngineRolloutOptions options);
+  ~EngineLoader();
+
+  // Called when an order was answered; the engine's state should be read soon.
+  void OnOrder(std::function<void()> listener);
+
+  void PieceHeld(std::uint64_t version, std::uint32_t piece, bool staged);
+  void EngineSeen(const EngineState& state, Instant asked);
+  void EngineLost();
+  void Advance(const RolloutTurn& turn);
+
+  // Whether the engine may receive requests.
+  bool Accepting() const;
+  bool IsDone() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -85,6 +85,7 @@
   AsyncHttpServer metrics_server;
   SharedRouting rules = {};
   std::map<std::string, WeightsOrder> weights = {};  // by model
+  std::optional<Instant> held_known_since = {};
   std::optional<Instant> stopping_since = {};
   bool was_ready = false;
 
@@ -167,17 +168,47 @@
       if (!pool.engine) continue;
       for (const std::string& model : pool.models) {
         const auto found = this->weights.find(model);
-        if (found == this->weights.end()) continue;
-        const WeightsOrder& order = found->second;
+        if (found == this->weights.end()) {
+          this->OrderHeldWeights(pool.name, model);
+          continue;
+        }
+        WeightsOrder order = found->second;
         this->relay.Places().SetWeightsRule(
             pool.name, {.version = order.version,
                         .enforced_at = order.known_since + this->settings.weights_deadline -
                                        kWeightsMargin});
+        order.engines_lacking = this->HeldBy(pool.name).lacking;
         this->links.SetWeights(order);
       }
     }
   }
 
+  struct HeldWeights {
+    std::uint64_t newest = 0;
+    std::uint32_t lacking = 0;  // engines without weights
+  };
+
+  HeldWeights HeldBy(const std::string& pool) const {
+    HeldWeights held;
+    for (const auto& [id, upstream] : this->upstreams.All()) {
+      if (upstream.pool != pool || !upstream.is_engine) continue;
+      held.newest = std::max(held.newest, upstream.weights_version);
+      held.lacking += upstream.weights_version == 0 ? 1 : 0;
+    }
+    return held;
+  }
+
+  // Before a version is named, engines that join take the one that the others hold.
+  void OrderHeldWeights(const std::string& pool, const std::string& model) {
+    const HeldWeights held = this->HeldBy(pool);
+    if (held.newest == 0) return;
+    if (!this->held_known_since) this->held_known_since = this->loop.Now();
+    this->links.SetWeights({.model = model,
+                            .version = held.newest,
+                            .known_since = *this->held_known_since,
+                            .engines_lacking = held.lacking});
+  }
+
   void OnUpstreamRecords(std::span<const Record> changed) {
     const Instant now = this->loop.Now();
     for (const Record& record : changed) {
@@ -227,6 +258,7 @@
       if (upstream.is_engine) engines.push_back(upstream);
     }
     this->links.SetEngines(std::move(engines));
+    this->ApplyWeights();
   }
 
   void LogMalformed(const Record& record, const Error& error) {
--- /dev/null
+++ b/src/direct/weights_copier.cc
@@ -0,0 +1,352 @@
+#include "direct/weights_copier.h"
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "distribution/chunk_spreader.h"
+#include "distribution/engine_control.h"
+#include "distribution/manifest.h"
+#include "distribution/spread_link.h"
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Reads of the list of pieces are spread over this time, since the origin takes few connections.
+constexpr double kListSpreadSeconds = 0.15;
+constexpr Duration kListRetry = milliseconds(300);
+// Live requests share the links between regions: weights take this part.
+constexpr double kRegionShare = 0.7;
+constexpr double kLinkShare = 0.95;
+// Another agent reads a piece from the origin when none has appeared for this long. Long enough for
+// a piece to pass through the origin's queue, short against the time that a version has.
+constexpr Duration kTakeover = milliseconds(1200);
+// A piece of a peer that has not come after this time is asked for elsewhere.
+constexpr Duration kPieceDeadline = milliseconds(1200);
+// Pieces that lie at the engine are read back before the origin is asked for them.
+constexpr Duration kReadBackTime = milliseconds(1500);
+constexpr std::size_t kReadBackCalls = 2;
+constexpr Duration kProgressPeriod = milliseconds(500);
+
+SharedChunk ChunkOf(const std::string& bytes) {
+  const auto view = std::as_bytes(std::span(bytes));
+  return std::make_shared<const std::vector<std::byte>>(view.begin(), view.end());
+}
+
+}  // namespace
+
+struct WeightsCopier::Impl : std::enable_shared_from_this<WeightsCopier::Impl> {
+  EventLoop& loop;
+  Random& random;
+  WeightsSource& origin;
+  EngineControl& engine;
+  WeightsCopierOptions options;
+  Counter& origin_bytes;
+  ChunkStore store{0};
+  SpreadLink link;
+  std::unique_ptr<ChunkSpreader> spreader = {};  // once the origin's region is known
+  std::string spreader_origin_region = {};
+  PieceListener on_piece = {};
+  FleetView view = {};
+  std::optional<std::uint64_t> engine_version = {};
+  std::uint64_t listing = 0;  // version whose list of pieces is being read
+  std::optional<VersionCopy> newest = {};
+  std::vector<bool> told = {};  // pieces of `newest` that the listener knows
+  std::deque<std::uint32_t> read_back = {};
+  std::size_t read_back_calls = 0;
+  Instant next_progress = {};
+
+  Impl(EventLoop& loop, PeerTransport& peers, Metrics& metrics, Random& random,
+       WeightsSource& origin, EngineControl& engine, WeightsCopierOptions given)
+      : loop(loop),
+        random(random),
+        origin(origin),
+        engine(engine),
+        options(std::move(given)),
+        origin_bytes(metrics.CounterFor("savory_origin_bytes_total")),
+        link(peers, metrics, this->store, VerifyInPlace()) {}
+
+  // Wraps a callback so that it does nothing once the object is gone.
+  template <typename Callback>
+  auto Guarded(Callback callback) {
+    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
+      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  Instant Now() const { return this->loop.Now(); }
+
+  // ---- the fleet ----
+
+  void SetFleet(const FleetView& next) {
+    const bool members_changed = next.agents != this->view.agents;
+    this->view = next;
+    this->origin.SetAddress(next.origin);
+    this->link.SetOrigin(next.origin);
+    this->EnsureSpreader();
+    // Each change of the members makes agents wait with their own pieces: only real ones are told.
+    if (members_changed) this->SpreadMembers();
+    this->Follow();
+  }
+
+  void EnsureSpreader() {
+    if (this->view.origin_region.empty()) return;
+    if (this->spreader && this->spreader_origin_region == this->view.origin_region) return;
+    this->spreader_origin_region = this->view.origin_region;
+    this->spreader = std::make_unique<ChunkSpreader>(
+        SpreadOptions{
+            .vm = this->options.peer,
+            .region = this->options.region,
+            .origin_region = this->view.origin_region,
+            .link_bytes_per_second = this->options.link_bytes_per_second,
+            .weights_share = kLinkShare,
+            .inter_region_bytes_per_second = this->options.region_bytes_per_second * kRegionShare,
+            .max_requests = 4,
+            .request_deadline = kPieceDeadline,
+            .remote_deadline = kPieceDeadline,
+            .takeover_time = kTakeover,
+            .takeover_origin_bytes = kTakeover},
+        this->store, this->random);
+    if (this->newest) this->WantCopy({});
+  }
+
+  void SpreadMembers() {
+    std::vector<SpreadPeer> members;
+    for (const AgentAddress& agent : this->view.agents) {
+      members.push_back({.vm = agent.peer, .peer = agent.peer, .region = agent.region});
+    }
+    this->Spread(PoolMembersChanged{.members = std::move(members)});
+  }
+
+  // ---- the wanted version ----
+
+  bool EngineLacks(std::uint64_t version) const {
+    return this->engine_version && *this->engine_version < version;
+  }
+
+  // Whether this agent helps others to a version that its own engine holds.
+  bool Seeds(std::uint64_t version) const {
+    if (this->view.engines_lacking == 0 || this->engine_version != version) return false;
+    const std::string key = this->view.model + "@" + std::to_string(version);
+    const std::uint64_t own = RendezvousScore(key, this->options.peer);
+    const auto before = std::count_if(
+        this->view.agents.begin(), this->view.agents.end(), [&](const AgentAddress& agent) {
+          return agent.region == this->options.region && RendezvousScore(key, agent.peer) > own;
+        });
+    return static_cast<std::size_t>(before) < this->options.seeding_agents;
+  }
+
+  void Follow() {
+    const std::uint64_t next = this->view.weights_version;
+    const std::uint64_t current = this->newest ? this->newest->version : 0;
+    if (next <= current || next == this->listing || this->view.origin.empty()) return;
+    if (!this->EngineLacks(next) && !this->Seeds(next)) return;
+    this->listing = next;
+    const Duration spread = FromSeconds(kListSpreadSeconds * UniformUnit(this->random));
+    this->loop.After(spread, this->Guarded([this, next] { this->ReadPieceList(next); }));
+  }
+
+  void ReadPieceList(std::uint64_t version) {
+    const auto done = [this, model = this->view.model, version](const Result<PieceList>& list) {
+      if (version != this->listing) return;
+      if (list) {
+        this->listing = 0;
+        this->StartCopy(model, version, list.value());
+        return;
+      }
+      Log(LogLevel::kWarn, "piece_list_failed",
+          {{"version", version}, {"reason", Describe(list.error())}});
+      this->loop.After(kListRetry, this->Guarded([this, version] {
+        if (version != this->listing) return;
+        this->listing = 0;
+        this->Follow();
+      }));
+    };
+    this->origin.ReadPieceList(this->view.model, version, this->Guarded(done));
+  }
+
+  void StartCopy(const std::string& model, std::uint64_t version, const PieceList& list) {
+    this->newest =
+        VersionCopy{.model = model,
+                    .version = version,
+                    .known_since = this->view.wanted_since,
+                    .manifest = std::make_shared<const Manifest>(Manifest::FromChunks(
+                        list.digests, list.piece_bytes, model + "@" + std::to_string(version)))};
+    const std::uint32_t pieces = this->newest->manifest->ChunkCount();
+    this->told.assign(pieces, false);
+    this->store.Want(this->newest->manifest);
+    this->read_back.clear();
+    // The pieces at an engine that holds the version, or has lost it in a restart, are of this
+    // version.
+    const bool at_engine = !this->EngineLacks(version) || this->engine_version == 0u;
+    Log(LogLevel::kInfo, "copy_started",
+        {{"version", version},
+         {"pieces", pieces},
+         {"engine", this->engine_version.value_or(0)},
+         {"known_for_ms", ToMillis(this->Now() - this->newest->known_since)}});
+    if (at_engine) this->ListStaged();
+    this->WantCopy(this->EngineLacks(version) ? Duration(0) : kReadBackTime);
+  }
+
+  void WantCopy(Duration origin_delay) {
+    this->Spread(
+        CopyWanted{.manifest = this->newest->manifest, .origin_delay = origin_delay});
+    this->SpreadMembers();
+  }
+
+  // ---- pieces at the engine ----
+
+  void ListStaged() {
+    const auto done = [this, version = this->newest->version](
+                          const Result<std::vector<std::uint32_t>>& pieces) {
+      if (!pieces || version != this->newest->version) return;
+      this->read_back.assign(pieces.value().begin(), pieces.value().end());
+      this->ReadBack();
+    };
+    this->engine.ListStaged(this->newest->model, this->Guarded(done));
+  }
+
+  void ReadBack() {
+    while (!this->read_back.empty() && this->read_back_calls < kReadBackCalls) {
+      const std::uint32_t piece = this->read_back.front();
+      this->read_back.pop_front();
+      if (piece >= this->newest->manifest->ChunkCount()) continue;
+      ++this->read_back_calls;
+      const auto done = [this, source = this->newest->manifest,
+                         piece](const Result<std::string>& bytes) {
+        --this->read_back_calls;
+        if (bytes) this->OnReadBack(*source, piece, bytes.value());
+        this->ReadBack();
+      };
+      this->engine.ReadStaged(this->newest->model, piece, this->Guarded(done));
+    }
+  }
+
+  void OnReadBack(const Manifest& source, std::uint32_t piece, const std::string& bytes) {
+    auto verified = VerifiedChunk::Verify(source, piece, ChunkOf(bytes));
+    // Pieces of an earlier version lie there until they are replaced.
+    if (!verified || this->newest->manifest->Id() != source.Id()) return;
+    if (!this->told[piece]) {
+      this->told[piece] = true;
+      if (this->on_piece) this->on_piece(this->newest->version, piece, true);
+    }
+    this->Spread(ChunkArrived{.from = "", .chunk = std::move(*verified)});
+  }
+
+  // ---- spreading ----
+
+  void Spread(const SpreadEvent& event) {
+    if (!this->spreader) return;
+    for (const SpreadAction& action : this->spreader->Handle(this->Now(), event)) {
+      std::visit([this](const auto& item) { this->Do(item); }, action);
+    }
+    this->TellPieces();
+  }
+
+  void TellPieces() {
+    if (!this->newest) return;
+    const WeightsCopy* copy = this->store.Find(this->newest->manifest->Id());
+    if (copy == nullptr) return;
+    for (std::uint32_t i = 0; i < this->told.size(); ++i) {
+      if (this->told[i] || !copy->Holds(i)) continue;
+      this->told[i] = true;
+      if (this->on_piece) this->on_piece(this->newest->version, i, false);
+    }
+  }
+
+  template <typename Message>
+  void Do(const Message& action) {
+    this->link.Send(action);
+  }
+
+  void Do(const ReadOrigin& action) {
+    const auto done = [this, source = this->newest->manifest,
+                       chunk = action.chunk](const Result<std::string>& bytes) {
+      this->OnOriginRead(*source, chunk, bytes);
+    };
+    this->origin.ReadPiece(this->newest->model, this->newest->version, action.chunk,
+                           this->Guarded(done));
+  }
+
+  void OnOriginRead(const Manifest& source, std::uint32_t chunk, const Result<std::string>& bytes) {
+    if (!bytes) {
+      Log(LogLevel::kWarn, "origin_read_failed",
+          {{"piece", chunk}, {"reason", Describe(bytes.error())}});
+      this->Spread(OriginFailed{.manifest = source.Id(), .chunk = chunk});
+      return;
+    }
+    this->origin_bytes.Add(bytes.value().size());
+    auto verified = VerifiedChunk::Verify(source, chunk, ChunkOf(bytes.value()));
+    if (verified) {
+      this->Spread(OriginChunkRead{.chunk = std::move(*verified)});
+      return;
+    }
+    // The list of pieces is fixed, so wrong bytes were spoilt on the way: they are read again.
+    Log(LogLevel::kWarn, "origin_piece_corrupt", {{"piece", chunk}});
+    this->Spread(OriginFailed{.manifest = source.Id(), .chunk = chunk});
+  }
+
+  void Do(const ProbeOrigin&) { this->Spread(OriginProbed{.changed = true}); }
+  void Do(const CopyStopped&) {}
+  void Do(const CopyResumed&) {}
+  void Do(const CopyComplete&) {
+    Log(LogLevel::kInfo, "copy_complete",
+        {{"version", this->newest->version},
+         {"known_for_ms", ToMillis(this->Now() - this->newest->known_since)},
+         {"origin_bytes", this->origin_bytes.Value()}});
+  }
+
+  void LogProgress() {
+    if (!this->newest || this->Now() < this->next_progress) return;
+    const WeightsCopy* copy = this->store.Find(this->newest->manifest->Id());
+    if (copy == nullptr || copy->IsWhole()) return;
+    this->next_progress = this->Now() + kProgressPeriod;
+    Log(LogLevel::kInfo, "copy_progress",
+        {{"version", this->newest->version}, {"held", copy->held}, {"of", copy->chunks.size()}});
+  }
+};
+
+WeightsCopier::WeightsCopier(EventLoop& loop, PeerTransport& peers, Metrics& metrics,
+                             Random& random, WeightsSource& origin, EngineControl& engine,
+                             WeightsCopierOptions options)
+    : impl(std::make_shared<Impl>(loop, peers, metrics, random, origin, engine,
+                                  std::move(options))) {}
+WeightsCopier::~WeightsCopier() = default;
+
+void WeightsCopier::OnPiece(PieceListener listener) { this->impl->on_piece = std::move(listener); }
+
+void WeightsCopier::Start() {
+  this->impl->link.Start(
+      this->impl->Guarded([self = this->impl.get()](const SpreadEvent& event) {
+        self->Spread(event);
+      }));
+}
+
+void WeightsCopier::SetFleet(const FleetView& view) { this->impl->SetFleet(view); }
+
+void WeightsCopier::SetEngineVersion(std::optional<std::uint64_t> version) {
+  this->impl->engine_version = version;
+  this->impl->Follow();
+}
+
+void WeightsCopier::Tick() {
+  this->impl->Spread(SpreadTick{});
+  this->impl->LogProgress();
+}
+
+bool WeightsCopier::IsActive() const {
+  return this->impl->spreader && this->impl->spreader->IsActive();
+}
+
+const std::optional<VersionCopy>& WeightsCopier::Newest() const { return this->impl->newest; }
+
+const WeightsCopy* WeightsCopier::Find(const Manifest& manifest) const {
+  return this->impl->store.Find(manifest.Id());
+}
+
+}  // namespace savory
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -41,6 +41,9 @@
   // Puts one piece of weights where the engine takes them from; replaces an earlier one.
   virtual void Stage(const std::string& model, std::uint32_t piece, std::string bytes,
                      std::function<void(Result<void>)> done) = 0;
+  // Numbers of the pieces that lie there.
+  virtual void ListStaged(const std::string& model,
+                          std::function<void(Result<std::vector<std::uint32_t>>)> done) = 0;
   // The piece as it lies there. Errors: kNotFound.
   virtual void ReadStaged(const std::string& model, std::uint32_t piece,
                           std::function<void(Result<std::string>)> done) = 0;
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -87,14 +87,6 @@
                      [](const Piece& piece) { return piece.state == PieceState::kStaged; });
 }
 
-bool EngineRollout::MayReplace(std::uint64_t newer, Instant now) const {
-  if (newer <= this->version) return false;
-  if (this->version == 0 || this->IsDone()) return true;
-  if (this->step >= Step::kChecking) return false;
-  // A version that is staged whole takes its turn first when that is near.
-  return !this->turn_at || now < *this->turn_at - std::chrono::seconds(2);
-}
-
 void EngineRollout::StageSome(std::vector<RolloutAction>& actions) {
   for (std::uint32_t i = 0; i < this->pieces.size(); ++i) {
     if (this->calls >= this->options.max_stage_calls) return;
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -75,8 +75,8 @@
   // Whether the engine may receive requests.
   bool Accepting() const { return this->step < Step::kSettling; }
   bool IsDone() const;
-  // Whether a newer version may replace the wanted one: no order was given, and none is about to be.
-  bool MayReplace(std::uint64_t version, Instant now) const;
+  // Whether a newer version may replace the wanted one: its order was not given, nor is about to be.
+  bool MayReplace() const { return this->IsDone() || this->step < Step::kChecking; }
   std::uint64_t Version() const { return this->version; }
   // Time of this engine's turn; nullopt while pieces are missing.
   std::optional<Instant> TurnAt() const { return this->turn_at; }
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -59,6 +59,10 @@
       this->view.origin_bytes_per_second = hello.origin_bytes_per_second();
       changed = true;
     }
+    if (hello.engines_lacking() != this->view.engines_lacking) {
+      this->view.engines_lacking = hello.engines_lacking();
+      changed = true;
+    }
     const Instant since = now - std::chrono::milliseconds(hello.wanted_for_ms());
     if (hello.weights_version() > this->view.weights_version) {
       this->view.model = hello.model();
--- a/src/fleet/agent_links.h
+++ b/src/fleet/agent_links.h
@@ -27,6 +27,8 @@
 struct AgentAddress {
   std::string peer;  // IP:PORT of the peer socket
   std::string region;
+
+  bool operator==(const AgentAddress&) const = default;
 };
 
 // What the entries told about the fleet.
@@ -38,6 +40,7 @@
   std::string model = {};
   std::uint64_t weights_version = 0;  // wanted; 0: unknown
   Instant wanted_since = {};          // as far back as any entry knows
+  std::uint32_t engines_lacking = 0;      // engines that hold no weights at all
 };
 
 // All calls on the loop's thread.
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -58,6 +58,7 @@
     hello.set_weights_version(this->weights.version);
     hello.set_wanted_for_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, ToMillis(this->loop.Now() - this->weights.known_since))));
+    hello.set_engines_lacking(this->weights.engines_lacking);
     hello.set_agents_digest(this->agents_digest);
     const auto known = this->digest_at.find(agent.peer());
     if (known == this->digest_at.end() || known->second != this->agents_digest) {
@@ -179,8 +180,11 @@
 }
 
 void EntryLinks::SetWeights(const WeightsOrder& order) {
+  const WeightsOrder& before = this->impl->weights;
+  const bool changed = order.model != before.model || order.version != before.version ||
+                       order.engines_lacking != before.engines_lacking;
   this->impl->weights = order;
-  this->impl->HelloAll();
+  if (changed) this->impl->HelloAll();
 }
 
 }  // namespace savory
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -35,6 +35,7 @@
   std::string model;
   std::uint64_t version = 0;
   Instant known_since = {};
+  std::uint32_t engines_lacking = 0;  // engines that hold no weights at all
 };
 
 // All calls on the loop's thread.
