Survive writes to connections that callers have closed

The loop now ignores the signal; WritingToAClosedConnectionIsSurvived ended the test program before.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <thread>
 
 #include "base/metrics.h"
@@ -241,6 +242,29 @@
   EXPECT_EQ(this->pool.Kept(), 0u);
 }
 
+// Guards against a process that ends because a caller left while its answer was written.
+TEST_F(AsyncHttpServerTest, WritingToAClosedConnectionIsSurvived) {
+  std::signal(SIGPIPE, SIG_DFL);
+  EventLoop other;  // a loop takes care of the signal by itself
+  SharedExchange kept;
+  AsyncHttpServer slow{this->loop, {}, [&](const SharedExchange& exchange) { kept = exchange; }};
+  ASSERT_TRUE(slow.Listen("127.0.0.1:26917").has_value());
+  Collector collector(this->loop);
+  auto call = this->pool.Start(this->CallTo("127.0.0.1:26917", "/"), collector);
+  this->loop.After(std::chrono::milliseconds(30), [&] {
+    call.reset();
+    usleep(20'000);  // the close arrives before the loop looks at the connection
+    kept->BeginStream(200, {});
+    for (int i = 0; i < 50; ++i) {
+      kept->SendPart(std::string(1000, 'x'));
+      usleep(1000);
+    }
+    this->loop.Stop();
+  });
+  this->loop.Run();
+  EXPECT_TRUE(kept->HasBegun());
+}
+
 // Guards against a late answer to an earlier call being delivered to a later one.
 TEST_F(AsyncHttpTest, AnswerOfAnotherCallIsDropped) {
   RawPeer peer(26915,
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <csignal>
 #include <map>
 #include <vector>
 
@@ -53,6 +54,8 @@
   TimerId next_timer = 1;
 
   Impl() {
+    // A write to a connection that the peer has closed reports an error instead.
+    std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(&this->loop);
     uv_async_init(&this->loop, &this->wake, [](uv_async_t* handle) {
       static_cast<Impl*>(handle->data)->RunPosted();
