Cut the control traffic between regions

Reports now carry numbers only, go to entries of other regions every 0.8 s and only when the load changed, and one entry sends a list to an agent that lacks it.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -65,7 +65,9 @@
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
                .incarnation = StartTime()}),
-        links(loop, this->peers, metrics, {}),
+        links(loop, this->peers, metrics,
+              {.region = this->settings.process.region,
+               .agent_port = this->settings.process.peer_port}),
         copier(loop, this->peers, metrics, this->random, adapter.origin, adapter.engine,
                {.peer = this->settings.process.peer,
                 .region = this->settings.process.region,
@@ -80,12 +82,17 @@
 
   Instant Now() const { return this->loop.Now(); }
 
+  // -1: not known since when.
+  std::int64_t WantedForMs(const FleetView& of) const {
+    return of.wanted_since ? ToMillis(this->Now() - *of.wanted_since) : -1;
+  }
+
   void OnView(const FleetView& next) {
     if (next.weights_version > this->view.weights_version) {
       Log(LogLevel::kInfo, "weights_wanted",
           {{"model", next.model},
            {"version", next.weights_version},
-           {"known_for_ms", ToMillis(this->Now() - next.wanted_since)}});
+           {"known_for_ms", this->WantedForMs(next)}});
     }
     this->view = next;
     this->copier.SetFleet(next);
@@ -147,7 +154,7 @@
            {"before", before},
            {"running", state.running},
            {"wanted", this->view.weights_version},
-           {"known_for_ms", ToMillis(this->Now() - this->view.wanted_since)}});
+           {"known_for_ms", this->WantedForMs(this->view)}});
     }
     this->loader.EngineSeen(state, asked);
     this->copier.SetEngineVersion(state.weights_version);
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 
 #include "base/log.h"
@@ -54,6 +55,7 @@
 
 EntryLinksOptions LinksOf(const DirectEntrySettings& settings) {
   EntryLinksOptions options{.peer = settings.process.peer,
+                            .region = settings.process.region,
                             .agent_port = settings.process.peer_port,
                             .regions = settings.process.regions};
   for (const std::string& seed : settings.seeds) {
@@ -89,8 +91,10 @@
   // By model; the versions in the order in which they were named.
   std::map<std::string, std::vector<WeightsOrder>> weights = {};
   std::optional<Instant> held_known_since = {};
+  std::set<std::string> held_weights = {};  // upstreams that held some version once
   std::optional<Instant> stopping_since = {};
   bool was_ready = false;
+  bool operator_records_listed = false;
 
   Impl(EventLoop& loop, Metrics& metrics, DirectEntrySettings given, DirectEntryAdapter adapter)
       : loop(loop),
@@ -133,9 +137,23 @@
         this->OnWeightsWanted(*wanted);
       }
     }
+    this->operator_records_listed = true;
     if (newest) this->ApplyRules(std::move(*newest));
   }
 
+  // An agent that has run for longer knows when a version was named.
+  void OnWantedSince(std::uint64_t version, Instant since) {
+    for (auto& [model, named] : this->weights) {
+      for (WeightsOrder& order : named) {
+        if (order.version != version || order.known_since) continue;
+        order.known_since = since;
+        Log(LogLevel::kInfo, "weights_wanted_since",
+            {{"version", version}, {"known_for_ms", ToMillis(this->loop.Now() - since)}});
+        this->ApplyWeights();
+      }
+    }
+  }
+
   void ApplyRules(RoutingRules found) {
     if (this->rules && found.version <= this->rules->Version()) return;
     Log(LogLevel::kInfo, "rules_applied",
@@ -159,8 +177,11 @@
   void OnWeightsWanted(const WeightsWanted& wanted) {
     std::vector<WeightsOrder>& named = this->weights[wanted.model];
     if (!named.empty() && wanted.version <= named.back().version) return;
-    named.push_back(
-        {.model = wanted.model, .version = wanted.version, .known_since = this->loop.Now()});
+    // A version that was there when this process started may have been named long ago: it is
+    // enforced at once, until an agent tells since when it is wanted.
+    WeightsOrder order{.model = wanted.model, .version = wanted.version};
+    if (this->operator_records_listed) order.known_since = this->loop.Now();
+    named.push_back(std::move(order));
     if (named.size() > kMaxNamedVersions) named.erase(named.begin());
     Log(LogLevel::kInfo, "weights_wanted",
         {{"model", wanted.model}, {"version", wanted.version}});
@@ -179,14 +200,16 @@
         }
         std::vector<WeightsRule> weights_rules;
         for (const WeightsOrder& named : found->second) {
-          weights_rules.push_back({.version = named.version,
-                                   .enforced_at = named.known_since +
-                                                  this->settings.weights_deadline -
-                                                  kWeightsMargin});
+          WeightsRule rule{.version = named.version};
+          if (named.known_since) {
+            rule.enforced_at =
+                *named.known_since + this->settings.weights_deadline - kWeightsMargin;
+          }
+          weights_rules.push_back(rule);
         }
         this->relay.Places().SetWeightsRules(pool.name, std::move(weights_rules));
         WeightsOrder order = found->second.back();
-        order.engines_lacking = this->HeldBy(pool.name).lacking;
+        order.engines_lacking = this->HeldBy(pool.name).some_lacking;
         this->links.SetWeights(order);
       }
     }
@@ -194,7 +217,7 @@
 
   struct HeldWeights {
     std::uint64_t newest = 0;
-    std::uint32_t lacking = 0;  // engines without weights
+    bool some_lacking = false;  // an engine has never held weights
   };
 
   HeldWeights HeldBy(const std::string& pool) const {
@@ -202,7 +225,7 @@
     for (const auto& [id, upstream] : this->upstreams.All()) {
       if (upstream.pool != pool || !upstream.is_engine) continue;
       held.newest = std::max(held.newest, upstream.weights_version);
-      held.lacking += upstream.weights_version == 0 ? 1 : 0;
+      held.some_lacking = held.some_lacking || !this->held_weights.contains(id);
     }
     return held;
   }
@@ -215,7 +238,7 @@
     this->links.SetWeights({.model = model,
                             .version = held.newest,
                             .known_since = *this->held_known_since,
-                            .engines_lacking = held.lacking});
+                            .engines_lacking = held.some_lacking});
   }
 
   void OnUpstreamRecords(std::span<const Record> changed) {
@@ -251,12 +274,15 @@
            {"draining", upstream.draining},
            {"weights", upstream.weights_version}});
     }
+    // An engine that loads a version holds none meanwhile; it is not one that joined without.
+    if (upstream.weights_version > 0) this->held_weights.insert(upstream.id);
     this->upstreams.Set(upstream);
     this->relay.Places().SetUpstream(upstream);
   }
 
   void Drop(const std::string& id, std::string_view reason) {
     Log(LogLevel::kInfo, "upstream_gone", {{"upstream", id}, {"reason", reason}});
+    this->held_weights.erase(id);
     this->relay.Places().RemoveUpstream(id);
   }
 
@@ -352,6 +378,9 @@
     this->links.OnReport([this](const EngineReport& report) {
       this->relay.Places().AddReport(report, this->loop.Now());
     });
+    this->links.OnWanted([this](std::uint64_t version, Instant since) {
+      this->OnWantedSince(version, since);
+    });
     this->links.OnEntries([this](const std::vector<std::string>& others) {
       this->SetOthers(others);
     });
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -131,7 +131,7 @@
 
   // Whether this agent helps others to a version that its own engine holds.
   bool Seeds(std::uint64_t version) const {
-    if (this->view.engines_lacking == 0 || this->engine_version != version) return false;
+    if (!this->view.engines_lacking || this->engine_version != version) return false;
     const std::string key = this->view.model + "@" + std::to_string(version);
     const std::uint64_t own = RendezvousScore(key, this->options.peer);
     const auto before = std::count_if(
@@ -174,7 +174,7 @@
     this->newest =
         VersionCopy{.model = model,
                     .version = version,
-                    .known_since = this->view.wanted_since,
+                    .known_since = this->view.wanted_since.value_or(Instant()),
                     .manifest = std::make_shared<const Manifest>(Manifest::FromChunks(
                         list.digests, list.piece_bytes, model + "@" + std::to_string(version)))};
     const std::uint32_t pieces = this->newest->manifest->ChunkCount();
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -34,7 +34,7 @@
 struct VersionCopy {
   std::string model;
   std::uint64_t version = 0;
-  Instant known_since = {};
+  Instant known_since = {};  // the epoch when that is not known
   std::shared_ptr<const Manifest> manifest = {};
 };
 
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -12,33 +12,47 @@
 namespace savory {
 
 struct AgentLinks::Impl : std::enable_shared_from_this<AgentLinks::Impl> {
+  struct Entry {
+    bool near = false;  // in this agent's region
+    Instant heard = {};
+    Instant reported = {};
+    Instant told_entries = {};
+    std::uint32_t told_load = 0;
+  };
+
   EventLoop& loop;
   PeerTransport& transport;
   AgentLinksOptions options;
   Counter& hellos;
-  std::map<std::string, Instant> entries = {};  // peer -> last hello
+  std::map<std::string, Entry> entries = {};  // by peer
+  Instant entries_changed = {};
   FleetView view = {};
   std::uint64_t agents_digest = 0;
   EngineReport report = {};
   bool has_report = false;
   std::function<void(const FleetView& view)> on_view = {};
 
-  Impl(EventLoop& loop, PeerTransport& transport, Metrics& metrics, AgentLinksOptions options)
+  Impl(EventLoop& loop, PeerTransport& transport, Metrics& metrics, AgentLinksOptions given)
       : loop(loop),
         transport(transport),
-        options(options),
+        options(std::move(given)),
         hellos(metrics.CounterFor("savory_entry_hellos_total")) {}
 
+  // ---- from entries ----
+
   void OnHello(const std::string& from, const wire::EntryHello& hello) {
     this->hellos.Add();
     const Instant now = this->loop.Now();
     const bool is_new = !this->entries.contains(from);
-    this->entries[from] = now;
+    Entry& entry = this->entries[from];
+    entry.heard = now;
+    entry.near = hello.region() == this->options.region;
     if (is_new) {
+      this->entries_changed = now;
       Log(LogLevel::kInfo, "entry_joined", {{"entry", from}, {"entries", this->entries.size()}});
     }
     if (this->Learn(hello, now) && this->on_view) this->on_view(this->view);
-    if (is_new && this->has_report) this->SendTo(from);
+    if (is_new && this->has_report) this->SendTo(from, entry);
   }
 
   // Returns whether the view changed.
@@ -46,10 +60,7 @@
     bool changed = false;
     if (hello.agents_size() > 0 && hello.agents_digest() != this->agents_digest) {
       this->agents_digest = hello.agents_digest();
-      this->view.agents.clear();
-      for (const wire::AgentPlace& agent : hello.agents()) {
-        this->view.agents.push_back({.peer = agent.peer(), .region = agent.region()});
-      }
+      this->view.agents = AgentsOf(hello, this->options.agent_port);
       changed = true;
     }
     if (!hello.origin().empty() && (hello.origin() != this->view.origin ||
@@ -63,51 +74,82 @@
       this->view.engines_lacking = hello.engines_lacking();
       changed = true;
     }
-    const Instant since = now - std::chrono::milliseconds(hello.wanted_for_ms());
-    if (hello.weights_version() > this->view.weights_version) {
+    return this->LearnWanted(hello, now) || changed;
+  }
+
+  bool LearnWanted(const wire::EntryHello& hello, Instant now) {
+    if (hello.weights_version() < this->view.weights_version) return false;
+    const bool newer = hello.weights_version() > this->view.weights_version;
+    if (newer) {
       this->view.model = hello.model();
       this->view.weights_version = hello.weights_version();
-      this->view.wanted_since = since;
-      changed = true;
-    } else if (hello.weights_version() == this->view.weights_version &&
-               since < this->view.wanted_since) {
-      this->view.wanted_since = since;
+      this->view.wanted_since.reset();
     }
-    return changed;
+    if (!hello.wanted_since_known()) return newer;
+    const Instant since = now - std::chrono::milliseconds(hello.wanted_for_ms());
+    const bool was_known = this->view.wanted_since.has_value();
+    this->view.wanted_since = was_known ? std::min(*this->view.wanted_since, since) : since;
+    return newer || !was_known;
   }
 
-  void SendTo(const std::string& entry) {
+  // ---- to entries ----
+
+  std::uint32_t Load() const { return this->report.load.running + this->report.load.waiting; }
+
+  void SendTo(const std::string& peer, Entry& entry) {
+    const Instant now = this->loop.Now();
     wire::Envelope message;
     wire::EngineStatus& status = *message.mutable_engine_status();
-    status.set_address(this->report.address);
     status.set_running(this->report.load.running);
     status.set_waiting(this->report.load.waiting);
     status.set_slots(this->report.load.slots);
-    status.set_reachable(this->report.reachable);
-    status.set_accepting(this->report.accepting);
+    status.set_unreachable(!this->report.reachable);
+    status.set_refusing(!this->report.accepting);
     status.set_weights_version(this->report.weights_version);
-    status.set_pace(this->report.pace);
+    status.set_pace(static_cast<float>(this->report.pace));
     status.set_kv_used(this->report.kv_used);
-    for (const auto& [peer, heard] : this->entries) status.add_entries(peer);
     status.set_agents_digest(this->agents_digest);
-    this->transport.Send(entry, Lane::kControl, std::move(message));
+    if (this->view.wanted_since) {
+      status.set_wanted_version(this->view.weights_version);
+      status.set_wanted_for_ms(static_cast<std::uint32_t>(
+          std::clamp<std::int64_t>(ToMillis(now - *this->view.wanted_since), 0, UINT32_MAX)));
+    }
+    if (entry.told_entries < this->entries_changed ||
+        now - entry.told_entries > this->options.entries_period) {
+      for (const auto& [other, state] : this->entries) status.add_entries(other);
+      entry.told_entries = now;
+    }
+    entry.reported = now;
+    entry.told_load = this->Load();
+    this->transport.Send(peer, Lane::kControl, std::move(message));
+  }
+
+  bool IsDue(const Entry& entry, Instant now) const {
+    const Duration waited = now - entry.reported;
+    if (waited >= this->options.unchanged_period) return true;
+    const Duration period = entry.near ? this->options.near_period : this->options.far_period;
+    return waited >= period && entry.told_load != this->Load();
   }
 
-  void SendAll() {
-    const Instant limit = this->loop.Now() - this->options.entry_lifetime;
-    std::erase_if(this->entries, [limit](const auto& row) {
-      if (row.second >= limit) return false;
+  void SendDue() {
+    const Instant now = this->loop.Now();
+    const Instant limit = now - this->options.entry_lifetime;
+    const auto lost = std::erase_if(this->entries, [limit](const auto& row) {
+      if (row.second.heard >= limit) return false;
       Log(LogLevel::kInfo, "entry_gone", {{"entry", row.first}});
       return true;
     });
-    for (const auto& [entry, heard] : this->entries) this->SendTo(entry);
+    if (lost > 0) this->entries_changed = now;
+    for (auto& [peer, entry] : this->entries) {
+      if (this->IsDue(entry, now)) this->SendTo(peer, entry);
+    }
   }
 
   void SendLater() {
-    this->loop.After(this->options.report_period, [weak = this->weak_from_this()] {
+    this->loop.After(this->options.near_period, [weak = this->weak_from_this()] {
       const auto self = weak.lock();
       if (!self) return;
-      if (self->has_report) self->SendAll();
+      if (self->has_report) self->SendDue();
       self->SendLater();
     });
   }
@@ -115,7 +157,7 @@
 
 AgentLinks::AgentLinks(EventLoop& loop, PeerTransport& peers, Metrics& metrics,
                        AgentLinksOptions options)
-    : impl(std::make_shared<Impl>(loop, peers, metrics, options)) {}
+    : impl(std::make_shared<Impl>(loop, peers, metrics, std::move(options))) {}
 AgentLinks::~AgentLinks() = default;
 
 void AgentLinks::OnView(std::function<void(const FleetView& view)> listener) {
@@ -136,9 +178,8 @@
 void AgentLinks::Report(const EngineReport& report, bool urgent) {
   this->impl->report = report;
   this->impl->has_report = true;
-  if (urgent) this->impl->SendAll();
+  if (!urgent) return;
+  for (auto& [peer, entry] : this->impl->entries) this->impl->SendTo(peer, entry);
 }
 
-bool AgentLinks::HasEntries() const { return !this->impl->entries.empty(); }
-
 }  // namespace savory
--- a/src/fleet/agent_links.h
+++ b/src/fleet/agent_links.h
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
+#include "fleet/agent_list.h"
 #include "relay/upstream.h"
 
 namespace savory {
@@ -17,18 +19,18 @@
 class PeerTransport;
 
 struct AgentLinksOptions {
+  std::string region;            // of this agent
+  std::uint16_t agent_port = 0;  // peer port of all agents
   // An entry that said no hello for this long gets no more reports.
-  Duration entry_lifetime = std::chrono::seconds(4);
-  // Each entry gets a report this often, and at once on a change of what it may send.
-  Duration report_period = std::chrono::milliseconds(200);
-};
-
-// One agent as the entries see it.
-struct AgentAddress {
-  std::string peer;  // IP:PORT of the peer socket
-  std::string region;
-
-  bool operator==(const AgentAddress&) const = default;
+  Duration entry_lifetime = std::chrono::seconds(7);
+  // Periods of the reports to entries of the same region and of others; changes of what entries may
+  // send are told at once.
+  Duration near_period = std::chrono::milliseconds(200);
+  Duration far_period = std::chrono::milliseconds(800);
+  // A load that has not changed is reported this often.
+  Duration unchanged_period = std::chrono::seconds(1);
+  // The list of entries is sent when it changed, and this often.
+  Duration entries_period = std::chrono::seconds(4);
 };
 
 // What the entries told about the fleet.
@@ -39,8 +41,8 @@
   double origin_bytes_per_second = 0;
   std::string model = {};
   std::uint64_t weights_version = 0;  // wanted; 0: unknown
-  Instant wanted_since = {};          // as far back as any entry knows
-  std::uint32_t engines_lacking = 0;      // engines that hold no weights at all
+  std::optional<Instant> wanted_since = {};  // as far back as any entry knows
+  bool engines_lacking = false;       // some engines hold no weights at all
 };
 
 // All calls on the loop's thread.
@@ -55,7 +57,6 @@
 
   // Sends `report` to every entry; now when it is urgent, with the next period otherwise.
   void Report(const EngineReport& report, bool urgent);
-  bool HasEntries() const;
 
  private:
   struct Impl;
--- /dev/null
+++ b/src/fleet/agent_list.cc
@@ -0,0 +1,47 @@
+#include "fleet/agent_list.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <map>
+
+#include "base/digest.h"
+
+namespace savory {
+
+std::uint64_t DigestOf(const std::vector<AgentAddress>& agents) {
+  std::uint64_t digest = 1;
+  for (const AgentAddress& agent : agents) digest += RendezvousScore(agent.region, agent.peer);
+  return digest == 0 ? 1 : digest;
+}
+
+void AppendAgents(const std::vector<AgentAddress>& agents, wire::EntryHello& hello) {
+  std::map<std::string, wire::AgentGroup*> groups;
+  for (const AgentAddress& agent : agents) {
+    in_addr ip = {};
+    const std::string host = agent.peer.substr(0, agent.peer.rfind(':'));
+    if (inet_pton(AF_INET, host.c_str(), &ip) != 1) continue;
+    wire::AgentGroup*& group = groups[agent.region];
+    if (group == nullptr) {
+      group = hello.add_agents();
+      group->set_region(agent.region);
+    }
+    group->add_ips(ntohl(ip.s_addr));
+  }
+}
+
+std::vector<AgentAddress> AgentsOf(const wire::EntryHello& hello, std::uint16_t port) {
+  std::vector<AgentAddress> agents;
+  for (const wire::AgentGroup& group : hello.agents()) {
+    for (const std::uint32_t number : group.ips()) {
+      const in_addr ip = {.s_addr = htonl(number)};
+      std::array<char, INET_ADDRSTRLEN> host = {};
+      inet_ntop(AF_INET, &ip, host.data(), host.size());
+      agents.push_back(
+          {.peer = std::string(host.data()) + ":" + std::to_string(port), .region = group.region()});
+    }
+  }
+  return agents;
+}
+
+}  // namespace savory
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -1,11 +1,11 @@
 #include "fleet/entry_links.h"
 
 #include <algorithm>
-#include <set>
 
 #include "base/digest.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "fleet/agent_list.h"
 #include "runtime/event_loop.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
@@ -15,28 +15,29 @@
 
 std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-// Identifies a list of agents.
-std::uint64_t DigestOf(const std::vector<wire::AgentPlace>& agents) {
-  std::string text;
-  for (const wire::AgentPlace& agent : agents) text += agent.peer() + "," + agent.region() + ";";
-  return RendezvousScore("agents", text);
-}
-
 }  // namespace
 
 struct EntryLinks::Impl : std::enable_shared_from_this<EntryLinks::Impl> {
+  struct Agent {
+    std::string engine;          // IP:PORT of the engine beside it
+    std::uint64_t digest = 0;    // of the list that it has
+    Instant outdated_since = {};  // its list differs from the one here
+  };
+
   EventLoop& loop;
   PeerTransport& transport;
   EntryLinksOptions options;
   Counter& reports;
-  std::vector<wire::AgentPlace> agents = {};
+  std::vector<AgentAddress> agents = {};
   std::uint64_t agents_digest = 0;
-  std::map<std::string, std::uint64_t> digest_at = {};  // agent peer -> list that it has
+  std::map<std::string, Agent> states = {};  // by peer
   std::optional<WeightsOrigin> origin = {};
   WeightsOrder weights = {};
   std::map<std::string, Instant> entries = {};  // other entries' peers -> last heard of
+  bool hello_scheduled = false;
   ReportListener on_report = {};
   EntriesListener on_entries = {};
+  WantedListener on_wanted = {};
 
   Impl(EventLoop& loop, PeerTransport& transport, Metrics& metrics, EntryLinksOptions given)
       : loop(loop),
@@ -44,11 +45,11 @@
         options(std::move(given)),
         reports(metrics.CounterFor("savory_engine_reports_total")) {}
 
-  void Hello(const wire::AgentPlace& agent) {
-    wire::Envelope message;
-    wire::EntryHello& hello = *message.mutable_entry_hello();
-    hello.add_entries(this->options.peer);
-    for (const auto& [entry, heard] : this->entries) hello.add_entries(entry);
+  // ---- to agents ----
+
+  wire::EntryHello Hello() const {
+    wire::EntryHello hello;
+    hello.set_region(this->options.region);
     if (this->origin) {
       hello.set_origin(this->origin->address);
       hello.set_origin_region(this->RegionOf(this->origin->data_centre));
@@ -56,24 +57,35 @@
     }
     hello.set_model(this->weights.model);
     hello.set_weights_version(this->weights.version);
-    hello.set_wanted_for_ms(static_cast<std::uint32_t>(
-        std::max<std::int64_t>(0, ToMillis(this->loop.Now() - this->weights.known_since))));
+    if (this->weights.known_since) {
+      hello.set_wanted_since_known(true);
+      hello.set_wanted_for_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+          ToMillis(this->loop.Now() - *this->weights.known_since), 0, UINT32_MAX)));
+    }
     hello.set_engines_lacking(this->weights.engines_lacking);
     hello.set_agents_digest(this->agents_digest);
-    const auto known = this->digest_at.find(agent.peer());
-    if (known == this->digest_at.end() || known->second != this->agents_digest) {
-      hello.mutable_agents()->Add(this->agents.begin(), this->agents.end());
-    }
-    this->transport.Send(agent.peer(), Lane::kControl, std::move(message));
+    return hello;
   }
 
-  std::string RegionOf(const std::string& data_centre) const {
-    const auto region = this->options.regions.find(data_centre);
-    return region == this->options.regions.end() ? data_centre : region->second;
+  void Send(const std::string& agent, wire::EntryHello hello) {
+    wire::Envelope message;
+    *message.mutable_entry_hello() = std::move(hello);
+    this->transport.Send(agent, Lane::kControl, std::move(message));
   }
 
   void HelloAll() {
-    for (const wire::AgentPlace& agent : this->agents) this->Hello(agent);
+    const wire::EntryHello hello = this->Hello();
+    for (const auto& [peer, state] : this->states) this->Send(peer, hello);
+  }
+
+  void HelloSoon() {
+    if (std::exchange(this->hello_scheduled, true)) return;
+    this->loop.After(this->options.change_pause, [weak = this->weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self) return;
+      self->hello_scheduled = false;
+      self->HelloAll();
+    });
   }
 
   void HelloLater() {
@@ -86,34 +98,73 @@
     });
   }
 
+  std::string RegionOf(const std::string& data_centre) const {
+    const auto region = this->options.regions.find(data_centre);
+    return region == this->options.regions.end() ? data_centre : region->second;
+  }
+
   void SetAgents(const std::vector<Upstream>& engines) {
-    std::map<std::string, wire::AgentPlace> places;
+    std::map<std::string, Agent> next;
+    std::vector<AgentAddress> list;
     for (const Upstream& engine : engines) {
-      wire::AgentPlace place;
-      place.set_peer(HostOf(engine.address) + ":" + std::to_string(this->options.agent_port));
-      place.set_region(this->RegionOf(engine.data_centre));
-      places.emplace(place.peer(), std::move(place));
+      const std::string peer =
+          HostOf(engine.address) + ":" + std::to_string(this->options.agent_port);
+      const auto known = this->states.find(peer);
+      Agent agent = known == this->states.end() ? Agent() : known->second;
+      agent.engine = engine.address;
+      if (!next.emplace(peer, agent).second) continue;
+      list.push_back({.peer = peer, .region = this->RegionOf(engine.data_centre)});
     }
-    std::vector<wire::AgentPlace> sorted;
-    for (auto& [peer, place] : places) sorted.push_back(std::move(place));
-    const std::uint64_t digest = DigestOf(sorted);
+    this->states = std::move(next);
+    const std::uint64_t digest = DigestOf(list);
     if (digest == this->agents_digest) return;
-    this->agents = std::move(sorted);
+    this->agents = std::move(list);
     this->agents_digest = digest;
-    this->HelloAll();
+    const Instant now = this->loop.Now();
+    for (auto& [peer, state] : this->states) state.outdated_since = now;
+    this->HelloSoon();
   }
 
+  // Whether this entry is the one that sends the list to `agent`.
+  bool IsResponsibleFor(const std::string& agent) const {
+    const std::uint64_t own = RendezvousScore(agent, this->options.peer);
+    return std::none_of(this->entries.begin(), this->entries.end(), [&](const auto& entry) {
+      return RendezvousScore(agent, entry.first) > own;
+    });
+  }
+
+  // Long lists for many agents would fill the links between regions if every entry sent them.
+  void SendListIfWanted(const std::string& peer, Agent& agent) {
+    if (agent.digest == this->agents_digest) return;
+    const Instant now = this->loop.Now();
+    const bool overdue = now - agent.outdated_since > this->options.list_takeover;
+    if (!overdue && !this->IsResponsibleFor(peer)) return;
+    agent.outdated_since = now;
+    wire::EntryHello hello = this->Hello();
+    AppendAgents(this->agents, hello);
+    this->Send(peer, std::move(hello));
+  }
+
+  // ---- from agents ----
+
   void OnStatus(const std::string& from, const wire::EngineStatus& status) {
     this->reports.Add();
-    this->digest_at[from] = status.agents_digest();
     for (const std::string& entry : status.entries()) this->HeardOf(entry);
+    if (status.wanted_version() > 0 && this->on_wanted) {
+      this->on_wanted(status.wanted_version(),
+                      this->loop.Now() - std::chrono::milliseconds(status.wanted_for_ms()));
+    }
+    const auto found = this->states.find(from);
+    if (found == this->states.end()) return;
+    found->second.digest = status.agents_digest();
+    this->SendListIfWanted(from, found->second);
     if (!this->on_report) return;
-    this->on_report(EngineReport{.address = status.address(),
+    this->on_report(EngineReport{.address = found->second.engine,
                                  .load = {.running = status.running(),
                                           .waiting = status.waiting(),
                                           .slots = status.slots()},
-                                 .reachable = status.reachable(),
-                                 .accepting = status.accepting(),
+                                 .reachable = !status.unreachable(),
+                                 .accepting = !status.refusing(),
                                  .weights_version = status.weights_version(),
                                  .pace = status.pace(),
                                  .kv_used = status.kv_used()});
@@ -161,6 +212,7 @@
 void EntryLinks::OnEntries(EntriesListener listener) {
   this->impl->on_entries = std::move(listener);
 }
+void EntryLinks::OnWanted(WantedListener listener) { this->impl->on_wanted = std::move(listener); }
 
 void EntryLinks::Start() {
   const std::weak_ptr<Impl> weak = this->impl;
@@ -173,18 +225,24 @@
   this->impl->HelloLater();
 }
 
-void EntryLinks::SetEngines(std::vector<Upstream> engines) { this->impl->SetAgents(engines); }
+void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
+  this->impl->SetAgents(engines);
+}
 
 void EntryLinks::SetOrigin(const std::optional<WeightsOrigin>& origin) {
+  const bool changed = origin.has_value() != this->impl->origin.has_value() ||
+                       (origin && origin->address != this->impl->origin->address);
   this->impl->origin = origin;
+  if (changed) this->impl->HelloSoon();
 }
 
 void EntryLinks::SetWeights(const WeightsOrder& order) {
-  const WeightsOrder& before = this->impl->weights;
-  const bool changed = order.model != before.model || order.version != before.version ||
-                       order.engines_lacking != before.engines_lacking;
-  this->impl->weights = order;
-  if (changed) this->impl->HelloAll();
+  const WeightsOrder before = std::exchange(this->impl->weights, order);
+  if (order.version != before.version || order.model != before.model) {
+    this->impl->HelloAll();
+  } else if (order.engines_lacking != before.engines_lacking) {
+    this->impl->HelloSoon();
+  }
 }
 
 }  // namespace savory
