--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "direct/engine_loader.h"
+#include "direct/manifest_exchange.h"
 #include "direct/weights_copier.h"
 #include "distribution/engine_control.h"
 #include "fleet/agent_links.h"
@@ -101,7 +102,7 @@
 
   // The engines take a version in the order of their hash.
   RolloutTurn Turn() const {
-    const std::string key = this->view.model + "@" + std::to_string(this->view.weights_version);
+    const std::string key = WeightsNameOf(this->view.model, this->view.weights_version);
     const std::uint64_t own = RendezvousScore(key, this->settings.process.peer);
     RolloutTurn turn{.engines = std::max<std::size_t>(1, this->view.agents.size())};
     for (const AgentAddress& agent : this->view.agents) {
--- /dev/null
+++ b/src/direct/manifest_exchange.cc
@@ -0,0 +1,190 @@
+#include "direct/manifest_exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "base/digest.h"
+#include "base/log.h"
+#include "distribution/engine_control.h"
+#include "distribution/manifest.h"
+#include "runtime/event_loop.h"
+#include "runtime/peer_transport.h"
+#include "wire/savoryrouter.pb.h"
+
+namespace savory {
+namespace {
+
+// Manifests that are kept for other agents; versions come one after another.
+constexpr std::size_t kKept = 3;
+constexpr std::size_t kMaxWaiters = 256;
+
+}  // namespace
+
+std::string WeightsNameOf(const std::string& model, std::uint64_t version) {
+  return model + "@" + std::to_string(version);
+}
+
+struct ManifestExchange::Impl : std::enable_shared_from_this<ManifestExchange::Impl> {
+  EventLoop& loop;
+  PeerTransport& transport;
+  WeightsSource& origin;
+  ManifestExchangeOptions options;
+  std::vector<AgentAddress> agents = {};
+  std::map<std::string, std::shared_ptr<const Manifest>> known = {};  // by name of the weights
+  std::map<std::string, std::set<std::string>> waiters = {};          // name -> peers that asked
+
+  // The search in progress.
+  std::string model = {};
+  std::uint64_t version = 0;
+  std::string name = {};  // empty: none
+  Instant since = {};
+  std::size_t asked = 0;
+  bool reading = false;
+  Done done = {};
+
+  Impl(EventLoop& loop, PeerTransport& transport, WeightsSource& origin,
+       ManifestExchangeOptions given)
+      : loop(loop), transport(transport), origin(origin), options(std::move(given)) {}
+
+  template <typename Callback>
+  auto Guarded(Callback callback) {
+    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
+      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  // The agents of this region that read from the origin, best first.
+  std::vector<std::string> Readers() const {
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const AgentAddress& agent : this->agents) {
+      if (agent.region != this->options.region) continue;
+      ranked.emplace_back(RendezvousScore(this->name, agent.peer), agent.peer);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    if (ranked.size() > this->options.readers) ranked.resize(this->options.readers);
+    std::vector<std::string> readers;
+    for (auto& [score, peer] : ranked) readers.push_back(std::move(peer));
+    return readers;
+  }
+
+  void Step() {
+    if (this->name.empty()) return;
+    const std::vector<std::string> readers = this->Readers();
+    const bool is_reader =
+        readers.empty() ||
+        std::find(readers.begin(), readers.end(), this->options.peer) != readers.end();
+    if (is_reader || this->loop.Now() - this->since > this->options.patience) {
+      this->ReadOrigin();
+      return;
+    }
+    wire::Envelope message;
+    message.mutable_manifest_pull()->set_weights_name(this->name);
+    this->transport.Send(readers[this->asked++ % readers.size()], Lane::kControl,
+                         std::move(message));
+    this->StepLater(this->options.ask_period);
+  }
+
+  void StepLater(Duration delay) {
+    this->loop.After(delay, this->Guarded([this, expected = this->name] {
+      if (expected == this->name) this->Step();
+    }));
+  }
+
+  void ReadOrigin() {
+    if (std::exchange(this->reading, true)) return;
+    const auto on_list = [this, expected = this->name](const Result<PieceList>& list) {
+      this->reading = false;
+      if (expected != this->name) return;
+      if (list) {
+        this->Found(std::make_shared<const Manifest>(Manifest::FromChunks(
+            list.value().digests, list.value().piece_bytes, this->name)));
+        return;
+      }
+      Log(LogLevel::kWarn, "piece_list_failed",
+          {{"weights", this->name}, {"reason", Describe(list.error())}});
+      this->StepLater(this->options.origin_retry);
+    };
+    this->origin.ReadPieceList(this->model, this->version, this->Guarded(on_list));
+  }
+
+  void Found(const std::shared_ptr<const Manifest>& manifest) {
+    const std::string found = manifest->WeightsName();
+    this->known[found] = manifest;
+    while (this->known.size() > kKept) {
+      // Names of one model sort by version, but for their number of digits.
+      auto oldest = this->known.begin();
+      if (oldest->first == found) ++oldest;
+      this->known.erase(oldest);
+    }
+    for (const std::string& peer : this->waiters[found]) this->Push(peer, *manifest);
+    this->waiters.erase(found);
+    if (found != this->name) return;
+    this->name.clear();
+    std::exchange(this->done, nullptr)(manifest);
+  }
+
+  void Push(const std::string& to, const Manifest& manifest) {
+    wire::Envelope message;
+    message.mutable_manifest_push()->set_manifest(std::string(manifest.Id().View()));
+    message.mutable_manifest_push()->set_content(manifest.Content());
+    this->transport.Send(to, Lane::kControl, std::move(message));
+  }
+
+  void OnPull(const std::string& from, const wire::ManifestPull& pull) {
+    const auto found = this->known.find(pull.weights_name());
+    if (found != this->known.end()) {
+      this->Push(from, *found->second);
+      return;
+    }
+    // It is on its way here, or this agent has not heard of the version yet.
+    std::set<std::string>& peers = this->waiters[pull.weights_name()];
+    if (peers.size() < kMaxWaiters) peers.insert(from);
+    if (this->waiters.size() > kKept) this->waiters.erase(this->waiters.begin());
+  }
+
+  void OnPush(const wire::ManifestPush& push) {
+    const auto parsed = Manifest::Parse(push.content(), DigestFromRaw(push.manifest()));
+    if (!parsed || parsed.value().WeightsName() != this->name) return;
+    this->Found(std::make_shared<const Manifest>(parsed.value()));
+  }
+};
+
+ManifestExchange::ManifestExchange(EventLoop& loop, PeerTransport& peers, WeightsSource& origin,
+                                   ManifestExchangeOptions options)
+    : impl(std::make_shared<Impl>(loop, peers, origin, std::move(options))) {}
+ManifestExchange::~ManifestExchange() = default;
+
+void ManifestExchange::Start() {
+  Impl& self = *this->impl;
+  self.transport.Subscribe(wire::Envelope::kManifestPull,
+                           self.Guarded([&self](const wire::Envelope& message, auto) {
+                             self.OnPull(message.from_peer(), message.manifest_pull());
+                           }));
+  self.transport.Subscribe(wire::Envelope::kManifestPush,
+                           self.Guarded([&self](const wire::Envelope& message, auto) {
+                             self.OnPush(message.manifest_push());
+                           }));
+}
+
+void ManifestExchange::SetAgents(std::vector<AgentAddress> agents) {
+  this->impl->agents = std::move(agents);
+}
+
+void ManifestExchange::Find(const std::string& model, std::uint64_t version, Done done) {
+  Impl& self = *this->impl;
+  self.model = model;
+  self.version = version;
+  self.name = WeightsNameOf(model, version);
+  self.since = self.loop.Now();
+  self.reading = false;
+  self.done = std::move(done);
+  const auto known = self.known.find(self.name);
+  if (known != self.known.end()) {
+    self.Found(known->second);
+  } else {
+    self.Step();
+  }
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/manifest_exchange.h
@@ -0,0 +1,55 @@
+// Gets the manifest of a named version from other agents or the origin.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "fleet/agent_list.h"
+
+namespace savory {
+
+class EventLoop;
+class Manifest;
+class PeerTransport;
+class WeightsSource;
+
+struct ManifestExchangeOptions {
+  std::string peer;  // IP:PORT of this agent
+  std::string region;
+  // Agents of a region that read the list of pieces from the origin, which takes few connections;
+  // the others ask them.
+  std::size_t readers = 2;
+  Duration ask_period = std::chrono::milliseconds(120);
+  // Without an answer of a reader for this long an agent reads for itself.
+  Duration patience = std::chrono::milliseconds(700);
+  Duration origin_retry = std::chrono::milliseconds(300);
+};
+
+// All calls on the loop's thread.
+class ManifestExchange {
+ public:
+  using Done = std::function<void(std::shared_ptr<const Manifest> manifest)>;
+
+  // The references must outlive the object.
+  ManifestExchange(EventLoop& loop, PeerTransport& peers, WeightsSource& origin,
+                   ManifestExchangeOptions options);
+  ~ManifestExchange();
+
+  void Start();
+  void SetAgents(std::vector<AgentAddress> agents);
+  // Calls `done` once, when the manifest has come. A later call ends the search of an earlier one.
+  void Find(const std::string& model, std::uint64_t version, Done done);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+// Name of the weights of one version.
+std::string WeightsNameOf(const std::string& model, std::uint64_t version);
+
+}  // namespace savory
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "direct/manifest_exchange.h"
 #include "distribution/chunk_spreader.h"
 #include "distribution/engine_control.h"
 #include "distribution/manifest.h"
@@ -17,9 +18,6 @@
 
 using std::chrono::milliseconds;
 
-// Reads of the list of pieces are spread over this time, since the origin takes few connections.
-constexpr double kListSpreadSeconds = 0.15;
-constexpr Duration kListRetry = milliseconds(300);
 // Live requests share the links between regions: weights take this part.
 constexpr double kRegionShare = 0.7;
 constexpr double kLinkShare = 0.95;
@@ -54,7 +52,8 @@
   PieceListener on_piece = {};
   FleetView view = {};
   std::optional<std::uint64_t> engine_version = {};
-  std::uint64_t listing = 0;  // version whose list of pieces is being read
+  std::uint64_t listing = 0;  // version whose manifest is being looked for
+  ManifestExchange manifests;
   std::optional<VersionCopy> newest = {};
   std::vector<bool> told = {};  // pieces of `newest` that the listener knows
   std::deque<std::uint32_t> read_back = {};
@@ -69,7 +68,9 @@
         engine(engine),
         options(std::move(given)),
         origin_bytes(metrics.CounterFor("savory_origin_bytes_total")),
-        link(peers, metrics, this->store, VerifyInPlace()) {}
+        link(peers, metrics, this->store, VerifyInPlace()),
+        manifests(loop, peers, origin,
+                  {.peer = this->options.peer, .region = this->options.region}) {}
 
   // Wraps a callback so that it does nothing once the object is gone.
   template <typename Callback>
@@ -88,6 +89,7 @@
     this->view = next;
     this->origin.SetAddress(next.origin);
     this->link.SetOrigin(next.origin);
+    this->manifests.SetAgents(next.agents);
     this->EnsureSpreader();
     // Each change of the members makes agents wait with their own pieces: only real ones are told.
     if (members_changed) this->SpreadMembers();
@@ -132,7 +134,7 @@
   // Whether this agent helps others to a version that its own engine holds.
   bool Seeds(std::uint64_t version) const {
     if (!this->view.engines_lacking || this->engine_version != version) return false;
-    const std::string key = this->view.model + "@" + std::to_string(version);
+    const std::string key = WeightsNameOf(this->view.model, version);
     const std::uint64_t own = RendezvousScore(key, this->options.peer);
     const auto before = std::count_if(
         this->view.agents.begin(), this->view.agents.end(), [&](const AgentAddress& agent) {
@@ -147,36 +149,20 @@
     if (next <= current || next == this->listing || this->view.origin.empty()) return;
     if (!this->EngineLacks(next) && !this->Seeds(next)) return;
     this->listing = next;
-    const Duration spread = FromSeconds(kListSpreadSeconds * UniformUnit(this->random));
-    this->loop.After(spread, this->Guarded([this, next] { this->ReadPieceList(next); }));
-  }
-
-  void ReadPieceList(std::uint64_t version) {
-    const auto done = [this, model = this->view.model, version](const Result<PieceList>& list) {
-      if (version != this->listing) return;
-      if (list) {
-        this->listing = 0;
-        this->StartCopy(model, version, list.value());
-        return;
-      }
-      Log(LogLevel::kWarn, "piece_list_failed",
-          {{"version", version}, {"reason", Describe(list.error())}});
-      this->loop.After(kListRetry, this->Guarded([this, version] {
-        if (version != this->listing) return;
-        this->listing = 0;
-        this->Follow();
-      }));
-    };
-    this->origin.ReadPieceList(this->view.model, version, this->Guarded(done));
+    this->manifests.Find(
+        this->view.model, next,
+        [this, model = this->view.model, next](std::shared_ptr<const Manifest> manifest) {
+          this->listing = 0;
+          this->StartCopy(model, next, std::move(manifest));
+        });
   }
 
-  void StartCopy(const std::string& model, std::uint64_t version, const PieceList& list) {
-    this->newest =
-        VersionCopy{.model = model,
-                    .version = version,
-                    .known_since = this->view.wanted_since.value_or(Instant()),
-                    .manifest = std::make_shared<const Manifest>(Manifest::FromChunks(
-                        list.digests, list.piece_bytes, model + "@" + std::to_string(version)))};
+  void StartCopy(const std::string& model, std::uint64_t version,
+                 std::shared_ptr<const Manifest> manifest) {
+    this->newest = VersionCopy{.model = model,
+                               .version = version,
+                               .known_since = this->view.wanted_since.value_or(Instant()),
+                               .manifest = std::move(manifest)};
     const std::uint32_t pieces = this->newest->manifest->ChunkCount();
     this->told.assign(pieces, false);
     this->store.Want(this->newest->manifest);
@@ -321,6 +307,7 @@
 void WeightsCopier::OnPiece(PieceListener listener) { this->impl->on_piece = std::move(listener); }
 
 void WeightsCopier::Start() {
+  this->impl->manifests.Start();
   this->impl->link.Start(
       this->impl->Guarded([self = this->impl.get()](const SpreadEvent& event) {
         self->Spread(event);
