Let three entries watch the platform's store for all

Three processes, chosen by rank without a vote, watch now and push changes; the others watch only when they hear of no recent answer of the store.

--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "records/record_store.h"
+#include "records/watch_duty.h"
 #include "runtime/event_loop.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
@@ -29,12 +30,16 @@
   Counter& store_calls;
   Counter& store_errors;
   Counter& peer_pulls;
+  WatchDuty duty;
   RecordMirror mirror = {};
   Listener listener = {};
   std::vector<std::string> peers = {};
   bool listed = false;  // the store's history is followed from the mirror's revision on
+  bool watching = true;
   bool reachable = false;
   bool ever_reachable = false;
+  bool was_away = false;
+  std::optional<Instant> last_contact = {};  // last answer of the store
   Instant reachable_since = {};
   Duration retry = {};
   std::optional<Instant> behind_since = {};
@@ -51,7 +56,8 @@
         options(std::move(given)),
         store_calls(metrics.CounterFor("savory_store_calls_total", this->Label())),
         store_errors(metrics.CounterFor("savory_store_errors_total", this->Label())),
-        peer_pulls(metrics.CounterFor("savory_record_pulls_total", this->Label())) {}
+        peer_pulls(metrics.CounterFor("savory_record_pulls_total", this->Label())),
+        duty({.prefix = this->options.prefix, .peer = this->options.peer}) {}
 
   std::string Label() const { return "prefix=\"" + this->options.prefix + "\""; }
 
@@ -63,20 +69,37 @@
     };
   }
 
-  void Apply(const RecordUpdate& update, std::string_view source) {
+  // Returns whether something changed.
+  bool Apply(const RecordUpdate& update, std::string_view source) {
     const std::vector<Record> changed = this->mirror.Apply(update);
-    if (changed.empty()) return;
+    if (changed.empty()) return false;
     Log(LogLevel::kInfo, "records_changed",
         {{"prefix", this->options.prefix},
          {"source", source},
          {"changed", changed.size()},
          {"as_of", this->mirror.AsOf()}});
     if (this->listener) this->listener(changed);
+    return true;
   }
 
   // ---- the store ----
 
   void Read() {
+    // The first reading is always the store's, as far as it answers.
+    const bool must = !this->listed || this->duty.MustWatch(this->loop.Now());
+    if (must != this->watching) {
+      this->watching = must;
+      Log(LogLevel::kInfo, must ? "store_watched" : "store_left_to_watchers",
+          {{"prefix", this->options.prefix},
+           {"as_of", this->mirror.AsOf()},
+           {"chosen", this->duty.IsChosen()}});
+      // What the others read meanwhile is complete only once the store has been asked again.
+      this->reachable = this->reachable && !must;
+    }
+    if (!must) {
+      this->loop.After(this->options.duty_period, this->Guarded([this] { this->Read(); }));
+      return;
+    }
     this->store_calls.Add();
     auto done = this->Guarded([this](Result<RecordUpdate> update) { this->OnRead(update); });
     if (this->listed) {
@@ -95,9 +118,12 @@
       return;
     }
     this->SetReachable(true, "");
+    this->last_contact = this->loop.Now();
     this->retry = this->options.first_retry;
     this->listed = true;
-    this->Apply(update.value(), "store");
+    const std::uint64_t before = this->mirror.AsOf();
+    const bool changed = this->Apply(update.value(), "store");
+    if (changed && this->duty.IsChosen()) this->PushAll(before);
     this->ReadAfter(this->options.watch_pause);
   }
 
@@ -122,32 +148,57 @@
   }
 
   void SetReachable(bool now_reachable, const std::string& reason) {
-    if (now_reachable == this->reachable && this->ever_reachable) return;
+    if (now_reachable && std::exchange(this->was_away, false)) {
+      this->reachable_since = this->loop.Now();
+      Log(LogLevel::kInfo, "store_reachable",
+          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}});
+    }
+    if (!now_reachable && !std::exchange(this->was_away, true)) {
+      Log(LogLevel::kWarn, "store_lost",
+          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"reason", reason}});
+    }
     this->reachable = now_reachable;
-    if (now_reachable && this->ever_reachable) this->reachable_since = this->loop.Now();
-    if (now_reachable) this->ever_reachable = true;
-    Log(now_reachable ? LogLevel::kInfo : LogLevel::kWarn,
-        now_reachable ? "store_reachable" : "store_lost",
-        {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"reason", reason}});
+  }
+
+  // Milliseconds since the store came back; 0: it was never away.
+  std::uint32_t ReachableForMs() const {
+    if (this->reachable_since == Instant()) return 0;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        ToMillis(this->loop.Now() - this->reachable_since), 1, UINT32_MAX));
+  }
+
+  void LearnReachable(std::uint32_t for_ms) {
+    if (for_ms == 0) return;
+    this->reachable_since = std::max(this->reachable_since,
+                                     this->loop.Now() - std::chrono::milliseconds(for_ms));
   }
 
   // ---- peers ----
 
   void Offer() {
-    std::vector<std::string> chosen = this->peers;
-    std::shuffle(chosen.begin(), chosen.end(), this->random);
-    if (chosen.size() > this->options.offer_fan_out) chosen.resize(this->options.offer_fan_out);
-    for (const std::string& peer : chosen) {
+    if (this->peers.empty()) return;
+    std::uint32_t contact_ms = UINT32_MAX;
+    if (this->watching && this->last_contact) {
+      contact_ms = static_cast<std::uint32_t>(ToMillis(this->loop.Now() - *this->last_contact));
+    }
+    const bool to_all = this->watching;
+    const std::size_t first = UniformBelow(this->random, this->peers.size());
+    for (std::size_t i = 0; i < (to_all ? this->peers.size() : 1); ++i) {
       wire::Envelope message;
       wire::RecordsOffer& offer = *message.mutable_records_offer();
       offer.set_prefix(this->options.prefix);
       offer.set_as_of(this->mirror.AsOf());
-      this->transport.Send(peer, Lane::kControl, std::move(message));
+      offer.set_contact_ms(contact_ms);
+      offer.set_reachable_for_ms(this->ReachableForMs());
+      this->transport.Send(this->peers[(first + i) % this->peers.size()], Lane::kControl,
+                           std::move(message));
     }
   }
 
   void OnOffer(const std::string& from, const wire::RecordsOffer& offer) {
     if (offer.prefix() != this->options.prefix) return;
+    this->duty.HeardFrom(from, std::chrono::milliseconds(offer.contact_ms()), this->loop.Now());
+    this->LearnReachable(offer.reachable_for_ms());
     const std::uint64_t as_of = this->mirror.AsOf();
     if (offer.as_of() < as_of) {
       // Tells the peer at once that it is behind.
@@ -174,6 +225,10 @@
     this->transport.Send(peer, Lane::kControl, std::move(message));
   }
 
+  void PushAll(std::uint64_t after) {
+    for (const std::string& peer : this->peers) this->Push(peer, after);
+  }
+
   void Push(const std::string& to, std::uint64_t after) {
     if (this->mirror.AsOf() == 0) return;
     const RecordUpdate update = this->mirror.Since(after);
@@ -197,6 +252,7 @@
       push.set_last(next == update.records.size());
       push.set_as_of(update.as_of);
       push.set_whole(update.whole);
+      push.set_reachable_for_ms(this->ReachableForMs());
       this->transport.Send(to, Lane::kBulk, std::move(message));
     } while (next < update.records.size());
   }
@@ -214,6 +270,7 @@
     RecordUpdate update = std::exchange(this->partial, {});
     update.as_of = push.as_of();
     update.whole = push.whole();
+    this->LearnReachable(push.reachable_for_ms());
     if (update.as_of <= this->mirror.AsOf()) return;
     this->behind_since.reset();
     this->Apply(update, "peer");
@@ -259,11 +316,11 @@
 }
 
 void RecordSync::SetPeers(std::vector<std::string> peers) {
+  this->impl->duty.SetPeers(peers);
   this->impl->peers = std::move(peers);
 }
 
 const RecordMirror& RecordSync::Mirror() const { return this->impl->mirror; }
-bool RecordSync::IsStoreReachable() const { return this->impl->reachable; }
 Instant RecordSync::ReachableSince() const { return this->impl->reachable_since; }
 
 }  // namespace savory
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -1,4 +1,4 @@
-// Keeps a mirror up to date from the store and, while the store turns this process away, from peers.
+// Keeps a mirror up to date from the store or from peers that watch it.
 #pragma once
 
 #include <cstdint>
@@ -21,15 +21,18 @@
 
 struct RecordSyncOptions {
   std::string prefix;
-  // Longest wait of one watch. Each watch is a call that the platform counts.
-  Duration watch_wait = std::chrono::seconds(25);
+  std::string peer;  // IP:PORT of this process
+  // Longest wait of one watch. Each watch is a call that the platform counts; its end shows the
+  // others that the store still answers this process.
+  Duration watch_wait = std::chrono::milliseconds(1000);
   // Pause between two watches: changes in quick succession arrive together.
   Duration watch_pause = std::chrono::milliseconds(150);
   Duration first_retry = std::chrono::milliseconds(100);
   Duration longest_retry = std::chrono::seconds(1);
-  // Peers tell each other how far they are.
+  // Processes that watch tell all others this often how far they are; the others tell one.
   Duration offer_period = std::chrono::milliseconds(500);
-  std::size_t offer_fan_out = 3;
+  // Pause of a process that does not watch between two looks at whether it must.
+  Duration duty_period = std::chrono::milliseconds(200);
   // A peer is asked when it stays ahead for this long: the store is a little slower to tell some.
   Duration behind_grace = std::chrono::milliseconds(250);
 };
@@ -51,9 +54,8 @@
   void SetPeers(std::vector<std::string> peers);
 
   const RecordMirror& Mirror() const;
-  // Whether the last call of the store succeeded.
-  bool IsStoreReachable() const;
-  // Since when the store can be reached again after it could not; the epoch when it always could.
+  // Since when the store can be reached again after it could not, here or at the peer that watched it
+  // last; the epoch when it always could.
   Instant ReachableSince() const;
 
  private:
