Do not take a mirror for complete after a lost push; keep own pieces when the members change

Two faults that lead there were found by reading: a push of records advanced the mirror's revision although an earlier push was lost, so entries told agents different lists of engines for good; and each change of the list made agents wait 1 s before they read their own pieces, so alternating lists stopped every copy. Both have tests that failed before (UpdateThatLeavesAGapDoesNotCountAsComplete, ChangingMembersDoNotStopTheCopy).

--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -92,6 +92,8 @@
   std::set<std::uint32_t> origin_reads = {};
   std::set<std::uint32_t> takeover_reads = {};
   std::deque<std::uint32_t> owned = {};  // chunks of rank 0, in random order
+  std::deque<std::uint32_t> inherited = {};  // the same, of rank 0 since the members changed
+  std::vector<bool> owns = {};               // by chunk
   std::unordered_map<std::uint32_t, std::size_t> remote_attempts = {};
   std::vector<std::uint32_t> candidates = {};  // rarest last
   std::vector<std::uint32_t> fresh = {};       // stored but not yet announced
@@ -99,7 +101,7 @@
   Instant last_progress = {};
   Instant next_scan = {};
   Instant next_takeover_scan = {};
-  Instant owned_ready = {};
+  Instant inherited_ready = {};
   Instant remote_ready = {};
   Instant next_refresh = {};
   Duration round_trip = {};  // smoothed time from request to chunk
@@ -227,9 +229,9 @@
                                                .region = this->options.region,
                                                .origin_region = this->options.origin_region,
                                                .members = members});
-    this->owned_ready = this->ranked ? now + kRankGrace : now;
+    this->inherited_ready = this->ranked ? now + kRankGrace : now;
+    this->ListOwned(this->ranked);
     this->ranked = true;
-    this->ListOwned();
     this->region_pacer.SetRate(now, this->RegionRate());
   }
 
@@ -249,13 +251,22 @@
     return this->reads_all ? 0 : OriginRanks::kUnranked;
   }
 
-  void ListOwned() {
+  // With `again`, chunks that another agent owned before are listed apart.
+  void ListOwned(bool again) {
+    const std::vector<bool> before = std::exchange(this->owns, {});
+    this->owns.resize(this->manifest->ChunkCount(), false);
     this->owned.clear();
+    this->inherited.clear();
     const WeightsCopy& copy = this->Copy();
     for (std::uint32_t chunk = 0; chunk < this->manifest->ChunkCount(); ++chunk) {
-      if (this->RankOf(chunk) == 0 && !copy.Holds(chunk)) this->owned.push_back(chunk);
+      if (this->RankOf(chunk) != 0) continue;
+      this->owns[chunk] = true;
+      if (copy.Holds(chunk)) continue;
+      const bool was_owned = !again || (chunk < before.size() && before[chunk]);
+      (was_owned ? this->owned : this->inherited).push_back(chunk);
     }
     std::shuffle(this->owned.begin(), this->owned.end(), this->random);
+    std::shuffle(this->inherited.begin(), this->inherited.end(), this->random);
   }
 
   void CountAvailability() {
@@ -352,6 +363,8 @@
     this->origin_reads.clear();
     this->takeover_reads.clear();
     this->owned.clear();
+    this->inherited.clear();
+    this->owns.clear();
     this->remote_attempts.clear();
     this->candidates.clear();
     this->fresh.clear();
@@ -696,7 +709,11 @@
 
   // A chunk that this agent brings into its region, or kNoChunk.
   std::uint32_t NextFirstFetch(Instant now, bool& takeover) {
-    while (now >= this->owned_ready && !this->owned.empty()) {
+    if (now >= this->inherited_ready && !this->inherited.empty()) {
+      this->owned.insert(this->owned.end(), this->inherited.begin(), this->inherited.end());
+      this->inherited.clear();
+    }
+    while (!this->owned.empty()) {
       const std::uint32_t chunk = this->owned.back();
       this->owned.pop_back();
       if (this->IsMissing(this->Copy(), chunk) && this->availability[chunk] == 0) return chunk;
--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -213,6 +213,22 @@
   EXPECT_LE(harness.CrossedCopies(), kMaxCopies);
 }
 
+// Pattern: engines come and go while a version is copied. Guards against changes of the members that
+// keep every agent from reading its own chunks.
+TEST(ChunkSpreader, ChangingMembersDoNotStopTheCopy) {
+  SpreadHarness harness(HarnessOptions{.agents = 8});
+  harness.StartAll();
+  for (int round = 0; round < 12; ++round) {
+    harness.Run(std::chrono::milliseconds(250), [] { return false; });
+    for (std::size_t agent = 0; agent < 7; ++agent) {
+      std::set<std::size_t> members = {0, 1, 2, 3, 4, 5, 6};
+      if (round % 2 == 0) members.insert(7);
+      harness.TellMembers(agent, members);
+    }
+  }
+  for (std::size_t agent = 0; agent < 7; ++agent) EXPECT_TRUE(harness.IsWhole(agent));
+}
+
 // Guards against messages when nothing is being copied.
 TEST(ChunkSpreader, IsQuietWhenEveryAgentIsWhole) {
   SpreadHarness harness(HarnessOptions{.agents = 8});
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -31,6 +31,7 @@
   const bool restarted = this->engine && (this->engine->born_unix_ms != state.born_unix_ms ||
                                           state.orders < this->engine->orders);
   this->engine = state;
+  this->engine_asked = asked;
   if (restarted && this->step > Step::kWaiting) this->Restart();
   if (this->step == Step::kLoading && !state.busy) {
     // Done, or the load did not take place after all.
@@ -109,6 +110,14 @@
   }
 }
 
+bool EngineRollout::IsSettled(Instant now) const {
+  if (now < this->settle_until) return false;
+  if (this->engine->weights_version == 0) return true;
+  const bool queue_is_empty =
+      this->engine_asked >= this->settle_until && this->engine->waiting == 0;
+  return queue_is_empty || now >= this->settle_until + this->options.longest_settle;
+}
+
 std::vector<RolloutAction> EngineRollout::Advance(Instant now) {
   std::vector<RolloutAction> actions;
   if (this->version == 0 || !this->engine || this->IsDone()) return actions;
@@ -138,7 +147,7 @@
     this->step = Step::kSettling;
     this->settle_until = now + (empty ? Duration(0) : this->options.settle);
   }
-  if (this->step == Step::kSettling && now >= this->settle_until) {
+  if (this->step == Step::kSettling && this->IsSettled(now)) {
     this->step = Step::kOrdering;
     actions.push_back(OrderWeights{
         .model = this->model, .version = this->version, .orders = this->engine->orders});
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -21,8 +21,12 @@
   // order.
   Duration trust_staged = std::chrono::milliseconds(1800);
   std::size_t max_stage_calls = 2;
-  // From the word to the entries that the engine takes no more requests until the order.
+  // From the word to the entries that the engine takes no more requests until the last ones on their
+  // way have arrived.
   Duration settle = std::chrono::milliseconds(30);
+  // Requests that wait in the engine's queue when the order comes stand still until the load is done:
+  // they get this long to begin.
+  Duration longest_settle = std::chrono::milliseconds(600);
   Duration order_retry = std::chrono::milliseconds(250);
 };
 
@@ -93,6 +97,7 @@
   bool AllStaged() const;
   void StageSome(std::vector<RolloutAction>& actions);
   void CheckSome(Instant now, std::vector<RolloutAction>& actions);
+  bool IsSettled(Instant now) const;
   void Restart();
 
   EngineRolloutOptions options;
@@ -103,6 +108,7 @@
   std::vector<Piece> pieces = {};
   std::size_t calls = 0;  // staging and checking calls in progress
   std::optional<EngineState> engine = {};
+  Instant engine_asked = {};
   Step step = Step::kStaging;
   std::optional<Instant> turn_at = {};
   Instant settle_until = {};
--- a/src/records/record_mirror.cc
+++ b/src/records/record_mirror.cc
@@ -24,7 +24,9 @@
     }
     this->forgotten = std::max(this->forgotten, update.as_of);
   }
-  this->as_of = std::max(this->as_of, update.as_of);
+  if (update.whole || update.after <= this->as_of) {
+    this->as_of = std::max(this->as_of, update.as_of);
+  }
   this->ForgetRemovals();
   return changed;
 }
@@ -60,7 +62,7 @@
 }
 
 RecordUpdate RecordMirror::Since(std::uint64_t after) const {
-  RecordUpdate update{.as_of = this->as_of, .whole = after < this->forgotten};
+  RecordUpdate update{.after = after, .as_of = this->as_of, .whole = after < this->forgotten};
   for (const auto& [key, record] : this->records) {
     if (update.whole ? !record.removed : record.revision > after) update.records.push_back(record);
   }
--- a/src/records/record_mirror.h
+++ b/src/records/record_mirror.h
@@ -21,7 +21,8 @@
 // What a mirror hands to one that is behind.
 struct RecordUpdate {
   std::vector<Record> records = {};
-  std::uint64_t as_of = 0;  // complete up to this revision
+  std::uint64_t after = 0;  // holds every change after this revision
+  std::uint64_t as_of = 0;  // and up to this one
   bool whole = false;       // records that are not named do not exist
 };
 
@@ -29,7 +30,8 @@
 // higher revision holds, so a mirror never goes back.
 class RecordMirror {
  public:
-  // Returns the records that changed here.
+  // Returns the records that changed here. An update that begins after AsOf() leaves a gap: its
+  // records are taken, but AsOf() stays.
   std::vector<Record> Apply(const RecordUpdate& update);
 
   // The changes after revision `after`; everything when the removals of that time are forgotten.
--- a/src/records/record_mirror_test.cc
+++ b/src/records/record_mirror_test.cc
@@ -34,6 +34,22 @@
   EXPECT_EQ(mirror.Size(), 1u);
 }
 
+// Guards against a mirror that takes itself for complete after a push was lost: on kcw-recell-grown
+// entries then told the agents different lists of engines, and no engine took a new version.
+TEST(RecordMirrorTest, UpdateThatLeavesAGapDoesNotCountAsComplete) {
+  RecordMirror source;
+  RecordMirror behind;
+  source.Apply({.records = {{.key = "a", .revision = 1}}, .as_of = 1});
+  behind.Apply(source.Since(0));
+  source.Apply({.records = {{.key = "b", .revision = 2}}, .after = 1, .as_of = 2});
+  source.Apply({.records = {{.key = "c", .revision = 3}}, .after = 2, .as_of = 3});
+  EXPECT_EQ(behind.Apply(source.Since(2)).size(), 1u);
+  EXPECT_EQ(behind.AsOf(), 1u);
+  behind.Apply(source.Since(behind.AsOf()));
+  EXPECT_EQ(behind.AsOf(), 3u);
+  EXPECT_EQ(behind.Size(), 3u);
+}
+
 // Guards against records that outlive a listing they are missing from, and against dropping one that
 // is newer than the listing.
 TEST(RecordMirrorTest, WholeUpdateRemovesWhatItDoesNotName) {
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -252,12 +252,13 @@
       push.set_last(next == update.records.size());
       push.set_as_of(update.as_of);
       push.set_whole(update.whole);
+      push.set_after(update.after);
       push.set_reachable_for_ms(this->ReachableForMs());
       this->transport.Send(to, Lane::kBulk, std::move(message));
     } while (next < update.records.size());
   }
 
-  void OnPush(const wire::RecordsPush& push) {
+  void OnPush(const std::string& from, const wire::RecordsPush& push) {
     if (push.prefix() != this->options.prefix) return;
     if (push.first()) this->partial = {};
     for (const wire::RecordRow& row : push.records()) {
@@ -270,10 +271,13 @@
     RecordUpdate update = std::exchange(this->partial, {});
     update.as_of = push.as_of();
     update.whole = push.whole();
+    update.after = push.after();
     this->LearnReachable(push.reachable_for_ms());
     if (update.as_of <= this->mirror.AsOf()) return;
     this->behind_since.reset();
     this->Apply(update, "peer");
+    // A push before this one was lost.
+    if (update.as_of > this->mirror.AsOf()) this->Pull(from);
   }
 
   void Subscribe() {
@@ -288,7 +292,9 @@
         }));
     this->transport.Subscribe(
         wire::Envelope::kRecordsPush,
-        this->Guarded([this](const auto& message, auto) { this->OnPush(message.records_push()); }));
+        this->Guarded([this](const auto& message, auto) {
+          this->OnPush(message.from_peer(), message.records_push());
+        }));
   }
 
   void OfferLater() {
