Compare a sample of engines instead of all

Cause: entries that all take the best engine of the same reports meet there, and their prompts are read one after another: requests at engines with a load under 2 had a median first event of 409 ms, the others of 215 ms.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -159,21 +159,31 @@
   const auto found = this->pools.find(request.pool);
   if (found == this->pools.end()) return {};
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
+  // The candidates of the own data centre first, each part in random order.
   std::vector<const Place*> candidates;
+  std::vector<const Place*> remote;
   for (const auto& [id, place] : found->second) {
-    if (this->MayUse(place, request, now)) candidates.push_back(&place);
-  }
-  if (candidates.size() > this->options.max_candidates) {
-    std::shuffle(candidates.begin(), candidates.end(), this->random);
-    candidates.resize(this->options.max_candidates);
+    if (!this->MayUse(place, request, now)) continue;
+    const bool near = place.upstream.data_centre == this->options.data_centre;
+    (near ? candidates : remote).push_back(&place);
   }
+  const std::size_t near_count = candidates.size();
+  std::shuffle(candidates.begin(), candidates.end(), this->random);
+  std::shuffle(remote.begin(), remote.end(), this->random);
+  candidates.insert(candidates.end(), remote.begin(), remote.end());
+
   Choice best;
-  for (const Place* place : candidates) {
-    Choice choice = this->Rate(*place, request, pool, now);
-    // Spreads the choices of entries that see the same load.
-    choice.score += FromSeconds(0.005 * UniformUnit(this->random));
-    if (best.place == nullptr || choice.score < best.score) best = choice;
-  }
+  const auto rate = [&](std::size_t begin, std::size_t end) {
+    for (std::size_t i = begin; i < std::min(end, candidates.size()); ++i) {
+      const Choice choice = this->Rate(*candidates[i], request, pool, now);
+      if (best.place == nullptr || choice.score < best.score) best = choice;
+    }
+  };
+  const std::size_t sample = this->options.sample;
+  rate(0, std::min(sample, near_count));
+  rate(near_count, near_count + sample);
+  if (this->Fits(best, request, now)) return best;
+  rate(0, this->options.max_candidates);
   return best;
 }
 
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -41,8 +41,11 @@
   // For each request that this entry sent to an upstream since its last report, every other entry is
   // taken to have sent this many: all of them see the same report and prefer the same upstreams.
   double sent_by_others = 0.8;
-  // Candidates looked at for one request; more are sampled.
-  std::size_t max_candidates = 64;
+  // Candidates of the own data centre, and of the others, that are compared for one request. Entries
+  // that all took the best one of the same reports would meet there.
+  std::size_t sample = 3;
+  // Compared when none of the sample has room.
+  std::size_t max_candidates = 96;
 };
 
 // From `enforced_at` on, only engines with `version` or a newer one receive requests. Each version that
