--- /dev/null
+++ b/src/relay/engine_forecast_test.cc
@@ -0,0 +1,46 @@
+#include "relay/engine_forecast.h"
+
+#include <gtest/gtest.h>
+
+namespace savory {
+namespace {
+
+EngineRates Rates() {
+  return {.slots = 16,
+          .step = Duration(7400),
+          .step_per_request = Duration(39),
+          .step_per_1000_context = Duration(20),
+          .steps_per_event = 6,
+          .read_tokens_per_second = 31'900,
+          .pair_seconds_per_million = 0.000733,
+          .usual_prompt_tokens = 972,
+          .usual_answer_tokens = 106};
+}
+
+// Worked out by hand from the published rates: six steps of 7.4 ms, with 16 requests 0.039 ms each and
+// 16 x 1.025 thousand tokens of context at 0.02 ms.
+TEST(EngineForecastTest, EventTimeFollowsThePublishedRates) {
+  EXPECT_NEAR(ToSeconds(EventTime(Rates(), 0)), 0.0444, 1e-4);
+  EXPECT_NEAR(ToSeconds(EventTime(Rates(), 16)), 0.0501, 2e-4);
+}
+
+// A request writes 106 / 6 events of 50 ms while 16 prompts of 31 ms are read; 16 places.
+TEST(EngineForecastTest, SlotIntervalIsAResidenceDividedByTheSlots) {
+  EXPECT_NEAR(ToSeconds(SlotInterval(Rates())), 0.086, 0.004);
+}
+
+// Guards against a full engine, prompts that are being read, or a slow engine looking as good as a
+// free one.
+TEST(EngineForecastTest, FirstEventIsLaterBehindWork) {
+  const Duration free = Forecast(Rates(), {}, 970).first_event;
+  EXPECT_NEAR(ToSeconds(free), 0.0448 + 0.0308, 2e-3);
+  const Duration read = Forecast(Rates(), {.requests = 4, .unread_tokens = 3190}, 970).first_event;
+  EXPECT_GT(read, free + std::chrono::milliseconds(100));
+  const Duration full = Forecast(Rates(), {.requests = 18}, 970).first_event;
+  EXPECT_GT(full, free + 2 * SlotInterval(Rates()));
+  const Duration slow = Forecast(Rates(), {.pace = 5}, 970).first_event;
+  EXPECT_NEAR(ToSeconds(slow), 5 * ToSeconds(free), 1e-3);
+}
+
+}  // namespace
+}  // namespace savory
--- /dev/null
+++ b/src/relay/routing_index_test.cc
@@ -0,0 +1,66 @@
+#include "relay/routing_index.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace savory {
+namespace {
+
+RoutingRules Rules() {
+  RoutingRules rules{.version = 7};
+  rules.routes.push_back({.name = "all", .host = "shop.example", .path_prefix = "/"});
+  rules.routes.push_back({.name = "jobs", .host = "shop.example", .path_prefix = "/jobs/"});
+  rules.routes.push_back(
+      {.name = "open", .host = "shop.example", .path_prefix = "/jobs/open/", .auth_exempt = true});
+  rules.routes.push_back({.name = "other", .host = "other.example", .path_prefix = "/jobs/"});
+  rules.accounts.push_back({.name = "kochi", .api_keys = {"k1", "k2"}});
+  return rules;
+}
+
+std::string Find(const RoutingIndex& index, std::string_view host, std::string_view target) {
+  const RouteRule* route = index.FindRoute(host, target);
+  return route == nullptr ? "none" : route->name;
+}
+
+// Guards against a request that is served under a shorter prefix, another host, or a prefix that ends
+// inside a path segment.
+TEST(RoutingIndexTest, LongestPrefixOfTheHostWins) {
+  const RoutingIndex index(Rules());
+  EXPECT_EQ(Find(index, "shop.example", "/jobs/open/1?x=/jobs/"), "open");
+  EXPECT_EQ(Find(index, "Shop.Example:8080", "/jobs/1"), "jobs");
+  EXPECT_EQ(Find(index, "shop.example", "/jobs"), "all");
+  EXPECT_EQ(Find(index, "shop.example", "/jobsx/1"), "all");
+  EXPECT_EQ(Find(index, "other.example", "/jobs/open/1"), "other");
+  EXPECT_EQ(Find(index, "other.example", "/1"), "none");
+  EXPECT_EQ(Find(index, "unknown.example", "/jobs/1"), "none");
+}
+
+// Guards against a key that opens another account, and against routes that need none asking for one.
+TEST(RoutingIndexTest, KeysBelongToOneAccount) {
+  const RoutingIndex index(Rules());
+  EXPECT_EQ(index.FindAccount("k2")->name, "kochi");
+  EXPECT_EQ(index.FindAccount("k"), nullptr);
+  EXPECT_TRUE(index.NeedsApiKey(*index.FindRoute("shop.example", "/jobs/1")));
+  EXPECT_FALSE(index.NeedsApiKey(*index.FindRoute("shop.example", "/jobs/open/1")));
+}
+
+// Pattern: the config grows by thousands of routes. Guards against a lookup that scans them.
+TEST(RoutingIndexTest, LookupDoesNotGrowWithTheRoutes) {
+  RoutingRules rules;
+  for (int i = 0; i < 20'000; ++i) {
+    rules.routes.push_back({.name = std::to_string(i),
+                            .host = "shop.example",
+                            .path_prefix = "/r" + std::to_string(i) + "/"});
+  }
+  const RoutingIndex index(std::move(rules));
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < 20'000; ++i) {
+    ASSERT_EQ(Find(index, "shop.example", "/r" + std::to_string(i) + "/x"), std::to_string(i));
+  }
+  // A scan of 20,000 routes for each would take minutes.
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(5));
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -17,6 +17,11 @@
 // One read takes at most this many bytes; larger messages arrive in several calls.
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 constexpr std::size_t kMaxPieces = 16;  // of one Write()
+// A silent connection is found after about three seconds, the time within which machines count as in
+// touch again after a disruption.
+constexpr unsigned kProbeIdleSeconds = 1;
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
 
 // Shared by all connections: a read is handed on before the next one starts.
 std::array<char, kReadBytes>& ReadBuffer() {
@@ -99,6 +104,10 @@
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) == 0) {
       const auto timeout_ms = static_cast<unsigned>(ToMillis(this->options.user_timeout));
       setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+      // Probes find a connection that went silent while nothing is sent on it.
+      uv_tcp_keepalive(&this->tcp, 1, kProbeIdleSeconds);
+      setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(kProbeSeconds));
+      setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
     }
     this->Read();
   }
