--- /dev/null
+++ b/src/relay/relay_session_test.cc
@@ -0,0 +1,326 @@
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "base/golden_test_util.h"
+#include "base/metrics.h"
+#include "relay/relay.h"
+#include "relay/relay_codec.h"
+#include "runtime/async_http_server.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_connection_pool.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A plain form of the terms: one header for each.
+class TestCodec : public RelayCodec {
+ public:
+  CallerTerms DecodeRequest(const HttpHead& head) const override {
+    CallerTerms terms{.attempt_id = std::string(FieldValue(head.fields, "Id"))};
+    terms.time_left = milliseconds(ParseDecimal(FieldValue(head.fields, "Left")).value_or(2000));
+    terms.api_key = FieldValue(head.fields, "Key");
+    terms.last_event_id = ParseDecimal(FieldValue(head.fields, "Last"));
+    terms.prompt_tokens = 100;
+    return terms;
+  }
+  std::string EncodeRequest(const HttpHead& head, const UpstreamTerms& terms) const override {
+    std::vector<HttpField> fields = {
+        {.name = "Id", .value = std::string(FieldValue(head.fields, "Id"))},
+        {.name = "Only", .value = terms.upstream_id},
+        {.name = "Account", .value = terms.account},
+        {.name = "Content-Length", .value = std::to_string(terms.body_bytes)}};
+    if (terms.last_event_id) {
+      fields.push_back({.name = "Last", .value = std::to_string(*terms.last_event_id)});
+    }
+    std::string out;
+    AppendRequestHead(out, head.method, head.target, fields);
+    return out;
+  }
+  bool BelongsTo(const HttpHead& answer, std::string_view attempt_id) const override {
+    const std::string* id = FindField(answer.fields, "Id");
+    return id == nullptr || *id == attempt_id;
+  }
+  UpstreamAnswer DecodeAnswer(const HttpHead& answer) const override {
+    return {.not_run = FindField(answer.fields, "Not-Run") != nullptr};
+  }
+  std::vector<HttpField> EncodeAnswer(const HttpHead& answer) const override {
+    std::vector<HttpField> fields;
+    for (const HttpField& field : answer.fields) {
+      if (!IsConnectionField(field.name, "")) fields.push_back(field);
+    }
+    return fields;
+  }
+  std::vector<HttpField> EncodeOwnAnswer(std::string_view,
+                                         std::optional<Duration> retry_after) const override {
+    std::vector<HttpField> fields = {{.name = "Own", .value = "1"}};
+    if (retry_after) fields.push_back({.name = "Retry-After", .value = "some"});
+    return fields;
+  }
+};
+
+// One entry, two upstreams and a caller in one process, over loopback. What upstreams and caller see
+// is printed in the order in which it happens.
+class RelaySession : public ::testing::Test, public HttpCallHandler {
+ protected:
+  using Behaviour = std::function<void(const SharedExchange& exchange)>;
+  static constexpr char kEntry[] = "127.0.0.1:26931";
+
+  RelaySession() {
+    RoutingRules rules{.version = 1};
+    const auto add = [&](std::string name, RepeatKind kind, bool resumable) {
+      rules.routes.push_back({.name = name,
+                              .host = "test",
+                              .path_prefix = "/" + name + "/",
+                              .kind = kind,
+                              .pools = {{.pool = "pool"}},
+                              .timeout = milliseconds(1500),
+                              .target_latency = milliseconds(100),
+                              .max_pause = milliseconds(100),
+                              .max_attempts = 2,
+                              .resumable = resumable});
+    };
+    add("read", RepeatKind::kIdempotent, false);
+    add("book", RepeatKind::kNonIdempotent, false);
+    add("chat", RepeatKind::kStream, true);
+    add("feed", RepeatKind::kStream, false);
+    rules.pools.push_back({.name = "pool"});
+    rules.accounts.push_back({.name = "kochi", .api_keys = {"k1"}});
+    this->relay.SetRules(std::make_shared<const RoutingIndex>(std::move(rules)));
+    EXPECT_TRUE(this->front.Listen(kEntry).has_value());
+    // Equal upstreams: "a" is preferred because it is in the entry's data centre.
+    this->AddUpstream("a", 26932, "home");
+    this->AddUpstream("b", 26933, "away");
+  }
+
+  void AddUpstream(const std::string& id, int port, const std::string& data_centre) {
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    auto server = std::make_unique<AsyncHttpServer>(
+        this->loop, AsyncHttpServerOptions{},
+        [this, id](const SharedExchange& exchange) { this->OnArrival(id, exchange); });
+    EXPECT_TRUE(server->Listen(address).has_value());
+    this->servers[id] = std::move(server);
+    this->relay.Places().SetUpstream({.id = id,
+                                      .pool = "pool",
+                                      .address = address,
+                                      .data_centre = data_centre,
+                                      .slots = 4});
+  }
+
+  void OnArrival(const std::string& id, const SharedExchange& exchange) {
+    const HttpHead& head = exchange->Head();
+    std::string line = id + " gets " + head.method + " " + head.target;
+    if (const std::string* last = FindField(head.fields, "Last")) line += " after event " + *last;
+    if (!exchange->Body().empty()) line += " body " + exchange->Body();
+    this->Print(line);
+    exchange->OnCallerGone([this, id] { this->Print(id + " is cancelled"); });
+    this->held.push_back(exchange);
+    auto& queue = this->behaviours[id];
+    if (queue.empty()) {
+      Whole(200, "from " + id)(exchange);
+      return;
+    }
+    const Behaviour next = std::move(queue.front());
+    queue.erase(queue.begin());
+    next(exchange);
+  }
+
+  static Behaviour Whole(int status, const std::string& body, std::vector<HttpField> fields = {}) {
+    return [=](const SharedExchange& exchange) { exchange->Answer(status, fields, body); };
+  }
+  static Behaviour Refuse() { return Whole(503, "full", {{.name = "Not-Run", .value = "1"}}); }
+  static Behaviour Silent() {
+    return [](const SharedExchange&) {};
+  }
+  static Behaviour Broken() {
+    return [](const SharedExchange& exchange) { exchange->Break(); };
+  }
+  // Events `first` to `last`; the connection breaks after them, in the middle of a further one.
+  static Behaviour Events(int first, int last, bool whole) {
+    return [=](const SharedExchange& exchange) {
+      exchange->BeginStream(200, std::vector<HttpField>{
+                                     {.name = "Content-Type", .value = "text/event-stream"},
+                                     {.name = "Seal", .value = "s" + std::to_string(first)}});
+      for (int i = first; i <= last; ++i) {
+        exchange->SendPart("id: " + std::to_string(i) + "\ndata: e\n\n");
+      }
+      if (whole) {
+        exchange->EndStream();
+      } else {
+        exchange->SendPart("id: " + std::to_string(last + 1) + "\nda");
+        exchange->Break();
+      }
+    };
+  }
+
+  // ---- the caller ----
+
+  void OnAnswerHead(const HttpHead& head) override {
+    std::string line = "caller gets " + std::to_string(head.status);
+    for (const char* name : {"Own", "Retry-After", "Seal"}) {
+      if (const std::string* value = FindField(head.fields, name)) {
+        line += std::string(" ") + name + "=" + *value;
+      }
+    }
+    this->Print(line);
+  }
+  void OnAnswerBody(std::string_view bytes) override { this->body += bytes; }
+  void OnAnswerDone() override { this->EndCall("whole answer"); }
+  void OnCallFailed(CallFailure failure) override {
+    this->EndCall("answer " + std::string(CallFailureName(failure)));
+  }
+  void EndCall(const std::string& how) {
+    std::string shown = this->body;
+    for (std::size_t at = 0; (at = shown.find('\n', at)) != std::string::npos;) shown[at] = '|';
+    this->Print("caller has " + how + ": " + shown);
+    // Time for cancels to arrive.
+    this->loop.After(milliseconds(30), [this] { this->loop.Stop(); });
+  }
+
+  // Sends one request and runs until its answer has ended.
+  void Call(const std::string& method, const std::string& target, const std::string& sent = "",
+            const std::string& key = "k1", int left_ms = 2000) {
+    this->Print("caller sends " + method + " " + target);
+    this->body.clear();
+    std::string head;
+    AppendRequestHead(head, method, target,
+                      std::vector<HttpField>{
+                          {.name = "Host", .value = "test"},
+                          {.name = "Id", .value = "r1"},
+                          {.name = "Key", .value = key},
+                          {.name = "Left", .value = std::to_string(left_ms)},
+                          {.name = "Content-Length", .value = std::to_string(sent.size())}});
+    this->call = this->callers.Start({.address = kEntry, .head = head, .body = sent}, *this);
+    const auto limit = this->loop.After(seconds(6), [this] {
+      ADD_FAILURE() << "the caller got no end";
+      this->loop.Stop();
+    });
+    this->loop.Run();
+    this->loop.Cancel(limit);
+  }
+
+  void Print(const std::string& line) { this->printed += line + "\n"; }
+
+  void TearDown() override {
+    this->call.reset();
+    this->held.clear();
+  }
+
+  EventLoop loop;
+  Metrics metrics;
+  Random random{20261204};
+  TestCodec codec;
+  HttpConnectionPool upstreams{loop, metrics, {}};
+  HttpConnectionPool callers{loop, metrics, {}};
+  Relay relay{loop, upstreams, codec, metrics, random,
+              RelayOptions{.dispatcher = {.data_centre = "home",
+                                          .remote_penalty = milliseconds(500)}}};
+  AsyncHttpServer front{loop, {}, [this](const SharedExchange& exchange) {
+                          this->relay.Serve(exchange);
+                        }};
+  std::map<std::string, std::unique_ptr<AsyncHttpServer>> servers;
+  std::map<std::string, std::vector<Behaviour>> behaviours;
+  std::vector<SharedExchange> held;  // exchanges live until the session ends
+  std::unique_ptr<HttpCall> call;
+  std::string body;
+  std::string printed;
+};
+
+// Guards against an idempotent request that is given up after one failure, and against a second
+// failure being hidden.
+TEST_F(RelaySession, IdempotentRequestIsRepeatedOnce) {
+  this->behaviours["a"] = {Whole(500, "error of a")};
+  this->Call("GET", "/read/1");
+  this->behaviours["a"] = {Broken()};
+  this->behaviours["b"] = {Whole(500, "error of b")};
+  this->Call("GET", "/read/2");
+  ExpectGoldenText("idempotent_repeat", this->printed);
+}
+
+// Guards against a booking that is sent again after it may have run, and against "not run" for it.
+TEST_F(RelaySession, NonIdempotentRequestRunsAtMostOnce) {
+  this->behaviours["a"] = {Broken()};
+  this->Call("POST", "/book/1", "van 7");
+  this->behaviours["a"] = {Whole(500, "error of a")};
+  this->Call("POST", "/book/2", "van 7");
+  this->behaviours["a"] = {Refuse()};
+  this->Call("POST", "/book/3", "van 7");
+  ExpectGoldenText("non_idempotent", this->printed);
+}
+
+// Guards against refusals that look like failures: the request has not run and may come back.
+TEST_F(RelaySession, RefusedEverywhereIsNotRun) {
+  this->behaviours["a"] = {Refuse(), Refuse(), Refuse(), Refuse()};
+  this->behaviours["b"] = {Refuse(), Refuse(), Refuse(), Refuse()};
+  this->Call("POST", "/book/1", "van 7");
+  ExpectGoldenText("refused_everywhere", this->printed);
+}
+
+// Guards against lost, repeated or half events when a stream goes on at another upstream, which may
+// begin with events that were delivered.
+TEST_F(RelaySession, BrokenStreamGoesOnElsewhere) {
+  this->behaviours["a"] = {Events(1, 3, false)};
+  this->behaviours["b"] = {Events(3, 5, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  ExpectGoldenText("stream_resumed", this->printed);
+}
+
+// Guards against a broken stream that looks complete, and against going on where it is not allowed.
+TEST_F(RelaySession, BrokenStreamIsNotCompleteWhereItMayNotGoOn) {
+  this->behaviours["a"] = {Events(1, 2, false)};
+  this->Call("POST", "/feed/1", "prompt");
+  ExpectGoldenText("stream_broken", this->printed);
+}
+
+// Guards against a caller that waits for an upstream which has gone silent.
+TEST_F(RelaySession, SilentUpstreamIsLeft) {
+  this->behaviours["a"] = {Silent()};
+  this->Call("POST", "/chat/1", "prompt");
+  this->behaviours["a"] = {Silent()};
+  this->behaviours["b"] = {Silent()};
+  this->Call("POST", "/book/1", "van 7", "k1", 400);
+  ExpectGoldenText("silent_upstream", this->printed);
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_F(RelaySession, LeavingCallerCancelsTheUpstream) {
+  this->behaviours["a"] = {Silent()};
+  this->loop.After(milliseconds(50), [this] {
+    this->Print("caller leaves");
+    this->call.reset();
+    this->loop.After(milliseconds(100), [this] { this->loop.Stop(); });
+  });
+  this->Call("POST", "/feed/1", "prompt");
+  EXPECT_EQ(this->relay.InProgress(), 0u);
+  ExpectGoldenText("caller_leaves", this->printed);
+}
+
+// Guards against requests that reach an upstream without a route, a key, or while the entry stops.
+TEST_F(RelaySession, UnroutableRequestsReachNoUpstream) {
+  this->Call("GET", "/unknown/1");
+  this->Call("GET", "/read/1", "", "wrong key");
+  this->relay.StopAccepting();
+  this->Call("GET", "/read/1");
+  ExpectGoldenText("unroutable", this->printed);
+}
+
+// Guards against "not found" from an entry that knows no routes yet.
+TEST_F(RelaySession, EntryWithoutRulesSaysNotRun) {
+  Relay fresh(this->loop, this->upstreams, this->codec, this->metrics, this->random, {});
+  AsyncHttpServer other{this->loop, {}, [&](const SharedExchange& exchange) {
+                          fresh.Serve(exchange);
+                        }};
+  ASSERT_TRUE(other.Listen("127.0.0.1:26934").has_value());
+  std::string head;
+  AppendRequestHead(head, "GET", "/read/1", std::vector<HttpField>{{.name = "Host", .value = "x"}});
+  this->call = this->callers.Start({.address = "127.0.0.1:26934", .head = head}, *this);
+  this->loop.Run();
+  EXPECT_EQ(this->printed,
+            "caller gets 503 Own=1 Retry-After=some\ncaller has whole answer: no rules known|\n");
+}
+
+}  // namespace
+}  // namespace savory
