--- a/src/relay/attempt_plan_test.cc
+++ b/src/relay/attempt_plan_test.cc
@@ -17,14 +17,15 @@
   EXPECT_EQ(PlanNext(history, AttemptEnd::kNotRun, true), NextStep::kRetry);
   history.not_run = 0;
   history.may_have_run = 1;
-  for (const AttemptEnd end : {AttemptEnd::kNoAnswer, AttemptEnd::kBrokenOff, AttemptEnd::kSilent}) {
+  for (const AttemptEnd end :
+       {AttemptEnd::kNoAnswer, AttemptEnd::kBrokenOff, AttemptEnd::kSilent}) {
     EXPECT_EQ(PlanNext(history, end, true), NextStep::kAnswerUnknown);
   }
   EXPECT_EQ(PlanNext(history, AttemptEnd::kServerError, true), NextStep::kForwardError);
 }
 
-// Guards against a stream that goes on elsewhere although its route does not allow that, and against
-// a stream that ends although another upstream could go on.
+// Guards against a stream that goes on elsewhere although its route does not allow that, and
+// against a stream that ends although another upstream could go on.
 TEST(AttemptPlanTest, BegunStreamsGoOnOnlyWhereTheRouteAllows) {
   RequestHistory history = Stream(true);
   history.may_have_run = 1;
@@ -51,12 +52,12 @@
   EXPECT_EQ(PlanNext(history, AttemptEnd::kNotRun, true), NextStep::kAnswerNotRun);
 }
 
-// Guards, for any history, against a second run of what must not run twice, against "not run" for what
-// may have run, and against an own answer after a part of another one was delivered.
+// Guards, for any history, against a second run of what must not run twice, against "not run" for
+// what may have run, and against an own answer after a part of another one was delivered.
 RC_GTEST_PROP(AttemptPlanTest, PromisesHoldForAnyHistory, ()) {
   RequestHistory history;
-  history.kind = *rc::gen::element(RepeatKind::kIdempotent, RepeatKind::kNonIdempotent,
-                                   RepeatKind::kStream);
+  history.kind =
+      *rc::gen::element(RepeatKind::kIdempotent, RepeatKind::kNonIdempotent, RepeatKind::kStream);
   history.resumable = *rc::gen::arbitrary<bool>();
   history.max_attempts = *rc::gen::inRange<std::uint32_t>(1, 4);
   history.may_have_run = *rc::gen::inRange<std::uint32_t>(0, 4);
--- a/src/relay/engine_forecast_test.cc
+++ b/src/relay/engine_forecast_test.cc
@@ -17,8 +17,8 @@
           .usual_answer_tokens = 106};
 }
 
-// Worked out by hand from the published rates: six steps of 7.4 ms, with 16 requests 0.039 ms each and
-// 16 x 1.025 thousand tokens of context at 0.02 ms.
+// Worked out by hand from the published rates: six steps of 7.4 ms, with 16 requests 0.039 ms each
+// and 16 x 1.025 thousand tokens of context at 0.02 ms.
 TEST(EngineForecastTest, EventTimeFollowsThePublishedRates) {
   EXPECT_NEAR(ToSeconds(EventTime(Rates(), 0)), 0.0444, 1e-4);
   EXPECT_NEAR(ToSeconds(EventTime(Rates(), 16)), 0.0501, 2e-4);
--- a/src/relay/event_cutter_test.cc
+++ b/src/relay/event_cutter_test.cc
@@ -41,8 +41,8 @@
   const auto count = *rc::gen::inRange(0, 6);
   for (int i = 0; i < count; ++i) {
     const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
-    stream += "id: " + std::to_string(i) + end + "data: " +
-              std::string(*rc::gen::inRange<std::size_t>(0, 9), 'z') + end + end;
+    stream += "id: " + std::to_string(i) + end +
+              "data: " + std::string(*rc::gen::inRange<std::size_t>(0, 9), 'z') + end + end;
   }
   stream += *rc::gen::element<std::string>("", "id: 99\n", "data: rest");
   EventCutter cutter;
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -62,8 +62,8 @@
   }
 };
 
-// One entry, two upstreams and a caller in one process, over loopback. What upstreams and caller see
-// is printed in the order in which it happens.
+// One entry, two upstreams and a caller in one process, over loopback. What upstreams and caller
+// see is printed in the order in which it happens.
 class RelaySession : public ::testing::Test, public HttpCallHandler {
  protected:
   using Behaviour = std::function<void(const SharedExchange& exchange)>;
@@ -103,11 +103,8 @@
         [this, id](const SharedExchange& exchange) { this->OnArrival(id, exchange); });
     EXPECT_TRUE(server->Listen(address).has_value());
     this->servers[id] = std::move(server);
-    this->relay.Places().SetUpstream({.id = id,
-                                      .pool = "pool",
-                                      .address = address,
-                                      .data_centre = data_centre,
-                                      .slots = 4});
+    this->relay.Places().SetUpstream(
+        {.id = id, .pool = "pool", .address = address, .data_centre = data_centre, .slots = 4});
   }
 
   void OnArrival(const std::string& id, const SharedExchange& exchange) {
@@ -141,9 +138,9 @@
   // Events `first` to `last`; the connection breaks after them, in the middle of a further one.
   static Behaviour Events(int first, int last, bool whole) {
     return [=](const SharedExchange& exchange) {
-      exchange->BeginStream(200, std::vector<HttpField>{
-                                     {.name = "Content-Type", .value = "text/event-stream"},
-                                     {.name = "Seal", .value = "s" + std::to_string(first)}});
+      exchange->BeginStream(
+          200, std::vector<HttpField>{{.name = "Content-Type", .value = "text/event-stream"},
+                                      {.name = "Seal", .value = "s" + std::to_string(first)}});
       for (int i = first; i <= last; ++i) {
         exchange->SendPart("id: " + std::to_string(i) + "\ndata: e\n\n");
       }
@@ -186,13 +183,13 @@
     this->Print("caller sends " + method + " " + target);
     this->body.clear();
     std::string head;
-    AppendRequestHead(head, method, target,
-                      std::vector<HttpField>{
-                          {.name = "Host", .value = "test"},
-                          {.name = "Id", .value = "r1"},
-                          {.name = "Key", .value = key},
-                          {.name = "Left", .value = std::to_string(left_ms)},
-                          {.name = "Content-Length", .value = std::to_string(sent.size())}});
+    AppendRequestHead(
+        head, method, target,
+        std::vector<HttpField>{{.name = "Host", .value = "test"},
+                               {.name = "Id", .value = "r1"},
+                               {.name = "Key", .value = key},
+                               {.name = "Left", .value = std::to_string(left_ms)},
+                               {.name = "Content-Length", .value = std::to_string(sent.size())}});
     this->call = this->callers.Start({.address = kEntry, .head = head, .body = sent}, *this);
     const auto limit = this->loop.After(seconds(6), [this] {
       ADD_FAILURE() << "the caller got no end";
@@ -215,12 +212,15 @@
   TestCodec codec;
   HttpConnectionPool upstreams{loop, metrics, {}};
   HttpConnectionPool callers{loop, metrics, {}};
-  Relay relay{loop, upstreams, codec, metrics, random,
-              RelayOptions{.dispatcher = {.data_centre = "home",
-                                          .remote_penalty = milliseconds(500)}}};
-  AsyncHttpServer front{loop, {}, [this](const SharedExchange& exchange) {
-                          this->relay.Serve(exchange);
-                        }};
+  Relay relay{
+      loop,
+      upstreams,
+      codec,
+      metrics,
+      random,
+      RelayOptions{.dispatcher = {.data_centre = "home", .remote_penalty = milliseconds(500)}}};
+  AsyncHttpServer front{
+      loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }};
   std::map<std::string, std::unique_ptr<AsyncHttpServer>> servers;
   std::map<std::string, std::vector<Behaviour>> behaviours;
   std::vector<SharedExchange> held;  // exchanges live until the session ends
@@ -310,9 +310,8 @@
 // Guards against "not found" from an entry that knows no routes yet.
 TEST_F(RelaySession, EntryWithoutRulesSaysNotRun) {
   Relay fresh(this->loop, this->upstreams, this->codec, this->metrics, this->random, {});
-  AsyncHttpServer other{this->loop, {}, [&](const SharedExchange& exchange) {
-                          fresh.Serve(exchange);
-                        }};
+  AsyncHttpServer other{
+      this->loop, {}, [&](const SharedExchange& exchange) { fresh.Serve(exchange); }};
   ASSERT_TRUE(other.Listen("127.0.0.1:26934").has_value());
   std::string head;
   AppendRequestHead(head, "GET", "/read/1", std::vector<HttpField>{{.name = "Host", .value = "x"}});
--- a/src/relay/repeat_budget_test.cc
+++ b/src/relay/repeat_budget_test.cc
@@ -12,8 +12,8 @@
 
 constexpr Instant kStart = Instant(std::chrono::hours(1));
 
-// Pattern: upstreams of a pool fail for many seconds and every entry wants to repeat everything. Guards
-// against more repeats in any window than all entries together may send.
+// Pattern: upstreams of a pool fail for many seconds and every entry wants to repeat everything.
+// Guards against more repeats in any window than all entries together may send.
 TEST(RepeatBudgetTest, EntriesTogetherKeepTheBoundInEveryWindow) {
   constexpr int entries = 5;
   const RepeatBudgetOptions options{.ratio = 0.2, .slack = 100};
--- a/src/relay/routing_index_test.cc
+++ b/src/relay/routing_index_test.cc
@@ -23,8 +23,8 @@
   return route == nullptr ? "none" : route->name;
 }
 
-// Guards against a request that is served under a shorter prefix, another host, or a prefix that ends
-// inside a path segment.
+// Guards against a request that is served under a shorter prefix, another host, or a prefix that
+// ends inside a path segment.
 TEST(RoutingIndexTest, LongestPrefixOfTheHostWins) {
   const RoutingIndex index(Rules());
   EXPECT_EQ(Find(index, "shop.example", "/jobs/open/1?x=/jobs/"), "open");
@@ -36,7 +36,8 @@
   EXPECT_EQ(Find(index, "unknown.example", "/jobs/1"), "none");
 }
 
-// Guards against a key that opens another account, and against routes that need none asking for one.
+// Guards against a key that opens another account, and against routes that need none asking for
+// one.
 TEST(RoutingIndexTest, KeysBelongToOneAccount) {
   const RoutingIndex index(Rules());
   EXPECT_EQ(index.FindAccount("k2")->name, "kochi");
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -17,8 +17,8 @@
 // One read takes at most this many bytes; larger messages arrive in several calls.
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 constexpr std::size_t kMaxPieces = 16;  // of one Write()
-// A silent connection is found after about three seconds, the time within which machines count as in
-// touch again after a disruption.
+// A silent connection is found after about three seconds, the time within which machines count as
+// in touch again after a disruption.
 constexpr unsigned kProbeIdleSeconds = 1;
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 2;
