Keep every line of a failed or refused request; report ejections; pause before offering a refused piece again

Cause: all lines at info shared one sample of 200 a second, so under load the end of a refused request could be left out; ejections of upstreams left no line; an agent whose engine went down offered pieces to it every 10 ms, with a warning each. First tries of callers leave 0.83 to 1 of the longest time, so the threshold of 0.9 took about two in five of them for returned ones. Now only successes are sampled, ejections and returns of upstreams are logged with the failure rate that decided, a refused piece is offered again after 250 ms, and the threshold is 0.82. Tests: LogBufferTest, EngineRolloutTest.RefusedPieceIsOfferedAgainAfterAPause, DispatcherTest.FailingEngineIsEjectedAndReturnsOnTrial.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -23,8 +23,8 @@
   log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("savoryrouter");
   LogOptions options;
   LogBuffer buffer{kMaxBufferedBytes};
-  std::atomic<std::int64_t> second = 0;  // that info_lines counts
-  std::atomic<std::uint32_t> info_lines = 0;
+  std::atomic<std::int64_t> second = 0;  // that sampled_lines counts
+  std::atomic<std::uint32_t> sampled_lines = 0;
 };
 
 LogState& State() {
@@ -90,19 +90,22 @@
                                         : FormatKeyValue(options, event, fields);
 }
 
+std::int64_t NowMillis() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+// Whether one more sampled line may be written in this second.
+bool TakeSample(LogState& state) {
+  const std::int64_t second = NowMillis() / 1000;
+  if (state.second.exchange(second) != second) state.sampled_lines = 0;
+  return ++state.sampled_lines <= state.options.max_sampled_lines;
+}
+
 void AddBuffered(LogState& state, LogLevel level, std::string_view event,
                  std::initializer_list<LogField> fields) {
   if (level < state.options.level) return;
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const std::int64_t millis = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  if (level < LogLevel::kWarn) {
-    if (state.second.exchange(millis / 1000) != millis / 1000) state.info_lines = 0;
-    if (++state.info_lines > state.options.max_info_lines) {
-      state.buffer.Skip();
-      return;
-    }
-  }
-  std::string line = std::to_string(millis);
+  std::string line = std::to_string(NowMillis());
   line += ' ';
   line += LevelName(level);
   line += ' ';
@@ -146,6 +149,15 @@
   LOG4CXX_LOG(state.logger, log_level, line);
 }
 
+void LogSampled(std::string_view event, std::initializer_list<LogField> fields) {
+  LogState& state = State();
+  if (state.options.output == LogOutput::kBuffered && !TakeSample(state)) {
+    state.buffer.Skip();
+    return;
+  }
+  Log(LogLevel::kInfo, event, fields);
+}
+
 void FlushLog() { State().buffer.WriteTo(STDOUT_FILENO); }
 
 }  // namespace savory
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,8 +36,8 @@
   LogForm form = LogForm::kKeyValue;
   std::string vm = {};  // field of every line
   LogOutput output = LogOutput::kStandardError;
-  // Lines below kWarn in one second; further ones are counted, not written. For kBuffered.
-  std::uint32_t max_info_lines = 200;
+  // Sampled lines in one second; further ones are counted, not written. For kBuffered.
+  std::uint32_t max_sampled_lines = 200;
 };
 
 // Call once, before the first line.
@@ -46,6 +46,9 @@
 // Writes one line: time, level, vm, event and `fields`. Thread-safe.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+// As Log() at kInfo, for lines that come with each success: under load only some are written.
+void LogSampled(std::string_view event, std::initializer_list<LogField> fields);
+
 // Writes what kBuffered holds to standard output, as far as that takes it without blocking. Call it
 // some times a second and before the process ends.
 void FlushLog();
--- /dev/null
+++ b/src/base/log_buffer_test.cc
@@ -0,0 +1,60 @@
+#include "base/log_buffer.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+namespace savory {
+namespace {
+
+// A pipe whose reader takes nothing until it is asked to.
+class LogBufferTest : public ::testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(pipe2(this->ends.data(), O_NONBLOCK), 0); }
+  void TearDown() override {
+    for (const int end : this->ends) close(end);
+  }
+
+  std::string ReadAll() {
+    std::string text;
+    std::array<char, 4096> part = {};
+    for (ssize_t got = 0; (got = read(this->ends[0], part.data(), part.size())) > 0;) {
+      text.append(part.data(), static_cast<std::size_t>(got));
+    }
+    return text;
+  }
+
+  std::array<int, 2> ends = {};
+};
+
+// Guards against a process that waits for a reader of its logs, or keeps lines without a bound.
+TEST_F(LogBufferTest, FullPipeNeitherBlocksNorGrowsTheBuffer) {
+  constexpr std::size_t kLimit = 256 * 1024;
+  LogBuffer buffer(kLimit);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    buffer.Add(line);
+    buffer.WriteTo(this->ends[1]);
+    ASSERT_LE(buffer.Bytes(), kLimit);
+  }
+  EXPECT_GT(buffer.Dropped(), 0u);
+}
+
+// Guards against lines that were left out without a trace.
+TEST_F(LogBufferTest, LeftOutLinesAreCountedInALine) {
+  LogBuffer buffer(100);
+  buffer.Add(std::string(80, 'a'));
+  buffer.Add(std::string(80, 'b'));
+  buffer.Skip();
+  buffer.Skip();
+  buffer.WriteTo(this->ends[1]);
+  buffer.WriteTo(this->ends[1]);
+  EXPECT_EQ(this->ReadAll(),
+            std::string(80, 'a') + "\nevent=log_lines_left_out dropped=1 sampled_out=2\n");
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -51,11 +51,14 @@
   if (of_version != this->version || piece >= this->pieces.size()) return;
   this->pieces[piece].state = stored ? PieceState::kStaged : PieceState::kHeld;
   this->pieces[piece].sound_at = now;
+  if (!stored) this->stage_retry_at = now + this->options.stage_retry;
 }
 
 void EngineRollout::PieceChecked(std::uint64_t of_version, std::uint32_t piece, bool intact,
                                  Instant now) {
   this->PieceStaged(of_version, piece, intact, now);
+  // The engine answered, so a piece that turned bad is offered again at once.
+  this->stage_retry_at = {};
 }
 
 void EngineRollout::OrderAnswered(OrderAnswer answer, Instant now) {
@@ -120,7 +123,7 @@
   std::vector<RolloutAction> actions;
   if (this->version == 0 || !this->engine || this->IsDone()) return actions;
   if (this->step == Step::kOrdering || this->step == Step::kLoading) return actions;
-  this->StageSome(actions);
+  if (now >= this->stage_retry_at) this->StageSome(actions);
   if (!this->AllStaged() && this->step < Step::kChecking) return actions;
   const bool empty = this->engine->weights_version == 0;
   if (this->step == Step::kStaging) {
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -29,6 +29,9 @@
   // done: they get this long to begin.
   Duration longest_settle = std::chrono::milliseconds(600);
   Duration order_retry = std::chrono::milliseconds(250);
+  // After a piece that the engine did not take, until the next one is offered: an engine that went
+  // down is away for longer.
+  Duration stage_retry = std::chrono::milliseconds(250);
 };
 
 // Place of this engine among those that take the version.
@@ -115,6 +118,7 @@
   std::optional<Instant> turn_at = {};
   Instant settle_until = {};
   Instant retry_at = {};
+  Instant stage_retry_at = {};
   Instant order_answered = {};
 };
 
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -73,6 +73,21 @@
   EXPECT_EQ(this->ordered[0].version, 3u);
 }
 
+// Guards against pieces that are offered without a pause to an engine that went down.
+TEST_F(EngineRolloutTest, RefusedPieceIsOfferedAgainAfterAPause) {
+  this->See(0);
+  this->Want(3);
+  int offers = 0;
+  for (int step = 0; step < 100; ++step, this->now += milliseconds(10)) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      ++offers;
+      this->rollout.PieceStaged(3, std::get<StagePiece>(action).piece, false, this->now);
+    }
+  }
+  EXPECT_GE(offers, 4);
+  EXPECT_LE(offers, 8);  // two calls at a time, four times in a second
+}
+
 // Pattern: a rollout under full load. Guards against engines that all take the version at the same
 // time, and against one that takes it after its deadline.
 TEST_F(EngineRolloutTest, TurnsSpreadFromThePiecesToTheDeadline) {
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -48,6 +48,14 @@
   Duration predicted = {};  // of the best upstream
 };
 
+// An upstream was ejected, or serves again after an ejection.
+struct HealthChange {
+  std::string upstream;  // id
+  bool ejected = false;  // else it serves again
+  Duration ejected_for = {};
+  double failure_rate = 0;  // that decided
+};
+
 struct DispatchVerdict {
   AttemptNumber attempt = 0;
   std::variant<SendTo, KeepWaiting, RefuseRequest> decision;
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -290,17 +290,28 @@
   place.own_unread_tokens = std::max(0.0, place.own_unread_tokens - tokens);
 }
 
-void Dispatcher::OnEnded(AttemptNumber attempt, AttemptResult result, Instant now) {
+std::optional<HealthChange> Dispatcher::OnEnded(AttemptNumber attempt, AttemptResult result,
+                                                Instant now) {
   this->OnFirstEvent(attempt);
   const auto found = this->sent.find(attempt);
-  if (found == this->sent.end()) return;
-  const auto known = this->pool_of.find(found->second.upstream);
-  if (known != this->pool_of.end()) {
-    Place& place = this->pools.find(known->second)->second.find(known->first)->second;
-    if (place.own > 0) --place.own;
-    place.health.OnEnded(result, now, this->random);
-  }
+  if (found == this->sent.end()) return {};
+  const std::string upstream = std::move(found->second.upstream);
   this->sent.erase(found);
+  const auto known = this->pool_of.find(upstream);
+  if (known == this->pool_of.end()) return {};
+  Place& place = this->pools.find(known->second)->second.find(upstream)->second;
+  if (place.own > 0) --place.own;
+  const bool was_on_trial = place.health.OnTrial();
+  const Instant until_before = place.health.EjectedUntil();
+  place.health.OnEnded(result, now, this->random);
+  HealthChange change{.upstream = upstream, .failure_rate = place.health.FailureRate()};
+  if (place.health.EjectedUntil() != until_before) {
+    change.ejected = true;
+    change.ejected_for = place.health.EjectedUntil() - now;
+    return change;
+  }
+  if (was_on_trial && !place.health.OnTrial()) return change;
+  return {};
 }
 
 std::size_t Dispatcher::Usable(std::string_view pool, Instant now) const {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -82,7 +82,8 @@
 
   // The prompt was read: its first event came.
   void OnFirstEvent(AttemptNumber attempt);
-  void OnEnded(AttemptNumber attempt, AttemptResult result, Instant now);
+  // Returns what the end changed in the belief about the upstream.
+  std::optional<HealthChange> OnEnded(AttemptNumber attempt, AttemptResult result, Instant now);
 
   std::size_t Waiting() const { return this->waiting.size(); }
   // Upstreams of `pool` that may receive requests now.
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -183,18 +183,25 @@
 // traffic of the pool, and against never using it again.
 TEST_F(DispatcherTest, FailingEngineIsEjectedAndReturnsOnTrial) {
   this->AddEngine(1);
+  std::optional<HealthChange> change;
   for (int i = 0; i < 2; ++i) {
+    EXPECT_FALSE(change);
     const DispatchRequest request = this->Chat();
     ASSERT_EQ(this->Submit(request), "engine-1");
-    this->dispatcher.OnEnded(request.attempt, AttemptResult::kErrored, this->now);
+    change = this->dispatcher.OnEnded(request.attempt, AttemptResult::kErrored, this->now);
   }
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  ASSERT_TRUE(change);
+  EXPECT_TRUE(change->ejected);
+  EXPECT_GT(change->ejected_for, milliseconds(1000));
   this->now += seconds(3);
   const DispatchRequest trial = this->Chat();
   ASSERT_EQ(this->Submit(trial), "engine-1");
   // One at a time, and only what may be repeated.
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
-  this->dispatcher.OnEnded(trial.attempt, AttemptResult::kServed, this->now);
+  change = this->dispatcher.OnEnded(trial.attempt, AttemptResult::kServed, this->now);
+  ASSERT_TRUE(change);
+  EXPECT_FALSE(change->ejected);
   EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
 }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -21,6 +21,8 @@
 // With less time left a request is not sent: its answer could not reach the caller.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
+// Callers leave different parts of their time to a first try, but not less than this.
+constexpr double kFirstTryLeft = 0.82;
 // Statuses from here on are errors of the upstream.
 constexpr int kServerError = 500;
 
@@ -79,6 +81,7 @@
 
   void SchedulePoll();
   void Poll();
+  void EndAttempt(AttemptNumber attempt, AttemptResult result);
   bool IsReturned(const RouteRule& route, std::optional<Duration> time_left);
   void AnswerOwn(HttpExchange& exchange, int status, std::string_view attempt_id,
                  std::string_view reason, std::optional<Duration> retry_after);
@@ -250,7 +253,7 @@
     this->sent_at = now;
     this->ResetAnswer();
     if (left < kMinTimeLeft) {
-      this->relay.dispatcher.OnEnded(this->attempt, AttemptResult::kCancelled, now);
+      this->relay.EndAttempt(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
       this->OnTimeout();
       return;
@@ -375,7 +378,7 @@
   void EndAttempt(AttemptEnd end) {
     const Instant now = this->relay.loop.Now();
     this->silent_at.reset();
-    this->relay.dispatcher.OnEnded(this->attempt, ResultOf(end), now);
+    this->relay.EndAttempt(this->attempt, ResultOf(end));
     this->attempt = 0;
     this->last_end = end;
     const bool certain = end == AttemptEnd::kNotSent || end == AttemptEnd::kNotRun;
@@ -420,9 +423,8 @@
   // The upstream's answer is whole.
   void Complete() {
     const auto keep = this->shared_from_this();
-    const Instant now = this->relay.loop.Now();
     if (this->attempt != 0) {
-      this->relay.dispatcher.OnEnded(this->attempt, AttemptResult::kServed, now);
+      this->relay.EndAttempt(this->attempt, AttemptResult::kServed);
       this->attempt = 0;
     }
     if (!this->exchange->HasBegun() && !this->first_part) this->NoteFirstPart();
@@ -483,7 +485,7 @@
     if (this->relay.waiting.erase(this->attempt) > 0) {
       this->relay.dispatcher.Withdraw(this->attempt);
     } else {
-      this->relay.dispatcher.OnEnded(this->attempt, result, this->relay.loop.Now());
+      this->relay.EndAttempt(this->attempt, result);
     }
     this->attempt = 0;
   }
@@ -503,6 +505,7 @@
   }
 
   void Finish(std::string_view outcome, int status);
+  void LogEnd(std::string_view outcome, int status, Instant now) const;
 
   Relay::Impl& relay;
   SharedExchange exchange;
@@ -563,30 +566,37 @@
     this->relay.metrics.HistogramFor("savory_first_part_seconds", labels)
         .Observe(ToSeconds(*this->first_part));
   }
-  Log(LogLevel::kInfo, "request_done",
-      {{"request", this->terms.attempt_id},
-       {"route", this->route.name},
-       {"account", this->account},
-       {"pool", this->pool},
-       {"rules", this->rules->Version()},
-       {"outcome", outcome},
-       {"status", status},
-       {"attempts", this->attempts},
-       {"upstream", this->target.upstream},
-       {"weights", this->target.weights_version},
-       {"load", this->target.load},
-       {"load_age_ms", ToMillis(this->target.report_age)},
-       {"predicted_ms",
-        ToMillis(this->decision ? this->decision->predicted : this->target.predicted)},
-       {"first_ms", this->first_part ? ToMillis(*this->first_part) : -1},
-       {"total_ms", ToMillis(now - this->arrived)},
-       {"time_left_ms", this->terms.time_left ? ToMillis(*this->terms.time_left) : -1},
-       {"returned", this->returned},
-       {"last_end", this->last_end ? AttemptEndName(*this->last_end) : "none"}});
+  this->LogEnd(outcome, status, now);
   // Erased last: the map may hold the last reference.
   this->relay.requests.erase(this);
 }
 
+void RelayedRequest::LogEnd(std::string_view outcome, int status, Instant now) const {
+  const std::initializer_list<LogField> fields = {
+      {"request", this->terms.attempt_id},
+      {"route", this->route.name},
+      {"account", this->account},
+      {"pool", this->pool},
+      {"rules", this->rules->Version()},
+      {"outcome", outcome},
+      {"status", status},
+      {"attempts", this->attempts},
+      {"upstream", this->target.upstream},
+      {"weights", this->target.weights_version},
+      {"load", this->target.load},
+      {"load_age_ms", ToMillis(this->target.report_age)},
+      {"predicted_ms",
+       ToMillis(this->decision ? this->decision->predicted : this->target.predicted)},
+      {"first_ms", this->first_part ? ToMillis(*this->first_part) : -1},
+      {"total_ms", ToMillis(now - this->arrived)},
+      {"time_left_ms", this->terms.time_left ? ToMillis(*this->terms.time_left) : -1},
+      {"returned", this->returned},
+      {"last_end", this->last_end ? AttemptEndName(*this->last_end) : "none"}};
+  // Under load only some successes are written, but every other end is.
+  if (outcome == "served") return LogSampled("request_done", fields);
+  Log(LogLevel::kInfo, "request_done", fields);
+}
+
 void Relay::Impl::SchedulePoll() {
   if (this->poll_scheduled || this->dispatcher.Waiting() == 0) return;
   this->poll_scheduled = true;
@@ -603,7 +613,7 @@
   for (const DispatchVerdict& verdict : this->dispatcher.Poll(this->loop.Now())) {
     const auto found = this->waiting.find(verdict.attempt);
     if (found == this->waiting.end()) {
-      this->dispatcher.OnEnded(verdict.attempt, AttemptResult::kCancelled, this->loop.Now());
+      this->EndAttempt(verdict.attempt, AttemptResult::kCancelled);
       continue;
     }
     const auto request = this->requests.at(found->second);
@@ -612,12 +622,24 @@
   }
 }
 
+void Relay::Impl::EndAttempt(AttemptNumber attempt, AttemptResult result) {
+  const auto change = this->dispatcher.OnEnded(attempt, result, this->loop.Now());
+  if (!change) return;
+  if (change->ejected) {
+    Log(LogLevel::kWarn, "upstream_ejected",
+        {{"upstream", change->upstream},
+         {"failure_rate", change->failure_rate},
+         {"for_ms", ToMillis(change->ejected_for)}});
+  } else {
+    Log(LogLevel::kInfo, "upstream_serves_again", {{"upstream", change->upstream}});
+  }
+}
+
 bool Relay::Impl::IsReturned(const RouteRule& route, std::optional<Duration> time_left) {
   if (!time_left) return false;
   Duration& longest = this->longest_time_left[route.name];
   longest = std::max(longest, *time_left);
-  // Less than a tenth is used up on the way of a first try.
-  return *time_left < longest * 9 / 10;
+  return ToSeconds(*time_left) < ToSeconds(longest) * kFirstTryLeft;
 }
 
 void Relay::Impl::AnswerOwn(HttpExchange& exchange, int status, std::string_view attempt_id,
--- a/src/relay/upstream_health.h
+++ b/src/relay/upstream_health.h
@@ -43,6 +43,9 @@
   // try an upstream whose ejection has run out.
   bool MayUse(Instant now, bool may_probe) const;
   bool IsEjected(Instant now) const { return now < this->ejected_until; }
+  // Whether it was ejected and has served no request since.
+  bool OnTrial() const { return this->on_trial; }
+  Instant EjectedUntil() const { return this->ejected_until; }
   // Share of recent attempts that failed.
   double FailureRate() const { return this->failure_rate; }
 
