Add stand-ins of the users' platform in its wire form and a fault soak; do not count past requests as sent by others

The soak starts the two programs as separate processes on loopback, with store, origin, engines and plain services of the platform's wire form behind proxies, injects a seeded plan of faults and checks what callers and upstreams saw; the checker's tests plant a fault of each kind. Cause: an entry supposes that the other entries sent as many requests as it did since the last load that an upstream told; a service that tells no load was never told about, so the supposed load only grew. Ruled out: the limits of the service (6 places, at most 2 taken) and the links to it. Now nothing is supposed without a recent report. Test that failed first: DispatcherTest.ServiceThatTellsNoLoadIsNotFilledByPastRequests.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
   librapidcheck-dev libssl-dev libxxhash-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
   gnuplot-nox python3
 
-.PHONY: install build test test-asan test-tsan format format-check lint proto demo bench clean
+.PHONY: install build test test-asan test-tsan format format-check lint proto demo soak bench clean
 
 install:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -30,7 +30,7 @@
 	cmake --build build-tsan -j $(JOBS)
 	ctest --test-dir build-tsan --output-on-failure -j $(JOBS)
 
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'standins/*.cc' 'standins/*.h' 'platform/*.cc' 'platform/*.h' | grep -v '\.pb\.')
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'standins/*.cc' 'standins/*.h' 'platform/*.cc' 'platform/*.h' 'soak/*.cc' 'soak/*.h' | grep -v '\.pb\.')
 
 format:
 	clang-format -i $(SOURCES)
@@ -48,6 +48,12 @@
 demo: build
 	tools/demo.sh $(BUILD)/bin
 
+# Real programs under randomized faults; the same seed gives the same plan.
+SEED ?= 1
+SECONDS ?= 20
+soak: build
+	$(BUILD)/bin/savoryrouter-soak --bin-dir $(BUILD)/bin --seed $(SEED) --seconds $(SECONDS)
+
 bench: build
 	tools/bench.sh $(BUILD)/bin
 
--- /dev/null
+++ b/soak/checker_test.cc
@@ -0,0 +1,254 @@
+// Plants a fault of each kind and expects the checker to find it.
+#include "soak/checker.h"
+
+#include <gtest/gtest.h>
+
+namespace savory {
+namespace {
+
+using platform::ArrivedRequest;
+using platform::CallerAnswer;
+using platform::CallerEnd;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CheckerTest : public ::testing::Test {
+ protected:
+  void Send(const std::string& id, RepeatKind kind, bool resumable = false) {
+    const RouteRule route{.name = "r",
+                          .host = "h",
+                          .path_prefix = "/r/",
+                          .kind = kind,
+                          .timeout = seconds(1),
+                          .max_attempts = 2,
+                          .resumable = resumable};
+    this->checker.Sent(
+        {.request = {.entry = "", .attempt_id = id, .host = "h", .target = "/r/1", .body = "b"},
+         .route = route,
+         .account = "shop",
+         .entry_vm = "entry-1",
+         .sent = this->now});
+  }
+
+  static ArrivedRequest At(const std::string& id, const std::string& upstream,
+                           const std::string& pool = "p") {
+    return {.upstream = upstream,
+            .pool = pool,
+            .attempt_id = id,
+            .account = "shop",
+            .target = "/r/1",
+            .body = "b"};
+  }
+
+  void Run(const ArrivedRequest& request) {
+    this->checker.Arrived(request, this->now);
+    this->checker.Ran(request, this->now);
+  }
+
+  void Answer(const std::string& id, CallerEnd end, int status, const std::string& body,
+              bool sealed = true) {
+    this->checker.Answered(
+        id, {.end = end, .status = status, .sealed = sealed, .attempt_id = id, .body = body},
+        this->now);
+  }
+
+  static std::string Events(const std::string& id, std::initializer_list<int> numbers) {
+    std::string text;
+    for (const int number : numbers) {
+      const auto event = static_cast<std::uint64_t>(number);
+      text += "id: " + std::to_string(event) + "\ndata: " + platform::ExpectedEventData(id, event) +
+              "\n\n";
+    }
+    return text;
+  }
+
+  void ExpectOnly(const std::string& rule) {
+    ASSERT_EQ(this->checker.Violations().size(), 1u);
+    EXPECT_EQ(this->checker.Violations()[0].rule, rule);
+  }
+
+  Instant now = Instant(std::chrono::hours(1));
+  Checker checker{{.events = 3}};
+};
+
+TEST_F(CheckerTest, SoundSessionPasses) {
+  this->Send("a", RepeatKind::kNonIdempotent);
+  this->Run(At("a", "u1"));
+  this->checker.RunEnded("a", this->now);
+  this->Answer("a", CallerEnd::kWhole, 200, platform::ExpectedBody("a", "b"));
+  this->Send("s", RepeatKind::kStream);
+  this->Run(At("s", "u1"));
+  this->Answer("s", CallerEnd::kWhole, 200, Events("s", {1, 2, 3}));
+  this->Send("t", RepeatKind::kStream, true);
+  this->Run(At("t", "u1"));
+  this->Run(At("t", "u2"));
+  this->Answer("t", CallerEnd::kBrokenOff, 200, Events("t", {1, 2}) + "id: 3\nda");
+  this->Send("n", RepeatKind::kNonIdempotent);
+  this->Answer("n", CallerEnd::kWhole, 503, "", false);
+  EXPECT_TRUE(this->checker.Violations().empty());
+}
+
+TEST_F(CheckerTest, FindsSecondRunOfWhatMayRunOnce) {
+  this->Send("a", RepeatKind::kNonIdempotent);
+  this->Run(At("a", "u1"));
+  this->Run(At("a", "u2"));
+  this->ExpectOnly("at-most-once");
+}
+
+TEST_F(CheckerTest, FindsTooManyUpstreams) {
+  this->Send("a", RepeatKind::kIdempotent);
+  for (const char* upstream : {"u1", "u2", "u3"}) this->Run(At("a", upstream));
+  this->ExpectOnly("attempts");
+}
+
+TEST_F(CheckerTest, FindsFalseNotRunBeforeAndAfter) {
+  this->Send("a", RepeatKind::kNonIdempotent);
+  this->Run(At("a", "u1"));
+  this->Answer("a", CallerEnd::kWhole, 503, "", false);
+  this->ExpectOnly("true-not-run");
+  this->Send("b", RepeatKind::kNonIdempotent);
+  this->Answer("b", CallerEnd::kWhole, 429, "", false);
+  this->Run(At("b", "u1"));
+  EXPECT_EQ(this->checker.Violations().size(), 2u);
+}
+
+TEST_F(CheckerTest, FindsTruncatedAnswerThatLooksWhole) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Answer("a", CallerEnd::kWhole, 200, platform::ExpectedBody("a", "b").substr(1));
+  this->ExpectOnly("whole-answer");
+}
+
+TEST_F(CheckerTest, FindsStreamThatEndsEarlyAsComplete) {
+  this->Send("a", RepeatKind::kStream);
+  this->Answer("a", CallerEnd::kWhole, 200, Events("a", {1, 2}));
+  this->ExpectOnly("whole-answer");
+}
+
+TEST_F(CheckerTest, FindsGapAndRepeatInStream) {
+  this->Send("a", RepeatKind::kStream);
+  this->Answer("a", CallerEnd::kBrokenOff, 200, Events("a", {1, 3}));
+  this->ExpectOnly("stream-order");
+  this->Send("b", RepeatKind::kStream);
+  this->Answer("b", CallerEnd::kBrokenOff, 200, Events("b", {1, 1}));
+  EXPECT_EQ(this->checker.Violations().size(), 2u);
+}
+
+TEST_F(CheckerTest, FindsAnswerOfAnotherRequest) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->checker.Answered("a",
+                         {.end = CallerEnd::kWhole,
+                          .status = 200,
+                          .sealed = true,
+                          .attempt_id = "z",
+                          .body = platform::ExpectedBody("z", "b")},
+                         this->now);
+  this->ExpectOnly("whole-answer");
+}
+
+TEST_F(CheckerTest, FindsChangedAndUnknownRequests) {
+  this->Send("a", RepeatKind::kIdempotent);
+  ArrivedRequest changed = At("a", "u1");
+  changed.body = "c";
+  this->Run(changed);
+  this->ExpectOnly("asked-for");
+  this->Run(At("nobody", "u1"));
+  EXPECT_EQ(this->checker.Violations().size(), 2u);
+}
+
+TEST_F(CheckerTest, FindsRequestAtDrainedUpstreamUnlessItsEntryWasDisturbed) {
+  this->checker.Drained("u1", this->now);
+  this->now += seconds(3);
+  this->Send("a", RepeatKind::kIdempotent);
+  this->checker.Arrived(At("a", "u1"), this->now);
+  this->ExpectOnly("drained-upstream");
+  this->checker.Disturb("entry-1", this->now, seconds(1));
+  this->checker.Arrived(At("a", "u1"), this->now);
+  EXPECT_EQ(this->checker.Violations().size(), 1u);
+}
+
+TEST_F(CheckerTest, FindsChangeThatIsNotInForceInTime) {
+  this->checker.RouteMoved("r", 1, "p", this->now);
+  this->checker.RouteMoved("r", 2, "q", this->now);
+  this->now += seconds(1);
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Run(At("a", "u1", "p"));
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->now += seconds(2);
+  this->Send("b", RepeatKind::kIdempotent);
+  this->Run(At("b", "u1", "p"));
+  // The entry had not shown version 2 before, so it does not go back.
+  this->ExpectOnly("change-in-force");
+}
+
+TEST_F(CheckerTest, FindsEntryThatGoesBackButNotAfterItsRestart) {
+  this->checker.RouteMoved("r", 1, "p", this->now);
+  this->checker.RouteMoved("r", 2, "q", this->now);
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Run(At("a", "u1", "q"));
+  this->now += milliseconds(500);
+  this->checker.EntryStarted("entry-1");
+  this->Send("b", RepeatKind::kIdempotent);
+  this->Run(At("b", "u1", "p"));
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->Send("c", RepeatKind::kIdempotent);
+  this->Run(At("c", "u1", "q"));
+  this->now += milliseconds(500);
+  this->Send("d", RepeatKind::kIdempotent);
+  this->Run(At("d", "u1", "p"));
+  this->ExpectOnly("no-revert");
+}
+
+TEST_F(CheckerTest, FindsRunThatGoesOnAfterItsCallerLeft) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Run(At("a", "u1"));
+  this->checker.Answered("a", {.end = CallerEnd::kLeft}, this->now);
+  this->now += seconds(1);
+  this->checker.RunEnded("a", this->now);
+  this->ExpectOnly("cancelled");
+}
+
+TEST_F(CheckerTest, FindsMissingFinalAnswer) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->now += seconds(2);
+  this->checker.Answered("a", {.end = CallerEnd::kLeft, .took = seconds(2)}, this->now);
+  this->ExpectOnly("answer-in-time");
+}
+
+TEST_F(CheckerTest, FindsAnswerCutByPlannedStop) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Run(At("a", "u1"));
+  this->checker.EntryStops("entry-1", this->now);
+  this->Answer("a", CallerEnd::kNoAnswer, 0, "", false);
+  this->ExpectOnly("planned-stop");
+}
+
+TEST_F(CheckerTest, FindsLoadOfPiecesThatAreNotWhole) {
+  this->checker.PieceSpoilt("u2", this->now);
+  this->checker.Loaded("u2", 2, false, this->now);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->checker.Loaded("u1", 2, false, this->now);
+  this->ExpectOnly("whole-weights");
+}
+
+TEST_F(CheckerTest, FindsRunOnWeightsThatAreTooOld) {
+  this->checker.WeightsNamed(2, this->now);
+  ArrivedRequest old = At("a", "u1");
+  old.weights_version = 1;
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Run(old);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->now += seconds(9);
+  old.attempt_id = "b";
+  this->Send("b", RepeatKind::kIdempotent);
+  this->Run(old);
+  this->ExpectOnly("weights-in-time");
+}
+
+TEST_F(CheckerTest, FindsRequestOfUnknownRouteAndKey) {
+  this->Send("a", RepeatKind::kIdempotent);
+  this->Answer("a", CallerEnd::kWhole, 404, "", false);
+  this->ExpectOnly("proper-request");
+}
+
+}  // namespace
+}  // namespace savory
--- /dev/null
+++ b/soak/fault_plan_test.cc
@@ -0,0 +1,48 @@
+#include "soak/fault_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace savory {
+namespace {
+
+using std::chrono::seconds;
+
+// Guards against a seed that cannot be played again.
+TEST(FaultPlan, SameSeedGivesTheSamePlan) {
+  const auto first = MakeFaultPlan(7, seconds(60));
+  const auto again = MakeFaultPlan(7, seconds(60));
+  ASSERT_EQ(first.size(), again.size());
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    EXPECT_EQ(first[i].at, again[i].at);
+    EXPECT_EQ(first[i].kind, again[i].kind);
+    EXPECT_EQ(first[i].target, again[i].target);
+  }
+}
+
+// Guards against kinds that no seed ever draws, and faults that never overlap.
+TEST(FaultPlan, SeedsCoverEveryKindWithOverlaps) {
+  std::set<FaultKind> drawn;
+  bool overlaps = false;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto plan = MakeFaultPlan(seed, seconds(30));
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+      drawn.insert(plan[i].kind);
+      overlaps = overlaps || (i > 0 && plan[i].at < plan[i - 1].at + plan[i - 1].lasts);
+    }
+  }
+  EXPECT_EQ(drawn.size(), AllFaultKinds().size());
+  EXPECT_TRUE(overlaps);
+}
+
+// Guards against a run that ends within a fault, which says nothing about recovery.
+TEST(FaultPlan, LastTenthIsFreeOfNewFaults) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    for (const Fault& fault : MakeFaultPlan(seed, seconds(30))) EXPECT_LT(fault.at, seconds(27));
+  }
+}
+
+}  // namespace
+}  // namespace savory
--- /dev/null
+++ b/soak/fault_proxy.cc
@@ -0,0 +1,129 @@
+#include "soak/fault_proxy.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/digest.h"
+#include "runtime/event_loop.h"
+#include "runtime/tcp_connection.h"
+#include "runtime/tcp_listener.h"
+
+namespace savory {
+namespace {
+
+// Far above the usual time of an answer, and below the time after which a connection is given up.
+constexpr Duration kDelay = std::chrono::milliseconds(250);
+// The proxy itself never gives up.
+constexpr TcpOptions kTcp = {.user_timeout = std::chrono::seconds(600)};
+
+}  // namespace
+
+struct FaultProxy::Impl : std::enable_shared_from_this<FaultProxy::Impl> {
+  struct Pair;
+  // One end of a connection through the proxy.
+  struct Side : TcpHandler {
+    Impl* proxy = nullptr;
+    Pair* pair = nullptr;
+    bool towards_target = false;  // what this side receives goes to the target
+    bool ended = false;
+    std::unique_ptr<TcpConnection> connection = {};
+
+    void OnBytes(std::span<const std::byte> bytes) override;
+    void OnEnd(TcpEnd end) override;
+  };
+  struct Pair : std::enable_shared_from_this<Pair> {
+    Side caller;
+    Side target;
+    bool harmed = false;  // bytes were swallowed
+  };
+
+  EventLoop& loop;
+  std::string listen;
+  std::string target;
+  TcpListener listener;
+  LinkCondition condition = LinkCondition::kSound;
+  std::set<std::shared_ptr<Pair>> pairs = {};
+
+  Impl(EventLoop& loop, std::string listen, std::string target)
+      : loop(loop), listen(std::move(listen)), target(std::move(target)), listener(loop) {}
+
+  void Accept(uv_stream_s* server) {
+    const auto pair = std::make_shared<Pair>();
+    pair->caller.towards_target = true;
+    for (Side* side : {&pair->caller, &pair->target}) {
+      side->proxy = this;
+      side->pair = pair.get();
+    }
+    pair->caller.connection =
+        std::make_unique<TcpConnection>(this->loop, server, pair->caller, kTcp);
+    pair->target.connection =
+        std::make_unique<TcpConnection>(this->loop, this->target, pair->target, kTcp);
+    this->pairs.insert(pair);
+  }
+
+  void Drop(Pair& pair) {
+    const auto keep = pair.shared_from_this();
+    this->pairs.erase(keep);
+    // Freed later: this runs inside a call of one of the connections.
+    this->loop.Post([keep] {});
+  }
+};
+
+void FaultProxy::Impl::Side::OnBytes(std::span<const std::byte> bytes) {
+  Side& other = this->towards_target ? this->pair->target : this->pair->caller;
+  const LinkCondition condition = this->proxy->condition;
+  const bool swallowed = this->pair->harmed || condition == LinkCondition::kSilent ||
+                         (condition == LinkCondition::kOneWay && !this->towards_target);
+  if (swallowed) {
+    this->pair->harmed = true;
+    return;
+  }
+  const std::string_view text = AsText(bytes);
+  if (condition != LinkCondition::kDelayed) {
+    other.connection->Write({&text, 1});
+    return;
+  }
+  this->proxy->loop.After(kDelay,
+                          [weak = this->pair->weak_from_this(), &other, kept = std::string(text)] {
+                            const auto pair = weak.lock();
+                            const std::string_view late = kept;
+                            if (pair) other.connection->Write({&late, 1});
+                          });
+}
+
+void FaultProxy::Impl::Side::OnEnd(TcpEnd end) {
+  Side& other = this->towards_target ? this->pair->target : this->pair->caller;
+  this->ended = true;
+  // A silent connection does not tell the caller that its target is gone.
+  if (this->pair->harmed) {
+    if (this->towards_target) this->proxy->Drop(*this->pair);
+    return;
+  }
+  if (end != TcpEnd::kClosed) other.connection->Reset();
+  if (end != TcpEnd::kClosed || other.ended) return this->proxy->Drop(*this->pair);
+  other.connection->CloseWhenSent();
+}
+
+FaultProxy::FaultProxy(EventLoop& loop, std::string listen, std::string target)
+    : impl(std::make_shared<Impl>(loop, std::move(listen), std::move(target))) {}
+FaultProxy::~FaultProxy() = default;
+
+Result<void> FaultProxy::Listen() {
+  return this->impl->listener.Listen(
+      this->impl->listen, [self = this->impl.get()](uv_stream_s* server) { self->Accept(server); });
+}
+
+void FaultProxy::SetCondition(LinkCondition condition) { this->impl->condition = condition; }
+
+void FaultProxy::ResetAll() {
+  const auto pairs = std::move(this->impl->pairs);
+  this->impl->pairs.clear();
+  for (const auto& pair : pairs) {
+    for (auto* side : {&pair->caller, &pair->target}) {
+      side->connection->Reset();
+    }
+  }
+  this->impl->loop.Post([pairs] {});
+}
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_callers.cc
@@ -0,0 +1,100 @@
+#include "soak/soak_callers.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kProbePeriod = milliseconds(500);
+// Callers wait this long beyond the route's timeout.
+constexpr Duration kTimeLeft = milliseconds(2500);
+// Part of the callers that leave early, and when.
+constexpr double kLeave = 0.05;
+constexpr Duration kLeaveAfter = milliseconds(40);
+constexpr Duration kLeaveSpan = milliseconds(250);
+constexpr Duration kConnectionIdle = milliseconds(4000);
+// Shares of the routes in the order of the tables: chat, feed, book, read, moved.
+constexpr std::array<double, 5> kRouteShares = {0.40, 0.20, 0.15, 0.10, 0.15};
+
+}  // namespace
+
+SoakCallers::SoakCallers(EventLoop& loop, Checker& checker, const SoakLayout& layout,
+                         std::uint64_t seed)
+    : loop(loop),
+      checker(checker),
+      layout(layout),
+      random(seed),
+      connections(loop, this->metrics, {.idle_timeout = kConnectionIdle}),
+      probes(loop, this->metrics, {}),
+      rules(layout.Rules(1, "alpha")),
+      ready(layout.entries, false) {}
+
+void SoakCallers::Start(double requests_per_second) {
+  this->rate = requests_per_second;
+  this->loop.Every(kProbePeriod, [this] { this->Probe(); });
+  this->Probe();
+  this->SendNext();
+}
+
+std::size_t SoakCallers::Ready() const {
+  return static_cast<std::size_t>(std::count(this->ready.begin(), this->ready.end(), true));
+}
+
+void SoakCallers::Probe() {
+  for (std::size_t i = 0; i < this->layout.entries; ++i) {
+    platform::ProbeReady(this->loop, this->probes, this->layout.Ready(i),
+                         [this, i](bool is_ready) { this->ready[i] = is_ready; });
+  }
+}
+
+void SoakCallers::SendNext() {
+  if (this->stopped) return;
+  const double pause = -std::log(1 - UniformUnit(this->random)) / std::max(0.001, this->rate);
+  this->loop.After(FromSeconds(pause), [this] { this->SendNext(); });
+  if (this->Ready() > 0) this->SendOne();
+}
+
+void SoakCallers::SendOne() {
+  std::size_t entry = UniformBelow(this->random, this->layout.entries);
+  while (!this->ready[entry]) entry = (entry + 1) % this->layout.entries;
+  double place = UniformUnit(this->random);
+  std::size_t index = 0;
+  while (index + 1 < kRouteShares.size() && place >= kRouteShares[index]) {
+    place -= kRouteShares[index++];
+  }
+  const RouteRule& route = this->rules.routes[index];
+  const AccountRule& account =
+      this->rules.accounts[UniformBelow(this->random, this->rules.accounts.size())];
+  std::string id(16, '0');
+  for (char& digit : id) digit = "0123456789abcdef"[UniformBelow(this->random, 16)];
+  platform::CallerRequest request{.entry = this->layout.Callers(entry),
+                                  .attempt_id = id,
+                                  .host = route.host,
+                                  .target = route.path_prefix + "x?n=" + id.substr(0, 4),
+                                  .api_key = account.api_keys.front(),
+                                  .body = "body of " + id,
+                                  .time_left = kTimeLeft};
+  if (UniformUnit(this->random) < kLeave) {
+    request.leaves_after =
+        kLeaveAfter + FromSeconds(ToSeconds(kLeaveSpan) * UniformUnit(this->random));
+  }
+  this->checker.Sent({.request = request,
+                      .route = route,
+                      .account = account.name,
+                      .entry_vm = this->layout.EntryVm(entry),
+                      .sent = this->loop.Now()});
+  ++this->in_progress;
+  platform::StartCall(this->loop, this->connections, request,
+                      [this, id](const platform::CallerAnswer& answer) {
+                        --this->in_progress;
+                        this->checker.Answered(id, answer, this->loop.Now());
+                      });
+}
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_callers.h
@@ -0,0 +1,50 @@
+// Callers of a soak: a steady load over all routes, on kept and on new connections.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "runtime/http_connection_pool.h"
+#include "soak/checker.h"
+#include "soak/soak_layout.h"
+
+namespace savory {
+
+class EventLoop;
+
+class SoakCallers {
+ public:
+  SoakCallers(EventLoop& loop, Checker& checker, const SoakLayout& layout, std::uint64_t seed);
+
+  void Start(double requests_per_second);
+  void SetRate(double requests_per_second) { this->rate = requests_per_second; }
+  void Stop() { this->stopped = true; }
+  // Entries that answer their probe.
+  std::size_t Ready() const;
+  std::size_t InProgress() const { return this->in_progress; }
+
+ private:
+  void Probe();
+  void SendNext();
+  void SendOne();
+
+  EventLoop& loop;
+  Checker& checker;
+  SoakLayout layout;
+  Random random;
+  Metrics metrics;
+  // Callers keep connections for as long as the entry does.
+  HttpConnectionPool connections;
+  HttpConnectionPool probes;
+  RoutingRules rules;
+  std::vector<bool> ready;
+  double rate = 0;
+  bool stopped = false;
+  std::size_t in_progress = 0;
+};
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_layout.cc
@@ -0,0 +1,86 @@
+#include "soak/soak_layout.h"
+
+namespace savory {
+namespace {
+
+constexpr int kPeerPort = 17700;
+constexpr int kMetricsPort = 17701;
+
+std::string DataCentres() {
+  return "data_centres:\n"
+         "  - {name: dc-1, region: north}\n"
+         "  - {name: dc-2, region: south}\n";
+}
+
+std::string RegionOf(const std::string& data_centre) {
+  return data_centre == "dc-1" ? "north" : "south";
+}
+
+}  // namespace
+
+std::string SoakLayout::Address(int group, std::size_t machine, int port) const {
+  return "127." + std::to_string(this->block) + "." + std::to_string(group) + "." +
+         std::to_string(machine) + ":" + std::to_string(port);
+}
+
+std::string SoakLayout::PoolOf(std::size_t upstream) const {
+  if (this->IsEngine(upstream)) return "chat";
+  return upstream % 2 == 0 ? "alpha" : "beta";
+}
+
+std::string SoakLayout::EntrySettings(std::size_t index) const {
+  const std::string data_centre = this->DataCentreOf(index);
+  std::string seeds;
+  for (std::size_t i = 0; i < this->entries; ++i) {
+    seeds += (i == 0 ? "" : ", ") + this->Address(1, i + 1, kPeerPort);
+  }
+  return "vm: " + this->EntryVm(index) + "\nregion: " + RegionOf(data_centre) +
+         "\ndata_centre: " + data_centre + "\n" + DataCentres() +
+         "listen:\n  callers: " + this->Callers(index) + "\n  ready: " + this->Ready(index) +
+         "\n  peer: " + this->Address(1, index + 1, kPeerPort) +
+         "\n  peer_port: " + std::to_string(kPeerPort) + "\n  metrics: " + this->Metrics(index) +
+         "\nstore: " + this->StoreProxy(index) + "\nseeds: [" + seeds + "]\n";
+}
+
+std::string SoakLayout::AgentSettings(std::size_t index) const {
+  const std::string data_centre = this->DataCentreOf(index);
+  return "vm: " + this->AgentVm(index) + "\nregion: " + RegionOf(data_centre) +
+         "\ndata_centre: " + data_centre + "\n" + DataCentres() +
+         "listen:\n  peer: " + this->Address(2, index + 1, kPeerPort) +
+         "\n  peer_port: " + std::to_string(kPeerPort) +
+         "\n  metrics: " + this->Address(2, index + 1, kMetricsPort) +
+         "\nengine: " + this->Public(index) + "\nlink_mbps: 50\n";
+}
+
+RoutingRules SoakLayout::Rules(std::uint64_t version, const std::string& moved_to) const {
+  using std::chrono::milliseconds;
+  RoutingRules rules{.version = version};
+  const auto add = [&rules](std::string name, RepeatKind kind, const std::string& pool,
+                            bool resumable) {
+    rules.routes.push_back({.name = name,
+                            .host = "soak.example",
+                            .path_prefix = "/" + name + "/",
+                            .kind = kind,
+                            .pools = {{.pool = pool}},
+                            .timeout = milliseconds(1500),
+                            .target_latency = milliseconds(400),
+                            .max_pause = milliseconds(300),
+                            .max_attempts = 2,
+                            .priority = 3,
+                            .resumable = resumable});
+  };
+  add("chat", RepeatKind::kStream, "chat", true);
+  add("feed", RepeatKind::kStream, "chat", false);
+  add("book", RepeatKind::kNonIdempotent, "alpha", false);
+  add("read", RepeatKind::kIdempotent, "beta", false);
+  add("moved", RepeatKind::kIdempotent, moved_to, false);
+  rules.pools = {{.name = "chat", .engine = EngineRates{.slots = 8}, .models = {"m"}},
+                 {.name = "alpha"},
+                 {.name = "beta"}};
+  rules.accounts = {{.name = "shop", .api_keys = {"key-shop"}},
+                    {.name = "depot", .api_keys = {"key-depot"}}};
+  rules.origin = WeightsOrigin{.address = this->OriginAddress(), .data_centre = "dc-1"};
+  return rules;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_main.cc
@@ -0,0 +1,81 @@
+// savoryrouter-soak: the real programs under randomized faults, checked from outside.
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "base/command_line.h"
+#include "soak/soak_run.h"
+
+namespace savory {
+namespace {
+
+namespace po = boost::program_options;
+
+void Print(const SoakOptions& options, const SoakResult& result) {
+  for (const Fault& fault : result.plan) {
+    std::cerr << "fault at " << ToMillis(fault.at) << " ms: " << FaultName(fault.kind) << " target "
+              << fault.target << " for " << ToMillis(fault.lasts) << " ms\n";
+  }
+  nlohmann::ordered_json line = {{"seed", options.seed},
+                                 {"seconds", ToSeconds(options.length)},
+                                 {"faults", result.plan.size()},
+                                 {"sent", result.counts.sent},
+                                 {"served", result.counts.served},
+                                 {"refused", result.counts.refused},
+                                 {"unknown", result.counts.unknown},
+                                 {"broken_off", result.counts.broken_off},
+                                 {"left", result.counts.left},
+                                 {"runs", result.counts.runs},
+                                 {"loads", result.counts.loads},
+                                 {"served_at_end", result.served_at_end},
+                                 {"violations", nlohmann::json::array()}};
+  for (const Violation& violation : result.violations) {
+    line["violations"].push_back(violation.rule + ": " + violation.detail);
+  }
+  if (!result.logs.empty()) line["logs"] = result.logs;
+  std::cout << line.dump() << std::endl;
+}
+
+int Main(int argc, char** argv) {
+  SoakOptions options;
+  double seconds = 0;
+  po::options_description all("Runs the programs for the users' platform under injected faults");
+  // clang-format off
+  all.add_options()
+      ("help", "prints this text")
+      ("seed", po::value(&options.seed)->default_value(1), "of the plan of faults and the requests")
+      ("seconds", po::value(&seconds)->default_value(20), "during which faults begin")
+      ("bin-dir", po::value(&options.bin_directory)->default_value("build/bin"),
+       "folder of the programs")
+      ("block", po::value(&options.block)->default_value(20),
+       "second number of the loopback addresses, 1 to 254; one for each soak at the same time")
+      ("rate", po::value(&options.requests_per_second)->default_value(40), "requests a second")
+      ("keep-logs", po::bool_switch(&options.keep_logs), "also of a run without a violation");
+  // clang-format on
+  po::variables_map given;
+  try {
+    po::store(po::parse_command_line(argc, argv, all), given);
+    po::notify(given);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << '\n';
+    return kExitUsage;
+  }
+  if (given.contains("help")) {
+    std::cout << all;
+    return EXIT_SUCCESS;
+  }
+  options.length = FromSeconds(seconds);
+  const auto result = RunSoak(options);
+  if (!result) {
+    std::cerr << Describe(result.error()) << '\n';
+    return kExitUsage;
+  }
+  Print(options, result.value());
+  return result.value().violations.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace savory
+
+int main(int argc, char** argv) { return savory::Main(argc, argv); }
--- /dev/null
+++ b/soak/soak_processes.cc
@@ -0,0 +1,114 @@
+#include "soak/soak_processes.h"
+
+#include <csignal>
+#include <fstream>
+
+#include "runtime/event_loop.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kWatchPeriod = milliseconds(50);
+// The platform starts an ended process again after this time.
+constexpr Duration kRestartPause = milliseconds(300);
+// From SIGTERM to SIGKILL; `stop_grace_s` of the settings has the same default.
+constexpr Duration kStopGrace = milliseconds(8000);
+
+}  // namespace
+
+SoakProcesses::SoakProcesses(EventLoop& loop, ProcessGroup& group, const SoakLayout& layout,
+                             std::string bin_directory)
+    : loop(loop), group(group), layout(layout), bin_directory(std::move(bin_directory)) {}
+
+void SoakProcesses::OnStart(std::function<void(const std::string&)> listener) {
+  this->on_start = std::move(listener);
+}
+
+void SoakProcesses::OnUnexpectedEnd(std::function<void(const std::string&, int)> listener) {
+  this->on_unexpected_end = std::move(listener);
+}
+
+Result<void> SoakProcesses::StartAll() {
+  const auto add = [this](const std::string& vm, const std::string& program,
+                          const std::string& settings) {
+    const std::string file = this->group.Directory() + "/" + vm + ".yaml";
+    std::ofstream(file) << settings;
+    this->processes[vm] = {.command = {this->bin_directory + "/" + program, "--config", file}};
+  };
+  for (std::size_t i = 0; i < this->layout.entries; ++i) {
+    add(this->layout.EntryVm(i), "savoryrouter-platform-entry", this->layout.EntrySettings(i));
+  }
+  for (std::size_t i = 0; i < this->layout.engines; ++i) {
+    add(this->layout.AgentVm(i), "savoryrouter-platform-agent", this->layout.AgentSettings(i));
+  }
+  for (const auto& [vm, process] : this->processes) {
+    const auto started = this->Start(vm);
+    if (!started) return started.error();
+  }
+  this->loop.Every(kWatchPeriod, [this] { this->Watch(); });
+  return success();
+}
+
+Result<void> SoakProcesses::Start(const std::string& vm) {
+  Process& process = this->processes.at(vm);
+  process.killed = false;
+  process.starting = false;
+  ++process.stops;
+  BOOST_OUTCOME_TRY(this->group.Start(vm, process.command));
+  if (this->on_start) this->on_start(vm);
+  return success();
+}
+
+void SoakProcesses::Watch() {
+  if (this->ending) return;
+  for (auto& [vm, process] : this->processes) {
+    if (process.starting || this->group.IsRunning(vm)) continue;
+    const auto status = this->group.WaitForEnd(vm, Duration(0));
+    if (!process.killed && status && status.value() != 0 && this->on_unexpected_end) {
+      this->on_unexpected_end(vm, status.value());
+    }
+    process.starting = true;
+    this->loop.After(kRestartPause, [this, vm = vm] {
+      if (!this->ending && !this->Start(vm) && this->on_unexpected_end) {
+        this->on_unexpected_end(vm, -1);
+      }
+    });
+  }
+}
+
+void SoakProcesses::Kill(const std::string& vm) {
+  this->processes.at(vm).killed = true;
+  this->group.Signal(vm, SIGKILL);
+}
+
+void SoakProcesses::KillAll() {
+  for (const auto& [vm, process] : this->processes) this->Kill(vm);
+}
+
+void SoakProcesses::Stop(const std::string& vm) {
+  const int stop = ++this->processes.at(vm).stops;
+  this->group.Signal(vm, SIGTERM);
+  this->loop.After(kStopGrace, [this, vm, stop] {
+    if (this->processes.at(vm).stops == stop && this->group.IsRunning(vm)) this->Kill(vm);
+  });
+}
+
+void SoakProcesses::Pause(const std::string& vm, Duration lasts) {
+  this->group.Signal(vm, SIGSTOP);
+  this->loop.After(lasts, [this, vm] { this->group.Signal(vm, SIGCONT); });
+}
+
+std::vector<std::string> SoakProcesses::StopAll() {
+  this->ending = true;
+  std::vector<std::string> unclean;
+  for (const auto& [vm, process] : this->processes) this->group.Signal(vm, SIGTERM);
+  for (const auto& [vm, process] : this->processes) {
+    const auto status = this->group.WaitForEnd(vm, kStopGrace);
+    if (!status || status.value() != 0) unclean.push_back(vm);
+  }
+  return unclean;
+}
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_run.h
@@ -0,0 +1,35 @@
+// One run of the fault soak.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "soak/checker.h"
+#include "soak/fault_plan.h"
+
+namespace savory {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  Duration length = std::chrono::seconds(20);  // during which faults begin
+  std::string bin_directory;
+  int block = 20;          // of loopback addresses, see SoakLayout
+  bool keep_logs = false;  // also of a run without a violation
+  double requests_per_second = 40;
+};
+
+struct SoakResult {
+  std::vector<Fault> plan;
+  std::vector<Violation> violations;
+  SoakCounts counts;
+  double served_at_end = 0;  // part of the requests after the last fault
+  std::string logs;          // directory, when it was kept
+};
+
+// Errors: kUnavailable when a program cannot be started or an address is in use.
+Result<SoakResult> RunSoak(const SoakOptions& options);
+
+}  // namespace savory
--- /dev/null
+++ b/soak/soak_upstreams.h
@@ -0,0 +1,81 @@
+// The platform around the product in a soak: store, origin, upstreams, and the links to them.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/testing/engine_standin.h"
+#include "platform/testing/origin_standin.h"
+#include "platform/testing/store_standin.h"
+#include "soak/checker.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_layout.h"
+
+namespace savory {
+
+class EventLoop;
+
+class SoakUpstreams : public platform::EngineObserver {
+ public:
+  SoakUpstreams(EventLoop& loop, Checker& checker, const SoakLayout& layout);
+  ~SoakUpstreams() override;
+
+  // Listens everywhere and writes the first tables, weights and upstreams.
+  Result<void> Start();
+
+  platform::StoreStandin& Store() { return this->store; }
+  void SetStoreCondition(platform::StoreCondition condition);
+  FaultProxy& StoreLink(std::size_t entry) { return *this->store_links[entry]; }
+  FaultProxy& Link(std::size_t upstream) { return *this->slots[upstream].link; }
+  std::string UpstreamId(std::size_t upstream) const;
+
+  // It comes back after `away`, as another start with another id.
+  void Crash(std::size_t upstream, Duration away);
+  // It says that it leaves, serves on for a while, and is replaced.
+  void Drain(std::size_t upstream);
+  void SetFault(std::size_t upstream, platform::EngineFault fault);
+  void SpoilPiece(std::size_t upstream, std::uint64_t seed);
+  void MoveRoute();
+  void NameWeights();
+
+  // Engines that hold the newest version.
+  std::size_t UpToDate() const;
+
+  void OnArrived(const platform::ArrivedRequest& request) override;
+  void OnRun(const platform::ArrivedRequest& request) override;
+  void OnRunEnded(std::string_view attempt_id) override;
+  void OnLoad(std::string_view upstream, std::uint64_t version, bool whole) override;
+
+ private:
+  struct Slot {
+    Upstream described;
+    std::unique_ptr<platform::EngineStandin> standin;  // null while it is away
+    std::unique_ptr<FaultProxy> link;
+    platform::StagedPieces staged = {};  // while it is away
+    int starts = 0;
+    bool leaving = false;
+  };
+
+  void StartUpstream(std::size_t index);
+  void EndUpstream(std::size_t index);
+  void ExitWhenIdle(std::size_t index);
+  // Upstreams write their own entries, once the store takes them.
+  void Write(const std::string& key, const std::string& value);
+  void TellWeights();
+
+  EventLoop& loop;
+  Checker& checker;
+  SoakLayout layout;
+  platform::StoreStandin store;
+  platform::OriginStandin origin;
+  bool store_sound = true;
+  std::vector<std::unique_ptr<FaultProxy>> store_links = {};
+  std::vector<Slot> slots = {};
+  std::uint64_t config_version = 1;
+  std::string moved_to = "alpha";
+  std::uint64_t weights = 1;
+};
+
+}  // namespace savory
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -119,10 +119,13 @@
 
 double Dispatcher::LoadOf(const Place& place, Instant now) const {
   const bool known = place.load_at && now - *place.load_at < this->options.load_lifetime;
-  return place.own + (known ? place.others : 0) + this->SentByOthers(place);
+  return place.own + (known ? place.others : 0) + this->SentByOthers(place, now);
 }
 
-double Dispatcher::SentByOthers(const Place& place) const {
+double Dispatcher::SentByOthers(const Place& place, Instant now) const {
+  // Without a recent report the others see none either, and what was sent long ago has ended.
+  const bool known = place.load_at && now - *place.load_at < this->options.load_lifetime;
+  if (!known) return 0;
   return place.sent_since * (this->entries - 1) * this->options.sent_by_others;
 }
 
@@ -134,11 +137,12 @@
     EngineRates rates = *pool->engine;
     rates.slots = place.upstream.slots;
     const double others_waiting = std::max(0.0, choice.load - place.own - slots);
-    const EngineWork work{.requests = choice.load,
-                          .unread_tokens = place.own_unread_tokens +
-                                           std::max(others_waiting, this->SentByOthers(place) / 2) *
-                                               rates.usual_prompt_tokens,
-                          .pace = place.report ? std::max(1.0, place.report->pace) : 1.0};
+    const EngineWork work{
+        .requests = choice.load,
+        .unread_tokens =
+            place.own_unread_tokens + std::max(others_waiting, this->SentByOthers(place, now) / 2) *
+                                          rates.usual_prompt_tokens,
+        .pace = place.report ? std::max(1.0, place.report->pace) : 1.0};
     choice.forecast = Forecast(rates, work, request.prompt_tokens);
   } else {
     const double part = choice.load / slots;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -120,7 +120,7 @@
   bool MayUse(const Place& place, const DispatchRequest& request, Instant now) const;
   std::uint64_t WeightsOf(const Place& place) const;
   double LoadOf(const Place& place, Instant now) const;
-  double SentByOthers(const Place& place) const;
+  double SentByOthers(const Place& place, Instant now) const;
   Choice Rate(const Place& place, const DispatchRequest& request, const PoolRule* pool,
               Instant now) const;
   Choice Best(const DispatchRequest& request, Instant now);
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -179,6 +179,21 @@
   EXPECT_EQ(std::get<SendTo>(later.decision).load, 5);
 }
 
+// Pattern: a steady trickle to a service that tells no load. Guards against requests of long ago
+// that still count as sent by the other entries, until the service looks full.
+TEST_F(DispatcherTest, ServiceThatTellsNoLoadIsNotFilledByPastRequests) {
+  this->dispatcher.SetEntries(5);
+  this->dispatcher.SetUpstream(
+      {.id = "ledger-1", .pool = "ledger", .address = "10.0.1.1:80", .slots = 6});
+  for (int i = 0; i < 200; ++i, this->now += milliseconds(100)) {
+    DispatchRequest request = this->Chat();
+    request.pool = "ledger";
+    const AttemptNumber attempt = request.attempt;
+    ASSERT_EQ(this->Submit(std::move(request)), "ledger-1") << "request " << i;
+    this->dispatcher.OnEnded(attempt, AttemptResult::kServed, this->now);
+  }
+}
+
 // Pattern: an engine that fails while its health answers are good. Guards against sending it the
 // traffic of the pool, and against never using it again.
 TEST_F(DispatcherTest, FailingEngineIsEjectedAndReturnsOnTrial) {
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -226,7 +226,15 @@
 TcpConnection::TcpConnection(EventLoop& loop, uv_stream_s* server, TcpHandler& handler,
                              const TcpOptions& options)
     : impl(new Impl(loop, handler, options)) {
-  if (uv_accept(server, this->impl->Stream()) == 0) this->impl->Start();
+  if (uv_accept(server, this->impl->Stream()) == 0) {
+    this->impl->Start();
+    return;
+  }
+  // The connection is gone already; no handler call is made before this returns.
+  this->impl->connect_timer = loop.After(Duration(0), [self = this->impl] {
+    self->connect_timer = 0;
+    self->End(TcpEnd::kReset);
+  });
 }
 
 TcpConnection::~TcpConnection() { this->impl->Close(); }
