Bring weights on after a restart of everything: read staged pieces back, seed when asked, read the origin across regions in the end

Entries that did not know since when the version was wanted used no engine with the older one. Ruled out: the store (up), the origin (10 of 48 pieces had come from it), the engines (running). Now the first copy of a process reads back what lies at the engine, an agent whose engine is done reads it back when another one asks for pieces, ten failed requests in a row to the origin's region lead to the origin itself, and a version that was named before all processes started counts as having 2.2 s left. Tests that failed first: ChunkSpreader.RemoteRegionReadsTheOriginWhenItsSourcesDoNotCopy; CopyPolicy.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "direct/copy_policy.h"
 #include "direct/engine_loader.h"
 #include "direct/manifest_exchange.h"
 #include "direct/weights_copier.h"
@@ -73,7 +74,8 @@
                {.peer = this->settings.process.peer,
                 .region = this->settings.process.region,
                 .link_bytes_per_second = this->settings.link_bytes_per_second,
-                .region_bytes_per_second = this->settings.region_bytes_per_second}),
+                .region_bytes_per_second = this->settings.region_bytes_per_second,
+                .assumed_age = this->settings.weights_deadline - kUnknownSinceGrace}),
         loader(loop, metrics, adapter.engine, this->copier,
                {.deadline = this->settings.weights_deadline}),
         metrics_server(loop, {}, [this](const SharedExchange& exchange) {
--- /dev/null
+++ b/src/direct/copy_policy.cc
@@ -0,0 +1,31 @@
+#include "direct/copy_policy.h"
+
+namespace savory {
+namespace {
+
+// Pieces that lie at the engine are read back in about a second.
+constexpr Duration kReadBackTime = std::chrono::milliseconds(1500);
+
+bool EngineLacks(const CopySituation& now) {
+  return now.engine_version && *now.engine_version < now.wanted;
+}
+
+}  // namespace
+
+bool NeedsCopy(const CopySituation& now) {
+  if (EngineLacks(now)) return true;
+  if (now.engine_version != now.wanted) return false;
+  return now.asked_for || (now.engines_lacking && now.rank < now.seeding_agents);
+}
+
+bool MayLieAtEngine(const CopySituation& now) {
+  return !EngineLacks(now) || now.engine_version == 0u || now.first_copy;
+}
+
+Duration OriginDelay(const CopySituation& now) {
+  // An engine without weights is mostly a new one, where no pieces lie.
+  const bool likely = MayLieAtEngine(now) && now.engine_version != 0u;
+  return likely ? kReadBackTime : Duration(0);
+}
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/copy_policy.h
@@ -0,0 +1,36 @@
+// When an agent copies a version of the weights, and where it looks for pieces first.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/time.h"
+
+namespace savory {
+
+// A version that was named before every process started counts as named so long ago that engines
+// with older weights serve for this time yet. Below the time that the platform allows a restarted
+// machine before its bounds hold again (3 s and more).
+constexpr Duration kUnknownSinceGrace = std::chrono::milliseconds(2200);
+
+struct CopySituation {
+  std::uint64_t wanted = 0;                          // version
+  std::optional<std::uint64_t> engine_version = {};  // 0: none; nullopt: it cannot be reached
+  bool first_copy = false;                           // of this process
+  bool engines_lacking = false;                      // engines without any weights need them
+  bool asked_for = false;  // another agent asks for pieces of the wanted version
+  std::size_t rank = 0;    // of this agent for the version among those of its region
+  std::size_t seeding_agents = 0;
+};
+
+// Whether to bring the wanted version into memory: the engine lacks it, or others need it.
+bool NeedsCopy(const CopySituation& now);
+
+// Whether pieces of the wanted version may lie at the engine: it holds the version, it lost it in a
+// restart, or an earlier start of this process staged it.
+bool MayLieAtEngine(const CopySituation& now);
+
+// How long the origin is left alone meanwhile.
+Duration OriginDelay(const CopySituation& now);
+
+}  // namespace savory
--- /dev/null
+++ b/src/direct/copy_policy_test.cc
@@ -0,0 +1,56 @@
+#include "direct/copy_policy.h"
+
+#include <gtest/gtest.h>
+
+namespace savory {
+namespace {
+
+constexpr CopySituation kBehind = {.wanted = 3, .engine_version = 1, .seeding_agents = 4};
+constexpr CopySituation kDone = {.wanted = 3, .engine_version = 3, .seeding_agents = 4};
+
+// Pattern: everything restarts in the middle of a rollout. Guards against copying a version again
+// that an earlier start of the agent had staged whole.
+TEST(CopyPolicy, FirstCopyOfAProcessLooksAtTheEngine) {
+  CopySituation now = kBehind;
+  EXPECT_FALSE(MayLieAtEngine(now));
+  now.first_copy = true;
+  EXPECT_TRUE(NeedsCopy(now));
+  EXPECT_TRUE(MayLieAtEngine(now));
+  EXPECT_GT(OriginDelay(now), Duration(0));
+}
+
+// Pattern: everything restarts in the middle of a rollout. Guards against agents whose engines are
+// done, which hold the only copies, keeping them from the others.
+TEST(CopyPolicy, DoneAgentReadsItsEngineBackWhenItIsAsked) {
+  CopySituation now = kDone;
+  EXPECT_FALSE(NeedsCopy(now));
+  now.asked_for = true;
+  EXPECT_TRUE(NeedsCopy(now));
+  EXPECT_TRUE(MayLieAtEngine(now));
+}
+
+// Pattern: empty engines are added. Guards against every agent of the region reading its engine
+// back for them, and against new engines that wait for pieces which cannot lie there.
+TEST(CopyPolicy, FewAgentsSeedForEmptyEngines) {
+  CopySituation now = kDone;
+  now.engines_lacking = true;
+  now.rank = 3;
+  EXPECT_TRUE(NeedsCopy(now));
+  now.rank = 4;
+  EXPECT_FALSE(NeedsCopy(now));
+  CopySituation empty = kBehind;
+  empty.engine_version = 0;
+  EXPECT_TRUE(MayLieAtEngine(empty));
+  EXPECT_EQ(OriginDelay(empty), Duration(0));
+}
+
+// Guards against orders for an engine of which nothing is known.
+TEST(CopyPolicy, UnreachableEngineNeedsNoCopy) {
+  CopySituation now = kBehind;
+  now.engine_version.reset();
+  now.asked_for = true;
+  EXPECT_FALSE(NeedsCopy(now));
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "direct/copy_policy.h"
 #include "fleet/entry_links.h"
 #include "records/record_sync.h"
 #include "relay/record_codec.h"
@@ -181,8 +182,9 @@
     std::vector<WeightsOrder>& named = this->weights[wanted.model];
     if (!named.empty() && wanted.version <= named.back().version) return;
     // A version that was there when this process started may have been named long ago: it is
-    // enforced at once, until an agent tells since when it is wanted.
-    WeightsOrder order{.model = wanted.model, .version = wanted.version};
+    // enforced soon, unless an agent tells since when it is wanted.
+    WeightsOrder order{
+        .model = wanted.model, .version = wanted.version, .first_seen = this->loop.Now()};
     if (this->operator_records_listed) order.known_since = this->loop.Now();
     named.push_back(std::move(order));
     if (named.size() > kMaxNamedVersions) named.erase(named.begin());
@@ -202,12 +204,11 @@
         }
         std::vector<WeightsRule> weights_rules;
         for (const WeightsOrder& named : found->second) {
-          WeightsRule rule{.version = named.version};
-          if (named.known_since) {
-            rule.enforced_at =
-                *named.known_since + this->settings.weights_deadline - kWeightsMargin;
-          }
-          weights_rules.push_back(rule);
+          const Instant enforced_at =
+              named.known_since
+                  ? *named.known_since + this->settings.weights_deadline - kWeightsMargin
+                  : named.first_seen + kUnknownSinceGrace;
+          weights_rules.push_back({.version = named.version, .enforced_at = enforced_at});
         }
         this->relay.Places().SetWeightsRules(pool.name, std::move(weights_rules));
         WeightsOrder order = found->second.back();
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <deque>
+#include <variant>
 #include <vector>
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "direct/copy_policy.h"
 #include "direct/manifest_exchange.h"
 #include "distribution/chunk_spreader.h"
 #include "distribution/engine_control.h"
@@ -26,8 +28,6 @@
 constexpr Duration kTakeover = milliseconds(1200);
 // A piece of a peer that has not come after this time is asked for elsewhere.
 constexpr Duration kPieceDeadline = milliseconds(1200);
-// Pieces that lie at the engine are read back before the origin is asked for them.
-constexpr Duration kReadBackTime = milliseconds(1500);
 constexpr std::size_t kReadBackCalls = 2;
 constexpr Duration kProgressPeriod = milliseconds(500);
 
@@ -52,7 +52,8 @@
   PieceListener on_piece = {};
   FleetView view = {};
   std::optional<std::uint64_t> engine_version = {};
-  std::uint64_t listing = 0;  // version whose manifest is being looked for
+  std::uint64_t asked_for = 0;  // version that another agent asked this one for
+  std::uint64_t listing = 0;    // version whose manifest is being looked for
   ManifestExchange manifests;
   std::optional<VersionCopy> newest = {};
   std::vector<bool> told = {};  // pieces of `newest` that the listener knows
@@ -127,27 +128,40 @@
 
   // ---- the wanted version ----
 
-  bool EngineLacks(std::uint64_t version) const {
-    return this->engine_version && *this->engine_version < version;
-  }
-
-  // Whether this agent helps others to a version that its own engine holds.
-  bool Seeds(std::uint64_t version) const {
-    if (!this->view.engines_lacking || this->engine_version != version) return false;
+  CopySituation Situation(std::uint64_t version) const {
+    CopySituation now{.wanted = version,
+                      .engine_version = this->engine_version,
+                      .first_copy = !this->newest,
+                      .engines_lacking = this->view.engines_lacking,
+                      .asked_for = this->asked_for == version,
+                      .seeding_agents = this->options.seeding_agents};
     const std::string key = WeightsNameOf(this->view.model, version);
     const std::uint64_t own = RendezvousScore(key, this->options.peer);
-    const auto before = std::count_if(
-        this->view.agents.begin(), this->view.agents.end(), [&](const AgentAddress& agent) {
-          return agent.region == this->options.region && RendezvousScore(key, agent.peer) > own;
-        });
-    return static_cast<std::size_t>(before) < this->options.seeding_agents;
+    for (const AgentAddress& agent : this->view.agents) {
+      const bool near = agent.region == this->options.region;
+      if (near && RendezvousScore(key, agent.peer) > own) ++now.rank;
+    }
+    return now;
+  }
+
+  // A message of another agent about weights: one that copies the wanted version asks for it.
+  void OnPeerEvent(const SpreadEvent& event) {
+    const auto* map = std::get_if<MapReceived>(&event);
+    const bool asks =
+        std::holds_alternative<RequestReceived>(event) || (map != nullptr && map->reply_wanted);
+    if (asks && this->asked_for != this->view.weights_version &&
+        (!this->newest || this->newest->version < this->view.weights_version)) {
+      this->asked_for = this->view.weights_version;
+      this->Follow();
+    }
+    this->Spread(event);
   }
 
   void Follow() {
     const std::uint64_t next = this->view.weights_version;
     const std::uint64_t current = this->newest ? this->newest->version : 0;
     if (next <= current || next == this->listing || this->view.origin.empty()) return;
-    if (!this->EngineLacks(next) && !this->Seeds(next)) return;
+    if (!NeedsCopy(this->Situation(next))) return;
     this->listing = next;
     this->manifests.Find(
         this->view.model, next,
@@ -159,24 +173,25 @@
 
   void StartCopy(const std::string& model, std::uint64_t version,
                  std::shared_ptr<const Manifest> manifest) {
+    const CopySituation situation = this->Situation(version);
+    const Instant assumed = this->Now() - this->options.assumed_age;
     this->newest = VersionCopy{.model = model,
                                .version = version,
-                               .known_since = this->view.wanted_since.value_or(Instant()),
+                               .known_since = this->view.wanted_since.value_or(assumed),
                                .manifest = std::move(manifest)};
     const std::uint32_t pieces = this->newest->manifest->ChunkCount();
     this->told.assign(pieces, false);
     this->store.Want(this->newest->manifest);
     this->read_back.clear();
-    // The pieces at an engine that holds the version, or has lost it in a restart, are of this
-    // version.
-    const bool at_engine = !this->EngineLacks(version) || this->engine_version == 0u;
     Log(LogLevel::kInfo, "copy_started",
         {{"version", version},
          {"pieces", pieces},
          {"engine", this->engine_version.value_or(0)},
+         {"asked_for", situation.asked_for},
+         {"read_back", MayLieAtEngine(situation)},
          {"known_for_ms", ToMillis(this->Now() - this->newest->known_since)}});
-    if (at_engine) this->ListStaged();
-    this->WantCopy(this->EngineLacks(version) ? Duration(0) : kReadBackTime);
+    if (MayLieAtEngine(situation)) this->ListStaged();
+    this->WantCopy(OriginDelay(situation));
   }
 
   void WantCopy(Duration origin_delay) {
@@ -308,7 +323,7 @@
 void WeightsCopier::Start() {
   this->impl->manifests.Start();
   this->impl->link.Start(this->impl->Guarded(
-      [self = this->impl.get()](const SpreadEvent& event) { self->Spread(event); }));
+      [self = this->impl.get()](const SpreadEvent& event) { self->OnPeerEvent(event); }));
 }
 
 void WeightsCopier::SetFleet(const FleetView& view) { this->impl->SetFleet(view); }
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -28,13 +28,15 @@
   double region_bytes_per_second = 3e6;  // between two regions, for all traffic
   // Agents of a region that read a version back from their engines when others join without it.
   std::size_t seeding_agents = 4;
+  // A version of which nobody knows since when it is wanted counts as wanted for this long.
+  Duration assumed_age = {};
 };
 
 // One version as far as this agent has it.
 struct VersionCopy {
   std::string model;
   std::uint64_t version = 0;
-  Instant known_since = {};  // the epoch when that is not known
+  Instant known_since = {};
   std::shared_ptr<const Manifest> manifest = {};
 };
 
--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -31,6 +31,9 @@
 constexpr Duration kScanPause = milliseconds(20);
 constexpr Duration kTakeoverScanPause = milliseconds(100);
 constexpr Duration kRemoteRetry = milliseconds(200);
+// Requests to the origin's region that fail in a row before the origin itself is read. Its agents
+// may have nothing left to copy, or be gone; with kRemoteRetry this takes about 2 s.
+constexpr int kRemoteFailures = 10;
 constexpr Duration kMaxAvoidance = seconds(30);
 constexpr Duration kRecheckDelay = milliseconds(500);
 constexpr Duration kFirstProbe = seconds(2);
@@ -95,6 +98,7 @@
   std::deque<std::uint32_t> inherited = {};  // the same, of rank 0 since the members changed
   std::vector<bool> owns = {};               // by chunk
   std::unordered_map<std::uint32_t, std::size_t> remote_attempts = {};
+  int remote_failures = 0;                     // in a row
   std::vector<std::uint32_t> candidates = {};  // rarest last
   std::vector<std::uint32_t> fresh = {};       // stored but not yet announced
   Instant started = {};
@@ -366,6 +370,7 @@
     this->inherited.clear();
     this->owns.clear();
     this->remote_attempts.clear();
+    this->remote_failures = 0;
     this->candidates.clear();
     this->fresh.clear();
     this->mismatches = 0;
@@ -439,6 +444,7 @@
     const std::optional<Pending> request = this->EndRequest(chunk, false);
     if (request && request->peer != event.from) this->SendCancelOf(chunk, *request);
     if (request && request->peer == event.from) this->NoteRoundTrip(now - request->sent);
+    if (request && request->remote) this->remote_failures = 0;
     if (SpreadNeighbour* neighbour = this->FindNeighbour(event.from)) {
       neighbour->timeouts = 0;
       if (neighbour->map_known) this->NoteHolder(now, *neighbour, chunk);
@@ -468,6 +474,7 @@
     const std::optional<Pending> request = this->EndRequest(event.chunk, true);
     if (request->remote) {
       ++this->remote_attempts[event.chunk];
+      ++this->remote_failures;
       this->remote_ready = now + this->Jittered(kRemoteRetry);
       this->owned.push_front(event.chunk);
       return;
@@ -523,6 +530,7 @@
       this->SendCancelOf(chunk, *request);
       if (request->remote) {
         ++this->remote_attempts[chunk];
+        ++this->remote_failures;
         this->owned.push_front(chunk);
         continue;
       }
@@ -701,7 +709,10 @@
       const std::uint32_t chunk = this->NextFirstFetch(now, takeover);
       if (chunk == kNoChunk) return;
       const auto sources = this->ranks.SourcesOf(chunk);
-      if (sources.empty()) return;
+      if (sources.empty() || this->remote_failures >= kRemoteFailures) {
+        this->ReadOriginAcrossRegions(now, chunk, takeover);
+        return;
+      }
       const std::size_t attempt = this->remote_attempts[chunk];
       ++this->remote_pending;
       this->region_pacer.Take(now, this->ChunkLength(chunk));
@@ -709,6 +720,18 @@
     }
   }
 
+  void ReadOriginAcrossRegions(Instant now, std::uint32_t chunk, bool takeover) {
+    if (now < this->origin_ready || this->origin_reads.size() >= this->options.max_origin_reads) {
+      if (!takeover) this->owned.push_back(chunk);
+      return;
+    }
+    this->origin_reads.insert(chunk);
+    if (takeover) this->takeover_reads.insert(chunk);
+    this->region_pacer.Take(now, this->ChunkLength(chunk));
+    this->down.TakeWeights(now, this->ChunkLength(chunk));
+    this->actions.push_back(ReadOrigin{.chunk = chunk});
+  }
+
   // A chunk that this agent brings into its region, or kNoChunk.
   std::uint32_t NextFirstFetch(Instant now, bool& takeover) {
     if (now >= this->inherited_ready && !this->inherited.empty()) {
--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -213,6 +213,23 @@
   EXPECT_LE(harness.CrossedCopies(), kMaxCopies);
 }
 
+// Pattern: everything restarts in the middle of a rollout, and the agents of the origin's region
+// have nothing left to copy. Guards against remote agents that ask them for ever.
+TEST(ChunkSpreader, RemoteRegionReadsTheOriginWhenItsSourcesDoNotCopy) {
+  SpreadHarness harness(HarnessOptions{.agents = 8, .remote_agents = 4});
+  std::set<std::size_t> all;
+  for (std::size_t i = 0; i < 8; ++i) all.insert(i);
+  for (std::size_t agent = 4; agent < 8; ++agent) {
+    harness.StartAgent(agent);
+    harness.TellMembers(agent, all);
+  }
+  harness.Run(seconds(60), [&] {
+    return harness.IsWhole(4) && harness.IsWhole(5) && harness.IsWhole(6) && harness.IsWhole(7);
+  });
+  for (std::size_t agent = 4; agent < 8; ++agent) EXPECT_TRUE(harness.IsWhole(agent));
+  EXPECT_LE(harness.OriginCopies(), 2.0);
+}
+
 // Pattern: engines come and go while a version is copied. Guards against changes of the members
 // that keep every agent from reading its own chunks.
 TEST(ChunkSpreader, ChangingMembersDoNotStopTheCopy) {
