--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -38,6 +38,8 @@
 constexpr Duration kShortestStop = milliseconds(3200);
 // Left of the grace when the process ends by itself, before it is killed.
 constexpr Duration kStopReserve = milliseconds(400);
+// An entry without any upstream is ready after this time, as the platform may have none.
+constexpr Duration kLongestWithoutUpstreams = milliseconds(3000);
 // A newer version is enforced this much before the deadline, since requests can wait at an engine.
 constexpr Duration kWeightsMargin = milliseconds(900);
 // Versions whose deadlines are remembered.
@@ -99,6 +101,7 @@
   using SettingsTime = std::filesystem::file_time_type;
   SettingsTime settings_time = {};
   bool operator_records_listed = false;
+  Instant rules_since = {};  // when the first ones were known
 
   Impl(EventLoop& loop, Metrics& metrics, DirectEntrySettings given, DirectEntryAdapter adapter)
       : loop(loop),
@@ -166,6 +169,7 @@
          {"routes", found.routes.size()},
          {"pools", found.pools.size()},
          {"accounts", found.accounts.size()}});
+    if (!this->rules) this->rules_since = this->loop.Now();
     this->rules = std::make_shared<const RoutingIndex>(std::move(found));
     this->relay.SetRules(this->rules);
     const CallerLimits& limits = this->rules->Rules().limits;
@@ -306,7 +310,12 @@
 
   // ---- readiness, metrics ----
 
-  bool IsReady() const { return this->rules && !this->stopping_since; }
+  // Rules and upstreams come from two lists: callers that are sent here between them are refused.
+  bool IsReady() const {
+    if (!this->rules || this->stopping_since) return false;
+    return !this->upstreams.All().empty() ||
+           this->loop.Now() >= this->rules_since + kLongestWithoutUpstreams;
+  }
 
   void AnswerReady(HttpExchange& exchange) {
     const bool ready = this->IsReady();
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -45,7 +45,12 @@
 struct RefuseRequest {
   ErrorKind kind = ErrorKind::kOverloaded;
   Duration retry_after = {};
-  Duration predicted = {};  // of the best upstream
+  // What decided, for the log.
+  std::size_t usable = 0;   // upstreams that might have taken it
+  std::string best = {};    // id of the one that would have begun it first
+  Duration predicted = {};  // until the first event there
+  double load = 0;          // requests there
+  Duration report_age = {};
 };
 
 // An upstream was ejected, or serves again after an ejection.
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -183,8 +183,8 @@
   const std::size_t sample = this->options.sample;
   rate(0, std::min(sample, near_count));
   rate(near_count, near_count + sample);
-  if (this->Fits(best, request, now)) return best;
-  rate(0, this->options.max_candidates);
+  if (!this->Fits(best, request, now)) rate(0, this->options.max_candidates);
+  best.usable = candidates.size();
   return best;
 }
 
@@ -219,14 +219,13 @@
   place.health.OnStarted();
   this->sent[request.attempt] = {.upstream = upstream.id,
                                  .unread_tokens = static_cast<double>(request.prompt_tokens)};
-  return DispatchVerdict{
-      .attempt = request.attempt,
-      .decision = SendTo{.upstream = upstream.id,
-                         .address = upstream.address,
-                         .weights_version = this->WeightsOf(place),
-                         .predicted = best.forecast.first_event,
-                         .load = best.load,
-                         .report_age = place.load_at ? now - *place.load_at : Duration(-1)}};
+  return DispatchVerdict{.attempt = request.attempt,
+                         .decision = SendTo{.upstream = upstream.id,
+                                            .address = upstream.address,
+                                            .weights_version = this->WeightsOf(place),
+                                            .predicted = best.forecast.first_event,
+                                            .load = best.load,
+                                            .report_age = LoadAge(place, now)}};
 }
 
 Instant Dispatcher::WaitLimit(const DispatchRequest& request) const {
@@ -236,23 +235,32 @@
   return std::min(request.deadline, request.arrived + wait);
 }
 
-DispatchVerdict Dispatcher::Refuse(const DispatchRequest& request, const Choice& best) {
+Duration Dispatcher::LoadAge(const Place& place, Instant now) {
+  return place.load_at ? now - *place.load_at : Duration(-1);
+}
+
+DispatchVerdict Dispatcher::Refuse(const DispatchRequest& request, const Choice& best,
+                                   Instant now) {
   const Duration spread = this->options.longest_return - this->options.shortest_return;
-  const Duration retry_after =
-      this->options.shortest_return + FromSeconds(ToSeconds(spread) * UniformUnit(this->random));
-  return DispatchVerdict{
-      .attempt = request.attempt,
-      .decision = RefuseRequest{
-          .kind = best.place == nullptr ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded,
-          .retry_after = retry_after,
-          .predicted = best.forecast.first_event}};
+  RefuseRequest refusal{
+      .kind = best.place == nullptr ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded,
+      .retry_after = this->options.shortest_return +
+                     FromSeconds(ToSeconds(spread) * UniformUnit(this->random)),
+      .usable = best.usable,
+      .predicted = best.forecast.first_event,
+      .load = best.load};
+  if (best.place != nullptr) {
+    refusal.best = best.place->upstream.id;
+    refusal.report_age = LoadAge(*best.place, now);
+  }
+  return DispatchVerdict{.attempt = request.attempt, .decision = std::move(refusal)};
 }
 
 DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
   Choice best;
   if (auto placed = this->TryPlace(request, now, best)) return *placed;
   if (request.begun) request.arrived = now;  // its wait counts from the break
-  if (now >= this->WaitLimit(request)) return this->Refuse(request, best);
+  if (now >= this->WaitLimit(request)) return this->Refuse(request, best, now);
   const AttemptNumber attempt = request.attempt;
   const auto later =
       std::find_if(this->waiting.begin(), this->waiting.end(), [&](const DispatchRequest& other) {
@@ -270,7 +278,7 @@
     if (auto placed = this->TryPlace(*entry, now, best)) {
       verdicts.push_back(std::move(*placed));
     } else if (now >= this->WaitLimit(*entry)) {
-      verdicts.push_back(this->Refuse(*entry, best));
+      verdicts.push_back(this->Refuse(*entry, best, now));
     } else {
       ++entry;
       continue;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -112,6 +112,7 @@
     EngineForecast forecast = {};
     double load = 0;
     Duration score = {};
+    std::size_t usable = 0;  // places that were compared with it or might have been
   };
   using Places = std::map<std::string, Place, std::less<>>;
 
@@ -127,7 +128,8 @@
   bool Fits(const Choice& choice, const DispatchRequest& request, Instant now) const;
   std::optional<DispatchVerdict> TryPlace(const DispatchRequest& request, Instant now,
                                           Choice& best);
-  DispatchVerdict Refuse(const DispatchRequest& request, const Choice& best);
+  DispatchVerdict Refuse(const DispatchRequest& request, const Choice& best, Instant now);
+  static Duration LoadAge(const Place& place, Instant now);
   Instant WaitLimit(const DispatchRequest& request) const;
   void NoteLoad(Place& place, const UpstreamLoad& load, Instant now);
 
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -127,6 +127,11 @@
   ASSERT_NE(refusal, nullptr);
   EXPECT_EQ(refusal->kind, ErrorKind::kOverloaded);
   EXPECT_GT(refusal->retry_after, milliseconds(500));
+  // What decided is there for the log.
+  EXPECT_EQ(refusal->usable, 4u);
+  EXPECT_FALSE(refusal->best.empty());
+  EXPECT_EQ(refusal->load, 30);
+  EXPECT_EQ(refusal->report_age, milliseconds(51));
 }
 
 // Pattern: long prompts. Guards against prompts that pile up on one engine: the pause while they
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -572,6 +572,8 @@
 }
 
 void RelayedRequest::LogEnd(std::string_view outcome, int status, Instant now) const {
+  // What decided: the upstream that was chosen, or the best one of those that had no room.
+  const RefuseRequest* refusal = this->decision ? &*this->decision : nullptr;
   const std::initializer_list<LogField> fields = {
       {"request", this->terms.attempt_id},
       {"route", this->route.name},
@@ -581,12 +583,12 @@
       {"outcome", outcome},
       {"status", status},
       {"attempts", this->attempts},
-      {"upstream", this->target.upstream},
+      {"upstream", refusal ? refusal->best : this->target.upstream},
+      {"usable", refusal ? static_cast<std::int64_t>(refusal->usable) : -1},
       {"weights", this->target.weights_version},
-      {"load", this->target.load},
-      {"load_age_ms", ToMillis(this->target.report_age)},
-      {"predicted_ms",
-       ToMillis(this->decision ? this->decision->predicted : this->target.predicted)},
+      {"load", refusal ? refusal->load : this->target.load},
+      {"load_age_ms", ToMillis(refusal ? refusal->report_age : this->target.report_age)},
+      {"predicted_ms", ToMillis(refusal ? refusal->predicted : this->target.predicted)},
       {"first_ms", this->first_part ? ToMillis(*this->first_part) : -1},
       {"total_ms", ToMillis(now - this->arrived)},
       {"time_left_ms", this->terms.time_left ? ToMillis(*this->terms.time_left) : -1},
--- a/src/savoryrouter.h
+++ b/src/savoryrouter.h
@@ -32,3 +32,18 @@
 #include "claims/claim_driver.h"
 #include "gate/gate_driver.h"
 #include "routing/entry_driver.h"
+
+// The users' platform: records of its store, requests that go directly to upstreams, and the two
+// processes. The adapter itself is in platform/.
+#include "direct/agent.h"
+#include "direct/entry.h"
+#include "distribution/engine_control.h"
+#include "fleet/agent_links.h"
+#include "fleet/entry_links.h"
+#include "records/record_store.h"
+#include "records/record_sync.h"
+#include "relay/dispatcher.h"
+#include "relay/relay.h"
+#include "relay/relay_codec.h"
+#include "runtime/async_http_server.h"
+#include "runtime/http_connection_pool.h"
