Keep the deadline of the earlier version at entries that restart; one name for each type of call

Agents now tell the version before the newest and since when it was wanted. Ruled out: the grace for versions of unknown age (the entry had run for more than 4 s). NamedWeights holds the versions of a model without I/O. Also: two types named HttpCall lived in one namespace, which breaks the one definition rule when both headers meet; the blocking client's is BlockingHttpCall now.

--- a/src/apps/request_load.cc
+++ b/src/apps/request_load.cc
@@ -23,12 +23,13 @@
   return ToldOutcome::kUnknown;
 }
 
-HttpCall CallOf(const ToldRequest& request) {
-  HttpCall call = {.method = "POST",
-                   .target = (request.non_idempotent ? "/book?k=" : "/read?k=") + request.key,
-                   .headers = {{"X-Account", request.account}},
-                   .body = request.key,
-                   .read_timeout = kCallerTimeout};
+BlockingHttpCall CallOf(const ToldRequest& request) {
+  BlockingHttpCall call = {
+      .method = "POST",
+      .target = (request.non_idempotent ? "/book?k=" : "/read?k=") + request.key,
+      .headers = {{"X-Account", request.account}},
+      .body = request.key,
+      .read_timeout = kCallerTimeout};
   if (request.poison) {
     call.target = "/read?k=poison";
     call.body = "poison";
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "direct/copy_policy.h"
+#include "direct/named_weights.h"
 #include "fleet/entry_links.h"
 #include "records/record_sync.h"
 #include "relay/record_codec.h"
@@ -40,10 +41,6 @@
 constexpr Duration kStopReserve = milliseconds(400);
 // An entry without any upstream is ready after this time, as the platform may have none.
 constexpr Duration kLongestWithoutUpstreams = milliseconds(3000);
-// A newer version is enforced this much before the deadline, since requests can wait at an engine.
-constexpr Duration kWeightsMargin = milliseconds(900);
-// Versions whose deadlines are remembered.
-constexpr std::size_t kMaxNamedVersions = 16;
 // The settings file may change without a signal: its time of change is looked at this often.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
 
@@ -93,7 +90,7 @@
   AsyncHttpServer metrics_server;
   SharedRouting rules = {};
   // By model; the versions in the order in which they were named.
-  std::map<std::string, std::vector<WeightsOrder>> weights = {};
+  std::map<std::string, NamedWeights> weights = {};  // by model
   std::optional<Instant> held_known_since = {};
   std::set<std::string> held_weights = {};  // upstreams that held some version once
   std::optional<Instant> stopping_since = {};
@@ -148,16 +145,16 @@
     if (newest) this->ApplyRules(std::move(*newest));
   }
 
-  // An agent that has run for longer knows when a version was named.
+  // An agent that has run for longer knows when a version was named. Versions of two models can
+  // have the same number; both are then taken for named at that time.
   void OnWantedSince(std::uint64_t version, Instant since) {
     for (auto& [model, named] : this->weights) {
-      for (WeightsOrder& order : named) {
-        if (order.version != version || order.known_since) continue;
-        order.known_since = since;
-        Log(LogLevel::kInfo, "weights_wanted_since",
-            {{"version", version}, {"known_for_ms", ToMillis(this->loop.Now() - since)}});
-        this->ApplyWeights();
-      }
+      if (!named.LearnedSince(version, since, this->loop.Now())) continue;
+      Log(LogLevel::kInfo, "weights_wanted_since",
+          {{"model", model},
+           {"version", version},
+           {"known_for_ms", ToMillis(this->loop.Now() - since)}});
+      this->ApplyWeights();
     }
   }
 
@@ -183,15 +180,10 @@
   }
 
   void OnWeightsWanted(const WeightsWanted& wanted) {
-    std::vector<WeightsOrder>& named = this->weights[wanted.model];
-    if (!named.empty() && wanted.version <= named.back().version) return;
-    // A version that was there when this process started may have been named long ago: it is
-    // enforced soon, unless an agent tells since when it is wanted.
-    WeightsOrder order{
-        .model = wanted.model, .version = wanted.version, .first_seen = this->loop.Now()};
-    if (this->operator_records_listed) order.known_since = this->loop.Now();
-    named.push_back(std::move(order));
-    if (named.size() > kMaxNamedVersions) named.erase(named.begin());
+    NamedWeights& named = this->weights[wanted.model];
+    if (wanted.version <= named.Newest()) return;
+    // What was there when this process started may have been named long ago.
+    named.Named(wanted.version, this->operator_records_listed, this->loop.Now());
     Log(LogLevel::kInfo, "weights_wanted", {{"model", wanted.model}, {"version", wanted.version}});
     this->ApplyWeights();
   }
@@ -206,17 +198,14 @@
           this->OrderHeldWeights(pool.name, model);
           continue;
         }
-        std::vector<WeightsRule> weights_rules;
-        for (const WeightsOrder& named : found->second) {
-          const Instant enforced_at =
-              named.known_since
-                  ? *named.known_since + this->settings.weights_deadline - kWeightsMargin
-                  : named.first_seen + kUnknownSinceGrace;
-          weights_rules.push_back({.version = named.version, .enforced_at = enforced_at});
-        }
-        this->relay.Places().SetWeightsRules(pool.name, std::move(weights_rules));
-        WeightsOrder order = found->second.back();
-        order.engines_lacking = this->HeldBy(pool.name).some_lacking;
+        const NamedWeights& named = found->second;
+        this->relay.Places().SetWeightsRules(
+            pool.name, named.Rules({.deadline = this->settings.weights_deadline,
+                                    .unknown_grace = kUnknownSinceGrace}));
+        const WeightsOrder order{.model = model,
+                                 .version = named.Newest(),
+                                 .known_since = named.NewestSince(),
+                                 .engines_lacking = this->HeldBy(pool.name).some_lacking};
         this->links.SetWeights(order);
       }
     }
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -16,8 +16,8 @@
 struct EngineRolloutOptions {
   // From the naming of a version on, engines have this long; later they get no requests.
   Duration deadline = std::chrono::seconds(8);
-  // The last turn comes this long before the deadline.
-  Duration last_turn_before = std::chrono::milliseconds(900);
+  // The last turn comes this long before the deadline, when entries stop using older weights.
+  Duration last_turn_before = std::chrono::milliseconds(1200);
   // Staged pieces can turn bad where they lie: those that have lain longer are read back before the
   // order.
   Duration trust_staged = std::chrono::milliseconds(1800);
--- a/src/distribution/origin_client.cc
+++ b/src/distribution/origin_client.cc
@@ -19,10 +19,10 @@
   return "bytes=" + std::to_string(offset) + "-" + std::to_string(offset + length - 1);
 }
 
-HttpCall RangeCall(const std::string& name, std::uint64_t offset, std::uint64_t length) {
-  return HttpCall{.target = "/weights/" + name,
-                  .headers = {{"Range", RangeText(offset, length)}},
-                  .read_timeout = kReadTimeout};
+BlockingHttpCall RangeCall(const std::string& name, std::uint64_t offset, std::uint64_t length) {
+  return BlockingHttpCall{.target = "/weights/" + name,
+                          .headers = {{"Range", RangeText(offset, length)}},
+                          .read_timeout = kReadTimeout};
 }
 
 Duration RetryAfter(const HttpHeaders& headers) {
@@ -86,8 +86,8 @@
 }
 
 Result<Manifest> FetchManifest(HttpClient& client, const Digest& digest) {
-  BOOST_OUTCOME_TRY(answer, client.Call(HttpCall{.target = "/manifests/" + digest.Hex(),
-                                                 .read_timeout = kReadTimeout}));
+  BOOST_OUTCOME_TRY(answer, client.Call(BlockingHttpCall{.target = "/manifests/" + digest.Hex(),
+                                                         .read_timeout = kReadTimeout}));
   if (answer.status != 200) return StatusError(answer);
   return Manifest::Parse(answer.body, digest);
 }
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -81,6 +81,10 @@
     if (hello.weights_version() < this->view.weights_version) return false;
     const bool newer = hello.weights_version() > this->view.weights_version;
     if (newer) {
+      if (this->view.wanted_since) {
+        this->view.earlier_version = this->view.weights_version;
+        this->view.earlier_since = *this->view.wanted_since;
+      }
       this->view.model = hello.model();
       this->view.weights_version = hello.weights_version();
       this->view.wanted_since.reset();
@@ -109,10 +113,18 @@
     status.set_pace(static_cast<float>(this->report.pace));
     status.set_kv_used(this->report.kv_used);
     status.set_agents_digest(this->agents_digest);
+    const auto millis_since = [now](Instant since) {
+      return static_cast<std::uint32_t>(
+          std::clamp<std::int64_t>(ToMillis(now - since), 0, UINT32_MAX));
+    };
     if (this->view.wanted_since) {
       status.set_wanted_version(this->view.weights_version);
-      status.set_wanted_for_ms(static_cast<std::uint32_t>(
-          std::clamp<std::int64_t>(ToMillis(now - *this->view.wanted_since), 0, UINT32_MAX)));
+      status.set_wanted_for_ms(millis_since(*this->view.wanted_since));
+    }
+    // An entry that started since then finds the newest version only in the store.
+    if (this->view.earlier_version > 0) {
+      status.set_earlier_version(this->view.earlier_version);
+      status.set_earlier_for_ms(millis_since(this->view.earlier_since));
     }
     if (entry.told_entries < this->entries_changed ||
         now - entry.told_entries > this->options.entries_period) {
--- a/src/fleet/agent_links.h
+++ b/src/fleet/agent_links.h
@@ -42,7 +42,9 @@
   std::string model = {};
   std::uint64_t weights_version = 0;         // wanted; 0: unknown
   std::optional<Instant> wanted_since = {};  // as far back as any entry knows
-  bool engines_lacking = false;              // some engines hold no weights at all
+  std::uint64_t earlier_version = 0;         // wanted before that; 0: none, or unknown since when
+  Instant earlier_since = {};
+  bool engines_lacking = false;  // some engines hold no weights at all
 };
 
 // All calls on the loop's thread.
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -147,13 +147,16 @@
 
   // ---- from agents ----
 
+  void PassWanted(std::uint64_t version, std::uint32_t for_ms) {
+    if (version == 0 || !this->on_wanted) return;
+    this->on_wanted(version, this->loop.Now() - std::chrono::milliseconds(for_ms));
+  }
+
   void OnStatus(const std::string& from, const wire::EngineStatus& status) {
     this->reports.Add();
     for (const std::string& entry : status.entries()) this->HeardOf(entry);
-    if (status.wanted_version() > 0 && this->on_wanted) {
-      this->on_wanted(status.wanted_version(),
-                      this->loop.Now() - std::chrono::milliseconds(status.wanted_for_ms()));
-    }
+    this->PassWanted(status.wanted_version(), status.wanted_for_ms());
+    this->PassWanted(status.earlier_version(), status.earlier_for_ms());
     const auto found = this->states.find(from);
     if (found == this->states.end()) return;
     found->second.digest = status.agents_digest();
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -39,7 +39,6 @@
   std::string model = {};
   std::uint64_t version = 0;
   std::optional<Instant> known_since = {};  // nullopt: before this process started
-  Instant first_seen = {};                  // by this process
   bool engines_lacking = false;             // some engines hold no weights at all
 };
 
--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -122,7 +122,7 @@
   void Do(const ReportLoad& action);
   void Do(const GateDrained& action);
 
-  HttpCall CallFor(const CallUpstream& action, AttemptData& data) const;
+  BlockingHttpCall CallFor(const CallUpstream& action, AttemptData& data) const;
   std::unique_ptr<HttpClient> TakeClient();
   void CancelAtEngine(const AttemptKey& key);
   UpstreamProbed Probe() const;
@@ -250,11 +250,11 @@
   return client;
 }
 
-HttpCall GateDriver::Impl::CallFor(const CallUpstream& action, AttemptData& data) const {
-  HttpCall call = {.method = data.start.method(),
-                   .target = data.start.target(),
-                   .body = data.body,
-                   .read_timeout = kUpstreamReadTimeout};
+BlockingHttpCall GateDriver::Impl::CallFor(const CallUpstream& action, AttemptData& data) const {
+  BlockingHttpCall call = {.method = data.start.method(),
+                           .target = data.start.target(),
+                           .body = data.body,
+                           .read_timeout = kUpstreamReadTimeout};
   for (const wire::Header& header : data.start.headers()) {
     if (!IsHopByHopHeader(header.name())) call.headers.emplace(header.name(), header.value());
   }
@@ -306,11 +306,11 @@
 void GateDriver::Impl::CancelAtEngine(const AttemptKey& key) {
   this->node.workers.Run([upstream = this->options.upstream, id = key.Text()] {
     HttpClient client(upstream);
-    (void)client.Call(HttpCall{.method = "POST",
-                               .target = "/v1/cancel",
-                               .body = nlohmann::json{{"id", id}}.dump(),
-                               .content_type = "application/json",
-                               .read_timeout = kProbeTimeout});
+    (void)client.Call(BlockingHttpCall{.method = "POST",
+                                       .target = "/v1/cancel",
+                                       .body = nlohmann::json{{"id", id}}.dump(),
+                                       .content_type = "application/json",
+                                       .read_timeout = kProbeTimeout});
   });
 }
 
@@ -389,7 +389,7 @@
     return UpstreamProbed{.reachable = AcceptsConnections(this->options.upstream, kProbeTimeout)};
   }
   HttpClient client(this->options.upstream);
-  const Result<HttpAnswer> answer = client.Call(HttpCall{
+  const Result<HttpAnswer> answer = client.Call(BlockingHttpCall{
       .target = "/v1/state", .connect_timeout = kProbeTimeout, .read_timeout = kProbeTimeout});
   if (!answer.has_value()) {
     return UpstreamProbed{.reachable = answer.error().kind != ErrorKind::kUnavailable};
--- a/src/gate/upstream_call.cc
+++ b/src/gate/upstream_call.cc
@@ -6,7 +6,7 @@
 
 namespace savory {
 
-UpstreamCall::UpstreamCall(std::unique_ptr<HttpClient> client, HttpCall call,
+UpstreamCall::UpstreamCall(std::unique_ptr<HttpClient> client, BlockingHttpCall call,
                            UpstreamCallListener listener)
     : client(std::move(client)), call(std::move(call)), listener(std::move(listener)) {}
 
--- a/src/gate/upstream_call.h
+++ b/src/gate/upstream_call.h
@@ -26,7 +26,8 @@
 // Run() blocks: call it from Workers. Cancel() may be called from another thread until `on_end`.
 class UpstreamCall {
  public:
-  UpstreamCall(std::unique_ptr<HttpClient> client, HttpCall call, UpstreamCallListener listener);
+  UpstreamCall(std::unique_ptr<HttpClient> client, BlockingHttpCall call,
+               UpstreamCallListener listener);
   ~UpstreamCall();
 
   void Run();
@@ -36,7 +37,7 @@
 
  private:
   std::unique_ptr<HttpClient> client;
-  HttpCall call;
+  BlockingHttpCall call;
   UpstreamCallListener listener;
   std::atomic<bool> cancelled = false;
 };
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -27,7 +27,7 @@
 bool IsHopByHopHeader(std::string_view name);
 
 // A call by HttpClient.
-struct HttpCall {
+struct BlockingHttpCall {
   std::string method = "GET";
   std::string target = "/";  // path and query
   HttpHeaders headers = {};
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -57,7 +57,7 @@
 HttpClient::HttpClient(HttpClient&&) noexcept = default;
 HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
 
-Result<HttpAnswer> HttpClient::Call(const HttpCall& call, const HttpStream& stream) {
+Result<HttpAnswer> HttpClient::Call(const BlockingHttpCall& call, const HttpStream& stream) {
   httplib::Client& client = this->impl->client;
   const auto [connect_s, connect_us] = SplitTimeout(call.connect_timeout);
   const auto [read_s, read_us] = SplitTimeout(call.read_timeout);
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -22,7 +22,7 @@
   // Errors: kUnavailable when no connection could be made (the call was
   // certainly not sent), kTimeout when it broke off or got no answer in time,
   // kCancelled when `stream` returned false.
-  Result<HttpAnswer> Call(const HttpCall& call, const HttpStream& stream = {});
+  Result<HttpAnswer> Call(const BlockingHttpCall& call, const HttpStream& stream = {});
 
   // Ends a running Call from another thread.
   void Cancel();
--- a/src/runtime/kv_connection.cc
+++ b/src/runtime/kv_connection.cc
@@ -35,22 +35,22 @@
   HttpClient client;
   Duration timeout;
 
-  HttpCall MakeCall(std::string method, std::string target, std::string body = {}) const {
-    return HttpCall{.method = std::move(method),
-                    .target = std::move(target),
-                    .body = std::move(body),
-                    .connect_timeout = this->timeout,
-                    .read_timeout = this->timeout};
+  BlockingHttpCall MakeCall(std::string method, std::string target, std::string body = {}) const {
+    return BlockingHttpCall{.method = std::move(method),
+                            .target = std::move(target),
+                            .body = std::move(body),
+                            .connect_timeout = this->timeout,
+                            .read_timeout = this->timeout};
   }
 
-  Result<std::optional<KvValue>> ReadValue(const HttpCall& call) {
+  Result<std::optional<KvValue>> ReadValue(const BlockingHttpCall& call) {
     BOOST_OUTCOME_TRY(answer, this->client.Call(call));
     if (answer.status == 404 || answer.status == 304) return std::optional<KvValue>();
     if (answer.status != 200) return UnexpectedStatus(answer.status);
     return std::optional(KvValue{.bytes = answer.body, .version = VersionOf(answer)});
   }
 
-  Result<HttpAnswer> Write(const HttpCall& call) {
+  Result<HttpAnswer> Write(const BlockingHttpCall& call) {
     auto answer = this->client.Call(call);
     if (!answer) return WriteError(answer.error());
     // A service or something in front of it can fail after the write took effect.
@@ -73,7 +73,7 @@
 
 Result<std::optional<KvValue>> KvConnection::Watch(std::string_view key, std::uint64_t after,
                                                    Duration wait) {
-  HttpCall call =
+  BlockingHttpCall call =
       this->impl->MakeCall("GET", "/kv/" + std::string(key) + "?after=" + std::to_string(after) +
                                       "&wait_ms=" + std::to_string(ToMillis(wait)));
   call.read_timeout = wait + this->impl->timeout;
@@ -82,7 +82,8 @@
 
 Result<KvSwap> KvConnection::CompareAndSwap(std::string_view key, std::string_view bytes,
                                             std::uint64_t expected) {
-  HttpCall call = this->impl->MakeCall("PUT", "/kv/" + std::string(key), std::string(bytes));
+  BlockingHttpCall call =
+      this->impl->MakeCall("PUT", "/kv/" + std::string(key), std::string(bytes));
   call.headers.emplace("If-Version", std::to_string(expected));
   BOOST_OUTCOME_TRY(answer, this->impl->Write(call));
   if (answer.status != 200 && answer.status != 409) return UnexpectedStatus(answer.status);
--- a/standins/engine_loader.cc
+++ b/standins/engine_loader.cc
@@ -12,7 +12,8 @@
 constexpr Duration kReadTimeout = std::chrono::seconds(30);
 
 Result<wire::Manifest> ReadManifest(HttpClient& client, const WeightsSource& source) {
-  const HttpCall call = {.target = source.target + "/manifest", .read_timeout = kReadTimeout};
+  const BlockingHttpCall call = {.target = source.target + "/manifest",
+                                 .read_timeout = kReadTimeout};
   BOOST_OUTCOME_TRY(answer, client.Call(call));
   if (answer.status != 200) {
     return Error{.kind = ErrorKind::kNotFound,
