--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -145,7 +145,8 @@
     return;
   }
   const bool ended = answer.end == CallerEnd::kWhole;
-  const std::string_view body = ended ? std::string_view(answer.body) : WholeEvents(answer.body);
+  const std::string_view received = answer.body;
+  const std::string_view body = ended ? received : WholeEvents(received);
   const auto numbers = platform::EventNumbers(body, id);
   if (!numbers || !AreConsecutive(*numbers)) {
     return this->Report("stream-order", id + " got events that are no gapless row");
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -7,7 +7,6 @@
 namespace {
 
 using platform::ArrivedRequest;
-using platform::CallerAnswer;
 using platform::CallerEnd;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/base/log_buffer_test.cc
+++ b/src/base/log_buffer_test.cc
@@ -10,6 +10,8 @@
 namespace savory {
 namespace {
 
+constexpr std::size_t kLimit = std::size_t{256} * 1024;
+
 // A pipe whose reader takes nothing until it is asked to.
 class LogBufferTest : public ::testing::Test {
  protected:
@@ -32,7 +34,6 @@
 
 // Guards against a process that waits for a reader of its logs, or keeps lines without a bound.
 TEST_F(LogBufferTest, FullPipeNeitherBlocksNorGrowsTheBuffer) {
-  constexpr std::size_t kLimit = 256 * 1024;
   LogBuffer buffer(kLimit);
   const std::string line(1000, 'x');
   for (int i = 0; i < 2000; ++i) {
--- a/src/relay/event_cutter_test.cc
+++ b/src/relay/event_cutter_test.cc
@@ -41,17 +41,19 @@
   const auto count = *rc::gen::inRange(0, 6);
   for (int i = 0; i < count; ++i) {
     const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
-    stream += "id: " + std::to_string(i) + end +
-              "data: " + std::string(*rc::gen::inRange<std::size_t>(0, 9), 'z') + end + end;
+    stream.append("id: ").append(std::to_string(i)).append(end);
+    stream.append("data: ").append(*rc::gen::inRange<std::size_t>(0, 9), 'z');
+    stream.append(end).append(end);
   }
   stream += *rc::gen::element<std::string>("", "id: 99\n", "data: rest");
+  const std::string_view whole = stream;
   EventCutter cutter;
   std::string given;
   std::vector<std::uint64_t> ids;
   std::size_t at = 0;
   while (at < stream.size()) {
     const auto step = *rc::gen::inRange<std::size_t>(1, 7);
-    for (const StreamEvent& event : cutter.Feed(std::string_view(stream).substr(at, step))) {
+    for (const StreamEvent& event : cutter.Feed(whole.substr(at, step))) {
       given += event.text;
       if (event.id) ids.push_back(*event.id);
     }
