--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
   librapidcheck-dev libssl-dev libxxhash-dev nlohmann-json3-dev libgtest-dev libgmock-dev \
   gnuplot-nox python3
 
-.PHONY: install build test test-asan test-tsan format format-check lint proto demo soak bench clean
+.PHONY: install build test test-asan test-tsan format format-check lint proto demo soak soak-regressions bench clean
 
 install:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -54,6 +54,11 @@
 soak: build
 	$(BUILD)/bin/savoryrouter-soak --bin-dir $(BUILD)/bin --seed $(SEED) --seconds $(SECONDS)
 
+# Every seed that ever failed.
+soak-regressions: build
+	grep -v '^#' soak/regression_seeds.txt | while read seed seconds cause; do \
+	  $(BUILD)/bin/savoryrouter-soak --bin-dir $(BUILD)/bin --seed $$seed --seconds $$seconds || exit 1; done
+
 bench: build
 	tools/bench.sh $(BUILD)/bin
 
