--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -81,7 +81,8 @@
 
   void SchedulePoll();
   void Poll();
-  void EndAttempt(AttemptNumber attempt, AttemptResult result);
+  // Tells the dispatcher, and logs what it believes of the upstream from now on.
+  void ReportEnd(AttemptNumber attempt, AttemptResult result);
   bool IsReturned(const RouteRule& route, std::optional<Duration> time_left);
   void AnswerOwn(HttpExchange& exchange, int status, std::string_view attempt_id,
                  std::string_view reason, std::optional<Duration> retry_after);
@@ -253,7 +254,7 @@
     this->sent_at = now;
     this->ResetAnswer();
     if (left < kMinTimeLeft) {
-      this->relay.EndAttempt(this->attempt, AttemptResult::kCancelled);
+      this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
       this->OnTimeout();
       return;
@@ -378,7 +379,7 @@
   void EndAttempt(AttemptEnd end) {
     const Instant now = this->relay.loop.Now();
     this->silent_at.reset();
-    this->relay.EndAttempt(this->attempt, ResultOf(end));
+    this->relay.ReportEnd(this->attempt, ResultOf(end));
     this->attempt = 0;
     this->last_end = end;
     const bool certain = end == AttemptEnd::kNotSent || end == AttemptEnd::kNotRun;
@@ -424,7 +425,7 @@
   void Complete() {
     const auto keep = this->shared_from_this();
     if (this->attempt != 0) {
-      this->relay.EndAttempt(this->attempt, AttemptResult::kServed);
+      this->relay.ReportEnd(this->attempt, AttemptResult::kServed);
       this->attempt = 0;
     }
     if (!this->exchange->HasBegun() && !this->first_part) this->NoteFirstPart();
@@ -485,7 +486,7 @@
     if (this->relay.waiting.erase(this->attempt) > 0) {
       this->relay.dispatcher.Withdraw(this->attempt);
     } else {
-      this->relay.EndAttempt(this->attempt, result);
+      this->relay.ReportEnd(this->attempt, result);
     }
     this->attempt = 0;
   }
@@ -615,7 +616,7 @@
   for (const DispatchVerdict& verdict : this->dispatcher.Poll(this->loop.Now())) {
     const auto found = this->waiting.find(verdict.attempt);
     if (found == this->waiting.end()) {
-      this->EndAttempt(verdict.attempt, AttemptResult::kCancelled);
+      this->ReportEnd(verdict.attempt, AttemptResult::kCancelled);
       continue;
     }
     const auto request = this->requests.at(found->second);
@@ -624,7 +625,7 @@
   }
 }
 
-void Relay::Impl::EndAttempt(AttemptNumber attempt, AttemptResult result) {
+void Relay::Impl::ReportEnd(AttemptNumber attempt, AttemptResult result) {
   const auto change = this->dispatcher.OnEnded(attempt, result, this->loop.Now());
   if (!change) return;
   if (change->ejected) {
