--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -12,6 +12,10 @@
 
 namespace po = boost::program_options;
 
+// Blocks of addresses that are tried, and the last one.
+constexpr int kBlocks = 8;
+constexpr int kLastBlock = 254;
+
 void Print(const SoakOptions& options, const SoakResult& result) {
   for (const Fault& fault : result.plan) {
     std::cerr << "fault at " << ToMillis(fault.at) << " ms: " << FaultName(fault.kind) << " target "
@@ -49,7 +53,7 @@
       ("bin-dir", po::value(&options.bin_directory)->default_value("build/bin"),
        "folder of the programs")
       ("block", po::value(&options.block)->default_value(20),
-       "second number of the loopback addresses, 1 to 254; one for each soak at the same time")
+       "second number of the loopback addresses, 1 to 254; the next one when it is in use")
       ("rate", po::value(&options.requests_per_second)->default_value(40), "requests a second")
       ("keep-logs", po::bool_switch(&options.keep_logs), "also of a run without a violation");
   // clang-format on
@@ -66,7 +70,13 @@
     return EXIT_SUCCESS;
   }
   options.length = FromSeconds(seconds);
-  const auto result = RunSoak(options);
+  auto result = RunSoak(options);
+  // Another soak, or what is left of one, may use the addresses.
+  for (int tries = 1; !result && result.error().kind == ErrorKind::kUnavailable && tries < kBlocks;
+       ++tries) {
+    options.block = options.block % kLastBlock + 1;
+    result = RunSoak(options);
+  }
   if (!result) {
     std::cerr << Describe(result.error()) << '\n';
     return kExitUsage;
