Guard callbacks in one place

Four classes had the same Guarded() template and three more wrote it out at each timer and message. GuardedCallbacks in runtime/guarded.h serves all seven. distribution_driver keeps its own: it is not held by a shared pointer.

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -7,6 +7,7 @@
 #include "distribution/engine_control.h"
 #include "distribution/manifest.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 
 namespace savory {
 namespace {
@@ -27,7 +28,7 @@
 
 }  // namespace
 
-struct EngineLoader::Impl : std::enable_shared_from_this<EngineLoader::Impl> {
+struct EngineLoader::Impl : GuardedCallbacks<EngineLoader::Impl> {
   EventLoop& loop;
   EngineControl& engine;
   const WeightsCopier& copier;
@@ -46,13 +47,6 @@
         orders(metrics.CounterFor("savory_load_orders_total")),
         rollout(options) {}
 
-  template <typename Callback>
-  auto Guarded(Callback callback) {
-    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
-      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
-    };
-  }
-
   bool IsWhole(const VersionCopy& version) const {
     const WeightsCopy* copy =
         version.manifest == nullptr ? nullptr : this->copier.Find(*version.manifest);
--- a/src/direct/manifest_exchange.cc
+++ b/src/direct/manifest_exchange.cc
@@ -9,6 +9,7 @@
 #include "distribution/engine_control.h"
 #include "distribution/manifest.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -25,7 +26,7 @@
   return model + "@" + std::to_string(version);
 }
 
-struct ManifestExchange::Impl : std::enable_shared_from_this<ManifestExchange::Impl> {
+struct ManifestExchange::Impl : GuardedCallbacks<ManifestExchange::Impl> {
   EventLoop& loop;
   PeerTransport& transport;
   WeightsSource& origin;
@@ -47,13 +48,6 @@
        ManifestExchangeOptions given)
       : loop(loop), transport(transport), origin(origin), options(std::move(given)) {}
 
-  template <typename Callback>
-  auto Guarded(Callback callback) {
-    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
-      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
-    };
-  }
-
   // The agents of this region that read from the origin, best first.
   std::vector<std::string> Readers() const {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -14,6 +14,7 @@
 #include "distribution/manifest.h"
 #include "distribution/spread_link.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 
 namespace savory {
 namespace {
@@ -38,7 +39,7 @@
 
 }  // namespace
 
-struct WeightsCopier::Impl : std::enable_shared_from_this<WeightsCopier::Impl> {
+struct WeightsCopier::Impl : GuardedCallbacks<WeightsCopier::Impl> {
   EventLoop& loop;
   Random& random;
   WeightsSource& origin;
@@ -73,14 +74,6 @@
         manifests(loop, peers, origin,
                   {.peer = this->options.peer, .region = this->options.region}) {}
 
-  // Wraps a callback so that it does nothing once the object is gone.
-  template <typename Callback>
-  auto Guarded(Callback callback) {
-    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
-      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
-    };
-  }
-
   Instant Now() const { return this->loop.Now(); }
 
   // ---- the fleet ----
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -6,12 +6,13 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
 
-struct AgentLinks::Impl : std::enable_shared_from_this<AgentLinks::Impl> {
+struct AgentLinks::Impl : GuardedCallbacks<AgentLinks::Impl> {
   struct Entry {
     bool near = false;  // in this agent's region
     Instant heard = {};
@@ -158,12 +159,10 @@
   }
 
   void SendLater() {
-    this->loop.After(this->options.near_period, [weak = this->weak_from_this()] {
-      const auto self = weak.lock();
-      if (!self) return;
-      if (self->has_report) self->SendDue();
-      self->SendLater();
-    });
+    this->loop.After(this->options.near_period, this->Guarded([this] {
+      if (this->has_report) this->SendDue();
+      this->SendLater();
+    }));
   }
 };
 
@@ -177,14 +176,12 @@
 }
 
 void AgentLinks::Start() {
-  this->impl->transport.Subscribe(
-      wire::Envelope::kEntryHello,
-      [weak = std::weak_ptr(this->impl)](const wire::Envelope& message, auto) {
-        if (const auto self = weak.lock()) {
-          self->OnHello(message.from_peer(), message.entry_hello());
-        }
-      });
-  this->impl->SendLater();
+  Impl& self = *this->impl;
+  self.transport.Subscribe(wire::Envelope::kEntryHello,
+                           self.Guarded([&self](const wire::Envelope& message, auto) {
+                             self.OnHello(message.from_peer(), message.entry_hello());
+                           }));
+  self.SendLater();
 }
 
 void AgentLinks::Report(const EngineReport& report, bool urgent) {
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "fleet/agent_list.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -17,7 +18,7 @@
 
 }  // namespace
 
-struct EntryLinks::Impl : std::enable_shared_from_this<EntryLinks::Impl> {
+struct EntryLinks::Impl : GuardedCallbacks<EntryLinks::Impl> {
   struct Agent {
     std::string engine;           // IP:PORT of the engine beside it
     std::uint64_t digest = 0;     // of the list that it has
@@ -80,22 +81,18 @@
 
   void HelloSoon() {
     if (std::exchange(this->hello_scheduled, true)) return;
-    this->loop.After(this->options.change_pause, [weak = this->weak_from_this()] {
-      const auto self = weak.lock();
-      if (!self) return;
-      self->hello_scheduled = false;
-      self->HelloAll();
-    });
+    this->loop.After(this->options.change_pause, this->Guarded([this] {
+      this->hello_scheduled = false;
+      this->HelloAll();
+    }));
   }
 
   void HelloLater() {
-    this->loop.After(this->options.hello_period, [weak = this->weak_from_this()] {
-      const auto self = weak.lock();
-      if (!self) return;
-      self->ForgetEntries();
-      self->HelloAll();
-      self->HelloLater();
-    });
+    this->loop.After(this->options.hello_period, this->Guarded([this] {
+      this->ForgetEntries();
+      this->HelloAll();
+      this->HelloLater();
+    }));
   }
 
   std::string RegionOf(const std::string& data_centre) const {
@@ -217,14 +214,12 @@
 void EntryLinks::OnWanted(WantedListener listener) { this->impl->on_wanted = std::move(listener); }
 
 void EntryLinks::Start() {
-  const std::weak_ptr<Impl> weak = this->impl;
-  this->impl->transport.Subscribe(wire::Envelope::kEngineStatus,
-                                  [weak](const wire::Envelope& message, auto) {
-                                    if (const auto self = weak.lock()) {
-                                      self->OnStatus(message.from_peer(), message.engine_status());
-                                    }
-                                  });
-  this->impl->HelloLater();
+  Impl& self = *this->impl;
+  self.transport.Subscribe(wire::Envelope::kEngineStatus,
+                           self.Guarded([&self](const wire::Envelope& message, auto) {
+                             self.OnStatus(message.from_peer(), message.engine_status());
+                           }));
+  self.HelloLater();
 }
 
 void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -8,6 +8,7 @@
 #include "records/record_store.h"
 #include "records/watch_duty.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 #include "runtime/peer_transport.h"
 #include "wire/savoryrouter.pb.h"
 
@@ -21,7 +22,7 @@
 
 }  // namespace
 
-struct RecordSync::Impl : std::enable_shared_from_this<RecordSync::Impl> {
+struct RecordSync::Impl : GuardedCallbacks<RecordSync::Impl> {
   EventLoop& loop;
   PeerTransport& transport;
   RecordStore& store;
@@ -61,14 +62,6 @@
 
   std::string Label() const { return "prefix=\"" + this->options.prefix + "\""; }
 
-  // Wraps a callback so that it does nothing once the object is gone.
-  template <typename Callback>
-  auto Guarded(Callback callback) {
-    return [weak = this->weak_from_this(), callback = std::move(callback)](auto&&... args) {
-      if (const auto self = weak.lock()) callback(std::forward<decltype(args)>(args)...);
-    };
-  }
-
   // Returns whether something changed.
   bool Apply(const RecordUpdate& update, std::string_view source) {
     const std::vector<Record> changed = this->mirror.Apply(update);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -12,6 +12,7 @@
 #include "relay/event_cutter.h"
 #include "relay/relay_codec.h"
 #include "runtime/event_loop.h"
+#include "runtime/guarded.h"
 #include "runtime/http_connection_pool.h"
 
 namespace savory {
@@ -50,7 +51,7 @@
 
 class RelayedRequest;
 
-struct Relay::Impl : std::enable_shared_from_this<Relay::Impl> {
+struct Relay::Impl : GuardedCallbacks<Relay::Impl> {
   EventLoop& loop;
   HttpConnectionPool& upstreams;
   const RelayCodec& codec;
@@ -89,7 +90,7 @@
 };
 
 // One request of a caller, from its arrival to its answer.
-class RelayedRequest : public HttpCallHandler, public std::enable_shared_from_this<RelayedRequest> {
+class RelayedRequest : public HttpCallHandler, public GuardedCallbacks<RelayedRequest> {
  public:
   RelayedRequest(Relay::Impl& relay, SharedExchange exchange, CallerTerms terms,
                  SharedRouting rules, const RouteRule& route, std::string account, int priority)
@@ -114,12 +115,9 @@
     this->last_event = this->terms.last_event_id;
     this->returned = this->relay.IsReturned(this->route, this->terms.time_left);
     this->relay.budget.OnRequest(this->pool, now);
-    this->exchange->OnCallerGone([weak = this->weak_from_this()] {
-      if (const auto self = weak.lock()) self->OnCallerGone();
-    });
-    this->timer = this->relay.loop.After(this->timeout - now, [weak = this->weak_from_this()] {
-      if (const auto self = weak.lock()) self->OnTimeout();
-    });
+    this->exchange->OnCallerGone(this->Guarded([this] { this->OnCallerGone(); }));
+    this->timer =
+        this->relay.loop.After(this->timeout - now, this->Guarded([this] { this->OnTimeout(); }));
     this->Submit();
   }
 
@@ -351,10 +349,8 @@
   void StartSilenceTimer(Instant due) {
     if (this->silence_timer != 0) this->relay.loop.Cancel(this->silence_timer);
     this->silence_timer_due = due;
-    this->silence_timer =
-        this->relay.loop.After(due - this->relay.loop.Now(), [weak = this->weak_from_this()] {
-          if (const auto self = weak.lock()) self->OnSilenceTimer();
-        });
+    this->silence_timer = this->relay.loop.After(due - this->relay.loop.Now(),
+                                                 this->Guarded([this] { this->OnSilenceTimer(); }));
   }
 
   void OnSilenceTimer() {
@@ -456,9 +452,8 @@
     // A stream that flows is not kept waiting: it goes on until its caller gives up.
     if (this->history.delivered && this->call && now < this->deadline) {
       this->timeout = this->deadline;
-      this->timer = this->relay.loop.After(this->deadline - now, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock()) self->OnTimeout();
-      });
+      this->timer = this->relay.loop.After(this->deadline - now,
+                                           this->Guarded([this] { this->OnTimeout(); }));
       return;
     }
     const bool may_have_run = this->call != nullptr || this->history.may_have_run > 0;
@@ -603,13 +598,11 @@
 void Relay::Impl::SchedulePoll() {
   if (this->poll_scheduled || this->dispatcher.Waiting() == 0) return;
   this->poll_scheduled = true;
-  this->loop.After(kPollPeriod, [weak = this->weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self) return;
-    self->poll_scheduled = false;
-    self->Poll();
-    self->SchedulePoll();
-  });
+  this->loop.After(kPollPeriod, this->Guarded([this] {
+    this->poll_scheduled = false;
+    this->Poll();
+    this->SchedulePoll();
+  }));
 }
 
 void Relay::Impl::Poll() {
