--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -156,6 +156,5 @@
 void EngineLoader::EngineLost() { this->impl->rollout.EngineLost(); }
 void EngineLoader::Advance(const RolloutTurn& turn) { this->impl->Advance(turn); }
 bool EngineLoader::Accepting() const { return this->impl->rollout.Accepting(); }
-bool EngineLoader::IsDone() const { return this->impl->rollout.IsDone(); }
 
 }  // namespace savory
--- a/src/direct/engine_loader.h
+++ b/src/direct/engine_loader.h
@@ -34,7 +34,6 @@
 
   // Whether the engine may receive requests.
   bool Accepting() const;
-  bool IsDone() const;
 
  private:
   struct Impl;
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -318,7 +318,6 @@
   this->impl->peers = std::move(peers);
 }
 
-const RecordMirror& RecordSync::Mirror() const { return this->impl->mirror; }
 Instant RecordSync::ReachableSince() const { return this->impl->reachable_since; }
 
 }  // namespace savory
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -53,7 +53,6 @@
   // Peer addresses of the other processes that keep this mirror.
   void SetPeers(std::vector<std::string> peers);
 
-  const RecordMirror& Mirror() const;
   // Since when the store can be reached again after it could not, here or at the peer that watched
   // it last; the epoch when it always could.
   Instant ReachableSince() const;
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -54,14 +54,6 @@
   this->pool_of.erase(known);
 }
 
-const Upstream* Dispatcher::FindUpstream(std::string_view id) const {
-  const auto known = this->pool_of.find(id);
-  if (known == this->pool_of.end()) return nullptr;
-  const auto pool = this->pools.find(known->second);
-  const auto place = pool->second.find(id);
-  return place == pool->second.end() ? nullptr : &place->second.upstream;
-}
-
 void Dispatcher::NoteLoad(Place& place, const UpstreamLoad& load, Instant now) {
   place.load = load;
   place.load_at = now;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -88,7 +88,6 @@
   std::size_t Waiting() const { return this->waiting.size(); }
   // Upstreams of `pool` that may receive requests now.
   std::size_t Usable(std::string_view pool, Instant now) const;
-  const Upstream* FindUpstream(std::string_view id) const;
 
  private:
   struct Place {
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -38,7 +38,6 @@
 // What an upstream's answer says beside its content.
 struct UpstreamAnswer {
   bool not_run = false;  // the upstream did not run the request and never will
-  bool closing = false;  // the upstream is about to leave
   std::optional<UpstreamLoad> load = {};
 };
 
--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -53,7 +53,6 @@
   std::unique_ptr<TcpListener> listener = {};
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>> connections = {};
   std::vector<std::unique_ptr<CallerConnection>> removed = {};  // destroyed later
-  std::size_t open_exchanges = 0;
   std::optional<Instant> closing_since = {};
   Duration linger = {};
 
@@ -98,7 +97,6 @@
   void DropExchange() {
     if (this->exchange == nullptr) return;
     const SharedExchange dropped = std::exchange(this->exchange, nullptr);
-    --this->server.open_exchanges;
     HttpExchange::Impl& state = StateOf(*dropped);
     state.connection = nullptr;
     if (const auto listener = std::exchange(state.on_gone, nullptr)) listener();
@@ -136,7 +134,6 @@
   void FinishExchange() {
     const bool keep = this->KeepsOpen();
     const SharedExchange done = std::exchange(this->exchange, nullptr);
-    --this->server.open_exchanges;
     StateOf(*done).connection = nullptr;
     StateOf(*done).on_gone = nullptr;
     if (!keep) {
@@ -156,7 +153,6 @@
 
   void BreakExchange() {
     const SharedExchange broken = std::exchange(this->exchange, nullptr);
-    --this->server.open_exchanges;
     StateOf(*broken).connection = nullptr;
     StateOf(*broken).on_gone = nullptr;
     this->ended = true;
@@ -240,7 +236,6 @@
                            .body = std::exchange(this->body, {}),
                            .received_at = this->phase_since});
     this->exchange = std::make_shared<HttpExchange>(std::move(state));
-    ++this->server.open_exchanges;
     const SharedExchange started = this->exchange;
     this->server.handler(started);
   }
@@ -378,8 +373,6 @@
   this->impl->linger = linger;
 }
 
-void AsyncHttpServer::StopListening() { this->impl->listener.reset(); }
 std::size_t AsyncHttpServer::Connections() const { return this->impl->connections.size(); }
-std::size_t AsyncHttpServer::OpenExchanges() const { return this->impl->open_exchanges; }
 
 }  // namespace savory
--- a/src/runtime/async_http_server.h
+++ b/src/runtime/async_http_server.h
@@ -43,11 +43,8 @@
   // connections without a request are closed after `linger`, so that a request on its way to one
   // still arrives.
   void BeginClosing(Duration linger);
-  // Takes no more connections.
-  void StopListening();
 
   std::size_t Connections() const;
-  std::size_t OpenExchanges() const;
 
  private:
   friend class CallerConnection;
--- a/src/runtime/http_call.h
+++ b/src/runtime/http_call.h
@@ -56,9 +56,6 @@
   HttpCall(const HttpCall&) = delete;
   HttpCall& operator=(const HttpCall&) = delete;
 
-  // Whether the call went out on a connection that had served others before.
-  bool IsOnKeptConnection() const;
-
  private:
   friend class HttpConnectionPool;
   friend class KeptConnection;
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -235,10 +235,6 @@
   if (this->impl->connection) this->impl->connection->call = nullptr;
 }
 
-bool HttpCall::IsOnKeptConnection() const {
-  return this->impl->connection && this->impl->connection->used_before;
-}
-
 HttpConnectionPool::HttpConnectionPool(EventLoop& loop, Metrics& metrics,
                                        HttpConnectionPoolOptions options)
     : impl(std::make_shared<Impl>(loop, metrics, options)) {
@@ -276,8 +272,6 @@
   return std::unique_ptr<HttpCall>(new HttpCall(std::move(call)));
 }
 
-void HttpConnectionPool::Forget(const std::string& address) { this->impl->kept.erase(address); }
-
 std::size_t HttpConnectionPool::Kept() const {
   std::size_t total = 0;
   for (const auto& [address, list] : this->impl->kept) total += list.size();
--- a/src/runtime/http_connection_pool.h
+++ b/src/runtime/http_connection_pool.h
@@ -32,8 +32,6 @@
   // Starts a call. No call of `handler`, which must outlive the call, is made before this returns.
   std::unique_ptr<HttpCall> Start(HttpCallOptions options, HttpCallHandler& handler);
 
-  // Closes the kept connections to `address`.
-  void Forget(const std::string& address);
   std::size_t Kept() const;
 
  private:
