--- a/src/apps/process_settings.cc
+++ b/src/apps/process_settings.cc
@@ -1,6 +1,6 @@
 #include "apps/process_settings.h"
 
-#include <chrono>
+#include "base/process_start.h"
 
 namespace savory {
 namespace {
@@ -11,21 +11,6 @@
 // Each attempt at an engine occupies one worker for as long as its stream lasts.
 constexpr int kAgentWorkers = 160;
 
-// Time of the start: a later start of the same VM has a higher incarnation.
-std::uint64_t StartIncarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
-LogOptions ReadLogOptions(SettingsReader reader) {
-  LogOptions options;
-  options.level = static_cast<LogLevel>(
-      reader.Choice("level", {"debug", "info", "warn", "error"}, std::size_t{1}));
-  options.form = static_cast<LogForm>(reader.Choice("form", {"key-value", "json"}, std::size_t{0}));
-  return options;
-}
-
 }  // namespace
 
 ProcessSettings ReadProcessSettings(SettingsReader& reader, bool agent) {
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -8,6 +8,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/process_start.h"
 #include "base/random.h"
 #include "direct/copy_policy.h"
 #include "direct/engine_loader.h"
@@ -32,12 +33,6 @@
 // Answers to an engine's state that fail in a row before it counts as unreachable.
 constexpr int kLostAfter = 2;
 
-std::uint64_t StartTime() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 }  // namespace
 
 struct DirectAgent::Impl {
@@ -52,6 +47,7 @@
   EngineLoader loader;
   AsyncHttpServer metrics_server;
   FleetView view = {};
+  RolloutTurn turn = {};  // for the view; a hash for each agent
   std::optional<EngineState> engine = {};
   int failed_reads = 0;
   bool polling = false;
@@ -66,7 +62,7 @@
         peers(loop, metrics,
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
-               .incarnation = StartTime()}),
+               .incarnation = StartIncarnation()}),
         links(loop, this->peers, metrics,
               {.region = this->settings.process.region,
                .agent_port = this->settings.process.peer_port}),
@@ -98,6 +94,7 @@
            {"known_for_ms", this->WantedForMs(next)}});
     }
     this->view = next;
+    this->turn = this->Turn();
     this->copier.SetFleet(next);
     this->AdvanceLoad();
   }
@@ -114,7 +111,7 @@
   }
 
   void AdvanceLoad() {
-    this->loader.Advance(this->Turn());
+    this->loader.Advance(this->turn);
     this->Report(false);
   }
 
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -11,9 +11,11 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/process_start.h"
 #include "base/random.h"
 #include "direct/copy_policy.h"
 #include "direct/named_weights.h"
+#include "fleet/agent_list.h"
 #include "fleet/entry_links.h"
 #include "records/record_sync.h"
 #include "relay/record_codec.h"
@@ -44,23 +46,13 @@
 // The settings file may change without a signal: its time of change is looked at this often.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
 
-std::uint64_t StartTime() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
-std::string PeerAt(const std::string& address, std::uint16_t port) {
-  return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
-}
-
 EntryLinksOptions LinksOf(const DirectEntrySettings& settings) {
   EntryLinksOptions options{.peer = settings.process.peer,
                             .region = settings.process.region,
                             .agent_port = settings.process.peer_port,
                             .regions = settings.process.regions};
   for (const std::string& seed : settings.seeds) {
-    options.seeds.push_back(PeerAt(seed, settings.process.peer_port));
+    options.seeds.push_back(WithPort(seed, settings.process.peer_port));
   }
   return options;
 }
@@ -89,7 +81,6 @@
   AsyncHttpServer ready_server;
   AsyncHttpServer metrics_server;
   SharedRouting rules = {};
-  // By model; the versions in the order in which they were named.
   std::map<std::string, NamedWeights> weights = {};  // by model
   std::optional<Instant> held_known_since = {};
   std::set<std::string> held_weights = {};  // upstreams that held some version once
@@ -108,7 +99,7 @@
         peers(loop, metrics,
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
-               .incarnation = StartTime()}),
+               .incarnation = StartIncarnation()}),
         connections(loop, metrics, {}),
         relay(loop, this->connections, adapter.requests, metrics, this->random,
               RelayOf(this->settings)),
@@ -175,7 +166,6 @@
                               .header_timeout = limits.header_timeout,
                               .idle_timeout = limits.idle_timeout});
     this->links.SetOrigin(this->rules->Rules().origin);
-    this->ApplyWeights();
     this->TellEngines();
   }
 
--- a/src/direct/entry_settings.cc
+++ b/src/direct/entry_settings.cc
@@ -1,5 +1,7 @@
 #include "direct/entry_settings.h"
 
+#include "base/process_start.h"
+
 namespace savory {
 namespace {
 
@@ -23,11 +25,7 @@
   for (SettingsReader& row : reader.Rows("data_centres")) {
     settings.regions[row.Text("name")] = row.Text("region");
   }
-  SettingsReader log = reader.Section("log");
-  settings.log.level = static_cast<LogLevel>(
-      log.Choice("level", {"debug", "info", "warn", "error"}, std::size_t{1}));
-  settings.log.form =
-      static_cast<LogForm>(log.Choice("form", {"key-value", "json"}, std::size_t{0}));
+  settings.log = ReadLogOptions(reader.Section("log"));
   settings.log.vm = settings.vm;
   settings.log.output = LogOutput::kBuffered;
   return settings;
--- a/src/fleet/agent_list.cc
+++ b/src/fleet/agent_list.cc
@@ -9,6 +9,16 @@
 
 namespace savory {
 
+namespace {
+
+std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+}  // namespace
+
+std::string WithPort(const std::string& address, std::uint16_t port) {
+  return HostOf(address) + ":" + std::to_string(port);
+}
+
 std::uint64_t DigestOf(const std::vector<AgentAddress>& agents) {
   std::uint64_t digest = 1;
   for (const AgentAddress& agent : agents) digest += RendezvousScore(agent.region, agent.peer);
@@ -19,8 +29,7 @@
   std::map<std::string, wire::AgentGroup*> groups;
   for (const AgentAddress& agent : agents) {
     in_addr ip = {};
-    const std::string host = agent.peer.substr(0, agent.peer.rfind(':'));
-    if (inet_pton(AF_INET, host.c_str(), &ip) != 1) continue;
+    if (inet_pton(AF_INET, HostOf(agent.peer).c_str(), &ip) != 1) continue;
     wire::AgentGroup*& group = groups[agent.region];
     if (group == nullptr) {
       group = hello.add_agents();
--- a/src/fleet/agent_list.h
+++ b/src/fleet/agent_list.h
@@ -17,6 +17,9 @@
   bool operator==(const AgentAddress&) const = default;
 };
 
+// `address` with another port.
+std::string WithPort(const std::string& address, std::uint16_t port);
+
 // Identifies a list; the order does not matter. Never 0.
 std::uint64_t DigestOf(const std::vector<AgentAddress>& agents);
 
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -12,12 +12,6 @@
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
-namespace {
-
-std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
-
-}  // namespace
-
 struct EntryLinks::Impl : GuardedCallbacks<EntryLinks::Impl> {
   struct Agent {
     std::string engine;           // IP:PORT of the engine beside it
@@ -104,8 +98,7 @@
     std::map<std::string, Agent> next;
     std::vector<AgentAddress> list;
     for (const Upstream& engine : engines) {
-      const std::string peer =
-          HostOf(engine.address) + ":" + std::to_string(this->options.agent_port);
+      const std::string peer = WithPort(engine.address, this->options.agent_port);
       const auto known = this->states.find(peer);
       Agent agent = known == this->states.end() ? Agent() : known->second;
       agent.engine = engine.address;
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "runtime/event_loop.h"
+#include "runtime/socket_address.h"
 
 namespace savory {
 namespace {
@@ -34,13 +35,6 @@
   std::string bytes;
 };
 
-bool ParseAddress(const std::string& address, sockaddr_in& parsed) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return false;
-  const int port = std::atoi(address.c_str() + colon + 1);
-  return uv_ip4_addr(address.substr(0, colon).c_str(), port, &parsed) == 0;
-}
-
 }  // namespace
 
 struct TcpConnection::Impl {
@@ -67,14 +61,14 @@
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
 
   void Connect(const std::string& address) {
-    sockaddr_in target = {};
+    const std::optional<sockaddr_in> target = ParseSocketAddress(address);
     this->connect.data = this;
     const auto on_connect = [](uv_connect_t* request, int status) {
       static_cast<Impl*>(request->data)->OnConnect(status);
     };
     const bool started =
-        ParseAddress(address, target) &&
-        uv_tcp_connect(&this->connect, &this->tcp, reinterpret_cast<const sockaddr*>(&target),
+        target.has_value() &&
+        uv_tcp_connect(&this->connect, &this->tcp, reinterpret_cast<const sockaddr*>(&*target),
                        on_connect) == 0;
     const Duration wait = started ? this->options.connect_timeout : Duration(0);
     this->connect_timer = this->loop.After(wait, [this] {
--- a/src/runtime/tcp_listener.cc
+++ b/src/runtime/tcp_listener.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "runtime/event_loop.h"
+#include "runtime/socket_address.h"
 
 namespace savory {
 namespace {
@@ -37,11 +38,11 @@
 Result<void> TcpListener::Listen(const std::string& address, OnConnection on_connection) {
   Impl& self = *this->impl;
   self.on_connection = std::move(on_connection);
-  const std::size_t colon = address.rfind(':');
-  sockaddr_in parsed = {};
-  int status = uv_ip4_addr(address.substr(0, colon).c_str(), std::atoi(address.c_str() + colon + 1),
-                           &parsed);
-  if (status == 0) status = uv_tcp_bind(&self.tcp, reinterpret_cast<sockaddr*>(&parsed), 0);
+  const std::optional<sockaddr_in> parsed = ParseSocketAddress(address);
+  int status = parsed ? 0 : UV_EINVAL;
+  if (status == 0) {
+    status = uv_tcp_bind(&self.tcp, reinterpret_cast<const sockaddr*>(&*parsed), 0);
+  }
   if (status == 0) {
     status = uv_listen(reinterpret_cast<uv_stream_t*>(&self.tcp), kBacklog,
                        [](uv_stream_t* server, int error) {
--- a/src/runtime/tcp_probe.cc
+++ b/src/runtime/tcp_probe.cc
@@ -1,13 +1,13 @@
 #include "runtime/tcp_probe.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstdlib>
+
+#include "runtime/socket_address.h"
 
 namespace savory {
 namespace {
@@ -25,15 +25,11 @@
 }  // namespace
 
 bool AcceptsConnections(const std::string& address, Duration timeout) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return false;
-  sockaddr_in target = {};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
-  if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr) != 1) return false;
+  const std::optional<sockaddr_in> target = ParseSocketAddress(address);
+  if (!target) return false;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return false;
-  const bool connected = Connects(fd, target, timeout);
+  const bool connected = Connects(fd, *target, timeout);
   close(fd);
   return connected;
 }
--- a/src/runtime/whole_call.cc
+++ b/src/runtime/whole_call.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
@@ -59,4 +60,16 @@
       ->Start(connections, std::move(options), timeout);
 }
 
+void StartWholeGet(EventLoop& loop, HttpConnectionPool& connections, const WholeGetOptions& options,
+                   std::function<void(Result<WholeAnswer>)> done) {
+  std::string head;
+  AppendRequestHead(head, "GET", options.target,
+                    std::vector<HttpField>{{.name = "Host", .value = options.address}});
+  StartWholeCall(loop, connections,
+                 {.address = options.address,
+                  .head = std::move(head),
+                  .connect_timeout = options.connect_timeout},
+                 options.timeout, std::move(done));
+}
+
 }  // namespace savory
--- a/src/runtime/whole_call.h
+++ b/src/runtime/whole_call.h
@@ -23,4 +23,15 @@
 void StartWholeCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
                     Duration timeout, std::function<void(Result<WholeAnswer>)> done);
 
+struct WholeGetOptions {
+  std::string address;  // IP:PORT, and the host of the request
+  std::string target;   // path and query
+  Duration connect_timeout = std::chrono::seconds(1);
+  Duration timeout = std::chrono::seconds(1);
+};
+
+// The same for a GET without further headers.
+void StartWholeGet(EventLoop& loop, HttpConnectionPool& connections, const WholeGetOptions& options,
+                   std::function<void(Result<WholeAnswer>)> done);
+
 }  // namespace savory
