--- a/src/direct/named_weights.h
+++ b/src/direct/named_weights.h
@@ -14,7 +14,7 @@
   // From its naming until older weights get no request.
   Duration deadline = std::chrono::seconds(8);
   // Enforced this much before the deadline: a request can wait at an engine before it begins. On
-  // days with engines that stall, requests waited for up to 0.95 s.
+  // days with engines that stall, requests waited for up to 0.94 s.
   Duration margin = std::chrono::milliseconds(1200);
   // A version of which nobody knows since when it is wanted is enforced this long after it was
   // seen.
