Never join the answers of two upstreams after a byte was delivered

Cause: an answer that is no event stream and exceeds max_buffered_answer is forwarded before it is complete, but only stream events set RequestHistory::delivered. When the upstream then broke off, PlanNext still allowed a retry of an idempotent request (and of a resumable one), and the second answer was appended to the part of the first: the caller got status 200 and bytes of both.

Change: the first forwarded byte of such an answer marks the request as delivered and as not resumable. The same state follows from its kin on resumable streams: an event without an id, and a part of an event larger than kMaxEventBytes, leave no point to resume after; comments do.

Ruled out: RequestFlow of the product's own interface, which accepts only the next part number of an answer and resumes only at engines with the same manifest.

--- a/src/relay/attempt_plan.h
+++ b/src/relay/attempt_plan.h
@@ -23,11 +23,11 @@
 // State of one request over its attempts so far.
 struct RequestHistory {
   RequestKind kind = RequestKind::kNonIdempotent;
-  bool resumable = false;
+  bool resumable = false;  // another upstream can continue after what was delivered
   std::uint32_t max_attempts = 1;
   std::uint32_t may_have_run = 0;  // number of attempts that ran or may have run
   std::uint32_t not_run = 0;       // number of attempts that certainly did not run
-  bool delivered = false;          // an event of a streamed answer was sent to the caller
+  bool delivered = false;          // a part of an answer's body was sent to the caller
 };
 
 enum class NextStep {
@@ -35,7 +35,7 @@
   kAnswerNotRun,   // answer that the request has not run and will not run
   kAnswerUnknown,  // answer that the request may have run
   kForwardError,   // pass the upstream's server error on
-  kAbort,          // part of a stream was sent: reset the connection to the caller
+  kAbort,          // part of an answer was sent: reset the connection to the caller
 };
 
 // Maximum number of retries of a request after attempts that certainly did not run. A refusal costs
--- a/src/relay/event_splitter.cc
+++ b/src/relay/event_splitter.cc
@@ -7,20 +7,21 @@
 namespace savory {
 namespace {
 
-// Returns the number in the last line "id: N" of `event`.
-std::optional<std::uint64_t> ParseEventId(std::string_view event) {
-  std::optional<std::uint64_t> id;
-  while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+// Parses the lines of the complete event `text`.
+StreamEvent ParseEvent(std::string_view text) {
+  StreamEvent event{.text = text, .only_comments = true};
+  while (!text.empty()) {
+    const std::size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.remove_suffix(1);
+    if (!line.empty() && !line.starts_with(':')) event.only_comments = false;
     if (!line.starts_with("id:")) continue;
     line.remove_prefix(3);
     while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-    while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.remove_suffix(1);
-    id = ParseDecimal(line);
+    event.id = ParseDecimal(line);
   }
-  return id;
+  return event;
 }
 
 // Returns the position after the empty line that ends the first event at or after `from`, or npos.
@@ -46,7 +47,7 @@
   for (std::size_t end = FindEventEnd(all, this->scanned); end != std::string_view::npos;
        end = FindEventEnd(all, end)) {
     const std::string_view text = all.substr(this->consumed, end - this->consumed);
-    events.push_back({.text = text, .id = ParseEventId(text)});
+    events.push_back(ParseEvent(text));
     this->consumed = end;
   }
   // The end of an event is up to three bytes long, which may arrive one at a time.
--- a/src/relay/event_splitter.h
+++ b/src/relay/event_splitter.h
@@ -12,6 +12,7 @@
 struct StreamEvent {
   std::string_view text;                 // including the empty line that ends it
   std::optional<std::uint64_t> id = {};  // value of its last "id" line, if that is a decimal number
+  bool only_comments = false;
 };
 
 // An upstream can fail in the middle of an event. Only complete events are forwarded, so that
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -165,6 +165,8 @@
       this->RecordFirstPart();
       this->exchange->BeginStream(this->answer_status, this->answer_fields);
       this->exchange->SendPart(std::exchange(this->answer_body, {}));
+      this->history.delivered = true;
+      this->history.resumable = false;
     }
   }
 
@@ -317,6 +319,8 @@
       this->history.delivered = true;
       this->exchange->SendPart(event.text);
       if (event.id) this->last_event = event.id;
+      // An upstream that resumes after `last_event` would repeat a later event that has no id.
+      if (!event.only_comments) this->history.resumable = this->route.resumable && event.id;
     }
     if (this->CheckUnsent() && this->first_event_seen) this->SetSilenceLimit(this->PauseLimit());
   }
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/golden_test_util.h"
 #include "base/metrics.h"
+#include "relay/event_splitter.h"
 #include "relay/relay.h"
 #include "relay/relay_codec.h"
 #include "runtime/async_http_server.h"
@@ -155,6 +156,16 @@
     };
   }
 
+  // Sends `text` and then breaks the connection, after the relay has read it.
+  Behaviour BrokenAfter(const std::string& text, const std::string& content_type) {
+    return [=, this](const SharedExchange& exchange) {
+      exchange->BeginStream(
+          200, std::vector<HttpField>{{.name = "Content-Type", .value = content_type}});
+      exchange->SendPart(text);
+      this->loop.After(milliseconds(100), [exchange] { exchange->Abort(); });
+    };
+  }
+
   // ---- the caller ----
 
   void OnAnswerHead(const HttpHead& head) override {
@@ -172,7 +183,8 @@
     this->EndCall("answer " + std::string(CallFailureName(failure)));
   }
   void EndCall(const std::string& how) {
-    std::string shown = this->body;
+    constexpr std::size_t kMaxShown = 400;
+    std::string shown = this->body.substr(0, kMaxShown);
     for (std::size_t at = 0; (at = shown.find('\n', at)) != std::string::npos;) shown[at] = '|';
     this->Print("caller has " + how + ": " + shown);
     // Leaves time for cancellations to arrive.
@@ -282,6 +294,61 @@
   ExpectGoldenText("stream_broken", this->printed);
 }
 
+// Guards against joining the answers of two upstreams: the beginning of an answer that is too large
+// to buffer has been sent when its upstream fails.
+TEST_F(RelaySession, LargeAnswerThatBreaksOffIsNotComplete) {
+  const std::string sent(RelayOptions().max_buffered_answer + 1, 'a');
+  this->behaviours["a"] = {this->BrokenAfter(sent, "application/json")};
+  this->Call("GET", "/read/1");
+  EXPECT_EQ(this->body, sent);
+  EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos);
+  EXPECT_EQ(this->printed.find("b gets"), std::string::npos);
+}
+
+// Guards against the same on a route whose streams may be resumed: an answer that is no stream has
+// no event to resume after.
+TEST_F(RelaySession, LargeAnswerOnResumableRouteIsNotResumed) {
+  const std::string sent(RelayOptions().max_buffered_answer + 1, 'a');
+  this->behaviours["a"] = {this->BrokenAfter(sent, "application/json")};
+  this->behaviours["b"] = {Events(1, 2, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(this->body, sent);
+  EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos);
+  EXPECT_EQ(this->printed.find("b gets"), std::string::npos);
+}
+
+// Guards against repeating or losing events that have no id: the upstream that resumes cannot know
+// whether they were sent.
+TEST_F(RelaySession, StreamIsNotResumedAfterEventWithoutId) {
+  this->behaviours["a"] = {
+      this->BrokenAfter("id: 1\ndata: e\n\ndata: no id\n\n", "text/event-stream")};
+  this->behaviours["b"] = {Events(2, 3, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  ExpectGoldenText("stream_event_without_id", this->printed);
+}
+
+// Comments carry no data, so a stream may be resumed after one.
+TEST_F(RelaySession, StreamIsResumedAfterComment) {
+  this->behaviours["a"] = {
+      this->BrokenAfter("id: 1\ndata: e\n\n: still here\n\n", "text/event-stream")};
+  this->behaviours["b"] = {Events(2, 3, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  ExpectGoldenText("stream_comment", this->printed);
+}
+
+// Guards against joining an event of two halves from two upstreams: a very large event is forwarded
+// in parts.
+TEST_F(RelaySession, StreamIsNotResumedWithinLargeEvent) {
+  const std::string sent =
+      "id: 1\ndata: e\n\nid: 2\ndata: " + std::string(EventSplitter::kMaxEventBytes + 1, 'a');
+  this->behaviours["a"] = {this->BrokenAfter(sent, "text/event-stream")};
+  this->behaviours["b"] = {Events(2, 3, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(this->body.find("id: 3"), std::string::npos);
+  EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos);
+  EXPECT_EQ(this->printed.find("b gets"), std::string::npos);
+}
+
 // Guards against a caller that waits for an upstream which no longer responds.
 TEST_F(RelaySession, SilentUpstreamIsAbandoned) {
   this->behaviours["a"] = {Silent()};
