--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -183,8 +183,8 @@
     this->EndCall("answer " + std::string(CallFailureName(failure)));
   }
   void EndCall(const std::string& how) {
-    constexpr std::size_t kMaxShown = 400;
-    std::string shown = this->body.substr(0, kMaxShown);
+    constexpr std::size_t max_shown = 400;
+    std::string shown = this->body.substr(0, max_shown);
     for (std::size_t at = 0; (at = shown.find('\n', at)) != std::string::npos;) shown[at] = '|';
     this->Print("caller has " + how + ": " + shown);
     // Leaves time for cancellations to arrive.
