Replace ZeroMQ's heartbeats by TCP keep-alive and measure each process's load

Ruled out: longer ZeroMQ heartbeats, which find a silent connection later and cost the same for each.

--- a/src/apps/process_host.cc
+++ b/src/apps/process_host.cc
@@ -84,7 +84,7 @@
   }
 
   void UpdateGauges() {
-    const TransportBytes bytes = this->peers.Bytes();
+    const TransportTotals bytes = this->peers.Totals();
     const auto set = [this](std::string_view labels, std::uint64_t value) {
       this->metrics.GaugeFor("savory_peer_bytes", labels).Set(static_cast<double>(value));
     };
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -52,6 +52,8 @@
   std::vector<std::unique_ptr<SignalHandler>> signals = {};
   bool stopping = false;
   TimerId next_timer = 1;
+  Instant watched_checked_at = {};
+  std::uint64_t wakeups = 0;
 
   Impl() {
     // Writing to a connection that the peer has closed returns an error instead of a signal.
@@ -109,9 +111,17 @@
       this->timer_due.erase(node.mapped().first);
       node.mapped().second();
     }
-    for (const auto& entry : this->watched) ReadAll(*entry);
+    this->CheckWatched(now);
     this->Arm();
   }
+
+  // Reads sockets whose wake-up was lost. Asking a socket costs two system calls, so this is not
+  // done with every timer.
+  void CheckWatched(Instant now) {
+    if (now - this->watched_checked_at < kMaxWait) return;
+    this->watched_checked_at = now;
+    for (const auto& entry : this->watched) ReadAll(*entry);
+  }
 };
 
 EventLoop::EventLoop() : impl(std::make_unique<Impl>()) {}
@@ -171,7 +181,10 @@
 
 void EventLoop::Run() {
   this->impl->Arm();
-  while (!this->impl->stopping) uv_run(&this->impl->loop, UV_RUN_ONCE);
+  while (!this->impl->stopping) {
+    uv_run(&this->impl->loop, UV_RUN_ONCE);
+    ++this->impl->wakeups;
+  }
   this->impl->stopping = false;
 }
 
@@ -179,6 +192,8 @@
   this->Post([this] { this->impl->stopping = true; });
 }
 
+std::uint64_t EventLoop::Wakeups() const { return this->impl->wakeups; }
+
 uv_loop_s* EventLoop::Native() { return &this->impl->loop; }
 
 }  // namespace savory
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -42,6 +42,9 @@
   // Thread-safe.
   void Stop();
 
+  // How often the loop has waited for events since it started.
+  std::uint64_t Wakeups() const;
+
   // The libuv loop, for the sockets of this folder.
   uv_loop_s* Native();
 
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -13,10 +13,13 @@
 namespace savory {
 namespace {
 
-// ZMTP heartbeats: a connection whose peer does not answer within the timeout is closed and
-// reopened, which replaces connections that have become permanently silent.
-constexpr int kHeartbeatIntervalMs = 2000;
-constexpr int kHeartbeatTimeoutMs = 6000;
+// A connection that has become permanently silent is closed and reopened: when sent bytes are not
+// acknowledged for this long, or keep-alive probes on an idle one are not answered. The kernel does
+// this without waking the process, unlike ZeroMQ's heartbeats.
+constexpr int kUnacknowledgedTimeoutMs = 4000;
+constexpr int kKeepAliveIdleS = 4;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 3;
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 2000;
 constexpr int kMaxQueuedMessages = 4096;
@@ -32,9 +35,11 @@
 
 void SetCommonOptions(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
-  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
-  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
-  socket.set(zmq::sockopt::heartbeat_ttl, kHeartbeatTimeoutMs);
+  socket.set(zmq::sockopt::tcp_keepalive, 1);
+  socket.set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveIdleS);
+  socket.set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveIntervalS);
+  socket.set(zmq::sockopt::tcp_keepalive_cnt, kKeepAliveProbes);
+  socket.set(zmq::sockopt::tcp_maxrt, kUnacknowledgedTimeoutMs);
 }
 
 }  // namespace
@@ -46,13 +51,16 @@
   zmq::socket_t router{context, zmq::socket_type::router};
   std::map<std::pair<std::string, Lane>, Connection> connections = {};
   std::map<int, std::vector<Handler>> handlers = {};
-  TransportBytes bytes = {};
+  TransportTotals totals = {};
+  Metrics& metrics;
+  std::map<std::pair<int, std::string_view>, Counter*> counters = {};  // by message and direction
   Counter& dropped;
   Counter& malformed;
 
   Impl(EventLoop& loop, Metrics& metrics, PeerTransportOptions given)
       : loop(loop),
         options(std::move(given)),
+        metrics(metrics),
         dropped(metrics.CounterFor("savory_peer_messages_dropped_total")),
         malformed(metrics.CounterFor("savory_peer_messages_malformed_total")) {
     SetCommonOptions(this->router);
@@ -67,6 +75,18 @@
     }
   }
 
+  // `direction`: a literal.
+  Counter& CounterOf(int body_case, std::string_view direction) {
+    Counter*& counter = this->counters[{body_case, direction}];
+    if (counter != nullptr) return *counter;
+    const auto* field = wire::Envelope::descriptor()->FindFieldByNumber(body_case);
+    const std::string kind = field == nullptr ? "unknown" : field->name();
+    counter = &this->metrics.CounterFor(
+        "savory_peer_messages_total",
+        "kind=\"" + kind + "\",direction=\"" + std::string(direction) + "\"");
+    return *counter;
+  }
+
   zmq::socket_t& SocketFor(std::string_view peer, Lane lane) {
     const auto key = std::pair(std::string(peer), lane);
     auto found = this->connections.find(key);
@@ -104,7 +124,9 @@
       return false;
     }
     if (has_body) socket.send(body, flags);
-    (lane == Lane::kBulk ? this->bytes.bulk_sent : this->bytes.control_sent) += total;
+    ++this->totals.messages_sent;
+    this->CounterOf(message.body_case(), "sent").Add();
+    (lane == Lane::kBulk ? this->totals.bulk_sent : this->totals.control_sent) += total;
     return true;
   }
 
@@ -132,8 +154,10 @@
       return;
     }
     const std::size_t total = head.size() + body.size();
+    ++this->totals.messages_received;
+    this->CounterOf(message.body_case(), "received").Add();
     const bool bulk = message.body_case() == wire::Envelope::kChunkData;
-    (bulk ? this->bytes.bulk_received : this->bytes.control_received) += total;
+    (bulk ? this->totals.bulk_received : this->totals.control_received) += total;
     const auto found = this->handlers.find(message.body_case());
     if (found == this->handlers.end()) return;
     const std::span payload(static_cast<const std::byte*>(body.data()), body.size());
@@ -170,6 +194,6 @@
 
 const PeerTransportOptions& PeerTransport::Options() const { return this->impl->options; }
 
-TransportBytes PeerTransport::Bytes() const { return this->impl->bytes; }
+TransportTotals PeerTransport::Totals() const { return this->impl->totals; }
 
 }  // namespace savory
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -28,9 +28,11 @@
   std::uint64_t incarnation = 0;  // distinguishes starts of this process
 };
 
-// Bytes transferred since the process started, to check a node's budget for control traffic. Sent
-// bytes are counted by lane; only weight chunks count as received bulk.
-struct TransportBytes {
+// Messages and bytes transferred since the process started, to check a node's budget for control
+// traffic. Sent bytes are counted by lane; only weight chunks count as received bulk.
+struct TransportTotals {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
   std::uint64_t control_sent = 0;
   std::uint64_t control_received = 0;
   std::uint64_t bulk_sent = 0;
@@ -62,7 +64,7 @@
                   std::span<const std::byte> part);
 
   const PeerTransportOptions& Options() const;
-  TransportBytes Bytes() const;
+  TransportTotals Totals() const;
 
  private:
   struct Impl;
