Bound what a peer may send without end

Cause: bytes that are no answer may come until the caller closes. Beast limits single header lines and the body, but neither the number of header lines that arrive in several reads, nor the line before a chunk with its extensions, nor the trailer: these grew HttpHead or the parser's input without bound, at callers (requests) as at upstreams, the store and the origin (answers). A call also read interim answers, and answers to other calls, until its deadline, and a buffered call kept any body. Change: fields of head and trailer count against max_header_bytes, as do unparsed bytes; a call fails as malformed after 16 discarded answers or 1 MiB of them; a buffered answer has at most 16 MiB. Open: the blocking client of the product's own interface (cpp-httplib) has no limit for a header line.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -4,11 +4,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <thread>
 
 #include "base/metrics.h"
 #include "runtime/async_http_server.h"
+#include "runtime/buffered_call.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
 #include "runtime/tcp_connection.h"
@@ -99,6 +101,50 @@
   std::thread thread;
 };
 
+// A peer that accepts one connection, reads a request, and then writes without end.
+class EndlessPeer {
+ public:
+  EndlessPeer(int port, std::string begin, std::string repeated)
+      : begin(std::move(begin)), thread([this, repeated] { this->Serve(repeated); }) {
+    const sockaddr_in address = {.sin_family = AF_INET,
+                                 .sin_port = htons(static_cast<std::uint16_t>(port)),
+                                 .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
+                                 .sin_zero = {}};
+    const int on = 1;
+    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    EXPECT_EQ(bind(this->listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
+              0);
+    EXPECT_EQ(listen(this->listener, 8), 0);
+    this->ready = true;
+  }
+  ~EndlessPeer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+
+ private:
+  void Serve(const std::string& repeated) {
+    while (!this->ready) std::this_thread::yield();
+    const int peer = accept(this->listener, nullptr, nullptr);
+    if (peer < 0) return;
+    char buffer[4096];
+    if (read(peer, buffer, sizeof(buffer)) > 0 &&
+        send(peer, this->begin.data(), this->begin.size(), MSG_NOSIGNAL) > 0) {
+      std::string block;
+      while (block.size() < 16 * 1024) block += repeated;
+      while (send(peer, block.data(), block.size(), MSG_NOSIGNAL) > 0) {
+      }
+    }
+    close(peer);
+  }
+
+  std::string begin;
+  int listener = socket(AF_INET, SOCK_STREAM, 0);
+  std::atomic<bool> ready = false;
+  std::thread thread;
+};
+
 class AsyncHttpTest : public ::testing::Test {
  protected:
   HttpCallOptions CallTo(const std::string& address, const std::string& target,
@@ -303,6 +349,40 @@
   EXPECT_EQ(collector.body, "right");
 }
 
+// Guards against a call that reads interim answers until its deadline.
+TEST_F(AsyncHttpTest, EndlessInterimAnswersAreMalformed) {
+  EndlessPeer peer(26920, "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early\r\n\r\n");
+  const Collector collector = this->Call(this->CallTo("127.0.0.1:26920", "/"));
+  EXPECT_EQ(collector.failure, CallFailure::kMalformed);
+}
+
+// Guards against a call that drops the body of an answer to another call until its deadline.
+TEST_F(AsyncHttpTest, EndlessAnswerOfAnotherCallIsMalformed) {
+  EndlessPeer peer(26921, "HTTP/1.1 200 OK\r\nCall: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                   "1\r\na\r\n");
+  HttpCallOptions options = this->CallTo("127.0.0.1:26921", "/");
+  options.matches_call = [](const HttpHead& head) {
+    return FieldValue(head.fields, "Call") == "2";
+  };
+  const Collector collector = this->Call(std::move(options));
+  EXPECT_EQ(collector.failure, CallFailure::kMalformed);
+}
+
+// Guards against memory that grows until a call that buffers its answer times out.
+TEST_F(AsyncHttpTest, EndlessBodyOfABufferedAnswerIsMalformed) {
+  EndlessPeer peer(26922, "HTTP/1.1 200 OK\r\n\r\n", "bytes without end ");
+  std::optional<Result<BufferedAnswer>> answer;
+  StartBufferedCall(this->loop, this->pool, this->CallTo("127.0.0.1:26922", "/"),
+                    std::chrono::seconds(20), [&](Result<BufferedAnswer> result) {
+                      answer = std::move(result);
+                      this->loop.Stop();
+                    });
+  this->loop.Run();
+  ASSERT_TRUE(answer.has_value());
+  ASSERT_FALSE(answer->has_value());
+  EXPECT_EQ(answer->error().kind, ErrorKind::kMalformed);
+}
+
 // Guards against a refused connection being reported as a call that may have arrived.
 TEST_F(AsyncHttpTest, RefusedConnectionIsReportedAsNotSent) {
   const Collector collector = this->Call(this->CallTo("127.0.0.1:26919", "/"));
--- a/src/runtime/buffered_call.cc
+++ b/src/runtime/buffered_call.cc
@@ -10,6 +10,9 @@
 namespace savory {
 namespace {
 
+// Several times the largest list or chunk of the platform.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+
 // Holds a reference to itself until the call has ended.
 class BufferedCall : public HttpCallHandler, public std::enable_shared_from_this<BufferedCall> {
  public:
@@ -28,7 +31,14 @@
   }
 
   void OnAnswerHead(const HttpHead& head) override { this->answer.status = head.status; }
-  void OnAnswerBody(std::string_view bytes) override { this->answer.body += bytes; }
+  void OnAnswerBody(std::string_view bytes) override {
+    if (this->answer.body.size() + bytes.size() > kMaxAnswerBytes) {
+      return this->End(Error{
+          .kind = ErrorKind::kMalformed,
+          .detail = "the answer is larger than " + std::to_string(kMaxAnswerBytes) + " bytes"});
+    }
+    this->answer.body += bytes;
+  }
   void OnAnswerDone() override { this->End(std::move(this->answer)); }
   void OnCallFailed(CallFailure failure) override {
     const bool sent = failure != CallFailure::kNotSent;
--- a/src/runtime/buffered_call.h
+++ b/src/runtime/buffered_call.h
@@ -20,7 +20,7 @@
 
 // Calls `done` once. Errors: kUnavailable when there is no connection (the call was not sent),
 // kTimeout when there was no complete answer within `timeout` or the answer ended early (the call
-// may have been executed).
+// may have been executed), kMalformed when the answer exceeds 16 MiB (likewise).
 void StartBufferedCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
                        Duration timeout, std::function<void(Result<BufferedAnswer>)> done);
 
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -17,6 +17,11 @@
 constexpr HttpLimits kAnswerLimits = {.max_header_bytes = 64 * 1024,
                                       .max_body_bytes = std::uint64_t{1} << 40};
 
+// A call fails when more interim answers, answers to other calls, or bytes of these precede its own
+// answer: the peer might send them without end.
+constexpr int kMaxDiscardedAnswers = 16;
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{1024} * 1024;
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 // Idle timeout in a Keep-Alive field ("timeout=5, max=100"), or nullopt.
@@ -61,6 +66,8 @@
   std::unique_ptr<PooledConnection> connection = {};
   bool head_delivered = false;
   bool discarding = false;  // the current message is interim (1xx) or answers an earlier call
+  int discarded_answers = 0;
+  std::size_t discarded_bytes = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
   void OnInput();
@@ -71,6 +78,10 @@
   bool DeliverHead(const std::weak_ptr<bool>& guard);
   bool DeliverBody(const std::weak_ptr<bool>& guard);
   bool HandleDone();
+  bool DiscardsTooMuch() const {
+    return this->discarded_answers > kMaxDiscardedAnswers ||
+           this->discarded_bytes > kMaxDiscardedBytes;
+  }
 };
 
 struct HttpConnectionPool::Impl {
@@ -167,6 +178,7 @@
   const HttpHead& head = this->connection->parser.Head();
   this->discarding = head.status < 200 || (this->matches_call && !this->matches_call(head));
   if (this->discarding) {
+    ++this->discarded_answers;
     if (head.status >= 200) {
       if (const auto owner = this->pool.lock()) owner->stray.Add();
     }
@@ -179,6 +191,7 @@
 
 bool HttpCall::Impl::DeliverBody(const std::weak_ptr<bool>& guard) {
   const std::string body = this->connection->parser.TakeBody();
+  if (this->discarding) this->discarded_bytes += body.size();
   if (body.empty() || this->discarding) return true;
   this->handler->OnAnswerBody(body);
   return !guard.expired();
@@ -219,7 +232,7 @@
       return;
     }
     if (parser.HasHead() && !this->DeliverBody(guard)) return;
-    if (parser.Failure() != HttpParseFailure::kNone) {
+    if (parser.Failure() != HttpParseFailure::kNone || this->DiscardsTooMuch()) {
       this->Fail(this->head_delivered ? CallFailure::kBrokenOff : CallFailure::kMalformed);
       return;
     }
--- a/src/runtime/http_parser.cc
+++ b/src/runtime/http_parser.cc
@@ -12,12 +12,15 @@
 using boost::beast::error_code;
 using boost::beast::string_view;
 
+constexpr std::size_t kFieldSeparatorBytes = 4;  // ": " and the end of the line
+
 // Collects the parts of a message that Beast parses.
 template <bool kIsRequest>
 class MessageParser : public http::basic_parser<kIsRequest> {
  public:
   HttpHead head = {};
   std::string body = {};
+  std::size_t field_bytes_left = 0;  // of the head and the trailer; Beast limits single lines only
 
  private:
   void on_request_impl(http::verb, string_view method, string_view target, int,
@@ -29,7 +32,13 @@
     this->head.status = code;
     this->head.reason.assign(reason.data(), reason.size());
   }
-  void on_field_impl(http::field, string_view name, string_view value, error_code&) override {
+  void on_field_impl(http::field, string_view name, string_view value, error_code& error) override {
+    const std::size_t bytes = name.size() + value.size() + kFieldSeparatorBytes;
+    if (bytes > this->field_bytes_left) {
+      error = http::error::header_limit;
+      return;
+    }
+    this->field_bytes_left -= bytes;
     this->head.fields.push_back({.name = std::string(name.data(), name.size()),
                                  .value = std::string(value.data(), value.size())});
   }
@@ -76,6 +85,7 @@
     this->parser.header_limit(limits.max_header_bytes);
     this->parser.body_limit(limits.max_body_bytes);
     this->parser.eager(true);
+    this->parser.field_bytes_left = limits.max_header_bytes;
   }
   std::size_t Put(std::string_view input, error_code& error) override {
     return this->parser.put(boost::asio::const_buffer(input.data(), input.size()), error);
@@ -136,10 +146,20 @@
     if (this->input.empty()) {
       const std::size_t taken = this->message->IsDone() ? 0 : this->Parse(bytes);
       this->input.assign(bytes.substr(taken));
-      return;
+    } else {
+      this->input += bytes;
+      if (!this->message->IsDone()) this->input.erase(0, this->Parse(this->input));
     }
-    this->input += bytes;
-    if (!this->message->IsDone()) this->input.erase(0, this->Parse(this->input));
+    this->LimitUnparsed();
+  }
+
+  // Beast limits neither the line before a chunk, with its extensions, nor the trailer, and needs
+  // each of them as a whole.
+  void LimitUnparsed() {
+    if (this->failure != HttpParseFailure::kNone || this->message->IsDone()) return;
+    if (this->input.size() <= this->limits.max_header_bytes) return;
+    this->failure = HttpParseFailure::kHeaderTooLarge;
+    this->input.clear();
   }
 };
 
@@ -180,6 +200,7 @@
   assert(self.message->IsDone());
   self.Begin();
   if (!self.input.empty()) self.input.erase(0, self.Parse(self.input));
+  self.LimitUnparsed();
 }
 
 }  // namespace savory
