Report an engine's load only to the entries that send requests there

Change: an entry follows the engines of its share of the slots and as many on each side of it, at least 16 (EngineWindow), sends requests only there, and is in touch only with their agents and with those that it is responsible for by rendezvous score, two entries for each agent (EntryPresence). The first one passes on whether the engine serves, in a status to all entries that also carries the demand. Agents report the load to followers only, less often the more there are, and poll their engine less often while it is idle. Demand is reported when it changes by a quarter, so that shares follow a shift of callers within a second. An entry that fails at most of the engines that it follows widens its window. Lists of entries go to another receiver at each entry: all started with the first one, so that at 320 entries two did not know each other after 8 s (EntryPresenceTest, FleetThatStartsAtOnceAgreesWithinSeconds/4). Ruled out: one relay of reports for each data centre (a hand-over for each, all load in one process); longer periods alone (loads would be seconds old); reports only on answers (none for idle engines). Tests in virtual time at 1 to 320 entries and 4 to 690 agents; EntryCutOffFromItsEnginesUsesOthers failed without the widening.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -19,20 +19,25 @@
 #include "runtime/async_http_server.h"
 #include "runtime/event_loop.h"
 #include "runtime/peer_transport.h"
+#include "runtime/process_load.h"
 
 namespace savory {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr Duration kIdleTickPeriod = milliseconds(100);
+constexpr Duration kIdleTickPeriod = milliseconds(200);
 // Used while a copy or a load is in progress.
 constexpr Duration kActiveTickPeriod = milliseconds(10);
-// Entries of the same region get a report of a changed load every 200 ms. Polling the engine at
-// this period bounds the age of the state in a report.
-constexpr Duration kPollPeriod = milliseconds(100);
+// Entries of the same region get a report of a changed load at this period. They also learn the
+// load of engines that they use from the answers.
+constexpr Duration kPollPeriod = milliseconds(200);
+// Used while less than half of the slots are taken, when a request fits whatever others send, or
+// while no entry follows the load.
+constexpr Duration kLightLoadPollPeriod = milliseconds(400);
 // Used while a load is about to start or in progress.
 constexpr Duration kLoadPollPeriod = milliseconds(40);
+constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // The engine counts as unreachable after this many consecutive failed reads of its state.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -45,6 +50,7 @@
   EngineControl& engine_control;
   Random random{std::random_device()()};
   PeerTransport peers;
+  ProcessLoad process_load;
   AgentLinks links;
   WeightsCopier copier;
   EngineLoader loader;
@@ -67,6 +73,7 @@
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
                .incarnation = MakeIncarnation()}),
+        process_load(loop, metrics, this->peers),
         links(loop, this->peers, metrics,
               {.region = this->settings.process.region,
                .agent_port = this->settings.process.peer_port}),
@@ -122,11 +129,18 @@
 
   // ---- the engine ----
 
+  Duration PollPeriod() const {
+    if (!this->loader.Accepting()) return kLoadPollPeriod;
+    const bool light = this->engine && 2 * (this->engine->running + this->engine->waiting) <
+                                           std::max(1u, this->engine->slots);
+    return light || this->links.Followers() == 0 ? kLightLoadPollPeriod : kPollPeriod;
+  }
+
   void Poll() {
     const Instant now = this->Now();
     if (this->polling || now < this->next_poll) return;
     this->polling = true;
-    this->next_poll = now + (this->loader.Accepting() ? kPollPeriod : kLoadPollPeriod);
+    this->next_poll = now + this->PollPeriod();
     this->engine_control.ReadState([this, now](const Result<EngineState>& state) {
       this->polling = false;
       if (state) {
@@ -228,6 +242,7 @@
       this->loop.Stop();
     });
     this->loop.OnSignal(SIGHUP, [] { Log(LogLevel::kInfo, "settings_unchanged"); });
+    this->process_load.Start(kProcessLoadPeriod);
     this->copier.Start();
     this->links.Start();
     this->Tick();
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -26,6 +26,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
 #include "runtime/peer_transport.h"
+#include "runtime/process_load.h"
 
 namespace savory {
 namespace {
@@ -45,17 +46,18 @@
 // An entry that knows no upstream becomes ready after this time, because the platform may have
 // none.
 constexpr Duration kMaxWaitForUpstreams = milliseconds(3000);
+constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // Period for checking the modification time of the settings file, which may change without a
 // signal.
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
 
 EntryLinksOptions MakeLinkOptions(const DirectEntrySettings& settings) {
-  EntryLinksOptions options{.peer = settings.process.peer,
+  EntryLinksOptions options{.presence = {.self = settings.process.peer},
                             .region = settings.process.region,
-                            .agent_port = settings.process.peer_port,
+                            .peer_port = settings.process.peer_port,
                             .regions = settings.process.regions};
   for (const std::string& seed : settings.seeds) {
-    options.seeds.push_back(WithPort(seed, settings.process.peer_port));
+    options.presence.seeds.push_back(WithPort(seed, settings.process.peer_port));
   }
   return options;
 }
@@ -75,6 +77,7 @@
   DirectEntryAdapter adapter;
   Random random{std::random_device()()};
   PeerTransport peers;
+  ProcessLoad process_load;
   HttpConnectionPool connections;
   Relay relay;
   EntryLinks links;
@@ -106,6 +109,7 @@
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
                .incarnation = MakeIncarnation()}),
+        process_load(loop, metrics, this->peers),
         connections(loop, metrics, {}),
         relay(loop, this->connections, adapter.requests, metrics, this->random,
               MakeRelayOptions(this->settings)),
@@ -333,11 +337,12 @@
 
   // ---- engine shares ----
 
-  void SendDemand() {
+  void UpdateDemand() {
     const Instant now = this->loop.Now();
     const double rate =
         this->demands.UpdateOwnRate(this->relay.RequestDispatcher().EngineRequests(), now);
-    this->links.SendDemand(this->settings.process.data_centre, rate);
+    const bool due = this->demands.TakeReportDue(this->links.StatusPeriod(), now);
+    this->links.SetDemand(this->settings.process.data_centre, rate, due);
     this->UpdateEngineShares();
   }
 
@@ -359,6 +364,8 @@
     for (const std::string& id : this->upstreams.TakeExpired(this->loop.Now())) {
       this->RemoveFromDispatcher(id, "not back after the store returned");
     }
+    this->links.SetFollowedEngines(
+        this->relay.RequestDispatcher().EnginesToFollow(this->loop.Now()));
     if (this->stopping_since) this->AdvanceStop();
   }
 
@@ -371,7 +378,10 @@
 
   void AdvanceStop() {
     const Duration stopping_for = this->loop.Now() - *this->stopping_since;
-    if (stopping_for >= kAcceptDuringStop) this->relay.StopAccepting();
+    if (stopping_for >= kAcceptDuringStop) {
+      this->relay.StopAccepting();
+      this->links.Leave();
+    }
     const bool done = stopping_for >= kMinStopTime && this->relay.InProgress() == 0;
     if (!done && stopping_for < this->settings.stop_grace - kStopReserve) return;
     Log(LogLevel::kInfo, "stopped", {{"cut_off", this->relay.InProgress()}});
@@ -419,13 +429,16 @@
     });
     this->links.OnWantedSinceReport(
         [this](std::uint64_t version, Instant since) { this->OnWantedSince(version, since); });
-    this->links.OnDemand([this](EntryDemand demand) {
-      this->demands.OnDemandReport(std::move(demand), this->loop.Now());
+    this->links.OnAvailability([this](const EngineAvailability& passed_on) {
+      this->relay.RequestDispatcher().AddAvailability(passed_on, this->loop.Now());
+    });
+    this->links.OnDemand([this](EntryDemand demand, Duration period) {
+      this->demands.OnDemandReport(std::move(demand), period, this->loop.Now());
     });
     this->links.OnEntriesChange(
         [this](const std::vector<std::string>& others) { this->OnEntriesChange(others); });
     std::vector<std::string> seeds;
-    for (const std::string& seed : MakeLinkOptions(this->settings).seeds) {
+    for (const std::string& seed : MakeLinkOptions(this->settings).presence.seeds) {
       if (seed != this->settings.process.peer) seeds.push_back(seed);
     }
     this->SetPeerEntries(seeds);
@@ -460,9 +473,10 @@
     this->loop.OnSignal(SIGTERM, [this] { this->BeginStop(); });
     this->loop.OnSignal(SIGHUP, [this] { this->Reload(); });
     this->loop.Every(kMaintenancePeriod, [this] { this->RunMaintenance(); });
-    this->loop.Every(EntryDemandTrackerOptions().report_period, [this] { this->SendDemand(); });
+    this->loop.Every(EntryDemandTrackerOptions().update_period, [this] { this->UpdateDemand(); });
     this->loop.Every(kSettingsCheckPeriod, [this] { this->ReloadIfChanged(); });
     this->ReloadIfChanged();
+    this->process_load.Start(kProcessLoadPeriod);
     this->operator_records.Start();
     this->upstream_records.Start();
     this->links.Start();
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -11,10 +11,18 @@
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
+namespace {
+
+// A report is due after this fraction of its period, so that calls at the same period, which come
+// slightly early or late, do not miss every other one.
+constexpr double kDueFraction = 0.8;
+
+}  // namespace
 
 struct AgentLinks::Impl : GuardedCallbacks<AgentLinks::Impl> {
   struct Entry {
     bool same_region = false;  // in the same region as this agent
+    bool follows_load = false;
     Instant last_hello = {};
     Instant last_report = {};
     Instant entries_sent_at = {};
@@ -44,16 +52,25 @@
   void OnHello(const std::string& from, const wire::EntryHello& hello) {
     this->hellos.Add();
     const Instant now = this->loop.Now();
+    if (hello.leaves()) return this->RemoveEntry(from, now);
     const bool is_new = !this->entries.contains(from);
     Entry& entry = this->entries[from];
+    const bool needs_load = hello.follows_load() && !entry.follows_load;
     entry.last_hello = now;
     entry.same_region = hello.region() == this->options.region;
+    entry.follows_load = hello.follows_load();
     if (is_new) {
       this->entries_changed = now;
       Log(LogLevel::kInfo, "entry_joined", {{"entry", from}, {"entries", this->entries.size()}});
     }
     if (this->UpdateView(hello, now) && this->on_view_change) this->on_view_change(this->view);
-    if (is_new && this->has_report) this->SendReport(from, entry);
+    if ((is_new || needs_load) && this->has_report) this->SendReport(from, entry);
+  }
+
+  void RemoveEntry(const std::string& peer, Instant now) {
+    if (this->entries.erase(peer) == 0) return;
+    this->entries_changed = now;
+    Log(LogLevel::kInfo, "entry_gone", {{"entry", peer}, {"reason", "left"}});
   }
 
   // Returns whether the view changed.
@@ -118,6 +135,7 @@
     status.set_pace(static_cast<float>(this->report.pace));
     status.set_kv_used(this->report.kv_used);
     status.set_agents_digest(this->agents_digest);
+    status.set_followers(static_cast<std::uint32_t>(this->Followers()));
     const auto millis_since = [now](Instant since) {
       return static_cast<std::uint32_t>(
           std::clamp<std::int64_t>(ToMillis(now - since), 0, UINT32_MAX));
@@ -142,12 +160,19 @@
     this->transport.Send(peer, Lane::kControl, std::move(message));
   }
 
-  bool IsDue(const Entry& entry, Instant now) const {
+  std::size_t Followers() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->entries.begin(), this->entries.end(),
+                      [](const auto& row) { return row.second.follows_load; }));
+  }
+
+  bool IsDue(const Entry& entry, double stretch, Instant now) const {
     const Duration waited = now - entry.last_report;
     if (waited >= this->options.unchanged_period) return true;
+    if (!entry.follows_load || entry.reported_load == this->Load()) return false;
     const Duration period =
         entry.same_region ? this->options.same_region_period : this->options.other_region_period;
-    return waited >= period && entry.reported_load != this->Load();
+    return ToSeconds(waited) >= ToSeconds(period) * stretch * kDueFraction;
   }
 
   void SendDueReports() {
@@ -155,21 +180,17 @@
     const Instant oldest_hello = now - this->options.entry_lifetime;
     const auto removed = std::erase_if(this->entries, [oldest_hello](const auto& row) {
       if (row.second.last_hello >= oldest_hello) return false;
-      Log(LogLevel::kInfo, "entry_gone", {{"entry", row.first}});
+      Log(LogLevel::kInfo, "entry_gone", {{"entry", row.first}, {"reason", "silent"}});
       return true;
     });
     if (removed > 0) this->entries_changed = now;
+    const double stretch =
+        std::max(1.0, static_cast<double>(this->Followers()) /
+                          static_cast<double>(this->options.followers_per_period));
     for (auto& [peer, entry] : this->entries) {
-      if (this->IsDue(entry, now)) this->SendReport(peer, entry);
+      if (this->IsDue(entry, stretch, now)) this->SendReport(peer, entry);
     }
   }
-
-  void SchedulePeriodicReports() {
-    this->loop.After(this->options.same_region_period, this->Guarded([this] {
-      if (this->has_report) this->SendDueReports();
-      this->SchedulePeriodicReports();
-    }));
-  }
 };
 
 AgentLinks::AgentLinks(EventLoop& loop, PeerTransport& peers, Metrics& metrics,
@@ -187,14 +208,15 @@
                            self.Guarded([&self](const wire::Envelope& message, auto) {
                              self.OnHello(message.from_peer(), message.entry_hello());
                            }));
-  self.SchedulePeriodicReports();
 }
 
 void AgentLinks::Report(const EngineReport& report, bool urgent) {
   this->impl->report = report;
   this->impl->has_report = true;
-  if (!urgent) return;
+  if (!urgent) return this->impl->SendDueReports();
   for (auto& [peer, entry] : this->impl->entries) this->impl->SendReport(peer, entry);
 }
 
+std::size_t AgentLinks::Followers() const { return this->impl->Followers(); }
+
 }  // namespace savory
--- a/src/fleet/agent_links.h
+++ b/src/fleet/agent_links.h
@@ -24,10 +24,12 @@
   // An entry that has sent no hello for this long gets no more reports.
   Duration entry_lifetime = std::chrono::seconds(7);
   // Minimum period of the reports of a changed load, to entries of the same region and of other
-  // regions. Urgent reports are sent immediately.
+  // regions that follow it. Urgent reports are sent immediately, to all entries.
   Duration same_region_period = std::chrono::milliseconds(200);
   Duration other_region_period = std::chrono::milliseconds(400);
-  // An unchanged load is reported at this period.
+  // With more than this number of entries that follow the load, the periods grow in proportion.
+  std::size_t followers_per_period = 8;
+  // A status goes to every entry at least at this period.
   Duration unchanged_period = std::chrono::seconds(1);
   // The list of entries is sent when it changes and at this period.
   Duration entries_period = std::chrono::seconds(4);
@@ -59,9 +61,11 @@
   void OnViewChange(std::function<void(const FleetView& view)> listener);
   void Start();
 
-  // Sends `report` to every entry: immediately if `urgent`, with the next periodic report
-  // otherwise.
+  // Sends `report` to the entries for which a report is due, or to every entry if `urgent`. Must be
+  // called several times a second.
   void Report(const EngineReport& report, bool urgent);
+  // Number of entries that follow the load.
+  std::size_t Followers() const;
 
  private:
   struct Impl;
--- a/src/fleet/agent_list.cc
+++ b/src/fleet/agent_list.cc
@@ -19,6 +19,19 @@
   return HostOf(address) + ":" + std::to_string(port);
 }
 
+std::optional<std::uint32_t> Ipv4Of(const std::string& address) {
+  in_addr ip = {};
+  if (inet_pton(AF_INET, HostOf(address).c_str(), &ip) != 1) return std::nullopt;
+  return ntohl(ip.s_addr);
+}
+
+std::string AddressOf(std::uint32_t ip, std::uint16_t port) {
+  const in_addr number = {.s_addr = htonl(ip)};
+  std::array<char, INET_ADDRSTRLEN> host = {};
+  inet_ntop(AF_INET, &number, host.data(), host.size());
+  return std::string(host.data()) + ":" + std::to_string(port);
+}
+
 std::uint64_t DigestOf(const std::vector<AgentAddress>& agents) {
   std::uint64_t digest = 1;
   for (const AgentAddress& agent : agents) digest += RendezvousScore(agent.region, agent.peer);
@@ -28,14 +41,14 @@
 void AppendAgents(const std::vector<AgentAddress>& agents, wire::EntryHello& hello) {
   std::map<std::string, wire::AgentGroup*> groups;
   for (const AgentAddress& agent : agents) {
-    in_addr ip = {};
-    if (inet_pton(AF_INET, HostOf(agent.peer).c_str(), &ip) != 1) continue;
+    const std::optional<std::uint32_t> ip = Ipv4Of(agent.peer);
+    if (!ip) continue;
     wire::AgentGroup*& group = groups[agent.region];
     if (group == nullptr) {
       group = hello.add_agents();
       group->set_region(agent.region);
     }
-    group->add_ips(ntohl(ip.s_addr));
+    group->add_ips(*ip);
   }
 }
 
@@ -43,11 +56,7 @@
   std::vector<AgentAddress> agents;
   for (const wire::AgentGroup& group : hello.agents()) {
     for (const std::uint32_t number : group.ips()) {
-      const in_addr ip = {.s_addr = htonl(number)};
-      std::array<char, INET_ADDRSTRLEN> host = {};
-      inet_ntop(AF_INET, &ip, host.data(), host.size());
-      agents.push_back({.peer = std::string(host.data()) + ":" + std::to_string(port),
-                        .region = group.region()});
+      agents.push_back({.peer = AddressOf(number, port), .region = group.region()});
     }
   }
   return agents;
--- a/src/fleet/agent_list.h
+++ b/src/fleet/agent_list.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,10 @@
 // Returns `address` with its port replaced.
 std::string WithPort(const std::string& address, std::uint16_t port);
 
+// IPv4 address of IP:PORT as a number, first byte highest, and back. nullopt: not IPv4.
+std::optional<std::uint32_t> Ipv4Of(const std::string& address);
+std::string AddressOf(std::uint32_t ip, std::uint16_t port);
+
 // Identifies a list independently of its order. Never 0.
 std::uint64_t DigestOf(const std::vector<AgentAddress>& agents);
 
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "base/digest.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "fleet/agent_list.h"
@@ -12,6 +11,7 @@
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
+
 struct EntryLinks::Impl : GuardedCallbacks<EntryLinks::Impl> {
   struct Agent {
     std::string engine;        // IP:PORT of the agent's engine
@@ -24,14 +24,20 @@
   PeerTransport& transport;
   EntryLinksOptions options;
   Counter& reports;
+  Counter& statuses;
+  EntryPresence presence;
   std::vector<AgentAddress> agents = {};
   std::uint64_t agents_digest = 0;
   std::map<std::string, Agent> agent_states = {};  // keyed by peer address
   std::optional<WeightsOrigin> origin = {};
   RolloutTarget target = {};
-  std::map<std::string, Instant> entries = {};  // other entries: peer address -> last reported
+  EntryDemand demand = {};
   bool hello_scheduled = false;
+  bool left = false;
+  EventLoop::TimerId timer = 0;
+  Instant timer_due = {};
   ReportListener on_report = {};
+  AvailabilityListener on_availability = {};
   EntriesListener on_entries_change = {};
   WantedSinceListener on_wanted_since = {};
   DemandListener on_demand = {};
@@ -40,7 +46,76 @@
       : loop(loop),
         transport(transport),
         options(std::move(given)),
-        reports(metrics.CounterFor("savory_engine_reports_total")) {}
+        reports(metrics.CounterFor("savory_engine_reports_total")),
+        statuses(metrics.CounterFor("savory_entry_statuses_total")),
+        presence(this->options.presence) {}
+
+  // ---- presence ----
+
+  // Performs what is due and sets the timer for what is due next.
+  void Advance() {
+    if (this->left) return;
+    this->Execute(this->presence.Advance(this->loop.Now()));
+    const Instant due = this->presence.NextDue();
+    if (this->timer != 0 && this->timer_due <= due) return;
+    if (this->timer != 0) this->loop.Cancel(this->timer);
+    this->timer_due = due;
+    this->timer =
+        this->loop.After(std::max(Duration(0), due - this->loop.Now()), this->Guarded([this] {
+          this->timer = 0;
+          this->Advance();
+        }));
+  }
+
+  void Execute(std::span<const PresenceAction> actions) {
+    for (const PresenceAction& action : actions) {
+      std::visit([this](const auto& item) { this->Execute(item); }, action);
+    }
+  }
+
+  void Execute(const GreetAgent& action) {
+    wire::EntryHello hello = this->MakeHello();
+    hello.set_follows_load(action.follows_load);
+    this->Send(action.agent, std::move(hello));
+  }
+
+  void Execute(const LeaveAgent& action) {
+    wire::EntryHello hello;
+    hello.set_leaves(true);
+    this->Send(action.agent, std::move(hello));
+  }
+
+  void Execute(const SendEntryStatus& action) {
+    wire::Envelope message;
+    wire::EntryStatus& status = *message.mutable_entry_status();
+    status.set_data_centre(this->demand.data_centre);
+    status.set_requests_per_second(this->demand.requests_per_second);
+    status.set_period_ms(static_cast<std::uint32_t>(ToMillis(action.status.period)));
+    status.set_leaving(action.status.leaving);
+    status.set_reply_wanted(action.status.reply_wanted);
+    status.set_entries_known(static_cast<std::uint32_t>(action.status.entries_known));
+    for (const std::string& entry : action.status.entries) {
+      if (const auto ip = Ipv4Of(entry)) status.add_entry_ips(*ip);
+    }
+    for (const EngineAvailability& engine : action.status.engines) {
+      const std::optional<std::uint32_t> ip = Ipv4Of(engine.address);
+      if (!ip) continue;
+      wire::EngineAvailability& row = *status.add_engines();
+      row.set_ip(*ip);
+      row.set_unreachable(!engine.reachable);
+      row.set_refusing(!engine.accepting);
+      row.set_weights_version(engine.weights_version);
+    }
+    this->transport.Send(action.entry, Lane::kControl, std::move(message));
+  }
+
+  void Execute(const LiveEntriesChanged& change) {
+    Log(LogLevel::kInfo, "entries_changed",
+        {{"change", change.joined ? "joined" : "gone"},
+         {"entry", change.entry},
+         {"others", this->presence.LiveEntries().size()}});
+    if (this->on_entries_change) this->on_entries_change(this->presence.LiveEntriesAndSeeds());
+  }
 
   // ---- to agents ----
 
@@ -72,8 +147,7 @@
   }
 
   void SendHelloToAll() {
-    const wire::EntryHello hello = this->MakeHello();
-    for (const auto& [peer, state] : this->agent_states) this->Send(peer, hello);
+    if (!this->left) this->Execute(this->presence.GreetAll());
   }
 
   void ScheduleHello() {
@@ -84,14 +158,6 @@
     }));
   }
 
-  void SchedulePeriodicHello() {
-    this->loop.After(this->options.hello_period, this->Guarded([this] {
-      this->ExpireEntries();
-      this->SendHelloToAll();
-      this->SchedulePeriodicHello();
-    }));
-  }
-
   std::string RegionOf(const std::string& data_centre) const {
     const auto region = this->options.regions.find(data_centre);
     return region == this->options.regions.end() ? data_centre : region->second;
@@ -99,13 +165,15 @@
 
   void SetAgents(const std::vector<Upstream>& engines) {
     std::map<std::string, Agent> next;
+    std::map<std::string, std::string> engine_by_agent;
     std::vector<AgentAddress> list;
     for (const Upstream& engine : engines) {
-      const std::string peer = WithPort(engine.address, this->options.agent_port);
+      const std::string peer = WithPort(engine.address, this->options.peer_port);
       const auto known = this->agent_states.find(peer);
       Agent agent = known == this->agent_states.end() ? Agent() : known->second;
       agent.engine = engine.address;
       if (!next.emplace(peer, agent).second) continue;
+      engine_by_agent.emplace(peer, engine.address);
       list.push_back({.peer = peer, .region = this->RegionOf(engine.data_centre)});
     }
     this->agent_states = std::move(next);
@@ -115,27 +183,21 @@
     this->agents_digest = digest;
     const Instant now = this->loop.Now();
     for (auto& [peer, state] : this->agent_states) state.outdated_since = now;
+    this->presence.SetAgents(engine_by_agent);
+    this->Advance();
     this->ScheduleHello();
   }
 
-  // Whether this entry sends the list to `agent`: among the live entries, the one with the highest
-  // rendezvous score does.
-  bool IsResponsibleFor(const std::string& agent) const {
-    const std::uint64_t own = RendezvousScore(agent, this->options.peer);
-    return std::none_of(this->entries.begin(), this->entries.end(), [&](const auto& entry) {
-      return RendezvousScore(agent, entry.first) > own;
-    });
-  }
-
   // Only one entry sends the list to an agent: long lists to many agents would saturate the links
   // between regions if every entry sent them.
   void SendListIfOutdated(const std::string& peer, Agent& agent) {
     if (agent.digest == this->agents_digest) return;
     const Instant now = this->loop.Now();
     const bool overdue = now - agent.outdated_since > this->options.list_takeover_delay;
-    if (!overdue && !this->IsResponsibleFor(peer)) return;
+    if (!overdue && !this->presence.IsFirstResponsible(peer)) return;
     agent.outdated_since = now;
     wire::EntryHello hello = this->MakeHello();
+    hello.set_follows_load(this->presence.FollowsLoad(peer));
     AppendAgents(this->agents, hello);
     this->Send(peer, std::move(hello));
   }
@@ -147,60 +209,69 @@
     this->on_wanted_since(version, this->loop.Now() - std::chrono::milliseconds(for_ms));
   }
 
-  void OnStatus(const std::string& from, const wire::EngineStatus& status) {
+  void OnAgentStatus(const std::string& from, const wire::EngineStatus& status) {
+    if (this->left) return;
     this->reports.Add();
-    for (const std::string& entry : status.entries()) this->MarkEntryLive(entry);
     this->NotifyWantedSince(status.wanted_version(), status.wanted_for_ms());
     this->NotifyWantedSince(status.earlier_version(), status.earlier_for_ms());
     const auto found = this->agent_states.find(from);
+    const std::string engine = found == this->agent_states.end() ? "" : found->second.engine;
+    const std::vector<std::string> entries(status.entries().begin(), status.entries().end());
+    const EngineAvailability availability{.address = engine,
+                                          .reachable = !status.unreachable(),
+                                          .accepting = !status.refusing(),
+                                          .weights_version = status.weights_version()};
+    this->presence.OnAgentStatus(from, availability, entries, this->loop.Now());
+    this->Advance();
     if (found == this->agent_states.end()) return;
     found->second.digest = status.agents_digest();
     this->SendListIfOutdated(from, found->second);
     if (!this->on_report) return;
     this->on_report(EngineReport{
-        .address = found->second.engine,
+        .address = engine,
         .load = {.running = status.running(), .waiting = status.waiting(), .slots = status.slots()},
-        .reachable = !status.unreachable(),
-        .accepting = !status.refusing(),
+        .reachable = availability.reachable,
+        .accepting = availability.accepting,
         .weights_version = status.weights_version(),
         .pace = status.pace(),
-        .kv_used = status.kv_used()});
+        .kv_used = status.kv_used(),
+        .followers = status.followers()});
   }
 
-  void MarkEntryLive(const std::string& entry) {
-    if (entry == this->options.peer) return;
-    const bool is_new = !this->entries.contains(entry);
-    this->entries[entry] = this->loop.Now();
-    if (is_new) this->NotifyEntriesChange("joined", entry);
-  }
+  // ---- from entries ----
 
-  void ExpireEntries() {
-    const Instant oldest_report = this->loop.Now() - this->options.entry_lifetime;
-    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-      if (entry->second >= oldest_report) {
-        ++entry;
-        continue;
-      }
-      const std::string gone = entry->first;
-      entry = this->entries.erase(entry);
-      this->NotifyEntriesChange("gone", gone);
+  void OnEntryStatus(const std::string& from, const wire::EntryStatus& status) {
+    if (this->left) return;
+    this->statuses.Add();
+    EntryStatusReport report{
+        .period = std::clamp<Duration>(std::chrono::milliseconds(status.period_ms()),
+                                       this->options.presence.status_period,
+                                       this->options.presence.max_status_period),
+        .entries_known = status.entries_known(),
+        .leaving = status.leaving(),
+        .reply_wanted = status.reply_wanted()};
+    for (const std::uint32_t ip : status.entry_ips()) {
+      report.entries.push_back(AddressOf(ip, this->options.peer_port));
     }
-  }
-
-  void NotifyEntriesChange(std::string_view change, const std::string& entry) {
-    Log(LogLevel::kInfo, "entries_changed",
-        {{"change", change}, {"entry", entry}, {"others", this->entries.size()}});
-    if (this->on_entries_change) this->on_entries_change(this->OtherEntries());
-  }
-
-  // Peer addresses of the other live entries and of the seeds, which may be entries.
-  std::vector<std::string> OtherEntries() const {
-    std::vector<std::string> peers;
-    for (const auto& [peer, last_heard] : this->entries) peers.push_back(peer);
-    for (const std::string& seed : this->options.seeds) {
-      if (seed != this->options.peer && !this->entries.contains(seed)) peers.push_back(seed);
+    this->Execute(this->presence.OnEntryStatus(from, report, this->loop.Now()));
+    this->Advance();
+    if (status.leaving()) return;
+    if (this->on_demand) {
+      this->on_demand({.entry = from,
+                       .data_centre = status.data_centre(),
+                       .requests_per_second = status.requests_per_second()},
+                      report.period);
+    }
+    if (!this->on_availability) return;
+    for (const wire::EngineAvailability& row : status.engines()) {
+      const std::string peer = AddressOf(row.ip(), this->options.peer_port);
+      const auto agent = this->agent_states.find(peer);
+      if (agent == this->agent_states.end()) continue;
+      this->on_availability({.address = agent->second.engine,
+                             .reachable = !row.unreachable(),
+                             .accepting = !row.refusing(),
+                             .weights_version = row.weights_version()});
     }
-    return peers;
   }
 };
 
@@ -210,6 +281,9 @@
 EntryLinks::~EntryLinks() = default;
 
 void EntryLinks::OnReport(ReportListener listener) { this->impl->on_report = std::move(listener); }
+void EntryLinks::OnAvailability(AvailabilityListener listener) {
+  this->impl->on_availability = std::move(listener);
+}
 void EntryLinks::OnEntriesChange(EntriesListener listener) {
   this->impl->on_entries_change = std::move(listener);
 }
@@ -222,23 +296,31 @@
   Impl& self = *this->impl;
   self.transport.Subscribe(wire::Envelope::kEngineStatus,
                            self.Guarded([&self](const wire::Envelope& message, auto) {
-                             self.OnStatus(message.from_peer(), message.engine_status());
+                             self.OnAgentStatus(message.from_peer(), message.engine_status());
                            }));
-  self.transport.Subscribe(wire::Envelope::kEntryDemand,
+  self.transport.Subscribe(wire::Envelope::kEntryStatus,
                            self.Guarded([&self](const wire::Envelope& message, auto) {
-                             if (!self.on_demand) return;
-                             const wire::EntryDemand& demand = message.entry_demand();
-                             self.on_demand({.entry = message.from_peer(),
-                                             .data_centre = demand.data_centre(),
-                                             .requests_per_second = demand.requests_per_second()});
+                             self.OnEntryStatus(message.from_peer(), message.entry_status());
                            }));
-  self.SchedulePeriodicHello();
+  self.Advance();
+}
+
+void EntryLinks::Leave() {
+  Impl& self = *this->impl;
+  if (self.left) return;
+  self.Execute(self.presence.Leave(self.loop.Now()));
+  self.left = true;
 }
 
 void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
   this->impl->SetAgents(engines);
 }
 
+void EntryLinks::SetFollowedEngines(std::span<const std::string> addresses) {
+  this->impl->presence.SetFollowedEngines(addresses, this->impl->loop.Now());
+  this->impl->Advance();
+}
+
 void EntryLinks::SetOrigin(const std::optional<WeightsOrigin>& origin) {
   const bool changed = origin.has_value() != this->impl->origin.has_value() ||
                        (origin && origin->address != this->impl->origin->address);
@@ -257,18 +339,18 @@
 }
 
 std::vector<std::string> EntryLinks::LiveEntries() const {
-  std::vector<std::string> live;
-  for (const auto& [peer, last_heard] : this->impl->entries) live.push_back(peer);
-  return live;
+  return this->impl->presence.LiveEntries();
 }
 
-void EntryLinks::SendDemand(const std::string& data_centre, double requests_per_second) {
-  wire::Envelope message;
-  message.mutable_entry_demand()->set_data_centre(data_centre);
-  message.mutable_entry_demand()->set_requests_per_second(requests_per_second);
-  for (const std::string& peer : this->impl->OtherEntries()) {
-    this->impl->transport.Send(peer, Lane::kControl, message);
-  }
+Duration EntryLinks::StatusPeriod() const { return this->impl->presence.StatusPeriod(); }
+
+void EntryLinks::SetDemand(const std::string& data_centre, double requests_per_second,
+                           bool changed) {
+  Impl& self = *this->impl;
+  self.demand = {.data_centre = data_centre, .requests_per_second = requests_per_second};
+  if (!changed) return;
+  self.presence.OnDemandChange(self.loop.Now());
+  self.Advance();
 }
 
 }  // namespace savory
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -1,5 +1,4 @@
-// Message exchange of an entry with the engines' agents, and discovery of the other entries through
-// them.
+// Message exchange of an entry with the engines' agents and with the other entries.
 #pragma once
 
 #include <cstdint>
@@ -7,10 +6,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
+#include "fleet/entry_presence.h"
 #include "relay/routing_rules.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
@@ -22,18 +23,15 @@
 class PeerTransport;
 
 struct EntryLinksOptions {
-  std::string peer;                     // IP:PORT of this entry's peer socket
-  std::string region;                   // region of this entry
-  std::uint16_t agent_port = 0;         // peer port of the agents, which run on the engines' VMs
-  std::vector<std::string> seeds = {};  // peer addresses that may belong to other entries
+  EntryPresenceOptions presence;  // of this entry
+  std::string region = {};        // region of this entry
+  std::uint16_t peer_port = 0;    // of all entries and agents
   std::map<std::string, std::string> regions = {};  // data centre -> region
-  Duration hello_period = std::chrono::seconds(2);
-  // Changes within this time are sent in one hello. A change of the wanted version is sent at once.
+  // Changes of what agents must know within this time are sent in one hello. A change of the wanted
+  // version is sent at once.
   Duration change_batch_delay = std::chrono::milliseconds(150);
-  // An entry that no agent has reported for this long counts as gone.
-  Duration entry_lifetime = std::chrono::seconds(12);
-  // One entry is responsible for sending the list of agents to an agent. Any other entry sends it
-  // if the agent's list is still outdated after this time.
+  // The entry that is responsible for an agent sends it the list of agents. Any other entry that is
+  // in touch with it sends the list if the agent's one is still outdated after this time.
   Duration list_takeover_delay = std::chrono::milliseconds(1500);
 };
 
@@ -50,31 +48,40 @@
 class EntryLinks {
  public:
   using ReportListener = std::function<void(const EngineReport& report)>;
+  using AvailabilityListener = std::function<void(const EngineAvailability& passed_on)>;
   using EntriesListener = std::function<void(const std::vector<std::string>& peers)>;
   // Called with what an agent reports: `version` is wanted since `since`.
   using WantedSinceListener = std::function<void(std::uint64_t version, Instant since)>;
-
-  using DemandListener = std::function<void(EntryDemand demand)>;
+  // `valid_for`: the next report follows within this time, unless the entry is gone.
+  using DemandListener = std::function<void(EntryDemand demand, Duration valid_for)>;
 
   // The references must outlive the object.
   EntryLinks(EventLoop& loop, PeerTransport& peers, Metrics& metrics, EntryLinksOptions options);
   ~EntryLinks();
 
   void OnReport(ReportListener listener);
+  // Called with what other entries pass on about engines.
+  void OnAvailability(AvailabilityListener listener);
   // Called when the other live entries change, with their peer addresses and those of the seeds.
   void OnEntriesChange(EntriesListener listener);
   void OnWantedSinceReport(WantedSinceListener listener);
   // Called with the demand that another entry reports.
   void OnDemand(DemandListener listener);
   void Start();
+  // Takes leave of the other entries and the agents. Later messages are ignored.
+  void Leave();
 
   void SetEngines(const std::vector<Upstream>& engines);
+  // Addresses of the engines whose load this entry needs.
+  void SetFollowedEngines(std::span<const std::string> addresses);
   void SetOrigin(const std::optional<WeightsOrigin>& origin);
   void SetTarget(const RolloutTarget& target);
-  // Other entries that agents recently reported as live.
+  // Other live entries.
   std::vector<std::string> LiveEntries() const;
-  // Sends this entry's demand to the other live entries and to the seeds.
-  void SendDemand(const std::string& data_centre, double requests_per_second);
+  // Period at which other entries learn the demand.
+  Duration StatusPeriod() const;
+  // Sets the demand that the other entries learn: now if `changed`, and periodically.
+  void SetDemand(const std::string& data_centre, double requests_per_second, bool changed);
 
  private:
   struct Impl;
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -31,6 +31,7 @@
     this->RemoveUpstream(upstream.id);
   }
   UpstreamState& state = this->pools[upstream.pool][upstream.id];
+  if (known == this->pool_of.end()) this->shares_due = {};
   if (state.upstream.started_unix_ms != upstream.started_unix_ms ||
       state.upstream.address != upstream.address) {
     // The upstream was restarted, so its health, load and reports no longer apply.
@@ -66,13 +67,15 @@
   this->ConfirmShare(state, now);
 }
 
-// Every other entry sees the same report, so the free slots are divided equally. The quotient is
-// rounded up or down at random.
+// The other entries that follow the engine see the same report, so the free slots are divided
+// equally. The quotient is rounded up or down at random.
 void Dispatcher::UpdateBorrowable(UpstreamState& state, Instant now) {
   state.borrowable_at = now;
   const double free = static_cast<double>(state.upstream.slots) - state.own - state.others -
                       this->options.borrow_reserve_slots;
-  const auto others = static_cast<double>(std::max<std::size_t>(this->entries.size(), 2) - 1);
+  const std::size_t sharing =
+      state.report && state.report->followers > 0 ? state.report->followers : this->entries.size();
+  const auto others = static_cast<double>(std::max<std::size_t>(sharing, 2) - 1);
   state.borrowable =
       static_cast<std::uint32_t>(std::max(0.0, free / others + UniformUnit(this->random)));
   if (free <= 0) state.borrowable = 0;
@@ -88,12 +91,19 @@
   if (report.reachable) this->UpdateLoad(state, report.load, now);
 }
 
+void Dispatcher::AddAvailability(const EngineAvailability& passed_on, Instant now) {
+  const auto id = this->id_at.find(passed_on.address);
+  if (id == this->id_at.end()) return;
+  const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
+  UpstreamState& state = pool->second.find(id->second)->second;
+  state.passed_on = passed_on;
+  state.passed_on_at = now;
+}
+
 void Dispatcher::AddLoad(std::string_view upstream, const UpstreamLoad& load, Instant now) {
   const auto known = this->pool_of.find(upstream);
   if (known == this->pool_of.end()) return;
   UpstreamState& state = this->pools.find(known->second)->second.find(upstream)->second;
-  // A recent report from the agent is more accurate than the load in one answer.
-  if (state.reported_at && now - *state.reported_at < this->options.load_lifetime) return;
   this->UpdateLoad(state, load, now);
 }
 
@@ -112,7 +122,9 @@
 }
 
 std::uint64_t Dispatcher::WeightsOf(const UpstreamState& state) const {
-  return std::max(state.upstream.weights_version, state.report ? state.report->weights_version : 0);
+  const std::uint64_t reported = state.report ? state.report->weights_version : 0;
+  const std::uint64_t passed_on = state.passed_on ? state.passed_on->weights_version : 0;
+  return std::max({state.upstream.weights_version, reported, passed_on});
 }
 
 void Dispatcher::SetEntries(std::vector<EntryDemand> all) {
@@ -137,6 +149,7 @@
   std::vector<UpstreamState*> serving;
   for (auto& [id, state] : pool) {
     state.share = 0;
+    state.followed = false;
     if (state.upstream.is_engine && this->IsServing(state, now)) serving.push_back(&state);
   }
   std::sort(serving.begin(), serving.end(), [](const UpstreamState* a, const UpstreamState* b) {
@@ -151,6 +164,8 @@
   const std::vector<std::uint32_t> shares =
       this->entries.size() <= 1 ? slots : DivideSlots(slots, demands, this->own_entry);
   for (std::size_t i = 0; i < serving.size(); ++i) serving[i]->share = shares[i];
+  const IndexRange window = this->ChooseWindow(serving, slots, demands);
+  for (std::size_t i = window.first; i < window.last; ++i) serving[i]->followed = true;
   for (auto& [id, state] : pool) {
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
@@ -159,6 +174,25 @@
   }
 }
 
+// The window is widened until half of `min_followed_engines` accept requests of this entry, which
+// may be cut off from engines that serve the other entries.
+IndexRange Dispatcher::ChooseWindow(std::span<UpstreamState* const> serving,
+                                    std::span<const std::uint32_t> slots,
+                                    std::span<const double> demands) const {
+  IndexRange window{.last = serving.size()};
+  if (this->entries.size() <= 1) return window;
+  const auto accepts = [](const UpstreamState* state) { return !state->health.IsHalfOpen(); };
+  for (std::size_t least = this->options.min_followed_engines;; least *= 2) {
+    window = EngineWindow(slots, demands, this->own_entry, least);
+    const std::size_t size = window.last - window.first;
+    const auto engines = serving.subspan(window.first, size);
+    const auto accepting =
+        static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), accepts));
+    const std::size_t wanted = std::min(this->options.min_followed_engines, size) / 2;
+    if (accepting >= wanted || size == serving.size()) return window;
+  }
+}
+
 void Dispatcher::ConfirmShare(UpstreamState& state, Instant now) const {
   if (state.share <= state.confirmed || this->entries.size() <= 1) {
     state.confirmed = state.share;
@@ -186,13 +220,23 @@
   return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now);
 }
 
+bool Dispatcher::IsCandidate(const UpstreamState& state, const DispatchRequest& request) const {
+  return !state.upstream.is_engine || state.followed || request.rerun;
+}
+
 bool Dispatcher::IsServing(const UpstreamState& state, Instant now) const {
   if (state.upstream.draining) return false;
-  const bool reported = state.reported_at && now - *state.reported_at < this->options.load_lifetime;
-  if (reported && (!state.report->reachable || !state.report->accepting)) return false;
+  std::uint64_t held = state.upstream.weights_version;
+  const auto apply = [&held](const auto& known) {
+    held = known.weights_version;
+    return known.reachable && known.accepting;
+  };
+  if (state.reported_at && now - *state.reported_at < this->options.load_lifetime) {
+    if (!apply(*state.report)) return false;
+  } else if (state.passed_on && now - state.passed_on_at < this->options.availability_lifetime) {
+    if (!apply(*state.passed_on)) return false;
+  }
   if (!state.upstream.is_engine) return true;
-  const std::uint64_t held =
-      reported ? state.report->weights_version : state.upstream.weights_version;
   return held > 0 && held >= this->RequiredWeights(state.upstream.pool, now);
 }
 
@@ -248,7 +292,7 @@
   std::vector<const UpstreamState*> near;
   std::vector<const UpstreamState*> remote;
   for (const auto& [id, state] : found->second) {
-    if (!this->MayUse(state, request, now)) continue;
+    if (!this->IsCandidate(state, request) || !this->MayUse(state, request, now)) continue;
     const bool is_near = state.upstream.data_centre == this->options.data_centre;
     (state.confirmed > 0 ? with_share : (is_near ? near : remote)).push_back(&state);
   }
@@ -437,6 +481,18 @@
   return {};
 }
 
+std::vector<std::string> Dispatcher::EnginesToFollow(Instant now) {
+  this->UpdateShares(now);
+  std::vector<std::string> addresses;
+  for (const auto& [name, pool] : this->pools) {
+    for (const auto& [id, state] : pool) {
+      if (state.followed) addresses.push_back(state.upstream.address);
+    }
+  }
+  std::sort(addresses.begin(), addresses.end());
+  return addresses;
+}
+
 std::size_t Dispatcher::Usable(std::string_view pool, Instant now) const {
   const auto found = this->pools.find(pool);
   if (found == this->pools.end()) return 0;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,8 +53,10 @@
   // from this entry's data centre, and as many from the other data centres. If all entries took the
   // best upstream of the same reports, they would overload it.
   std::size_t sample_size = 3;
-  // Not in use: if no upstream in the sample fits, all are compared.
-  std::size_t max_candidates = 96;
+  // An entry follows the load of at least this many engines and sends requests only to those.
+  std::size_t min_followed_engines = 16;
+  // What other entries say of an engine's availability is ignored when it is older than this.
+  Duration availability_lifetime = std::chrono::milliseconds(3500);
   // In addition to its share of an engine's slots, an entry may have this fraction of the share
   // queued there.
   double share_overcommit = 0.25;
@@ -93,6 +96,8 @@
   void SetUpstream(const Upstream& upstream);
   void RemoveUpstream(std::string_view id);
   void AddReport(const EngineReport& report, Instant now);
+  // Availability of an engine as another entry passes it on. A report of its agent goes before it.
+  void AddAvailability(const EngineAvailability& passed_on, Instant now);
   void AddLoad(std::string_view upstream, const UpstreamLoad& load, Instant now);
   void SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules);
 
@@ -113,12 +118,15 @@
   std::size_t Waiting() const { return this->waiting.size(); }
   // Number of upstreams of `pool` that may receive requests now.
   std::size_t Usable(std::string_view pool, Instant now) const;
+  // Addresses of the engines whose load this entry must follow, sorted: see EngineWindow().
+  std::vector<std::string> EnginesToFollow(Instant now);
 
  private:
   struct UpstreamState {
     Upstream upstream;
     UpstreamHealth health = UpstreamHealth();
     std::uint32_t own = 0;         // attempts of this entry
+    bool followed = false;         // an engine that this entry sends to, see EngineWindow()
     std::uint32_t share = 0;       // slots that belong to this entry
     std::uint32_t confirmed = 0;   // those that may be used, see ConfirmShare()
     Instant share_grew_at = {};    // when `share` first exceeded `confirmed`; epoch: it does not
@@ -127,6 +135,8 @@
     double own_prefill_tokens = 0;  // prompt tokens of own attempts without a first event
     std::optional<EngineReport> report = {};
     std::optional<Instant> reported_at = {};
+    std::optional<EngineAvailability> passed_on = {};
+    Instant passed_on_at = {};
     UpstreamLoad load = {};
     std::optional<Instant> load_at = {};
     double others = 0;             // requests of other entries at `load_at`
@@ -148,11 +158,17 @@
   // Oldest weights version with which engines of `pool` may receive requests; 0: any.
   std::uint64_t RequiredWeights(std::string_view pool, Instant now) const;
   bool MayUse(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
+  // Whether new requests of this entry may go to the upstream: to a followed engine or any service.
+  bool IsCandidate(const UpstreamState& state, const DispatchRequest& request) const;
   // Whether the upstream accepts requests at all. Depends only on data that all entries have, so
   // that they all divide the slots of the same engines.
   bool IsServing(const UpstreamState& state, Instant now) const;
   void UpdateShares(Instant now);
   void UpdatePoolShares(PoolUpstreams& pool, Instant now);
+  // The engines among `serving` that this entry follows.
+  IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
+                          std::span<const std::uint32_t> slots,
+                          std::span<const double> demands) const;
   // Requests of a slot's previous owner may still be running. So a gained slot is used only once a
   // newer report has counted them, or after a time without a report.
   void ConfirmShare(UpstreamState& state, Instant now) const;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -323,6 +323,37 @@
   EXPECT_GE(placed, 8);
 }
 
+// An entry is cut off from all engines that it follows, for instance by a fault between data
+// centres. Guards against refusing requests while engines beside them serve.
+TEST_F(DispatcherTest, EntryCutOffFromItsEnginesUsesOthers) {
+  for (int i = 1; i <= 40; ++i) this->AddEngine(i);
+  this->dispatcher.SetEntries(Entries(10));
+  const std::vector<std::string> before = this->dispatcher.EnginesToFollow(this->now);
+  ASSERT_EQ(before.size(), 16u);
+  const auto fail_next = [&] {
+    const DispatchRequest request = this->Chat();
+    const std::string engine = this->Submit(request);
+    if (!engine.starts_with("engine-")) return false;
+    this->dispatcher.OnEnded(request.attempt, AttemptResult::kUnreachable, this->now);
+    return true;
+  };
+  for (const std::string& address : before) {
+    this->dispatcher.AddReport({.address = address, .weights_version = 1}, this->now);
+  }
+  this->now += milliseconds(300);
+  int failed = 0;
+  while (failed < 100 && fail_next()) ++failed;
+  EXPECT_GE(failed, 4);
+  this->now += milliseconds(200);
+  std::size_t new_engines = 0;
+  for (const std::string& address : this->dispatcher.EnginesToFollow(this->now)) {
+    new_engines += std::count(before.begin(), before.end(), address) == 0 ? 1 : 0;
+    this->dispatcher.AddReport({.address = address, .weights_version = 1}, this->now);
+  }
+  EXPECT_GE(new_engines, 8u);
+  EXPECT_TRUE(this->Submit(this->Chat()).starts_with("engine-"));
+}
+
 // Callers retry after a refusal. Guards against these retries, which are late already, taking the
 // slots of new requests.
 TEST_F(DispatcherTest, CallerRetriesLeaveSlotsForNewRequests) {
--- a/src/relay/entry_demand_tracker.h
+++ b/src/relay/entry_demand_tracker.h
@@ -15,11 +15,14 @@
 struct EntryDemandTrackerOptions {
   std::string entry = {};  // identity of this entry
   std::string data_centre = {};
-  Duration report_period = std::chrono::seconds(1);
-  // Weight of the latest period in the rate: a burst doubles an entry's share within two periods.
-  double newest_weight = 0.5;
-  // An entry without a report for this long has no share: three reports in a row are missing.
-  Duration report_timeout = std::chrono::milliseconds(3200);
+  // Period at which the own rate is updated, and reported if it has changed by `min_change`.
+  Duration update_period = std::chrono::milliseconds(250);
+  double min_change = 0.25;  // relative to the rate that was last reported
+  // The rate covers about this time: long enough for some ten requests, short enough for an
+  // entry's share to follow a burst within a second.
+  Duration averaging_time = std::chrono::milliseconds(700);
+  // An entry without a report for this many of its periods has no share: three are missing.
+  double report_timeout_periods = 3.2;
   // An entry without a report for this long is removed, even while this entry is isolated.
   Duration retention = std::chrono::seconds(12);
 };
@@ -30,11 +33,14 @@
  public:
   explicit EntryDemandTracker(EntryDemandTrackerOptions options);
 
-  // `requests`: number of requests that arrived at this entry since its start. Returns the rate to
-  // report to the other entries. Call every `report_period`.
+  // `requests`: number of requests that arrived at this entry since its start. Returns the rate
+  // to report to the other entries. Call every `update_period`.
   double UpdateOwnRate(std::uint64_t requests, Instant now);
-  // Records the rate that another entry reported.
-  void OnDemandReport(EntryDemand demand, Instant now);
+  // Whether the own rate must be reported now: it has changed, or `period` has passed since the
+  // last report. If so, it counts as reported.
+  bool TakeReportDue(Duration period, Instant now);
+  // Records the rate that another entry reported. It reports again within `period`.
+  void OnDemandReport(EntryDemand demand, Duration period, Instant now);
   // Sets the live entries that the agents know of. An entry that has not reported a rate yet counts
   // with the mean rate; otherwise an entry that just started would take the slots of all others
   // until they report.
@@ -47,6 +53,7 @@
  private:
   struct Report {
     EntryDemand demand;
+    Duration period = {};
     Instant at = {};
   };
 
@@ -54,6 +61,8 @@
   EntryDemand own;
   std::uint64_t last_request_count = 0;
   Instant rate_updated_at = {};
+  double reported_rate = 0;
+  Instant reported_at = {};
   std::map<std::string, Report> others = {};  // by entry identity
   std::vector<std::string> live_entries = {};
 };
--- a/src/relay/entry_demand_tracker_test.cc
+++ b/src/relay/entry_demand_tracker_test.cc
@@ -13,7 +13,7 @@
     for (int i = first; i <= last; ++i) {
       this->tracker.OnDemandReport(
           {.entry = "b" + std::to_string(i), .data_centre = "dc", .requests_per_second = rate},
-          this->now);
+          seconds(1), this->now);
     }
   }
 
@@ -40,6 +40,27 @@
   EXPECT_LE(rate, 100);
 }
 
+// Guards against reports that come later than a burst or a move of callers, and against reports of
+// every random change.
+TEST_F(EntryDemandTrackerTest, ChangedRateIsReportedBeforeThePeriodEnds) {
+  std::uint64_t requests = 0;
+  const auto reports_in = [&](int quarters, std::uint64_t per_quarter) {
+    int reports = 0;
+    for (int i = 0; i < quarters; ++i) {
+      requests += per_quarter + static_cast<std::uint64_t>(i % 2);
+      this->now += std::chrono::milliseconds(250);
+      this->tracker.UpdateOwnRate(requests, this->now);
+      reports += this->tracker.TakeReportDue(seconds(1), this->now) ? 1 : 0;
+    }
+    return reports;
+  };
+  reports_in(20, 10);
+  EXPECT_EQ(reports_in(8, 10), 2);  // one each second
+  EXPECT_EQ(reports_in(1, 20), 1);
+  EXPECT_GE(reports_in(3, 20), 1);
+  EXPECT_GT(this->tracker.ActiveDemands(this->now).front().requests_per_second, 65);
+}
+
 // Guards against reporting the requests of several periods as the rate of one after the process was
 // paused.
 TEST_F(EntryDemandTrackerTest, ProcessPauseIsNotReportedAsABurst) {
@@ -70,7 +91,7 @@
 
 // Guards against counting the entry's own report as that of another entry.
 TEST_F(EntryDemandTrackerTest, OwnReportIsIgnored) {
-  this->tracker.OnDemandReport({.entry = "a", .requests_per_second = 5}, this->now);
+  this->tracker.OnDemandReport({.entry = "a", .requests_per_second = 5}, seconds(1), this->now);
   EXPECT_EQ(this->ActiveCount(), 1u);
 }
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -36,8 +36,18 @@
   bool reachable = true;  // the engine answered its agent
   bool accepting = true;  // no weights load is about to start or in progress
   std::uint64_t weights_version = 0;
-  double pace = 1;            // slowdown factor; above 1: slower than its published rates
-  std::uint64_t kv_used = 0;  // used KV cache, in tokens
+  double pace = 1;              // slowdown factor; above 1: slower than its published rates
+  std::uint64_t kv_used = 0;    // used KV cache, in tokens
+  std::uint32_t followers = 0;  // entries that get load reports of this engine; 0: unknown
+};
+
+// Whether an engine serves, as the entry that is in touch with its agent passes it on to the other
+// entries.
+struct EngineAvailability {
+  std::string address;  // IP:PORT of the engine
+  bool reachable = true;
+  bool accepting = true;
+  std::uint64_t weights_version = 0;
 };
 
 }  // namespace savory
