Model small and large fleets and callers that move between regions

Cause: the load model knew one size of fleet (15 entries, 85 engines) and no shift of callers, and every entry got every report, which the programs no longer do. Change: fleets of 4, 15 and 35 entries; a pattern "shift"; entries follow a window of engines, learn the availability of the others from the responsible entry, and loads from answers. A queued attempt fails with its engine whichever engines it avoided.

--- a/src/apps/experiment_load.cc
+++ b/src/apps/experiment_load.cc
@@ -18,6 +18,7 @@
 
 struct Options {
   std::string pattern = "rollout";
+  std::string fleet = "medium";
   std::uint64_t seed = 1;
   int runs = 1;
 };
@@ -36,6 +37,9 @@
   description.add_options()("help", "print this help");
   description.add_options()("pattern", po::value(&options.pattern)->default_value(options.pattern),
                             PatternList().c_str());
+  description.add_options()("fleet", po::value(&options.fleet)->default_value(options.fleet),
+                            "size of the fleet: small (4 entries, 13 engines), medium (15, 85) or "
+                            "large (35, 265)");
   description.add_options()("seed", po::value(&options.seed)->default_value(options.seed),
                             "seed of the first run; the same seed gives the same requests");
   description.add_options()("runs", po::value(&options.runs)->default_value(options.runs),
@@ -82,6 +86,7 @@
   line["late"] = all.late;
   line["refused"] = all.refused;
   line["refused_by_full_engines"] = outcome.rejected_by_engines;
+  line["demand_reports"] = outcome.demand_reports;
   line["worst_two_seconds"] = outcome.min_window_value_ratio;
   line["fairness_of_classes"] = Ratio(lowest, highest);
   line["first_event_error_ms"] = {{"median", outcome.prediction_error_median_ms},
@@ -98,12 +103,14 @@
   if (!options) return exit_code;
   for (int run = 0; run < options->runs; ++run) {
     const std::uint64_t seed = options->seed + static_cast<std::uint64_t>(run);
-    const auto pattern = FindLoadPattern(options->pattern, seed);
+    const auto pattern = FindLoadPattern(options->pattern, options->fleet, seed);
     if (!pattern) {
-      std::cerr << "unknown pattern '" << options->pattern << "'\n" << PatternList() << '\n';
+      std::cerr << "unknown pattern '" << options->pattern << "' or fleet '" << options->fleet
+                << "'\n"
+                << PatternList() << '\n';
       return kExitUsage;
     }
-    ordered_json line = {{"pattern", options->pattern}, {"seed", seed}};
+    ordered_json line = {{"pattern", options->pattern}, {"fleet", options->fleet}, {"seed", seed}};
     line.update(OutcomeJson(RunFleetModel(*pattern)));
     std::cout << line.dump() << '\n';
   }
--- a/src/loadmodel/fleet_model.cc
+++ b/src/loadmodel/fleet_model.cc
@@ -17,6 +17,8 @@
 
 // Of entries with waiting requests, and of engines that wait to load.
 constexpr Duration kPollPeriod = std::chrono::milliseconds(10);
+// Entries report their request rate to each other at this period, and when it changes.
+constexpr Duration kDemandPeriod = std::chrono::seconds(1);
 constexpr Duration kValueWindow = std::chrono::seconds(2);
 // An attempt that meets full queues is sent to at most this many engines, to each only once.
 constexpr std::size_t kMaxEngines = 4;
@@ -44,10 +46,12 @@
   bool retried = false;
 };
 
+constexpr std::size_t kNoEngine = SIZE_MAX;
+
 struct Attempt {
   std::uint64_t caller = 0;
   std::uint32_t entry = 0;
-  std::size_t engine = 0;
+  std::size_t engine = kNoEngine;  // that it was sent to; none while it waits
   std::vector<std::string> avoided = {};
   Instant arrived = {};
   Instant sent_at = {};
@@ -100,6 +104,7 @@
     std::unique_ptr<Dispatcher> dispatcher = {};
     bool poll_due = false;
     double share = 1;  // of its region's callers, relative to the other entries
+    std::map<std::string, Instant> follows = {};  // address of an engine -> last chosen at
   };
   struct SentReport {
     Instant at = {};
@@ -116,6 +121,7 @@
     std::uint64_t weights_version = 1;
     UpstreamLoad sampled = {};
     std::vector<SentReport> last_reports = {};  // by entry
+    std::vector<bool> follows = {};             // by entry: it gets reports
     std::uint64_t pass = 0;                     // number of the pass whose end is scheduled
   };
 
@@ -156,7 +162,10 @@
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
       this->entries[i].demands.SetLiveEntries(ids);
       this->entries[i].dispatcher->SetEntries(this->entries[i].demands.ActiveDemands(this->now));
-      this->After(FromSeconds(UniformUnit(this->random)), [this, i] { this->PublishDemand(i); });
+      this->After(FromSeconds(UniformUnit(this->random) *
+                              ToSeconds(EntryDemandTrackerOptions().update_period)),
+                  [this, i] { this->PublishDemand(i); });
+      this->After(Duration(0), [this, i] { this->ChooseEngines(i); });
     }
     Duration join = this->options.join_at;
     for (std::uint32_t r = 0; r < this->options.regions.size(); ++r) {
@@ -176,12 +185,17 @@
     const EntryDemand demand{.entry = entry.id,
                              .data_centre = std::to_string(entry.region),
                              .requests_per_second = rate};
-    this->After(this->options.remote_delay, [this, demand] {
-      for (Entry& other : this->entries) other.demands.OnDemandReport(demand, this->now);
-    });
+    if (entry.demands.TakeReportDue(kDemandPeriod, this->now)) {
+      ++this->outcome.demand_reports;
+      this->After(this->options.remote_delay, [this, demand] {
+        for (Entry& other : this->entries) {
+          other.demands.OnDemandReport(demand, kDemandPeriod, this->now);
+        }
+      });
+    }
     entry.dispatcher->SetEntries(entry.demands.ActiveDemands(this->now));
     if (!this->IsLoadActive()) return;
-    this->After(EntryDemandTrackerOptions().report_period,
+    this->After(EntryDemandTrackerOptions().update_period,
                 [this, number] { this->PublishDemand(number); });
   }
 
@@ -194,6 +208,7 @@
             "10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250) + ":80",
         .model = EngineModel(this->options.rates, this->options.queue_limit)});
     engine->last_reports.resize(this->entries.size());
+    engine->follows.resize(this->entries.size());
     const Upstream listed{.id = engine->id,
                           .pool = kPool,
                           .address = engine->address,
@@ -203,6 +218,7 @@
                           .is_engine = true};
     for (Entry& entry : this->entries) entry.dispatcher->SetUpstream(listed);
     this->engine_index[engine->id] = number;
+    this->engine_at[engine->address] = number;
     this->engines.push_back(std::move(engine));
     const double phase = UniformUnit(this->random);
     this->After(FromSeconds(ToSeconds(this->options.poll_period) * phase),
@@ -220,34 +236,73 @@
     }
   }
 
+  // The entry chooses the engines that report to it.
+  void ChooseEngines(std::size_t number) {
+    Entry& entry = this->entries[number];
+    for (const std::string& address : entry.dispatcher->EnginesToFollow(this->now)) {
+      const bool is_new = entry.follows.insert_or_assign(address, this->now).second;
+      if (!is_new) continue;
+      const std::size_t engine = this->engine_at.at(address);
+      this->After(this->DelayBetween(number, engine), [this, number, engine] {
+        this->engines[engine]->follows[number] = true;
+        this->SendReport(engine, number);
+      });
+    }
+    for (auto row = entry.follows.begin(); row != entry.follows.end();) {
+      const bool ended = this->now - row->second > this->options.follow_linger;
+      if (ended) this->engines[this->engine_at.at(row->first)]->follows[number] = false;
+      row = ended ? entry.follows.erase(row) : std::next(row);
+    }
+    if (this->now > this->start + this->options.length + std::chrono::seconds(6)) return;
+    this->After(this->options.follow_period, [this, number] { this->ChooseEngines(number); });
+  }
+
   void SendReports(std::size_t number, bool urgent) {
     Engine& engine = *this->engines[number];
     if (engine.model.IsOffline()) return;
     const std::uint32_t total = engine.sampled.running + engine.sampled.waiting;
     for (std::size_t e = 0; e < this->entries.size(); ++e) {
-      SentReport& last = engine.last_reports[e];
+      if (!engine.follows[e]) continue;
+      const SentReport& last = engine.last_reports[e];
       const bool same_region = this->entries[e].region == engine.region;
       const Duration waited = this->now - last.at;
       const Duration period =
           same_region ? this->options.local_period : this->options.remote_period;
       const bool changed = last.load.running + last.load.waiting != total;
       const bool due = waited >= this->options.unchanged_period || (changed && waited >= period);
-      if (!due && !urgent) continue;
-      last = {.at = this->now,
-              .load = engine.sampled,
-              .accepting = engine.accepting,
-              .weights_version = engine.weights_version};
-      const EngineReport report{.address = engine.address,
-                                .load = engine.sampled,
-                                .accepting = engine.accepting,
-                                .weights_version = engine.weights_version,
-                                .pace = engine.model.Pace()};
-      this->After(same_region ? this->options.local_delay : this->options.remote_delay,
-                  [this, e, report] {
-                    this->entries[e].dispatcher->AddReport(report, this->now);
-                    this->PollEntry(e);
-                  });
+      if (due || urgent) this->SendReport(number, e);
     }
+    if (urgent) this->PassAvailabilityOn(number);
+  }
+
+  void SendReport(std::size_t number, std::size_t entry) {
+    Engine& engine = *this->engines[number];
+    if (engine.model.IsOffline()) return;
+    engine.last_reports[entry] = {.at = this->now,
+                                  .load = engine.sampled,
+                                  .accepting = engine.accepting,
+                                  .weights_version = engine.weights_version};
+    const auto followers = std::count(engine.follows.begin(), engine.follows.end(), true);
+    const EngineReport report{.address = engine.address,
+                              .load = engine.sampled,
+                              .accepting = engine.accepting,
+                              .weights_version = engine.weights_version,
+                              .pace = engine.model.Pace(),
+                              .followers = static_cast<std::uint32_t>(followers)};
+    this->After(this->DelayBetween(entry, number), [this, entry, report] {
+      this->entries[entry].dispatcher->AddReport(report, this->now);
+      this->PollEntry(entry);
+    });
+  }
+
+  void PassAvailabilityOn(std::size_t number) {
+    const Engine& engine = *this->engines[number];
+    const EngineAvailability passed_on{.address = engine.address,
+                                       .accepting = engine.accepting,
+                                       .weights_version = engine.weights_version};
+    this->After(this->options.pass_on_delay + 2 * this->options.remote_delay, [this, passed_on] {
+      for (Entry& entry : this->entries) entry.dispatcher->AddAvailability(passed_on, this->now);
+    });
   }
 
   // ---- callers ----
@@ -270,8 +325,22 @@
     return factor;
   }
 
+  // Requests per second that the callers of `region` send there.
+  double RateOf(std::uint32_t region) const {
+    double shifted = 0;
+    for (const CallerShift& shift : this->options.shifts) {
+      if (this->now >= this->start + shift.at) shifted = shift.share;
+    }
+    const std::vector<RegionModel>& regions = this->options.regions;
+    const double moved = shifted * regions.front().requests_per_second;
+    double rate = regions[region].requests_per_second;
+    if (region == 0) rate -= moved;
+    if (region + 1 == regions.size()) rate += moved;
+    return rate * this->LoadFactor();
+  }
+
   void ScheduleNextCaller(std::uint32_t region) {
-    const double rate = this->options.regions[region].requests_per_second * this->LoadFactor();
+    const double rate = this->RateOf(region);
     const double wait = std::exponential_distribution<double>(rate)(this->random);
     this->After(FromSeconds(wait), [this, region] {
       if (!this->IsLoadActive()) return;
@@ -340,7 +409,8 @@
   }
 
   void Submit(AttemptNumber number) {
-    const Attempt& attempt = this->attempts.at(number);
+    Attempt& attempt = this->attempts.at(number);
+    attempt.engine = kNoEngine;
     const Caller& caller = this->callers.at(attempt.caller);
     const RequestClass& request_class = this->options.classes[caller.class_index];
     const Instant deadline = caller.first_sent + request_class.time_left;
@@ -409,8 +479,11 @@
   }
 
   Duration DelayOf(const Attempt& attempt) const {
-    const bool same_region =
-        this->entries[attempt.entry].region == this->engines[attempt.engine]->region;
+    return this->DelayBetween(attempt.entry, attempt.engine);
+  }
+
+  Duration DelayBetween(std::size_t entry, std::size_t engine) const {
+    const bool same_region = this->entries[entry].region == this->engines[engine]->region;
     return same_region ? this->options.local_delay : this->options.remote_delay;
   }
 
@@ -463,10 +536,21 @@
       this->After(this->DelayOf(this->attempts.at(attempt)), [this, attempt, number, progress] {
         if (this->IsAtEngine(attempt, number)) this->OnProgress(attempt, progress);
       });
+      if (progress.is_first_event) this->ReturnLoad(attempt, number, progress.is_done);
     }
     this->SchedulePass(number);
   }
 
+  // The head of an answer carries the engine's load.
+  void ReturnLoad(AttemptNumber number, std::size_t engine, bool is_done) {
+    const Attempt& attempt = this->attempts.at(number);
+    UpstreamLoad load = this->engines[engine]->model.Load();
+    if (is_done) ++load.running;  // the request of this answer
+    this->After(this->DelayOf(attempt), [this, entry = attempt.entry, engine, load] {
+      this->entries[entry].dispatcher->AddLoad(this->engines[engine]->id, load, this->now);
+    });
+  }
+
   void OnProgress(AttemptNumber number, const JobProgress& progress) {
     Attempt& attempt = this->attempts.at(number);
     Dispatcher& dispatcher = *this->entries[attempt.entry].dispatcher;
@@ -511,10 +595,7 @@
       engine.model.SetOffline(true);
       std::vector<AttemptNumber> failed;
       for (const auto& [id, attempt] : this->attempts) {
-        if (attempt.engine == number && !attempt.avoided.empty() &&
-            attempt.avoided.back() == engine.id) {
-          failed.push_back(id);
-        }
+        if (attempt.engine == number) failed.push_back(id);
       }
       for (const AttemptNumber id : failed) this->FailAttempt(id);
       this->After(outage.length, [this, number] {
@@ -593,7 +674,8 @@
   std::uint64_t next_order = 0;
   std::vector<Entry> entries = {};
   std::vector<std::unique_ptr<Engine>> engines = {};
-  std::map<std::string, std::size_t> engine_index = {};
+  std::map<std::string, std::size_t> engine_index = {};  // by id
+  std::map<std::string, std::size_t> engine_at = {};     // by address
   std::unordered_map<std::uint64_t, Caller> callers = {};
   std::uint64_t next_caller = 1;
   std::unordered_map<AttemptNumber, Attempt> attempts = {};
--- a/src/loadmodel/fleet_model.h
+++ b/src/loadmodel/fleet_model.h
@@ -43,6 +43,12 @@
   double factor = 1;
 };
 
+// From `at` on, this share of the first region's callers sends to the last region.
+struct CallerShift {
+  Duration at = {};
+  double share = 0;
+};
+
 // A random share of the engines is offline for `length`.
 struct EngineOutage {
   Duration at = {};
@@ -65,6 +71,7 @@
   EngineRates rates = {};
   std::uint32_t queue_limit = 24;
   std::vector<LoadStep> steps = {};
+  std::vector<CallerShift> shifts = {};
   std::vector<EngineOutage> outages = {};
   std::vector<RolloutModel> rollouts = {};
   Duration join_at = {};     // when the first engine joins
@@ -72,12 +79,19 @@
   DispatcherOptions dispatcher = {};
   // Agents: how often they poll their engine and, if its load changed, report to entries of the
   // same region (local) and of the others (remote).
-  Duration poll_period = std::chrono::milliseconds(100);
+  Duration poll_period = std::chrono::milliseconds(200);
   Duration local_period = std::chrono::milliseconds(200);
   Duration remote_period = std::chrono::milliseconds(400);
   Duration unchanged_period = std::chrono::seconds(1);  // of reports while the load stays the same
   Duration local_delay = Duration(300);                 // one way
   Duration remote_delay = std::chrono::milliseconds(3);
+  // Entries: how often they choose the engines that report to them, and how long an engine that
+  // is no longer chosen goes on reporting.
+  Duration follow_period = std::chrono::milliseconds(100);
+  Duration follow_linger = std::chrono::seconds(4);
+  // The entry that is in touch with an engine's agent passes a change of its availability on to
+  // the others after this time.
+  Duration pass_on_delay = std::chrono::milliseconds(50);
 };
 
 struct ClassOutcome {
@@ -95,7 +109,7 @@
   std::uint64_t sent = 0;                        // attempts sent to engines
   std::uint64_t rejected_by_engines = 0;         // attempts that met a full queue
   std::uint64_t late_by_pause_only = 0;          // late although the first event was in time
-  double slot_utilization = 0;                   // not computed, always 0
+  std::uint64_t demand_reports = 0;              // rates that entries reported to all others
   double prediction_error_median_ms = 0;         // actual minus predicted time of the first event
   double prediction_error_p90_ms = 0;            // 90th percentile of the same
   double min_window_value_ratio = 1;             // lowest of `window_value_ratios`
--- a/src/loadmodel/fleet_model_test.cc
+++ b/src/loadmodel/fleet_model_test.cc
@@ -10,38 +10,51 @@
 namespace savory {
 namespace {
 
-// The users' target for days with faults, in the workload kcw-recell-grown.
+// The users' targets for days with faults, in workloads of these sizes.
 constexpr double kMinValueRatio = 0.78;
+constexpr double kMinValueRatioOfLargeFleet = 0.70;
 constexpr std::uint64_t kSeeds = 3;
 
-double MeanValueRatio(std::string_view pattern) {
+double MeanValueRatio(std::string_view pattern, std::string_view fleet = "medium",
+                      std::uint64_t seeds = kSeeds) {
   double sum = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const FleetOutcome outcome = RunFleetModel(*FindLoadPattern(pattern, seed));
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const FleetOutcome outcome = RunFleetModel(*FindLoadPattern(pattern, fleet, seed));
     sum += outcome.ValueRatio();
-    std::cout << pattern << ", seed " << seed << ": value ratio " << outcome.ValueRatio() << '\n';
+    std::cout << fleet << ' ' << pattern << ", seed " << seed << ": value ratio "
+              << outcome.ValueRatio() << '\n';
   }
-  return sum / kSeeds;
+  return sum / static_cast<double>(seeds);
 }
 
 // Steady load of a busy day. Guards against entries that overload the same engines.
-TEST(FleetModelTest, SteadyLoadIsServedInTime) { EXPECT_GE(MeanValueRatio("steady"), 0.95); }
+TEST(FleetModelTest, SteadyLoadIsServedInTime) {
+  EXPECT_GE(MeanValueRatio("steady"), 0.95);
+  EXPECT_GE(MeanValueRatio("steady", "small"), 0.95);
+  EXPECT_GE(MeanValueRatio("steady", "large", 1), 0.95);
+}
 
 // A burst that exceeds the engines' capacity for a while. Guards against requests that queue until
 // all are late, where the excess ones should be refused.
 TEST(FleetModelTest, BurstKeepsTheTargetValueRatio) {
   EXPECT_GE(MeanValueRatio("burst"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("burst", "small"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("burst", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
 // New weights are loaded under the load of a busy day. Guards against entries that overload engines
 // that have just rejoined, and against slots that no entry uses.
 TEST(FleetModelTest, RolloutUnderLoadKeepsTheTargetValueRatio) {
   EXPECT_GE(MeanValueRatio("rollout"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("rollout", "small"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("rollout", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
 // Some engines crash. Guards against requests that pile up on the remaining engines.
 TEST(FleetModelTest, EngineCrashesKeepTheTargetValueRatio) {
   EXPECT_GE(MeanValueRatio("loss"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("loss", "small"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("loss", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
 // Recovery from a power outage of the whole fleet: callers send at once, engines rejoin one by one,
@@ -49,14 +62,27 @@
 // engines are idle, and against entries that all choose the engines that rejoined first.
 TEST(FleetModelTest, RecoveryFromAPowerOutageKeepsTheTargetValueRatio) {
   EXPECT_GE(MeanValueRatio("return"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("return", "small"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("return", "large", 1), kMinValueRatioOfLargeFleet);
+}
+
+// Callers move from one region to another, as when a region's entries are unreachable. Guards
+// against shares of the engines that follow the demand too slowly.
+TEST(FleetModelTest, CallersThatMoveKeepTheTargetValueRatio) {
+  EXPECT_GE(MeanValueRatio("shift"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("shift", "small"), kMinValueRatio);
+  EXPECT_GE(MeanValueRatio("shift", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
 // Guards against a listed pattern that cannot be run, and against a run of an unknown name.
 TEST(LoadPatternsTest, EveryListedPatternIsFound) {
   for (const LoadPattern& pattern : LoadPatterns()) {
-    EXPECT_TRUE(FindLoadPattern(pattern.name, 1).has_value()) << pattern.name;
+    for (const std::string_view fleet : kFleetSizes) {
+      EXPECT_TRUE(FindLoadPattern(pattern.name, fleet, 1).has_value()) << pattern.name;
+    }
   }
-  EXPECT_FALSE(FindLoadPattern("unknown", 1).has_value());
+  EXPECT_FALSE(FindLoadPattern("unknown", "small", 1).has_value());
+  EXPECT_FALSE(FindLoadPattern("steady", "unknown", 1).has_value());
 }
 
 }  // namespace
--- a/src/loadmodel/load_patterns.cc
+++ b/src/loadmodel/load_patterns.cc
@@ -15,36 +15,85 @@
     LoadPattern{"rollout", "every engine pauses once within 4.2 s to load new weights"},
     LoadPattern{"loss", "one engine in six is offline for 4.5 s"},
     LoadPattern{"return", "engines rejoin one by one after a power outage, under the full load"},
+    LoadPattern{"shift", "half of the callers of the first region move to the last one for 4 s"},
 };
 
-// Three regions with five entries each and 85 engines in all. The request mix, sizes and engine
-// rates are those of the workload kcw-recell-grown.
-FleetModelOptions BusyFleet(std::uint64_t seed) {
+// The three kinds of generated answers, with the sizes and values of a deployment.
+struct AnswerKinds {
+  double events = 18;  // mean, of the two longer kinds
+  double events_of_notes = 10;
+  double events_max = 45;
+  Duration target = milliseconds(400);
+  Duration target_of_notes = milliseconds(400);
+  Duration max_pause = milliseconds(400);
+};
+
+std::vector<RequestClass> ClassesOf(const AnswerKinds& kinds) {
+  return {{.name = "log-review",
+           .share = 0.40,
+           .prompt_mean = 1290,
+           .prompt_max = 3880,
+           .events_mean = kinds.events,
+           .events_max = kinds.events_max,
+           .value = 2.4,
+           .late_value = 0.6,
+           .target = kinds.target,
+           .max_pause = kinds.max_pause},
+          {.name = "draft",
+           .share = 0.28,
+           .prompt_mean = 787,
+           .prompt_max = 3330,
+           .events_mean = kinds.events,
+           .events_sigma = 0.69,
+           .events_max = kinds.events_max,
+           .value = 2.1,
+           .late_value = 0.53,
+           .target = kinds.target,
+           .max_pause = kinds.max_pause},
+          {.name = "note",
+           .share = 0.32,
+           .prompt_mean = 607,
+           .prompt_max = 2640,
+           .events_mean = kinds.events_of_notes,
+           .events_max = kinds.events_max,
+           .value = 1.4,
+           .late_value = 0.34,
+           .target = kinds.target_of_notes,
+           .max_pause = kinds.max_pause}};
+}
+
+// 4 entries before 13 engines, as in the workload cobayo-unido after its engines were added.
+FleetModelOptions SmallFleet(std::uint64_t seed) {
+  return {.seed = seed,
+          .length = seconds(14),
+          .regions = {{.entries = 1, .engines = 4, .requests_per_second = 46},
+                      {.entries = 2, .engines = 5, .requests_per_second = 51},
+                      {.entries = 1, .engines = 4, .requests_per_second = 45}},
+          .classes = ClassesOf({.events = 24,
+                                .events_of_notes = 12,
+                                .events_max = 60,
+                                .target_of_notes = milliseconds(300),
+                                .max_pause = milliseconds(300)}),
+          .rates = {.slots = 16,
+                    .step = Duration(6730),
+                    .step_per_request = Duration(22),
+                    .step_per_1000_context = Duration(7),
+                    .steps_per_event = 6,
+                    .prefill_tokens_per_second = 30'600,
+                    .attention_seconds_per_million_pairs = 0.000647,
+                    .mean_prompt_tokens = 920,
+                    .mean_answer_tokens = 120},
+          .queue_limit = 32};
+}
+
+// 15 entries before 85 engines, as in the workload kcw-recell-grown.
+FleetModelOptions MediumFleet(std::uint64_t seed) {
   return {.seed = seed,
           .length = seconds(14),
           .regions = {{.entries = 5, .engines = 29, .requests_per_second = 260},
                       {.entries = 5, .engines = 28, .requests_per_second = 250},
                       {.entries = 5, .engines = 28, .requests_per_second = 315}},
-          .classes = {{.name = "log-review",
-                       .share = 0.40,
-                       .prompt_mean = 1290,
-                       .prompt_max = 3880,
-                       .value = 2.4,
-                       .late_value = 0.6},
-                      {.name = "draft",
-                       .share = 0.28,
-                       .prompt_mean = 787,
-                       .prompt_max = 3330,
-                       .events_sigma = 0.69,
-                       .value = 2.1,
-                       .late_value = 0.53},
-                      {.name = "note",
-                       .share = 0.32,
-                       .prompt_mean = 607,
-                       .prompt_max = 2640,
-                       .events_mean = 10,
-                       .value = 1.4,
-                       .late_value = 0.34}},
+          .classes = ClassesOf({}),
           .rates = {.slots = 12,
                     .step = Duration(7400),
                     .step_per_request = Duration(39),
@@ -56,32 +105,67 @@
                     .mean_answer_tokens = 108}};
 }
 
+// 35 entries before 265 engines in five regions, as in the workload kcw-recell-large after its
+// engines were added.
+FleetModelOptions LargeFleet(std::uint64_t seed) {
+  return {.seed = seed,
+          .length = seconds(14),
+          .regions = {{.entries = 8, .engines = 54, .requests_per_second = 264},
+                      {.entries = 7, .engines = 53, .requests_per_second = 240},
+                      {.entries = 6, .engines = 52, .requests_per_second = 302},
+                      {.entries = 7, .engines = 53, .requests_per_second = 299},
+                      {.entries = 7, .engines = 53, .requests_per_second = 261}},
+          .classes = ClassesOf({.events = 14.6,
+                                .events_of_notes = 11.6,
+                                .events_max = 36.5,
+                                .target = milliseconds(500)}),
+          .rates = {.slots = 8,
+                    .step = Duration(11100),
+                    .step_per_request = Duration(58),
+                    .step_per_1000_context = Duration(31),
+                    .steps_per_event = 6,
+                    .prefill_tokens_per_second = 21'300,
+                    .attention_seconds_per_million_pairs = 0.0011,
+                    .mean_prompt_tokens = 920,
+                    .mean_answer_tokens = 82},
+          .queue_limit = 16,
+          .remote_delay = milliseconds(1)};
+}
+
+std::optional<FleetModelOptions> FleetOfSize(std::string_view size, std::uint64_t seed) {
+  if (size == "small") return SmallFleet(seed);
+  if (size == "medium") return MediumFleet(seed);
+  if (size == "large") return LargeFleet(seed);
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::span<const LoadPattern> LoadPatterns() { return kPatterns; }
 
-std::optional<FleetModelOptions> FindLoadPattern(std::string_view name, std::uint64_t seed) {
-  FleetModelOptions options = BusyFleet(seed);
-  if (name == "steady") return options;
+std::optional<FleetModelOptions> FindLoadPattern(std::string_view name, std::string_view fleet,
+                                                 std::uint64_t seed) {
+  std::optional<FleetModelOptions> found = FleetOfSize(fleet, seed);
+  if (!found || name == "steady") return found;
+  FleetModelOptions& options = *found;
   if (name == "burst") {
     options.steps = {{.at = seconds(5), .factor = 1.7}, {.at = seconds(8), .factor = 1}};
-    return options;
-  }
-  if (name == "rollout") {
+  } else if (name == "rollout") {
     options.rollouts = {{.at = seconds(4), .window = milliseconds(4200)}};
-    return options;
-  }
-  if (name == "loss") {
+  } else if (name == "loss") {
     options.outages = {{.at = seconds(4), .length = milliseconds(4500), .share = 0.17}};
-    return options;
-  }
-  if (name == "return") {
+  } else if (name == "return") {
     for (RegionModel& region : options.regions) region.joining = std::exchange(region.engines, 0);
     options.join_at = milliseconds(500);
-    options.join_every = milliseconds(15);
-    return options;
+    std::uint32_t joining = 0;
+    for (const RegionModel& region : options.regions) joining += region.joining;
+    options.join_every = milliseconds(1300) / joining;
+  } else if (name == "shift") {
+    options.shifts = {{.at = seconds(5), .share = 0.5}, {.at = seconds(9), .share = 0}};
+  } else {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return found;
 }
 
 }  // namespace savory
--- a/src/loadmodel/load_patterns.h
+++ b/src/loadmodel/load_patterns.h
@@ -17,7 +17,11 @@
 
 std::span<const LoadPattern> LoadPatterns();
 
-// Returns the options of a run; nullopt if no pattern has this name.
-std::optional<FleetModelOptions> FindLoadPattern(std::string_view name, std::uint64_t seed);
+// Sizes of the fleet that a pattern runs on: "small", "medium" and "large".
+inline constexpr std::string_view kFleetSizes[] = {"small", "medium", "large"};
+
+// Returns the options of a run; nullopt if no pattern has this name or no fleet this size.
+std::optional<FleetModelOptions> FindLoadPattern(std::string_view name, std::string_view fleet,
+                                                 std::uint64_t seed);
 
 }  // namespace savory
