Count the time of a suspension in deadlines and leases

Cause: std::chrono::steady_clock stands still while a machine is suspended. A process that was suspended for longer than its lease, or than a request's deadline, would go on as if they were valid. Change: MonotonicClock reads CLOCK_BOOTTIME, so that a suspension is seen like a pause of the process, which the modules already handle. Ruled out: the time of day, which jumps.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,14 +1,18 @@
 // Time types. Decision logic receives the current Instant and never reads a clock.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
+#include <cstdint>
 
 namespace savory {
 
 // Length of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-// Monotonic clock of one process; instants of two processes are not comparable.
+// Monotonic clock of one process; instants of two processes are not comparable. It also counts time
+// in which the machine was suspended: leases and deadlines expire then too.
 struct MonotonicClock {
   using duration = Duration;
   using rep = duration::rep;
@@ -16,10 +20,11 @@
   using time_point = std::chrono::time_point<MonotonicClock>;
   static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
-  // Reads the monotonic clock of the operating system.
   static time_point now() noexcept {  // NOLINT(readability-identifier-naming)
-    return time_point(
-        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec time = {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
   }
 };
 
