Finish requests that are read in part before a planned stop ends

Cause: a stopping entry ended as soon as no request was with the relay. A request whose head or body was half read, and an answer that the operating system had not accepted yet, were cut off without an answer. Change: AsyncHttpServer counts busy connections, and the entry waits for them within its grace period. Ruled out: connections in the listen backlog: the listener stays open until the end, and the platform sends no new connection for the last 0.4 s and more. Measured: HalfReadRequestKeepsAStoppingServerBusy; the member that it tests did not exist before.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -382,9 +382,11 @@
       this->relay.StopAccepting();
       this->links.Leave();
     }
-    const bool done = stopping_for >= kMinStopTime && this->relay.InProgress() == 0;
+    const std::size_t busy = this->callers.BusyConnections();
+    const bool done = stopping_for >= kMinStopTime && this->relay.InProgress() == 0 && busy == 0;
     if (!done && stopping_for < this->settings.stop_grace - kStopReserve) return;
-    Log(LogLevel::kInfo, "stopped", {{"cut_off", this->relay.InProgress()}});
+    Log(LogLevel::kInfo, "stopped",
+        {{"cut_off", this->relay.InProgress()}, {"busy_connections", busy}});
     this->loop.Stop();
   }
 
--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -1,5 +1,6 @@
 #include "runtime/async_http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <unordered_map>
@@ -162,6 +163,12 @@
 
   std::size_t UnsentBytes() const { return this->tcp.UnsentBytes(); }
 
+  bool IsBusy() const {
+    if (this->ended) return false;
+    const bool reads_request = this->phase != Phase::kIdle && !this->closing;
+    return this->exchange != nullptr || reads_request || this->tcp.UnsentBytes() > 0;
+  }
+
   // Applies the timeout of the current phase.
   void CheckTimeouts(Instant now) {
     if (this->ended || this->exchange != nullptr) return;
@@ -375,4 +382,10 @@
 
 std::size_t AsyncHttpServer::Connections() const { return this->impl->connections.size(); }
 
+std::size_t AsyncHttpServer::BusyConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->impl->connections.begin(), this->impl->connections.end(),
+                    [](const auto& row) { return row.first->IsBusy(); }));
+}
+
 }  // namespace savory
--- a/src/runtime/async_http_server.h
+++ b/src/runtime/async_http_server.h
@@ -44,6 +44,9 @@
   void StartDraining(Duration linger);
 
   std::size_t Connections() const;
+  // Connections with a request that was read in part or not answered in full, or with an answer
+  // that the operating system has not accepted yet. A planned stop waits until there are none.
+  std::size_t BusyConnections() const;
 
  private:
   friend class CallerConnection;
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -252,6 +252,44 @@
   EXPECT_EQ(this->requests, 0);
 }
 
+// The process is stopped while a request is half read. Guards against an exit that cuts it off: its
+// connection is busy until the answer was handed to the operating system.
+TEST_F(AsyncHttpServerTest, HalfReadRequestKeepsAStoppingServerBusy) {
+  struct Client : TcpHandler {
+    void OnBytes(std::span<const std::byte> bytes) override {
+      this->answer.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    }
+    void OnEnd(TcpEnd) override {}
+    std::string answer = {};
+  };
+  Client heads;
+  Client bodies;
+  TcpConnection half_head(this->loop, kAddress, heads, {});
+  TcpConnection half_body(this->loop, kAddress, bodies, {});
+  const auto write = [](TcpConnection& to, std::string_view text) { to.Write({&text, 1}); };
+  write(half_head, "GET / HTTP/1.1\r\nHost: te");
+  write(half_body, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nab");
+  const auto at = [this](int ms, EventLoop::Task task) {
+    this->loop.After(std::chrono::milliseconds(ms), std::move(task));
+  };
+  at(30, [&] {
+    this->server.StartDraining(std::chrono::milliseconds(0));
+    EXPECT_EQ(this->server.BusyConnections(), 2u);
+  });
+  at(400, [&] {
+    EXPECT_EQ(this->server.BusyConnections(), 2u);
+    write(half_head, "st\r\n\r\n");
+    write(half_body, "cd");
+  });
+  at(450, [&] {
+    EXPECT_EQ(this->server.BusyConnections(), 0u);
+    this->loop.Stop();
+  });
+  this->loop.Run();
+  EXPECT_TRUE(heads.answer.ends_with("echo ")) << heads.answer;
+  EXPECT_TRUE(bodies.answer.ends_with("echo abcd")) << bodies.answer;
+}
+
 // Guards against an answer without a length being taken for complete although a reset truncated it.
 TEST_F(AsyncHttpTest, AnswerUntilCloseNeedsAnOrderlyClose) {
   const std::string answer = "HTTP/1.1 200 OK\r\n\r\nsome bytes";
