Verify staged chunks again when their verification is old or doubtful

Cause: two ways to a load of chunks that are not what the agent believes. An agent that was paused between verifying the staged chunks and requesting the load requested it however long the pause was, while staged chunks may turn bad. And an engine that sends a second copy of an answer, late, on a connection that is in use again makes the answers of its agent's calls shift by one: a failed upload counts as stored, as answers to uploads do not differ. (Answers to callers' requests are matched by attempt id.) Change: the load is requested only while every chunk was verified within the last 2.9 s, below the 3 s that the platform allows; otherwise verification starts again. The connection pool reports bytes that belong to no call, which the shift ends with, and the loader then reads every staged chunk back. Ruled out: a new connection for each upload (48 for each version and engine); an id on control calls, which the platform's pages do not give them. Measured: ChunksAreVerifiedAgainAfterAPause failed without the check (no verification after 5 s); UnmatchedAnswerMakesStagedChunksDoubtful and LateSecondCopyOfAnAnswerIsReported test new members.

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -47,6 +47,11 @@
         load_requests(metrics.CounterFor("savory_load_orders_total")),
         rollout(options) {}
 
+  void OnUnmatchedAnswer() {
+    Log(LogLevel::kWarn, "engine_answer_unmatched", {{"version", this->target.version}});
+    this->rollout.OnUnmatchedAnswer();
+  }
+
   bool HasCompleteCopy(const VersionCopy& version) const {
     const WeightsCopy* copy =
         version.manifest == nullptr ? nullptr : this->copier.Find(*version.manifest);
@@ -137,7 +142,10 @@
 
 EngineLoader::EngineLoader(EventLoop& loop, Metrics& metrics, EngineControl& engine,
                            const WeightsCopier& copier, EngineRolloutOptions options)
-    : impl(std::make_shared<Impl>(loop, metrics, engine, copier, options)) {}
+    : impl(std::make_shared<Impl>(loop, metrics, engine, copier, options)) {
+  engine.OnUnmatchedAnswer(
+      this->impl->Guarded([self = this->impl.get()] { self->OnUnmatchedAnswer(); }));
+}
 EngineLoader::~EngineLoader() = default;
 
 void EngineLoader::OnLoadRequestDone(std::function<void()> listener) {
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -58,6 +58,9 @@
   // Asks the engine to load the staged weights.
   virtual void RequestLoad(const EngineLoadRequest& request,
                            std::function<void(LoadRequestResult)> done) = 0;
+  // `listener` is called when the engine sent bytes that answer no call: if it repeated an answer,
+  // recent calls may have got the answers of others.
+  virtual void OnUnmatchedAnswer(std::function<void()> listener) = 0;
 };
 
 // Chunk size and digests of one version of a model's weights.
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -79,6 +79,16 @@
   }
 }
 
+void EngineRollout::OnUnmatchedAnswer() {
+  for (Chunk& chunk : this->chunks) chunk.verified_at = {};
+}
+
+bool EngineRollout::AllRecentlyVerified(Instant now) const {
+  return std::all_of(this->chunks.begin(), this->chunks.end(), [this, now](const Chunk& chunk) {
+    return now - chunk.verified_at <= this->options.max_staged_age;
+  });
+}
+
 bool EngineRollout::IsDone() const {
   return this->engine && !this->engine->busy && this->version > 0 &&
          this->engine->weights_version >= this->version;
@@ -153,6 +163,11 @@
     this->step = Step::kSettling;
     this->settle_until = now + (has_no_weights ? Duration(0) : this->options.settle);
   }
+  if (this->step == Step::kSettling && !this->AllRecentlyVerified(now)) {
+    this->step = Step::kVerifying;
+    this->VerifyStagedChunks(now, actions);
+    return actions;
+  }
   if (this->step == Step::kSettling && this->IsSettled(now)) {
     this->step = Step::kRequesting;
     actions.push_back(SendLoadRequest{.request = {.model = this->model,
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -24,6 +24,9 @@
   // before the load is requested.
   Duration max_unverified_age = std::chrono::milliseconds(1800);
   std::size_t max_stage_calls = 2;
+  // The load is requested only while every staged chunk was verified within this time. A process
+  // that was paused after verifying them verifies them again.
+  Duration max_staged_age = std::chrono::milliseconds(2900);
   // After the entry VMs were told that the engine accepts no more requests, time for requests in
   // flight to arrive.
   Duration settle = std::chrono::milliseconds(30);
@@ -85,6 +88,8 @@
   void OnChunkStaged(std::uint64_t version, std::uint32_t chunk, bool stored, Instant now);
   void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, bool intact, Instant now);
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
+  // Some answers of the engine may belong to other calls: every staged chunk must be read back.
+  void OnUnmatchedAnswer();
 
   // Returns the actions that are due. Call after each event and several times a second.
   std::vector<RolloutAction> Advance(Instant now);
@@ -112,6 +117,7 @@
   void StageChunks(std::vector<RolloutAction>& actions);
   void VerifyStagedChunks(Instant now, std::vector<RolloutAction>& actions);
   bool IsSettled(Instant now) const;
+  bool AllRecentlyVerified(Instant now) const;
   void ReturnToStaging();
 
   EngineRolloutOptions options;
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -67,6 +67,44 @@
   EngineRollout rollout{{}};
 };
 
+// The agent is paused after it verified the staged chunks, which may turn bad meanwhile. Guards
+// against a load of chunks that were verified too long ago.
+TEST_F(EngineRolloutTest, ChunksAreVerifiedAgainAfterAPause) {
+  this->ReportState(1);
+  this->Want(2, {.engines = 1});
+  for (int step = 0; step < 200 && this->rollout.Accepting(); ++step) this->Run(milliseconds(10));
+  ASSERT_FALSE(this->rollout.Accepting());
+  ASSERT_TRUE(this->load_requests.empty());
+  this->verify_count = 0;
+  this->now += seconds(5);
+  this->corrupt_chunk = 2;
+  this->ReportState(1);
+  const int staged_before = this->stage_count;
+  this->Run(seconds(1));
+  EXPECT_GE(this->verify_count, static_cast<int>(kChunks));
+  EXPECT_EQ(this->stage_count, staged_before + 1);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+}
+
+// The engine sends the answer to one upload twice, late, so that the next upload seems to have
+// succeeded. Guards against a load while a chunk is missing.
+TEST_F(EngineRolloutTest, UnmatchedAnswerMakesStagedChunksDoubtful) {
+  this->ReportState(0);
+  this->Want(2);
+  for (int step = 0; step < 2; ++step) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      this->Execute(action, LoadRequestResult::kAccepted);
+    }
+  }
+  ASSERT_TRUE(this->load_requests.empty());
+  this->rollout.OnUnmatchedAnswer();
+  this->corrupt_chunk = 1;
+  this->Run(milliseconds(500));
+  EXPECT_GE(this->verify_count, static_cast<int>(kChunks));
+  EXPECT_EQ(this->stage_count, static_cast<int>(kChunks) + 1);
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
 // Guards against an engine that joined without weights waiting for its scheduled time, although it
 // could add capacity at once.
 TEST_F(EngineRolloutTest, EngineWithoutWeightsLoadsAtOnce) {
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -421,6 +421,27 @@
   EXPECT_EQ(answer->error().kind, ErrorKind::kMalformed);
 }
 
+// A peer sends a second copy of an answer while the next call waits on the connection, and nothing
+// in the answers tells them apart. Guards against a mix-up that the caller does not learn of.
+TEST_F(AsyncHttpTest, LateSecondCopyOfAnAnswerIsReported) {
+  const auto answer = [](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body;
+  };
+  RawPeer peer(26923, {answer("one"), answer("one") + answer("two")}, RawPeer::End::kStayOpen);
+  int reported = 0;
+  HttpConnectionPool reporting{
+      this->loop, this->metrics, {.on_unmatched_bytes = [&reported] { ++reported; }}};
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(reported, 0);
+    Collector collector(this->loop);
+    const auto call = reporting.Start(this->CallTo("127.0.0.1:26923", "/"), collector);
+    this->loop.Run();
+    EXPECT_EQ(collector.body, "one");
+  }
+  EXPECT_EQ(reported, 1);
+  EXPECT_EQ(reporting.IdleConnections(), 0u);
+}
+
 // Guards against a refused connection being reported as a call that may have arrived.
 TEST_F(AsyncHttpTest, RefusedConnectionIsReportedAsNotSent) {
   const Collector collector = this->Call(this->CallTo("127.0.0.1:26919", "/"));
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -40,14 +40,18 @@
 // One connection; owned by its call while it serves one, otherwise by the pool.
 class PooledConnection : public TcpHandler {
  public:
-  PooledConnection(EventLoop& loop, const std::string& address, const TcpOptions& options)
-      : address(address), tcp(loop, address, *this, options) {}
+  PooledConnection(EventLoop& loop, const std::string& address, const TcpOptions& options,
+                   std::function<void()> on_unmatched_bytes)
+      : address(address),
+        on_unmatched_bytes(std::move(on_unmatched_bytes)),
+        tcp(loop, address, *this, options) {}
 
   void OnConnected() override { this->connected = true; }
   void OnBytes(std::span<const std::byte> bytes) override;
   void OnEnd(TcpEnd end) override;
 
   std::string address;
+  std::function<void()> on_unmatched_bytes;
   HttpParser parser{HttpMessageKind::kResponse, kAnswerLimits};
   HttpCall::Impl* call = nullptr;
   bool connected = false;
@@ -95,7 +99,7 @@
 
   Impl(EventLoop& loop, Metrics& metrics, HttpConnectionPoolOptions options)
       : loop(loop),
-        options(options),
+        options(std::move(options)),
         opened(metrics.CounterFor("savory_upstream_connections_opened_total")),
         reused(metrics.CounterFor("savory_upstream_connections_reused_total")),
         stray(metrics.CounterFor("savory_upstream_stray_answers_total")) {}
@@ -149,7 +153,7 @@
 void PooledConnection::OnBytes(std::span<const std::byte> bytes) {
   if (this->call == nullptr) {
     // Unsolicited bytes belong to no call, so the connection is not reused.
-    this->ended = true;
+    if (!std::exchange(this->ended, true) && this->on_unmatched_bytes) this->on_unmatched_bytes();
     return;
   }
   this->parser.Feed(bytes);
@@ -209,6 +213,7 @@
   const bool reusable = !done->ended && done->parser.Head().keep_alive &&
                         !done->parser.HasInput() && done->tcp.UnsentBytes() == 0;
   if (const auto owner = this->pool.lock()) {
+    if (done->parser.HasInput() && done->on_unmatched_bytes) done->on_unmatched_bytes();
     if (reusable) {
       owner->AddIdle(std::move(done));
     } else {
@@ -254,7 +259,7 @@
 
 HttpConnectionPool::HttpConnectionPool(EventLoop& loop, Metrics& metrics,
                                        HttpConnectionPoolOptions options)
-    : impl(std::make_shared<Impl>(loop, metrics, options)) {
+    : impl(std::make_shared<Impl>(loop, metrics, std::move(options))) {
   const auto sweep = [weak = std::weak_ptr(this->impl)] {
     if (const auto strong = weak.lock()) strong->Sweep();
   };
@@ -274,7 +279,8 @@
     connection =
         std::make_unique<PooledConnection>(self.loop, options.address,
                                            TcpOptions{.connect_timeout = options.connect_timeout,
-                                                      .user_timeout = self.options.user_timeout});
+                                                      .user_timeout = self.options.user_timeout},
+                                           self.options.on_unmatched_bytes);
   }
   if (!options.answer_has_body) connection->parser.SkipBody();
   const std::string_view pieces[] = {options.head, options.body};
--- a/src/runtime/http_connection_pool.h
+++ b/src/runtime/http_connection_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,9 @@
   double announced_timeout_fraction = 0.7;
   std::size_t max_idle_connections = 64;  // per address
   Duration user_timeout = std::chrono::seconds(2);
+  // Called when a peer sent bytes that belong to no call. If it sent an answer twice, late, earlier
+  // answers on the connection may belong to the call before theirs, unless calls are matched.
+  std::function<void()> on_unmatched_bytes = {};
 };
 
 // Must outlive its calls.
