Count a stream's silence from event to event

Cause: any byte after the first event restarted the time after which a silent upstream is given up. A stalled upstream that sent a byte, or a comment, now and then kept its caller until the caller's deadline, though the stream could be resumed elsewhere. Change: only an event that carries more than comments restarts it.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -305,7 +305,9 @@
   // ---- streams ----
 
   void ForwardEvents(std::string_view bytes) {
+    bool progress = false;  // bytes of an unfinished event, and comments, are none
     for (const StreamEvent& event : this->splitter.Feed(bytes)) {
+      progress = progress || !event.only_comments;
       // A resuming upstream may repeat events that were already sent.
       if (event.id && this->last_event && *event.id <= *this->last_event) continue;
       if (!this->first_event_seen) {
@@ -322,7 +324,7 @@
       // An upstream that resumes after `last_event` would repeat a later event that has no id.
       if (!event.only_comments) this->history.resumable = this->route.resumable && event.id;
     }
-    if (this->CheckUnsent() && this->first_event_seen) this->SetSilenceLimit(this->PauseLimit());
+    if (this->CheckUnsent() && progress) this->SetSilenceLimit(this->PauseLimit());
   }
 
   // Returns false if the request was ended because the caller does not read.
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -166,6 +166,16 @@
     };
   }
 
+  // Sends event 1, and then `part` again and again.
+  Behaviour DripsAfterOneEvent(const std::string& part) {
+    return [=, this](const SharedExchange& exchange) {
+      exchange->BeginStream(
+          200, std::vector<HttpField>{{.name = "Content-Type", .value = "text/event-stream"}});
+      exchange->SendPart("id: 1\ndata: e\n\n");
+      this->loop.Every(milliseconds(40), [exchange, part] { exchange->SendPart(part); });
+    };
+  }
+
   // ---- the caller ----
 
   void OnAnswerHead(const HttpHead& head) override {
@@ -359,6 +369,43 @@
   ExpectGoldenText("silent_upstream", this->printed);
 }
 
+// Guards against a stalled stream that goes on forever because a byte arrives now and then.
+TEST_F(RelaySession, StreamThatDripsBytesIsResumed) {
+  this->behaviours["a"] = {this->DripsAfterOneEvent("d")};
+  this->behaviours["b"] = {Events(2, 3, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_NE(this->printed.find("b gets POST /chat/1 after event 1"), std::string::npos)
+      << this->printed;
+  EXPECT_NE(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
+}
+
+// Comments keep the connection in use, but are no events.
+TEST_F(RelaySession, StreamThatDripsCommentsIsResumed) {
+  this->behaviours["a"] = {this->DripsAfterOneEvent(": still here\n\n")};
+  this->behaviours["b"] = {Events(2, 3, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_NE(this->printed.find("b gets POST /chat/1 after event 1"), std::string::npos)
+      << this->printed;
+  EXPECT_NE(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
+}
+
+// Guards against cutting a stream whose events take longer than the allowed pause, but arrive.
+TEST_F(RelaySession, SlowStreamIsNotCut) {
+  this->behaviours["a"] = {[this](const SharedExchange& exchange) {
+    exchange->BeginStream(
+        200, std::vector<HttpField>{{.name = "Content-Type", .value = "text/event-stream"}});
+    for (int i = 1; i <= 4; ++i) {
+      this->loop.After(milliseconds(250) * (i - 1), [exchange, i] {
+        exchange->SendPart("id: " + std::to_string(i) + "\ndata: e\n\n");
+        if (i == 4) exchange->EndStream();
+      });
+    }
+  }};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(this->printed.find("b gets"), std::string::npos) << this->printed;
+  EXPECT_NE(this->printed.find("id: 4"), std::string::npos) << this->printed;
+}
+
 // Guards against an upstream that keeps working for a caller that has disconnected.
 TEST_F(RelaySession, CallerDisconnectCancelsTheUpstream) {
   this->behaviours["a"] = {Silent()};
