Read the origin once after its outage

The origin is down from 20.5 s to 26.5 s; when it was back, 3.1 copies passed its link, which carries one in 1.26 s. Agents of the other regions had given up on the origin's region after ten failed requests, for good, and read all chunks themselves. And the times at which chunks should have been read, counted from the start of the copy, had passed, so that every agent took over every chunk after a second. Change: a failed read restarts the order of reads with the chunks that are still missing; a successful one after failures makes agents of other regions ask the origin's region again. Ruled out: the downlinks (6.3 of 9.4 Mbit/s used), the staggered loads (engines were idle and loaded at once), the backoff (agents read again 0.4 s after the return).

--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -108,6 +108,10 @@
   std::vector<std::uint32_t> candidates = {};   // rarest last
   std::vector<std::uint32_t> unannounced = {};  // stored but not yet announced
   Instant started = {};
+  // The origin is read in this order from `reads_begin` on: the position of each chunk among those
+  // that were missing then.
+  Instant reads_begin = {};
+  std::vector<std::uint32_t> read_positions = {};
   Instant last_progress = {};
   Instant next_scan = {};
   Instant next_takeover_scan = {};
@@ -293,8 +297,22 @@
   // Earliest time to read a chunk for which this agent has rank 0.
   Instant EarliestReadTime(std::uint32_t chunk) const {
     if (!this->HasReadOrder()) return this->started;
-    return this->started +
-           this->OriginTime(chunk < kConcurrentReads ? 0 : chunk - kConcurrentReads);
+    const std::uint32_t position = this->read_positions[chunk];
+    return this->reads_begin +
+           this->OriginTime(position < kConcurrentReads ? 0 : position - kConcurrentReads);
+  }
+
+  // Orders the reads of the chunks that are still missing. After an outage of the origin their
+  // times have passed, and all agents would read, and take over, all chunks at once.
+  void OrderReads(Instant begin) {
+    this->reads_begin = begin;
+    this->read_positions.resize(this->manifest->ChunkCount());
+    const WeightsCopy& copy = this->Copy();
+    std::uint32_t next = 0;
+    for (std::uint32_t chunk = 0; chunk < this->read_positions.size(); ++chunk) {
+      this->read_positions[chunk] = next;
+      if (!copy.Holds(chunk) && this->availability[chunk] == 0) ++next;
+    }
   }
 
   void CountAvailability() {
@@ -372,6 +390,7 @@
     // since.
     this->origin_failures = 0;
     this->origin_ready = std::min(this->origin_ready, std::max(now, this->hold_until));
+    this->OrderReads(this->started);
     this->last_progress = this->started;
     this->next_refresh = now + kMapRefresh;
     for (SpreadNeighbour& neighbour : this->neighbours) this->RequestMap(now, neighbour);
@@ -820,7 +839,8 @@
 
   // Time by which the origin should have sent `chunk`.
   Instant ExpectedFromOrigin(std::uint32_t chunk) const {
-    return std::max(this->started + this->OriginTime(chunk + kConcurrentReads), this->origin_ready);
+    const std::uint32_t reads = this->read_positions[chunk] + kConcurrentReads;
+    return std::max(this->reads_begin + this->OriginTime(reads), this->origin_ready);
   }
 
   // Returns a random chunk that the agents of the previous ranks should have fetched but no
@@ -861,6 +881,8 @@
     const std::uint32_t chunk = event.chunk.Index();
     if (!this->EndOriginRead(event.chunk.ManifestId(), chunk)) return;
     const bool by_takeover = this->takeover_reads.erase(chunk) > 0;
+    // The origin is back after an outage, so the agents of its region have chunks to copy again.
+    if (this->origin_failures > 0) this->remote_failures = 0;
     this->origin_failures = 0;
     this->mismatches = 0;
     if (stored) this->OnChunkStored(now, chunk, by_takeover);
@@ -889,6 +911,7 @@
     const Duration backoff = kFirstBackoff * (1 << std::min(this->origin_failures++, 6));
     this->origin_ready =
         std::max(this->origin_ready, now + this->Jittered(std::min(longest, backoff)));
+    this->OrderReads(this->origin_ready);
   }
 
   void On(Instant now, const OriginThrottled& event) {
--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -208,6 +208,47 @@
   }
 }
 
+// The origin is down for some seconds when a version is published for two regions. Guards against
+// agents that all read it when it is back: its link then carries several copies, and every engine
+// waits for the last one.
+TEST(ChunkSpreader, OriginIsReadOnceAfterAnOutage) {
+  using std::chrono::milliseconds;
+  constexpr double kMaxBackoffSeconds = 0.75;  // max_backoff with its jitter
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    HarnessOptions options{.agents = 15,
+                           .chunks = 48,
+                           .chunk_size = 49'152,
+                           .last_chunk = 49'152,
+                           .link = 1.175e6,
+                           .origin_rate = 1.875e6,
+                           .origin_shares = true,
+                           .latency = milliseconds(3),
+                           .seed = seed,
+                           .remote_agents = 9,
+                           .inter_region = 2.2e6,
+                           .spread = {.max_requests = 4,
+                                      .max_uploads = 3,
+                                      .request_deadline = milliseconds(600),
+                                      .remote_deadline = milliseconds(1200),
+                                      .takeover_time = milliseconds(1200),
+                                      .takeover_origin_bytes = milliseconds(1200),
+                                      .max_backoff = milliseconds(500),
+                                      .origin_bytes_per_second = 1.875e6}};
+    SpreadHarness harness(options);
+    harness.origin_down = true;
+    harness.StartAll();
+    harness.Run(seconds(6), [] { return false; });
+    harness.origin_down = false;
+    const double recovered_at = harness.Seconds();
+    EXPECT_TRUE(harness.RunUntilComplete(seconds(30)));
+    const double needed = harness.Seconds() - recovered_at;
+    std::printf("seconds %.2f, bound %.2f, copies %.2f\n", needed, harness.BoundSeconds(),
+                harness.OriginCopies());
+    EXPECT_LE(needed, kMaxTimeRatio * harness.BoundSeconds() + kMaxBackoffSeconds);
+    EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
+  }
+}
+
 // Guards against reading a full copy from the origin again for an agent that lost its chunks.
 TEST(ChunkSpreader, ARestartedAgentCopiesFromItsPeers) {
   SpreadHarness harness(HarnessOptions{.agents = 6});
