--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -45,6 +45,7 @@
   Duration retry_delay = {};
   std::optional<Instant> behind_since = {};
   Instant next_pull = {};
+  bool pull_scheduled = false;
   // Records of an update whose last message has not arrived yet.
   RecordUpdate partial_update = {};
 
@@ -118,10 +119,16 @@
     this->listed = true;
     const std::uint64_t before = this->mirror.AsOf();
     const bool changed = this->Apply(update.value(), "store");
-    if (changed && this->selection.IsSelected()) this->PushAll(before);
+    if (changed) this->Announce(before);
     this->ScheduleRead(this->options.watch_pause);
   }
 
+  // Watchers push changes. Substitutes, of which there may be many, only offer them.
+  void Announce(std::uint64_t before) {
+    if (this->selection.IsSelected()) return this->PushAll(before);
+    this->Offer();
+  }
+
   void OnError(const Error& error) {
     // The store no longer has the history after the mirror's revision, so everything is listed
     // again.
@@ -174,7 +181,7 @@
   void Offer() {
     if (this->peers.empty()) return;
     std::uint32_t contact_ms = UINT32_MAX;
-    if (this->watching && this->last_contact) {
+    if (this->watching && this->reachable && this->last_contact) {
       contact_ms = static_cast<std::uint32_t>(ToMillis(this->loop.Now() - *this->last_contact));
     }
     const bool to_all = this->watching;
@@ -209,9 +216,24 @@
     const Instant now = this->loop.Now();
     if (!this->behind_since) this->behind_since = now;
     const bool in_grace = as_of != 0 && now - *this->behind_since < this->options.behind_grace;
-    if (in_grace || now < this->next_pull) return;
-    this->next_pull = now + this->options.behind_grace;
-    this->Pull(from);
+    if (now < this->next_pull) return;
+    if (in_grace) return this->PullLater(from, offer.as_of());
+    this->PullNow(from);
+  }
+
+  // Pulls at the end of the grace unless the change has arrived by then. The next offer may come
+  // much later, as processes that do not watch offer to one peer at a time.
+  void PullLater(const std::string& peer, std::uint64_t wanted) {
+    if (std::exchange(this->pull_scheduled, true)) return;
+    this->loop.After(this->options.behind_grace, this->Guarded([this, peer, wanted] {
+      this->pull_scheduled = false;
+      if (this->mirror.AsOf() < wanted) this->PullNow(peer);
+    }));
+  }
+
+  void PullNow(const std::string& peer) {
+    this->next_pull = this->loop.Now() + this->options.behind_grace;
+    this->Pull(peer);
   }
 
   void Pull(const std::string& peer) {
--- /dev/null
+++ b/src/records/record_sync_test.cc
@@ -0,0 +1,158 @@
+// Processes in one program that mirror the records of a fake store, connected over loopback.
+#include "records/record_sync.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "base/metrics.h"
+#include "records/record_store.h"
+#include "records/watcher_selection.h"
+#include "runtime/event_loop.h"
+#include "runtime/peer_transport.h"
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kPrefix[] = "op/";
+// A change that the operators make is in force everywhere within this time.
+constexpr Duration kInForceWithin = seconds(3);
+
+class FakeStore {
+ public:
+  explicit FakeStore(EventLoop& loop) : loop(loop) {}
+
+  void Write(const std::string& value) {
+    this->update.as_of += 1;
+    this->update.records = {{.key = "op/config", .value = value, .revision = this->update.as_of}};
+  }
+  // The store answers calls of these processes with an error.
+  void Refuse(std::set<std::string> processes) { this->refused = std::move(processes); }
+
+  void Read(const std::string& process, std::uint64_t after, Instant until,
+            RecordStore::Callback done) {
+    if (this->refused.contains(process)) {
+      return done(Error{.kind = ErrorKind::kUnavailable, .detail = "refused"});
+    }
+    if (this->update.as_of > after || this->loop.Now() >= until) {
+      RecordUpdate answer = this->update;
+      answer.full = after == 0;
+      answer.after = after;
+      if (this->update.as_of <= after) answer.records.clear();
+      return done(std::move(answer));
+    }
+    this->loop.After(milliseconds(5), [this, process, after, until, done = std::move(done)] {
+      this->Read(process, after, until, done);
+    });
+  }
+
+  EventLoop& loop;
+
+ private:
+  RecordUpdate update = {.as_of = 1};
+  std::set<std::string> refused = {};
+};
+
+class Process : public RecordStore {
+ public:
+  Process(EventLoop& loop, FakeStore& store, Random& random, std::string address)
+      : address(std::move(address)),
+        store(store),
+        transport(loop, metrics, {.listen = this->address, .vm = this->address}),
+        sync(loop, this->transport, *this, this->metrics, random,
+             {.prefix = kPrefix, .peer = this->address}) {
+    this->sync.OnChange([this](std::span<const Record> changed) {
+      for (const Record& record : changed) this->value = record.value;
+    });
+  }
+
+  void List(const std::string&, Callback done) override {
+    this->store.Read(this->address, 0, this->store.loop.Now(), std::move(done));
+  }
+  void Watch(const std::string&, std::uint64_t after, Duration wait, Callback done) override {
+    this->store.Read(this->address, after, this->store.loop.Now() + wait, std::move(done));
+  }
+
+  std::string address;
+  std::string value = {};
+  FakeStore& store;
+  Metrics metrics = {};
+  PeerTransport transport;
+  RecordSync sync;
+};
+
+class RecordSyncTest : public ::testing::Test {
+ protected:
+  RecordSyncTest() {
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 10; ++i) addresses.push_back("127.0.0.1:" + std::to_string(26950 + i));
+    for (const std::string& address : addresses) {
+      this->processes.push_back(
+          std::make_unique<Process>(this->loop, this->store, this->random, address));
+      std::vector<std::string> others = addresses;
+      std::erase(others, address);
+      this->processes.back()->sync.SetPeers(others);
+      WatcherSelection selection({.prefix = kPrefix, .peer = address});
+      selection.SetPeers(others);
+      if (selection.IsSelected()) this->watchers.insert(address);
+    }
+    this->store.Write("first");
+    for (const auto& process : this->processes) process->sync.Start();
+  }
+
+  // Runs until all processes have `value`; returns the time that this took.
+  Duration RunUntilAllHave(const std::string& value) {
+    const Instant begin = this->loop.Now();
+    const auto check = [&] {
+      const bool all = std::all_of(this->processes.begin(), this->processes.end(),
+                                   [&](const auto& process) { return process->value == value; });
+      if (all) this->loop.Stop();
+    };
+    const std::shared_ptr<bool> running = std::make_shared<bool>(true);
+    std::function<void()> repeat = [&, running] {
+      if (!*running) return;
+      check();
+      this->loop.After(milliseconds(10), repeat);
+    };
+    repeat();
+    const auto limit = this->loop.After(seconds(10), [this] { this->loop.Stop(); });
+    this->loop.Run();
+    this->loop.Cancel(limit);
+    *running = false;
+    return this->loop.Now() - begin;
+  }
+
+  void RunFor(Duration length) {
+    this->loop.After(length, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  EventLoop loop;
+  Random random{1};
+  FakeStore store{loop};
+  std::vector<std::unique_ptr<Process>> processes = {};
+  std::set<std::string> watchers = {};
+};
+
+// The store refuses all processes that watch it and some others, and keys are withdrawn at the same
+// time. Guards against processes that learn of a change only seconds after others have read it: on
+// cobayo-unido-grown a withdrawn key was in use for 3.3 s.
+TEST_F(RecordSyncTest, ChangeReachesRefusedProcessesInTime) {
+  this->RunUntilAllHave("first");
+  this->RunFor(milliseconds(1200));
+  std::set<std::string> refused = this->watchers;
+  for (std::size_t i = 0; refused.size() < 6; ++i) refused.insert(this->processes[i]->address);
+  this->store.Refuse(refused);
+  this->RunFor(milliseconds(100));
+  this->store.Write("second");
+  const Duration needed = this->RunUntilAllHave("second");
+  std::printf("in force after %.2f s\n", ToSeconds(needed));
+  EXPECT_LE(needed, kInForceWithin);
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/records/watcher_selection.cc
+++ b/src/records/watcher_selection.cc
@@ -16,8 +16,10 @@
   this->selected = static_cast<std::size_t>(higher_ranked) < this->options.max_watchers;
 }
 
-void WatcherSelection::OnPeerContact(const std::string&, Duration contact_age, Instant now) {
-  if (contact_age <= this->options.max_contact_age) this->last_watcher_contact = now;
+void WatcherSelection::OnPeerContact(const std::string& peer, Duration contact_age, Instant now) {
+  if (contact_age > this->options.max_contact_age) return;
+  const std::uint64_t own = RendezvousScore(this->options.prefix, this->options.peer);
+  if (RendezvousScore(this->options.prefix, peer) > own) this->last_watcher_contact = now;
 }
 
 bool WatcherSelection::ShouldWatch(Instant now) const {
--- a/src/records/watcher_selection.h
+++ b/src/records/watcher_selection.h
@@ -24,7 +24,9 @@
 // The platform counts each watch as a call, and its rate limits grow more slowly than the number of
 // processes. So only the processes with the highest rendezvous scores for the prefix watch, and
 // they forward changes to the others. A process also watches while it hears from no watcher that
-// had a recent answer from the store, so the processes need not agree on the set of watchers.
+// had a recent answer from the store, so the processes need not agree on the set of watchers. Only
+// contact of a higher-ranked process counts: otherwise all substitutes of watchers that the store
+// refuses would hear from each other and stop at the same time.
 class WatcherSelection {
  public:
   explicit WatcherSelection(WatcherSelectionOptions options);
@@ -41,7 +43,8 @@
  private:
   WatcherSelectionOptions options;
   bool selected = true;
-  Instant last_watcher_contact = {};  // when a watcher last reported recent contact
+  // When a higher-ranked process last reported recent contact.
+  Instant last_watcher_contact = {};
 };
 
 }  // namespace savory
--- a/src/records/watcher_selection_test.cc
+++ b/src/records/watcher_selection_test.cc
@@ -45,12 +45,35 @@
   while (SelectionOf(all, other).IsSelected()) ++other;
   WatcherSelection selection = SelectionOf(all, other);
   EXPECT_TRUE(selection.ShouldWatch(kStart));
-  selection.OnPeerContact(all[0], milliseconds(900), kStart);
+  std::size_t watcher = 0;
+  while (!SelectionOf(all, watcher).IsSelected()) ++watcher;
+  selection.OnPeerContact(all[watcher], milliseconds(900), kStart);
   EXPECT_FALSE(selection.ShouldWatch(kStart + milliseconds(1200)));
   EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1400)));
-  selection.OnPeerContact(all[0], milliseconds(2000), kStart + milliseconds(1400));
+  selection.OnPeerContact(all[watcher], milliseconds(2000), kStart + milliseconds(1400));
   EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1500)));
 }
 
+// The store refuses all watchers. Guards against substitutes that hear from each other and all
+// stop.
+TEST(WatcherSelectionTest, OneSubstituteKeepsWatching) {
+  const std::vector<std::string> all = Peers(12);
+  std::vector<WatcherSelection> selections;
+  for (std::size_t i = 0; i < all.size(); ++i) selections.push_back(SelectionOf(all, i));
+  Instant now = kStart;
+  for (int round = 0; round < 20; ++round, now += milliseconds(500)) {
+    std::vector<std::size_t> watching;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      if (!selections[i].IsSelected() && selections[i].ShouldWatch(now)) watching.push_back(i);
+    }
+    EXPECT_EQ(watching.size(), round == 0 ? all.size() - 3 : 1);
+    for (const std::size_t from : watching) {
+      for (std::size_t to = 0; to < all.size(); ++to) {
+        if (to != from) selections[to].OnPeerContact(all[from], milliseconds(100), now);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace savory
