--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -213,7 +213,7 @@
 // waits for the last one.
 TEST(ChunkSpreader, OriginIsReadOnceAfterAnOutage) {
   using std::chrono::milliseconds;
-  constexpr double kMaxBackoffSeconds = 0.75;  // max_backoff with its jitter
+  constexpr double max_backoff_seconds = 0.75;  // max_backoff with its jitter
   for (const std::uint64_t seed : {1, 2, 3}) {
     HarnessOptions options{.agents = 15,
                            .chunks = 48,
@@ -244,7 +244,7 @@
     const double needed = harness.Seconds() - recovered_at;
     std::printf("seconds %.2f, bound %.2f, copies %.2f\n", needed, harness.BoundSeconds(),
                 harness.OriginCopies());
-    EXPECT_LE(needed, kMaxTimeRatio * harness.BoundSeconds() + kMaxBackoffSeconds);
+    EXPECT_LE(needed, kMaxTimeRatio * harness.BoundSeconds() + max_backoff_seconds);
     EXPECT_LE(harness.OriginCopies(), kMaxCopiesUnderFaults);
   }
 }
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -23,9 +23,9 @@
 class PeerTransport;
 
 struct EntryLinksOptions {
-  EntryPresenceOptions presence;  // of this entry
-  std::string region = {};        // region of this entry
-  std::uint16_t peer_port = 0;    // of all entries and agents
+  EntryPresenceOptions presence;                    // of this entry
+  std::string region = {};                          // region of this entry
+  std::uint16_t peer_port = 0;                      // of all entries and agents
   std::map<std::string, std::string> regions = {};  // data centre -> region
   // Changes of what agents must know within this time are sent in one hello. A change of the wanted
   // version is sent at once.
--- a/src/records/record_sync_test.cc
+++ b/src/records/record_sync_test.cc
@@ -88,8 +88,9 @@
 class RecordSyncTest : public ::testing::Test {
  protected:
   RecordSyncTest() {
-    std::vector<std::string> addresses;
-    for (int i = 0; i < 10; ++i) addresses.push_back("127.0.0.1:" + std::to_string(26950 + i));
+    std::vector<std::string> addresses(10);
+    int port = 26950;
+    for (std::string& address : addresses) address = "127.0.0.1:" + std::to_string(port++);
     for (const std::string& address : addresses) {
       this->processes.push_back(
           std::make_unique<Process>(this->loop, this->store, this->random, address));
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -63,10 +63,10 @@
   // Of the slots that a report shows as free, this many are reserved for the entries that own them.
   // The rest is divided among the other entries.
   double borrow_reserve_slots = 2;
-  // An agent notices a change of the load of a busy engine after 0.2 s and reports it within another
-  // 0.2 s, or 0.4 s to other regions. If no report arrives within this time, the load has hardly
-  // changed: the free slots are divided again, and slots that this entry gained are no longer in
-  // use by their previous owners.
+  // An agent notices a change of the load of a busy engine after 0.2 s and reports it within
+  // another 0.2 s, or 0.4 s to other regions. If no report arrives within this time, the load has
+  // hardly changed: the free slots are divided again, and slots that this entry gained are no
+  // longer in use by their previous owners.
   Duration load_propagation_time = std::chrono::milliseconds(500);
   // Minimum interval between two recomputations of the shares.
   Duration shares_period = std::chrono::milliseconds(50);
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr char kAddress[] = "127.0.0.1:26911";
+constexpr std::size_t kEndlessBlockBytes = 16384;
 
 // Collects the answer of one call.
 class Collector : public HttpCallHandler {
@@ -132,7 +133,7 @@
     if (read(peer, buffer, sizeof(buffer)) > 0 &&
         send(peer, this->begin.data(), this->begin.size(), MSG_NOSIGNAL) > 0) {
       std::string block;
-      while (block.size() < 16 * 1024) block += repeated;
+      while (block.size() < kEndlessBlockBytes) block += repeated;
       while (send(peer, block.data(), block.size(), MSG_NOSIGNAL) > 0) {
       }
     }
--- a/src/runtime/http_parser_test.cc
+++ b/src/runtime/http_parser_test.cc
@@ -8,7 +8,7 @@
 namespace savory {
 namespace {
 
-constexpr HttpLimits kLimits = {.max_header_bytes = 8 * 1024, .max_body_bytes = 64 * 1024};
+constexpr HttpLimits kLimits = {.max_header_bytes = 8192, .max_body_bytes = 65'536};
 
 void Feed(HttpParser& parser, std::string_view bytes) {
   parser.Feed(std::as_bytes(std::span(bytes)));
@@ -62,7 +62,7 @@
   std::size_t body = 0;
   while (fed < bytes.size() && parser.Failure() == HttpParseFailure::kNone) {
     const std::size_t step = std::min(read_bytes, bytes.size() - fed);
-    Feed(parser, std::string_view(bytes).substr(fed, step));
+    Feed(parser, std::string_view{bytes}.substr(fed, step));
     fed += step;
     if (parser.HasHead()) body += parser.TakeBody().size();
   }
@@ -75,7 +75,7 @@
   HttpParser parser(HttpMessageKind::kRequest, kLimits);
   const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   std::string bytes;
-  while (bytes.size() < 4 * kLimits.max_header_bytes) bytes += request;
+  while (bytes.size() < std::size_t{4} * kLimits.max_header_bytes) bytes += request;
   Feed(parser, bytes);
   std::size_t requests = 0;
   while (parser.IsDone()) {
