Forward a change of the records from one watcher to each process

All three watchers pushed every change to every entry. A config with 1,250 routes, changed several times a second, took 3.6 MB at each entry in ten seconds, over the links between regions that weights and requests use: entries learned of version 2 0.8 to 1.4 s after it was named, and agents of the store's region had no chunk for 2.5 s while others copied. Change: of the watchers that report recent contact, the one with the highest rendezvous score for a process forwards to it; watchers read changes themselves. Who gets no push learns of the change from offers. Ruled out: deltas (the config is one record); a relay in each region (another hand-over).

--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -244,8 +244,13 @@
     this->transport.Send(peer, Lane::kControl, std::move(message));
   }
 
+  // A change may be large, and all entries get it over the links that requests use too. A process
+  // that gets no push, as its watcher has failed, learns of the change from an offer.
   void PushAll(std::uint64_t after) {
-    for (const std::string& peer : this->peers) this->Push(peer, after);
+    const Instant now = this->loop.Now();
+    for (const std::string& peer : this->peers) {
+      if (this->selection.ForwardsTo(peer, now)) this->Push(peer, after);
+    }
   }
 
   void Push(const std::string& to, std::uint64_t after) {
--- a/src/records/watcher_selection.cc
+++ b/src/records/watcher_selection.cc
@@ -9,15 +9,46 @@
 WatcherSelection::WatcherSelection(WatcherSelectionOptions given) : options(std::move(given)) {}
 
 void WatcherSelection::SetPeers(const std::vector<std::string>& peers) {
-  const std::uint64_t own = RendezvousScore(this->options.prefix, this->options.peer);
-  const auto higher_ranked = std::count_if(
-      peers.begin(), peers.end(),
-      [&](const std::string& peer) { return RendezvousScore(this->options.prefix, peer) > own; });
-  this->selected = static_cast<std::size_t>(higher_ranked) < this->options.max_watchers;
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(peers.size() + 1);
+  for (const std::string& peer : peers) {
+    ranked.emplace_back(RendezvousScore(this->options.prefix, peer), peer);
+  }
+  ranked.emplace_back(RendezvousScore(this->options.prefix, this->options.peer),
+                      this->options.peer);
+  std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(ranked.size(), this->options.max_watchers));
+  this->selected = false;
+  std::map<std::string, Instant> next;
+  for (const auto& [score, peer] : ranked) {
+    if (peer == this->options.peer) {
+      this->selected = true;
+      continue;
+    }
+    const auto known = this->watchers.find(peer);
+    next[peer] = known == this->watchers.end() ? Instant() : known->second;
+  }
+  this->watchers = std::move(next);
+}
+
+bool WatcherSelection::ForwardsTo(const std::string& peer, Instant now) const {
+  const auto has_contact = [this, now](const auto& watcher) {
+    return now - watcher.second <= this->options.watcher_timeout;
+  };
+  const auto itself = this->watchers.find(peer);
+  if (itself != this->watchers.end() && has_contact(*itself)) return false;
+  const std::uint64_t own = RendezvousScore(peer, this->options.peer);
+  return std::none_of(this->watchers.begin(), this->watchers.end(), [&](const auto& watcher) {
+    return has_contact(watcher) && watcher.first != peer &&
+           RendezvousScore(peer, watcher.first) > own;
+  });
 }
 
 void WatcherSelection::OnPeerContact(const std::string& peer, Duration contact_age, Instant now) {
   if (contact_age > this->options.max_contact_age) return;
+  if (const auto watcher = this->watchers.find(peer); watcher != this->watchers.end()) {
+    watcher->second = now;
+  }
   const std::uint64_t own = RendezvousScore(this->options.prefix, this->options.peer);
   if (RendezvousScore(this->options.prefix, peer) > own) this->last_watcher_contact = now;
 }
--- a/src/records/watcher_selection.h
+++ b/src/records/watcher_selection.h
@@ -36,6 +36,10 @@
   // `peer` reported that its last answer from the store is `contact_age` old.
   void OnPeerContact(const std::string& peer, Duration contact_age, Instant now);
 
+  // Whether this process, a watcher, forwards a change to `peer`: each peer gets it from one of the
+  // watchers that report recent contact, and watchers read it themselves.
+  bool ForwardsTo(const std::string& peer, Instant now) const;
+
   // Whether this process is among the `max_watchers` highest-ranked ones.
   bool IsSelected() const { return this->selected; }
   bool ShouldWatch(Instant now) const;
@@ -43,6 +47,8 @@
  private:
   WatcherSelectionOptions options;
   bool selected = true;
+  // Other watchers, and when they last reported recent contact.
+  std::map<std::string, Instant> watchers = {};
   // When a higher-ranked process last reported recent contact.
   Instant last_watcher_contact = {};
 };
--- a/src/records/watcher_selection_test.cc
+++ b/src/records/watcher_selection_test.cc
@@ -54,6 +54,37 @@
   EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1500)));
 }
 
+// A large config changes in quick succession. Guards against each process getting it from every
+// watcher, and against a process that gets it from none because its watcher is cut off.
+TEST(WatcherSelectionTest, EachProcessGetsAChangeFromOneWatcher) {
+  const std::vector<std::string> all = Peers(30);
+  std::vector<std::size_t> watchers;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (SelectionOf(all, i).IsSelected()) watchers.push_back(i);
+  }
+  ASSERT_EQ(watchers.size(), 3u);
+  for (const std::size_t cut_off : {all.size(), watchers[0], watchers[2]}) {
+    std::vector<std::size_t> sources(all.size(), 0);
+    for (const std::size_t watcher : watchers) {
+      if (watcher == cut_off) continue;
+      WatcherSelection selection = SelectionOf(all, watcher);
+      for (const std::size_t other : watchers) {
+        if (other != watcher && other != cut_off) {
+          selection.OnPeerContact(all[other], milliseconds(100), kStart);
+        }
+      }
+      for (std::size_t to = 0; to < all.size(); ++to) {
+        const bool forwards = to != watcher && selection.ForwardsTo(all[to], kStart);
+        sources[to] += forwards ? 1 : 0;
+      }
+    }
+    for (std::size_t to = 0; to < all.size(); ++to) {
+      const bool reads = std::count(watchers.begin(), watchers.end(), to) > 0 && to != cut_off;
+      EXPECT_EQ(sources[to], reads ? 0u : 1u) << to;
+    }
+  }
+}
+
 // The store refuses all watchers. Guards against substitutes that hear from each other and all
 // stop.
 TEST(WatcherSelectionTest, OneSubstituteKeepsWatching) {
