Give the test of record synchronisation ports of its own

Change: 26960 to 26969, which no other test uses. Ruled out: load: every failed check of ClientsTest follows from a Listen() that returned an error.

--- a/src/records/record_sync_test.cc
+++ b/src/records/record_sync_test.cc
@@ -89,7 +89,7 @@
  protected:
   RecordSyncTest() {
     std::vector<std::string> addresses(10);
-    int port = 26950;
+    int port = 26960;
     for (std::string& address : addresses) address = "127.0.0.1:" + std::to_string(port++);
     for (const std::string& address : addresses) {
       this->processes.push_back(
