Name no deployment in the product's programs and comments

Change: neutral names; those of the cost experiments keep their lengths, as they count bytes on the wire. Ruled out: behaviour: no rule, limit or branch read any of these names. Measured: apps_test passes; the tree builds.

--- a/src/apps/core_costs.cc
+++ b/src/apps/core_costs.cc
@@ -34,13 +34,13 @@
 }
 
 Member MakeMember(int number, MemberRole role) {
-  return Member{.vm = "engine-ernakulam-1-" + std::to_string(number),
+  return Member{.vm = "engine-region-01-1-" + std::to_string(number),
                 .peer = "10.0." + std::to_string(number / 250) + "." +
                         std::to_string(number % 250 + 1) + ":7100",
-                .region = "ernakulam",
-                .data_centre = "ernakulam-1",
+                .region = "region-01",
+                .data_centre = "region-01-1",
                 .role = role,
-                .service = role == MemberRole::kAgent ? "recellmind" : "",
+                .service = role == MemberRole::kAgent ? "chat-model" : "",
                 .incarnation = 1'700'000'000'000'000,
                 .ready = true};
 }
@@ -103,12 +103,12 @@
   wire::Tables tables;
   tables.set_revision(1);
   wire::Pool* pool = tables.add_pools();
-  pool->set_name("recellmind");
-  pool->set_service("recellmind");
+  pool->set_name("chat-model");
+  pool->set_service("chat-model");
   wire::Route* route = tables.add_routes();
   route->set_name("chat");
   route->set_path_prefix("/");
-  route->set_pool("recellmind");
+  route->set_pool("chat-model");
   route->set_request_class("interactive");
   route->set_idempotent(true);
   route->set_deadline_ms(60'000);
@@ -206,12 +206,12 @@
   Random random(3);
   const std::vector<std::byte> weights(std::size_t{chunks} * kChunkBytes);
   const auto manifest =
-      std::make_shared<const Manifest>(Manifest::Build(weights, kChunkBytes, "recell"));
+      std::make_shared<const Manifest>(Manifest::Build(weights, kChunkBytes, "writer"));
   const std::vector<SpreadPeer> peers = MakePeers(members);
   const std::size_t heap_before = HeapBytes();
   ChunkStore store(0);
   ChunkSpreader spreader(
-      {.vm = peers.front().vm, .region = "ernakulam", .origin_region = "ernakulam"}, store, random);
+      {.vm = peers.front().vm, .region = "region-01", .origin_region = "region-01"}, store, random);
   const Instant now = Instant(std::chrono::hours(1));
   store.SetWanted(manifest);
   const double before = ProcessCpuSeconds();
@@ -238,8 +238,8 @@
   const OriginRanks ranks({.manifest = Sha256("weights"),
                            .chunk_count = 4096,
                            .vm = peers.front().vm,
-                           .region = "ernakulam",
-                           .origin_region = "ernakulam",
+                           .region = "region-01",
+                           .origin_region = "region-01",
                            .members = peers});
   return {{"members", members}, {"cpu_ms", (ProcessCpuSeconds() - before) * 1e3}};
 }
--- a/src/apps/demo_main.cc
+++ b/src/apps/demo_main.cc
@@ -212,20 +212,20 @@
 
  private:
   FleetOptions MakeFleetOptions() const {
-    const FleetLocation amman = {.region = "amman", .data_centre = "amman-1"};
-    const FleetLocation zarqa = {.region = "zarqa", .data_centre = "zarqa-1"};
+    const FleetLocation north = {.region = "north", .data_centre = "north-1"};
+    const FleetLocation south = {.region = "south", .data_centre = "south-1"};
     FleetOptions fleet_options = {.bin_directory = this->options.bin_directory,
                                   .base_port = this->options.base_port,
-                                  .entries = {{.location = amman}, {.location = zarqa}},
-                                  .origin_region = "amman",
+                                  .entries = {{.location = north}, {.location = south}},
+                                  .origin_region = "north",
                                   .origin_bytes_per_second = kOriginBytesPerSecond,
                                   .link_bytes_per_second = kLinkBytesPerSecond,
                                   .inter_region_bytes_per_second = kInterRegionBytesPerSecond};
     for (int i = 0; i < kEngines; ++i) {
       fleet_options.agents.push_back(
-          {.service = "seal-llm", .location = i % 2 == 0 ? amman : zarqa});
+          {.service = "chat-llm", .location = i % 2 == 0 ? north : south});
     }
-    fleet_options.agents.push_back({.service = "bookings", .engine = false, .location = amman});
+    fleet_options.agents.push_back({.service = "bookings", .engine = false, .location = north});
     return fleet_options;
   }
 
@@ -233,7 +233,7 @@
     BOOST_OUTCOME_TRY(this->fleet.Start());
     std::cout << "started: key-value service, origin, VM list, 2 entries, " << kEngines
               << " engines and 1 plain service with their agents\n";
-    BOOST_OUTCOME_TRY(first, this->fleet.AddRandomWeights("seal-llm-v1", kFirstVersionBytes, 1));
+    BOOST_OUTCOME_TRY(first, this->fleet.AddRandomWeights("chat-llm-v1", kFirstVersionBytes, 1));
     BOOST_OUTCOME_TRY(this->Apply(first, "v1"));
     BOOST_OUTCOME_TRY(this->RollOut("first weights", first, kFirstVersionBytes));
     this->PrintFleet();
@@ -259,10 +259,10 @@
   Result<Digest> AddSecondVersion() {
     Result<Digest> digest =
         this->options.weights.empty()
-            ? this->fleet.AddRandomWeights("seal-llm-v2", this->options.bytes, 2)
-            : this->fleet.AddWeightsFile("seal-llm-v2", this->options.weights);
+            ? this->fleet.AddRandomWeights("chat-llm-v2", this->options.bytes, 2)
+            : this->fleet.AddWeightsFile("chat-llm-v2", this->options.weights);
     if (digest) {
-      BOOST_OUTCOME_TRY(size, this->WeightsSize("seal-llm-v2"));
+      BOOST_OUTCOME_TRY(size, this->WeightsSize("chat-llm-v2"));
       this->second_bytes = size;
     }
     return digest;
@@ -278,14 +278,14 @@
   Result<void> Apply(const Digest& manifest, const std::string& version) {
     std::ostringstream text;
     text << "routes:\n"
-            "  - {name: chat, match: {path_prefix: /v1/generate, method: POST}, pool: seal-llm,\n"
+            "  - {name: chat, match: {path_prefix: /v1/generate, method: POST}, pool: chat-llm,\n"
             "     class: chat, priority: 10, idempotent: true, deadline_ms: 20000,\n"
             "     limits: [{account: \"*\", rate_per_s: 1000, concurrency: 200, share: 0.1}]}\n"
             "  - {name: bookings, match: {path_prefix: /bookings, method: POST}, pool: bookings,\n"
             "     class: interactive, priority: 10, idempotent: false, deadline_ms: 5000,\n"
             "     limits: [{account: \"*\", rate_per_s: 1000, concurrency: 200, share: 0.1}]}\n"
             "pools:\n"
-            "  - {name: seal-llm, members: {service: seal-llm}, model: seal-llm, version: "
+            "  - {name: chat-llm, members: {service: chat-llm}, model: chat-llm, version: "
          << version << ",\n     manifest: " << manifest.Hex()
          << ", favours: origin_bytes,\n     max_loading: " << kMaxLoading
          << ", engine_checks_fence: true}\n"
--- a/src/apps/experiment_costs.cc
+++ b/src/apps/experiment_costs.cc
@@ -70,11 +70,11 @@
   wire::Envelope message;
   for (int i = 0; i < kUpdatesPerPing; ++i) {
     wire::MemberUpdate* update = message.mutable_ping()->add_updates();
-    update->set_vm("engine-ernakulam-1-" + std::to_string(i));
+    update->set_vm("engine-region-01-1-" + std::to_string(i));
     update->set_peer("10.0.0." + std::to_string(i) + ":7100");
-    update->set_region("ernakulam");
-    update->set_data_centre("ernakulam-1");
-    update->set_service("recellmind");
+    update->set_region("region-01");
+    update->set_data_centre("region-01-1");
+    update->set_service("chat-model");
     update->set_incarnation(1'700'000'000'000'000);
     update->set_loaded_manifest(std::string(Digest::kSize, 'm'));
   }
--- a/src/apps/request_fleet.cc
+++ b/src/apps/request_fleet.cc
@@ -43,7 +43,7 @@
 }
 
 std::string RequestFleet::CommonSettings(const std::string& vm) const {
-  return "vm: " + vm + "\nregion: ernakulam\ndata_centre: dc-1\n" + "platform: {kv: \"" +
+  return "vm: " + vm + "\nregion: region-01\ndata_centre: dc-1\n" + "platform: {kv: \"" +
          this->Kv() + "\"}\nmembership: {seeds: [\"" + this->EntryPeer(0) + "\"]}\n";
 }
 
--- a/src/direct/copy_policy.h
+++ b/src/direct/copy_policy.h
@@ -47,9 +47,8 @@
 };
 
 // Whether to finish the copy in progress before starting the newer version. The deadline of the
-// older version comes first, and copying the newer one takes seconds. Without this rule, when two
-// versions were announced 3 s apart, all engines of kcw-recell-grown scale-1 were without either
-// version for 5 s.
+// older version comes first, and copying the newer one takes seconds. Without this rule, engines
+// are without either version for seconds when two are announced in quick succession.
 bool ShouldFinishBeforeNewer(const CopyProgress& copy);
 
 }  // namespace savory
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -34,9 +34,8 @@
   // done. They get this long to start before the load is requested.
   Duration max_queue_drain = std::chrono::milliseconds(600);
   // For engines whose requests may be interrupted: the load begins when at most this many run, or
-  // after `max_drain`. The last few requests take longer than all others together: in
-  // kcw-recell-grown engines were out of service for 1.9 s on average from the load request to the
-  // new version, of which the load itself took 0.3 s.
+  // after `max_drain`. The last few requests take longer than all others together, and
+  // several times as long as the load itself.
   std::uint32_t max_interrupted = 3;
   Duration max_drain = std::chrono::milliseconds(1200);
   Duration request_retry = std::chrono::milliseconds(250);
--- a/src/loadmodel/load_patterns.cc
+++ b/src/loadmodel/load_patterns.cc
@@ -62,7 +62,7 @@
            .max_pause = kinds.max_pause}};
 }
 
-// 4 entries before 13 engines, as in the workload cobayo-unido after its engines were added.
+// 4 entries before 13 engines, with long answers and short targets.
 FleetModelOptions SmallFleet(std::uint64_t seed) {
   return {.seed = seed,
           .length = seconds(14),
@@ -86,7 +86,7 @@
           .queue_limit = 32};
 }
 
-// 15 entries before 85 engines, as in the workload kcw-recell-grown.
+// 15 entries before 85 engines.
 FleetModelOptions MediumFleet(std::uint64_t seed) {
   return {.seed = seed,
           .length = seconds(14),
@@ -105,8 +105,7 @@
                     .mean_answer_tokens = 108}};
 }
 
-// 35 entries before 265 engines in five regions, as in the workload kcw-recell-large after its
-// engines were added.
+// 35 entries before 265 engines in five regions.
 FleetModelOptions LargeFleet(std::uint64_t seed) {
   return {.seed = seed,
           .length = seconds(14),
