--- a/src/records/watcher_selection_test.cc
+++ b/src/records/watcher_selection_test.cc
@@ -4,6 +4,8 @@
 
 #include <set>
 
+#include "base/digest.h"
+
 namespace savory {
 namespace {
 
@@ -52,6 +54,14 @@
   EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1400)));
   selection.OnPeerContact(all[watcher], milliseconds(2000), kStart + milliseconds(1400));
   EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1500)));
+  // A process that would watch only as a substitute for this one is no reason to stop.
+  std::size_t lowest = 0;
+  for (std::size_t i = 1; i < all.size(); ++i) {
+    if (RendezvousScore("op/", all[i]) < RendezvousScore("op/", all[lowest])) lowest = i;
+  }
+  ASSERT_NE(lowest, other);
+  selection.OnPeerContact(all[lowest], milliseconds(100), kStart + milliseconds(1500));
+  EXPECT_TRUE(selection.ShouldWatch(kStart + milliseconds(1500)));
 }
 
 // A large config changes in quick succession. Guards against each process getting it from every
