Forget addresses that no entry answers at

Found by reading the change. Change: an address that is avoided is forgotten when the pause is over; one that is named again starts anew. Ruled out: connections to such addresses, which PeerTransport closes after 120 s.

--- a/src/fleet/entry_presence.cc
+++ b/src/fleet/entry_presence.cc
@@ -287,14 +287,26 @@
   actions.emplace_back(SendEntryStatus{.entry = receiver->first, .status = std::move(status)});
 }
 
+bool EntryPresence::IsSeed(const std::string& address) const {
+  return std::find(this->options.seeds.begin(), this->options.seeds.end(), address) !=
+         this->options.seeds.end();
+}
+
+// VMs are replaced all the time, mostly at new addresses.
+void EntryPresence::ForgetUnanswered(Instant now) {
+  std::erase_if(this->candidates, [this, now](const auto& row) {
+    const auto& [address, candidate] = row;
+    return candidate.unanswered >= this->options.max_unanswered && now >= candidate.avoided_until &&
+           !this->IsSeed(address);
+  });
+}
+
 void EntryPresence::SendStatusToCandidates(Instant now, bool only_new,
                                            std::vector<PresenceAction>& actions) {
   std::optional<EntryStatusReport> status;
   for (auto& [address, candidate] : this->candidates) {
-    const bool is_seed = std::find(this->options.seeds.begin(), this->options.seeds.end(),
-                                   address) != this->options.seeds.end();
     if (only_new && !candidate.is_new) continue;
-    if (candidate.unanswered >= this->options.max_unanswered && !is_seed) continue;
+    if (candidate.unanswered >= this->options.max_unanswered && !this->IsSeed(address)) continue;
     candidate.is_new = false;
     if (++candidate.unanswered == this->options.max_unanswered) {
       candidate.avoided_until = now + this->options.unanswered_pause;
@@ -345,6 +357,7 @@
   }
   if (now >= this->next_status) this->SendStatusToAll(now, actions);
   if (now >= this->next_discovery) {
+    this->ForgetUnanswered(now);
     this->SendStatusToCandidates(now, false, actions);
     this->SendListToNext(now, actions);
     this->next_discovery = now + this->options.status_period;
--- a/src/fleet/entry_presence.h
+++ b/src/fleet/entry_presence.h
@@ -109,6 +109,8 @@
   Duration StatusPeriod() const;
   std::size_t Contacts() const { return this->contacts.size(); }
   std::size_t Followed() const { return this->followed.size(); }
+  // Addresses that may belong to entries.
+  std::size_t Candidates() const { return this->candidates.size(); }
   bool FollowsLoad(const std::string& agent) const { return this->followed.contains(agent); }
   // Whether this entry is the first of those that are responsible for `agent`.
   bool IsFirstResponsible(const std::string& agent) const;
@@ -143,6 +145,8 @@
   void AddNeededContacts(Instant now, std::vector<PresenceAction>& actions);
   void DropUnneededContacts(Instant now, std::vector<PresenceAction>& actions);
   std::size_t ContactLimit(Instant now);
+  bool IsSeed(const std::string& address) const;
+  void ForgetUnanswered(Instant now);
   EntryStatusReport MakeStatus(Instant now) const;
   void SendStatusToAll(Instant now, std::vector<PresenceAction>& actions);
   void SendListToNext(Instant now, std::vector<PresenceAction>& actions);
--- a/src/fleet/entry_presence_test.cc
+++ b/src/fleet/entry_presence_test.cc
@@ -409,6 +409,21 @@
   EXPECT_EQ(presence.Contacts(), 690u);
 }
 
+// Entries are replaced at new addresses for days. Guards against a list of addresses that grows
+// with every one that ever was in use.
+TEST(EntryPresenceHandOverTest, AddressesOfReplacedEntriesAreForgotten) {
+  EntryPresence presence({.self = "entry", .seeds = {"seed"}});
+  Instant now(std::chrono::hours(1));
+  presence.SetAgents({{"agent", "engine"}});
+  for (int i = 0; i < 200; ++i) {
+    const std::string replaced = "entry-" + std::to_string(i);
+    presence.OnAgentStatus("agent", {.address = "engine"}, std::vector{replaced}, now);
+    presence.OnEntryStatus(replaced + "-that-left", {.leaving = true}, now);
+    for (int tick = 0; tick < 10; ++tick) presence.Advance(now += seconds(1));
+  }
+  EXPECT_LE(presence.Candidates(), 16u);
+}
+
 // Guards against an address that answers nothing and is contacted forever.
 TEST(EntryPresenceHandOverTest, UnansweredAddressIsLeftAlone) {
   EntryPresence presence({.self = "entry"});
