Log the number of engines that an entry follows

Cause: no line showed that an entry's window was widened because engines fail its requests, or moved with its share. Found by reading the change. Ruled out: a line for each engine: windows move by single engines with every change of demand.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -47,6 +47,8 @@
 // none.
 constexpr Duration kMaxWaitForUpstreams = milliseconds(3000);
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
+// Minimum time between two log lines on the number of engines that the entry follows.
+constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 // Period for checking the modification time of the settings file, which may change without a
 // signal.
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
@@ -86,6 +88,8 @@
   UpstreamList upstreams = UpstreamList();
   EntryDemandTracker demands;
   std::size_t sharing_entries = 1;
+  std::size_t followed_engines = 0;  // as last logged
+  Instant follow_logged_at = {};
   AsyncHttpServer callers;
   AsyncHttpServer ready_server;
   AsyncHttpServer metrics_server;
@@ -357,6 +361,20 @@
     this->relay.RequestDispatcher().SetEntries(std::move(sharing));
   }
 
+  // Subscribes to the load of the engines that requests may go to. A change of their number shows
+  // that the share of the engines changed, or that many of them fail requests of this entry.
+  void FollowEngines() {
+    const Instant now = this->loop.Now();
+    const std::vector<std::string> engines = this->relay.RequestDispatcher().EnginesToFollow(now);
+    this->links.SetFollowedEngines(engines);
+    const bool changed = engines.size() != this->followed_engines;
+    if (!changed || now - this->follow_logged_at < kFollowLogPeriod) return;
+    Log(LogLevel::kInfo, "engines_followed",
+        {{"engines", engines.size()}, {"before", this->followed_engines}});
+    this->followed_engines = engines.size();
+    this->follow_logged_at = now;
+  }
+
   // ---- maintenance, stop, settings ----
 
   void RunMaintenance() {
@@ -364,8 +382,7 @@
     for (const std::string& id : this->upstreams.TakeExpired(this->loop.Now())) {
       this->RemoveFromDispatcher(id, "not back after the store returned");
     }
-    this->links.SetFollowedEngines(
-        this->relay.RequestDispatcher().EnginesToFollow(this->loop.Now()));
+    this->FollowEngines();
     if (this->stopping_since) this->AdvanceStop();
   }
 
