Move the order of origin reads out of ChunkSpreader

Ruled out: a change of figures: the tests of ChunkSpreader print the same seconds and copies as before.

--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -9,6 +9,7 @@
 
 #include "distribution/chunk_store.h"
 #include "distribution/manifest.h"
+#include "distribution/origin_read_order.h"
 #include "distribution/spread_neighbour.h"
 #include "distribution/token_bucket.h"
 
@@ -48,9 +49,6 @@
 constexpr Duration kMinHoldExtension = milliseconds(250);
 // Limit of the queued requests for chunks that this agent does not hold yet.
 constexpr std::size_t kMaxAwaited = 256;
-// Concurrent reads of the whole region when chunks are read in order. More than one, so that the
-// origin's link is never idle between two reads.
-constexpr std::uint32_t kConcurrentReads = 4;
 constexpr std::size_t kCandidatesPerLevel = 16;
 constexpr std::size_t kRarityLevels = 22;  // number of holders among at most 20 neighbours
 constexpr int kMismatchesBeforeStop = 2;
@@ -108,10 +106,7 @@
   std::vector<std::uint32_t> candidates = {};   // rarest last
   std::vector<std::uint32_t> unannounced = {};  // stored but not yet announced
   Instant started = {};
-  // The origin is read in this order from `reads_begin` on: the position of each chunk among those
-  // that were missing then.
-  Instant reads_begin = {};
-  std::vector<std::uint32_t> read_positions = {};
+  OriginReadOrder read_order;
   Instant last_progress = {};
   Instant next_scan = {};
   Instant next_takeover_scan = {};
@@ -139,7 +134,8 @@
         up(PacerOptions()),
         down(PacerOptions()),
         region_pacer(this->options.inter_region_bytes_per_second,
-                     this->options.inter_region_bytes_per_second * kBurstSeconds) {}
+                     this->options.inter_region_bytes_per_second * kBurstSeconds),
+        read_order(this->options.origin_bytes_per_second) {}
 
   LinkPacerOptions PacerOptions() const {
     return LinkPacerOptions{.link_bytes_per_second = this->options.link_bytes_per_second,
@@ -289,30 +285,19 @@
     std::shuffle(this->inherited.begin(), this->inherited.end(), this->random);
   }
 
-  // Whether the chunks are read from the origin in order, kConcurrentReads at a time. If all agents
-  // read at once, the reads share the origin's link and all finish late; read in order, the first
-  // chunks spread in the meantime. Only in the origin's region, and if the origin's rate is known.
-  bool HasReadOrder() const { return this->KnowsOriginRate() && this->IsInOriginRegion(); }
+  // Whether this agent reads its chunks from the origin in order.
+  bool HasReadOrder() const { return this->read_order.KnowsRate() && this->IsInOriginRegion(); }
 
-  // Earliest time to read a chunk for which this agent has rank 0.
-  Instant EarliestReadTime(std::uint32_t chunk) const {
-    if (!this->HasReadOrder()) return this->started;
-    const std::uint32_t position = this->read_positions[chunk];
-    return this->reads_begin +
-           this->OriginTime(position < kConcurrentReads ? 0 : position - kConcurrentReads);
+  // Earliest time to fetch a chunk for which this agent has rank 0.
+  Instant EarliestFetch(std::uint32_t chunk) const {
+    return this->HasReadOrder() ? this->read_order.EarliestRead(chunk) : this->started;
   }
 
-  // Orders the reads of the chunks that are still missing. After an outage of the origin their
-  // times have passed, and all agents would read, and take over, all chunks at once.
   void OrderReads(Instant begin) {
-    this->reads_begin = begin;
-    this->read_positions.resize(this->manifest->ChunkCount());
     const WeightsCopy& copy = this->Copy();
-    std::uint32_t next = 0;
-    for (std::uint32_t chunk = 0; chunk < this->read_positions.size(); ++chunk) {
-      this->read_positions[chunk] = next;
-      if (!copy.Holds(chunk) && this->availability[chunk] == 0) ++next;
-    }
+    this->read_order.Start(
+        begin, this->manifest->ChunkCount(), this->manifest->ChunkSize(),
+        [&](std::uint32_t chunk) { return !copy.Holds(chunk) && this->availability[chunk] == 0; });
   }
 
   void CountAvailability() {
@@ -558,8 +543,8 @@
     const double shared = static_cast<double>(outstanding) * this->manifest->ChunkSize() /
                           this->options.inter_region_bytes_per_second;
     const Instant available_at =
-        this->KnowsOriginRate() ? std::max(now, this->ExpectedFromOrigin(chunk)) : now;
-    const double crossing = this->KnowsOriginRate() ? shared : 2 * shared;
+        this->read_order.KnowsRate() ? std::max(now, this->ExpectedFromOrigin(chunk)) : now;
+    const double crossing = this->read_order.KnowsRate() ? shared : 2 * shared;
     return available_at + this->options.remote_deadline + sending + FromSeconds(crossing);
   }
 
@@ -798,7 +783,7 @@
       this->inherited.clear();
     }
     while (!this->IsNarrow() && !this->owned.empty() &&
-           now >= this->EarliestReadTime(this->owned.back())) {
+           now >= this->EarliestFetch(this->owned.back())) {
       const std::uint32_t chunk = this->owned.back();
       this->owned.pop_back();
       if (this->IsMissing(this->Copy(), chunk) && this->availability[chunk] == 0) return chunk;
@@ -820,7 +805,7 @@
   // Unranked agents are excluded, since all of them would read; they take over only through
   // RanksDueBySilence().
   int RanksDueByOriginRate(Instant now, std::uint32_t chunk) const {
-    if (!this->KnowsOriginRate()) return 0;
+    if (!this->read_order.KnowsRate()) return 0;
     const Duration slack =
         this->IsInOriginRegion() ? this->options.overdue_slack : this->options.overdue_remote_slack;
     const Duration overdue = now - this->ExpectedFromOrigin(chunk) - slack;
@@ -829,18 +814,9 @@
                          1 + static_cast<int>(overdue / this->options.overdue_step));
   }
 
-  bool KnowsOriginRate() const { return this->options.origin_bytes_per_second > 0; }
-
-  // Time that the origin needs to send this many chunks.
-  Duration OriginTime(std::uint32_t chunks) const {
-    const double bytes = static_cast<double>(chunks) * this->manifest->ChunkSize();
-    return FromSeconds(bytes / this->options.origin_bytes_per_second);
-  }
-
   // Time by which the origin should have sent `chunk`.
   Instant ExpectedFromOrigin(std::uint32_t chunk) const {
-    const std::uint32_t reads = this->read_positions[chunk] + kConcurrentReads;
-    return std::max(this->reads_begin + this->OriginTime(reads), this->origin_ready);
+    return std::max(this->read_order.ExpectedEnd(chunk), this->origin_ready);
   }
 
   // Returns a random chunk that the agents of the previous ranks should have fetched but no
