--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -14,6 +14,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/guarded.h"
 #include "runtime/http_connection_pool.h"
+#include "runtime/restartable_timer.h"
 
 namespace savory {
 namespace {
@@ -117,6 +118,7 @@
     this->last_event = this->metadata.last_event_id;
     this->is_caller_retry = this->relay.IsCallerRetry(this->route, this->metadata.time_left);
     this->relay.budget.OnRequest(this->pool, now);
+    this->silence.emplace(this->relay.loop, this->Guarded([this] { this->OnSilence(); }));
     this->exchange->OnCallerDisconnected(this->Guarded([this] { this->OnCallerDisconnected(); }));
     this->timer =
         this->relay.loop.After(this->timeout - now, this->Guarded([this] { this->OnTimeout(); }));
@@ -352,34 +354,13 @@
     return FromSeconds(ToSeconds(this->route.max_pause) * this->relay.options.pause_timeout_factor);
   }
 
-  // One timer is reused for all limits of a request: when it fires it checks `silent_at`.
   void SetSilenceLimit(Duration limit) {
-    if (limit == Duration::max()) {
-      this->silent_at.reset();
-      return;
-    }
-    const Instant now = this->relay.loop.Now();
-    this->silent_at = now + limit;
-    if (this->silence_timer_due && *this->silence_timer_due <= *this->silent_at) return;
-    this->StartSilenceTimer(*this->silent_at);
+    if (limit == Duration::max()) return this->silence->Clear();
+    this->silence->Set(limit);
   }
 
-  void StartSilenceTimer(Instant due) {
-    if (this->silence_timer != 0) this->relay.loop.Cancel(this->silence_timer);
-    this->silence_timer_due = due;
-    this->silence_timer = this->relay.loop.After(due - this->relay.loop.Now(),
-                                                 this->Guarded([this] { this->OnSilenceTimer(); }));
-  }
-
-  void OnSilenceTimer() {
-    this->silence_timer = 0;
-    this->silence_timer_due.reset();
-    if (this->finished || !this->silent_at || !this->call) return;
-    if (this->relay.loop.Now() < *this->silent_at) {
-      this->StartSilenceTimer(*this->silent_at);
-      return;
-    }
-    this->silent_at.reset();
+  void OnSilence() {
+    if (this->finished || !this->call) return;
     // The attempt is given up only if the request may still be retried.
     const bool may_retry = this->history.may_have_run + 1 < this->history.max_attempts &&
                            this->relay.budget.Remaining(this->pool, this->relay.loop.Now()) >= 1;
@@ -392,7 +373,7 @@
 
   void EndAttempt(AttemptEnd end) {
     const Instant now = this->relay.loop.Now();
-    this->silent_at.reset();
+    this->silence->Clear();
     const bool misdirected = end == AttemptEnd::kNotRun && this->answer_misdirected;
     this->relay.ReportEnd(this->attempt, misdirected ? AttemptResult::kMisdirected : ResultOf(end));
     this->attempt = 0;
@@ -562,9 +543,8 @@
   std::optional<AttemptEnd> last_end = {};
   std::optional<RefuseRequest> refusal = {};
   EventLoop::TimerId timer = 0;
-  EventLoop::TimerId silence_timer = 0;
-  std::optional<Instant> silence_timer_due = {};
-  std::optional<Instant> silent_at = {};
+  // Fires when the upstream has been silent for too long.
+  std::optional<RestartableTimer> silence = {};
 
   friend struct Relay::Impl;
 };
@@ -573,7 +553,7 @@
   if (std::exchange(this->finished, true)) return;
   const Instant now = this->relay.loop.Now();
   if (this->timer != 0) this->relay.loop.Cancel(this->timer);
-  if (this->silence_timer != 0) this->relay.loop.Cancel(this->silence_timer);
+  if (this->silence) this->silence->Clear();
   const std::string labels = "account=\"" + LabelValue(this->account) + "\",class=\"" +
                              LabelValue(this->route.name) + "\"";
   this->relay.metrics
