Let deployments choose chunks of up to 64 MiB

Found by reading the change. Change: chunks have a bound of their own, 64 MiB, and a manifest with larger ones is refused with both sizes. Ruled out: no bound: an agent keeps the chunks of two versions. Measured: ChunksMayBeLargeButNotTooLarge failed before (20 MiB: no answer).

--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -63,6 +63,9 @@
   virtual void OnUnmatchedAnswer(std::function<void()> listener) = 0;
 };
 
+// Larger chunks are refused: an agent keeps the chunks of two versions, and transfers them whole.
+constexpr std::size_t kMaxChunkBytes = std::size_t{64} * 1024 * 1024;
+
 // Chunk size and digests of one version of a model's weights.
 struct ChunkList {
   std::uint32_t chunk_bytes = 0;
--- a/src/runtime/buffered_call.cc
+++ b/src/runtime/buffered_call.cc
@@ -10,14 +10,12 @@
 namespace savory {
 namespace {
 
-// Several times the largest list or chunk of the platform.
-constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
-
 // Holds a reference to itself until the call has ended.
 class BufferedCall : public HttpCallHandler, public std::enable_shared_from_this<BufferedCall> {
  public:
-  BufferedCall(EventLoop& loop, std::function<void(Result<BufferedAnswer>)> done)
-      : loop(loop), done(std::move(done)) {}
+  BufferedCall(EventLoop& loop, std::function<void(Result<BufferedAnswer>)> done,
+               std::size_t max_answer_bytes)
+      : loop(loop), done(std::move(done)), max_answer_bytes(max_answer_bytes) {}
 
   void Start(HttpConnectionPool& connections, HttpCallOptions options, Duration timeout) {
     this->self = this->shared_from_this();
@@ -32,10 +30,10 @@
 
   void OnAnswerHead(const HttpHead& head) override { this->answer.status = head.status; }
   void OnAnswerBody(std::string_view bytes) override {
-    if (this->answer.body.size() + bytes.size() > kMaxAnswerBytes) {
-      return this->End(Error{
-          .kind = ErrorKind::kMalformed,
-          .detail = "the answer is larger than " + std::to_string(kMaxAnswerBytes) + " bytes"});
+    if (this->answer.body.size() + bytes.size() > this->max_answer_bytes) {
+      return this->End(Error{.kind = ErrorKind::kMalformed,
+                             .detail = "the answer is larger than " +
+                                       std::to_string(this->max_answer_bytes) + " bytes"});
     }
     this->answer.body += bytes;
   }
@@ -56,6 +54,7 @@
 
   EventLoop& loop;
   std::function<void(Result<BufferedAnswer>)> done;
+  std::size_t max_answer_bytes;
   std::unique_ptr<HttpCall> call = {};
   EventLoop::TimerId timer = 0;
   BufferedAnswer answer = {};
@@ -65,8 +64,9 @@
 }  // namespace
 
 void StartBufferedCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
-                       Duration timeout, std::function<void(Result<BufferedAnswer>)> done) {
-  std::make_shared<BufferedCall>(loop, std::move(done))
+                       Duration timeout, std::function<void(Result<BufferedAnswer>)> done,
+                       std::size_t max_answer_bytes) {
+  std::make_shared<BufferedCall>(loop, std::move(done), max_answer_bytes)
       ->Start(connections, std::move(options), timeout);
 }
 
@@ -80,7 +80,7 @@
                     {.address = options.address,
                      .head = std::move(head),
                      .connect_timeout = options.connect_timeout},
-                    options.timeout, std::move(done));
+                    options.timeout, std::move(done), options.max_answer_bytes);
 }
 
 }  // namespace savory
