Count a version's deadline from the earliest time that any process knows

Cause: an entry that learned of a version late (paused, refused by the store, lost push) counted the deadline from then: AddFromStore() took the time of learning as that of the announcement, and AddFromAgent() ignored the agents' earlier time once the entry had a time of its own. A time that agents reported before the store's record arrived was dropped. And a version of unknown age, which is enforced after a grace, got the later deadline of any process that learned of it afterwards. Change: the earliest time counts, as delays and pauses only make times too late; times of versions that the store has not named yet are kept; a time over a second after the version was first seen does not replace an unknown age. The entry logs the age at which it learned of a version and each correction of 100 ms or more with the age before it. Ruled out: a time that is too early. The loop's clock is read anew at each use, and ages are rounded down. Reports name no model, so a known time is corrected only if one model has such a version.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -49,6 +49,8 @@
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
+// Smaller corrections of the time since when a version is wanted come from message delays.
+constexpr Duration kMinLoggedCorrection = milliseconds(100);
 // Period for checking the modification time of the settings file, which may change without a
 // signal.
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
@@ -152,19 +154,34 @@
     if (newest) this->ApplyRules(std::move(*newest));
   }
 
-  // Agents that started earlier than this entry know when a version was announced. The report names
-  // no model: if versions of two models have the same number, both get this time.
+  // Agents that heard of a version earlier than this entry know better when it was announced. The
+  // report names no model: a time that is known already is corrected only if no other model has a
+  // version with the same number.
   void OnWantedSince(std::uint64_t version, Instant since) {
+    const auto models =
+        std::count_if(this->wanted_versions.begin(), this->wanted_versions.end(),
+                      [version](const auto& row) { return version <= row.second.Newest(); });
     for (auto& [model, versions] : this->wanted_versions) {
+      const std::optional<Instant> before = versions.WantedSince(version);
+      if (before && models > 1) continue;
       if (!versions.AddFromAgent(version, since, this->loop.Now())) continue;
-      Log(LogLevel::kInfo, "weights_wanted_since",
-          {{"model", model},
-           {"version", version},
-           {"known_for_ms", ToMillis(this->loop.Now() - since)}});
+      if (!before || *before - since >= kMinLoggedCorrection) {
+        Log(LogLevel::kInfo, "weights_wanted_since",
+            {{"model", model},
+             {"version", version},
+             {"known_for_ms", this->KnownForMs(versions, version)},
+             {"known_for_ms_before", before ? ToMillis(this->loop.Now() - *before) : -1}});
+      }
       this->ApplyWantedVersions();
     }
   }
 
+  // Returns -1 if the age of the version is unknown.
+  std::int64_t KnownForMs(const WantedVersions& versions, std::uint64_t version) const {
+    const std::optional<Instant> since = versions.WantedSince(version);
+    return since ? ToMillis(this->loop.Now() - *since) : -1;
+  }
+
   void ApplyRules(RoutingRules found) {
     if (this->rules && found.version <= this->rules->Version()) return;
     Log(LogLevel::kInfo, "rules_applied",
@@ -190,7 +207,11 @@
     if (wanted.version <= versions.Newest()) return;
     // Versions in the first listing after the start may have been announced long ago.
     versions.AddFromStore(wanted.version, this->operator_records_listed, this->loop.Now());
-    Log(LogLevel::kInfo, "weights_wanted", {{"model", wanted.model}, {"version", wanted.version}});
+    Log(LogLevel::kInfo, "weights_wanted",
+        {{"model", wanted.model},
+         {"version", wanted.version},
+         {"first_listing", !this->operator_records_listed},
+         {"known_for_ms", this->KnownForMs(versions, wanted.version)}});
     this->ApplyWantedVersions();
   }
 
--- a/src/direct/wanted_versions.cc
+++ b/src/direct/wanted_versions.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t kMaxVersions = 16;
+// Entries that the store answers learn of a version within this time of each other.
+constexpr Duration kMaxLearningSpread = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -13,6 +15,9 @@
   if (version <= this->Newest()) return;
   this->versions.push_back({.version = version, .first_seen = now});
   if (is_new) this->versions.back().wanted_since = now;
+  const auto found = this->reported.find(version);
+  if (found != this->reported.end()) this->AddTime(this->versions.back(), found->second);
+  this->reported.erase(this->reported.begin(), this->reported.upper_bound(version));
   this->Trim();
 }
 
@@ -20,19 +25,28 @@
   const auto place = std::lower_bound(
       this->versions.begin(), this->versions.end(), version,
       [](const Version& known, std::uint64_t wanted) { return known.version < wanted; });
-  // A version newer than all known ones is accepted only from the store.
-  if (place == this->versions.end()) return false;
-  if (place->version == version) {
-    if (place->wanted_since) return false;
-    place->wanted_since = wanted_since;
-    return true;
+  if (place == this->versions.end()) {
+    const auto [known, is_new] = this->reported.emplace(version, wanted_since);
+    if (!is_new) known->second = std::min(known->second, wanted_since);
+    if (this->reported.size() > kMaxVersions) this->reported.erase(this->reported.begin());
+    return false;
   }
+  if (place->version == version) return this->AddTime(*place, wanted_since);
   this->versions.insert(place,
                         {.version = version, .wanted_since = wanted_since, .first_seen = now});
   this->Trim();
   return true;
 }
 
+bool WantedVersions::AddTime(Version& known, Instant wanted_since) {
+  if (known.wanted_since && wanted_since >= *known.wanted_since) return false;
+  // The version was announced before it was first seen here. A much later time comes from a process
+  // that learned of it late and does not show how old it is.
+  if (wanted_since > known.first_seen + kMaxLearningSpread) return false;
+  known.wanted_since = std::min(wanted_since, known.first_seen);
+  return true;
+}
+
 void WantedVersions::Trim() {
   if (this->versions.size() > kMaxVersions) this->versions.erase(this->versions.begin());
 }
@@ -42,7 +56,13 @@
 }
 
 std::optional<Instant> WantedVersions::NewestWantedSince() const {
-  return this->versions.empty() ? std::nullopt : this->versions.back().wanted_since;
+  return this->WantedSince(this->Newest());
+}
+
+std::optional<Instant> WantedVersions::WantedSince(std::uint64_t version) const {
+  const auto found = std::find_if(this->versions.begin(), this->versions.end(),
+                                  [&](const Version& known) { return known.version == version; });
+  return found == this->versions.end() ? std::nullopt : found->wanted_since;
 }
 
 std::vector<WeightsRule> WantedVersions::Rules(const WantedVersionsOptions& options) const {
--- a/src/direct/wanted_versions.h
+++ b/src/direct/wanted_versions.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -26,12 +27,15 @@
   // Adds a version read from the store; ignored unless it is newer than all known ones. `is_new`:
   // it was announced just now; otherwise its announcement time is unknown.
   void AddFromStore(std::uint64_t version, bool is_new, Instant now);
-  // Adds the time since when `version` is wanted, as reported by an agent that started earlier. The
-  // version may be older than the newest one; one newer than that is ignored. Returns whether this
-  // was new information.
+  // Adds the time since when `version` is wanted, as reported by an agent. Delays and pauses of
+  // processes make such times too late, never too early, so the earliest one counts. The version
+  // may be older than the newest one; the time of a newer one is kept until the store names it.
+  // Returns whether the version's announcement time changed.
   bool AddFromAgent(std::uint64_t version, Instant wanted_since, Instant now);
 
   std::uint64_t Newest() const;  // 0: no version
+  // Since when `version` is wanted; nullopt if that is unknown.
+  std::optional<Instant> WantedSince(std::uint64_t version) const;
   // Since when the newest version is wanted; nullopt if that is unknown.
   std::optional<Instant> NewestWantedSince() const;
   std::vector<WeightsRule> Rules(const WantedVersionsOptions& options) const;
@@ -45,8 +49,10 @@
   // Bounds the size of `versions` by removing the oldest one, whose deadline should have passed
   // long ago.
   void Trim();
+  static bool AddTime(Version& known, Instant wanted_since);
 
-  std::vector<Version> versions = {};  // oldest first
+  std::vector<Version> versions = {};              // oldest first
+  std::map<std::uint64_t, Instant> reported = {};  // times of versions that the store has not named
 };
 
 }  // namespace savory
--- a/src/direct/wanted_versions_test.cc
+++ b/src/direct/wanted_versions_test.cc
@@ -1,6 +1,9 @@
 #include "direct/wanted_versions.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
 
 namespace savory {
 namespace {
@@ -59,6 +62,64 @@
   EXPECT_EQ(Required(versions, start + milliseconds(10'900)), 3u);
 }
 
+// An entry that was paused or refused by the store learns of a version late. If it counted the
+// deadline from then, it would use outdated engines after the deadline, although the agents know
+// the earlier time.
+TEST(WantedVersions, EarlierTimeOfAgentsCorrectsLateEntry) {
+  const Instant start = Instant(std::chrono::hours(1));
+  WantedVersions versions;
+  versions.AddFromStore(2, true, start + seconds(5));
+  EXPECT_TRUE(versions.AddFromAgent(2, start, start + seconds(6)));
+  EXPECT_FALSE(versions.AddFromAgent(2, start + seconds(1), start + seconds(6)));
+  EXPECT_EQ(Required(versions, start + milliseconds(6700)), 0u);
+  EXPECT_EQ(Required(versions, start + milliseconds(6900)), 2u);
+}
+
+// The same when the agents' reports arrive before the store's record.
+TEST(WantedVersions, TimeReportedBeforeTheRecordCounts) {
+  const Instant start = Instant(std::chrono::hours(1));
+  WantedVersions versions;
+  EXPECT_FALSE(versions.AddFromAgent(2, start, start + seconds(1)));
+  EXPECT_EQ(versions.Newest(), 0u);
+  versions.AddFromStore(2, true, start + seconds(5));
+  EXPECT_EQ(Required(versions, start + milliseconds(6900)), 2u);
+}
+
+// A version of unknown age is enforced after a grace. A process that learned of it much later must
+// not postpone that.
+TEST(WantedVersions, LateTimeDoesNotReplaceUnknownAge) {
+  const Instant start = Instant(std::chrono::hours(1));
+  WantedVersions versions;
+  versions.AddFromStore(2, false, start);
+  EXPECT_FALSE(versions.AddFromAgent(2, start + seconds(2), start + seconds(2)));
+  EXPECT_EQ(Required(versions, start + seconds(3)), 2u);
+}
+
+// Whatever the order and the delay of the times that an entry learns, a version is enforced no
+// later than the earliest of them demands.
+RC_GTEST_PROP(WantedVersionsProperty, EarliestTimeCounts, ()) {
+  const Instant start = Instant(std::chrono::hours(1));
+  const auto ages = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9000));
+  const auto store_at = *rc::gen::inRange<std::size_t>(0, ages.size() + 1);
+  const bool is_new = *rc::gen::arbitrary<bool>();
+  WantedVersions versions;
+  Instant now = start;
+  Instant earliest = Instant::max();
+  for (std::size_t i = 0; i <= ages.size(); ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 3000));
+    if (i == store_at) {
+      versions.AddFromStore(2, is_new, now);
+      earliest = std::min(earliest, now);
+    }
+    if (i == ages.size()) break;
+    versions.AddFromAgent(2, now - milliseconds(ages[i]), now);
+    earliest = std::min(earliest, now - milliseconds(ages[i]));
+  }
+  RC_ASSERT(versions.Newest() == 2u);
+  RC_ASSERT(versions.Rules(kOptions).front().enforced_at <=
+            earliest + kOptions.deadline - kOptions.margin);
+}
+
 // A version that only an agent reports, and not the store, must not become the newest one.
 TEST(WantedVersions, OnlyStoreAddsNewestVersion) {
   WantedVersions versions;
