Correct an agent's schedule when a version turns out to be older

Cause: an agent that heard of a version late, from an entry that was late itself, kept that time for its load: AgentLinks took the minimum of the entries' times but told nobody of an earlier one, and the copy and the rollout kept the time at which the copy had started. The load was then scheduled after the entries stopped sending requests, and an entry passed a corrected time on only with its next periodic hello. Change: an earlier time is a change of the view; the copier, the loader and EngineRollout take it over, and a scheduled load moves with the deadline. The time of the previous version is corrected too. An entry sends a correction of 200 ms or more at once. The agent logs corrections. Measured: ScheduledLoadMovesWithACorrectedDeadline fails with SetKnownSince() without effect, which is how the code behaved before (it had no such method), and passes now.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -38,6 +38,8 @@
 // Used while a load is about to start or in progress.
 constexpr Duration kLoadPollPeriod = milliseconds(40);
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
+// Smaller corrections of the time since when a version is wanted come from message delays.
+constexpr Duration kMinLoggedCorrection = milliseconds(100);
 // The engine counts as unreachable after this many consecutive failed reads of its state.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -97,6 +99,16 @@
     return fleet.wanted_since ? ToMillis(this->Now() - *fleet.wanted_since) : -1;
   }
 
+  void LogCorrection(const FleetView& next) const {
+    if (next.weights_version != this->view.weights_version || !next.wanted_since) return;
+    const Instant before = this->view.wanted_since.value_or(Instant::max());
+    if (before - *next.wanted_since < kMinLoggedCorrection) return;
+    Log(LogLevel::kInfo, "weights_wanted_since",
+        {{"version", next.weights_version},
+         {"known_for_ms", this->WantedForMs(next)},
+         {"known_for_ms_before", this->WantedForMs(this->view)}});
+  }
+
   void OnViewChange(const FleetView& next) {
     if (next.weights_version > this->view.weights_version) {
       Log(LogLevel::kInfo, "weights_wanted",
@@ -104,6 +116,7 @@
            {"version", next.weights_version},
            {"known_for_ms", this->WantedForMs(next)}});
     }
+    this->LogCorrection(next);
     this->view = next;
     this->position = this->ComputePosition();
     this->copier.SetFleet(next);
--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -78,9 +78,18 @@
     }
   }
 
+  // An agent may learn later that a version was announced earlier than it assumed.
+  void UpdateWantedSince() {
+    const std::optional<VersionCopy>& newest = this->copier.Newest();
+    if (!newest || newest->version != this->target.version) return;
+    this->target.wanted_since = newest->wanted_since;
+    this->rollout.SetKnownSince(newest->wanted_since);
+  }
+
   void Advance(const RolloutPosition& next) {
     this->position = next;
     this->AdoptNewestVersion();
+    this->UpdateWantedSince();
     this->rollout.SetPosition(next);
     for (const RolloutAction& action : this->rollout.Advance(this->loop.Now())) {
       std::visit([this](const auto& item) { this->Execute(item); }, action);
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -116,6 +116,10 @@
     // After each update of the members, agents wait before they read newly assigned chunks from the
     // origin, so the spreader gets only real changes.
     if (members_changed) this->UpdateSpreaderMembers();
+    if (this->newest) {
+      Instant& since = this->newest->wanted_since;
+      since = std::min(since, this->WantedSince(this->newest->version).value_or(since));
+    }
     this->FollowWantedVersion();
   }
 
@@ -183,6 +187,12 @@
     this->HandleSpreadEvent(event);
   }
 
+  std::optional<Instant> WantedSince(std::uint64_t version) const {
+    if (version == this->view.weights_version) return this->view.wanted_since;
+    if (version != this->view.previous_version) return std::nullopt;
+    return this->view.previous_wanted_since;
+  }
+
   void FollowWantedVersion() {
     const std::uint64_t next = this->view.weights_version;
     const std::uint64_t current = this->newest ? this->newest->version : 0;
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -15,6 +15,18 @@
   this->ReturnToStaging();
 }
 
+void EngineRollout::SetKnownSince(Instant since) {
+  if (since >= this->known_since) return;
+  const Duration earlier_by = this->known_since - since;
+  this->known_since = since;
+  if (!this->scheduled_at) return;
+  *this->scheduled_at -= FromSeconds(ToSeconds(earlier_by) * this->ScheduledPart());
+}
+
+double EngineRollout::ScheduledPart() const {
+  return static_cast<double>(this->position.rank) / static_cast<double>(this->position.engines);
+}
+
 void EngineRollout::ReturnToStaging() {
   this->step = Step::kStaging;
   this->scheduled_at.reset();
@@ -147,9 +159,7 @@
       const Instant end =
           this->known_since + this->options.deadline - this->options.last_load_before;
       const Duration window = std::max(Duration(0), end - now);
-      const double part =
-          static_cast<double>(this->position.rank) / static_cast<double>(this->position.engines);
-      this->scheduled_at = now + FromSeconds(ToSeconds(window) * part);
+      this->scheduled_at = now + FromSeconds(ToSeconds(window) * this->ScheduledPart());
     }
   }
   if (this->step == Step::kWaiting) {
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -78,6 +78,9 @@
   // version became known; the deadline counts from it.
   void SetTarget(const std::string& model, std::uint64_t version, std::uint32_t chunks,
                  Instant known_since, const RolloutPosition& position);
+  // Corrects the time at which the version became known. A scheduled load moves with the deadline;
+  // a later time than the one before is ignored.
+  void SetKnownSince(Instant since);
   void SetPosition(const RolloutPosition& next) { this->position = next; }
   // A verified chunk of the wanted version is in memory.
   void OnChunkAvailable(std::uint32_t chunk);
@@ -112,6 +115,8 @@
     Instant verified_at = {};  // when it was last staged or verified
   };
 
+  // Part of the time until the last load at which this engine's load is scheduled.
+  double ScheduledPart() const;
   bool AllStaged() const;
   void StageChunks(std::vector<RolloutAction>& actions);
   void VerifyStagedChunks(Instant now, std::vector<RolloutAction>& actions);
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -153,6 +153,20 @@
   EXPECT_LE(load_times.back(), seconds(8) - milliseconds(900));
 }
 
+// A version was announced 3 s before the agent heard of it, and the agent learns that after the
+// load was scheduled. Guards against a load scheduled too close to the deadline.
+TEST_F(EngineRolloutTest, ScheduledLoadMovesWithACorrectedDeadline) {
+  this->ReportState(1);
+  this->Want(2, {.rank = 1, .engines = 2});
+  const Instant heard = this->now;
+  this->Run(milliseconds(100));
+  const Instant scheduled = this->rollout.ScheduledAt().value();
+  this->rollout.SetKnownSince(heard - seconds(3));
+  EXPECT_EQ(this->rollout.ScheduledAt(), scheduled - milliseconds(1500));
+  this->rollout.SetKnownSince(heard);
+  EXPECT_EQ(this->rollout.ScheduledAt(), scheduled - milliseconds(1500));
+}
+
 // Rollout under full load. Guards against requesting the load while requests are queued at the
 // engine: they then wait until the load is done, which took 1.9 s in kcw-recell-grown.
 TEST_F(EngineRolloutTest, QueueDrainsBeforeTheLoadRequest) {
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -100,7 +100,13 @@
   }
 
   bool UpdateWantedVersion(const wire::EntryHello& hello, Instant now) {
-    if (hello.weights_version() < this->view.weights_version) return false;
+    const Instant since = now - std::chrono::milliseconds(hello.wanted_for_ms());
+    if (hello.weights_version() < this->view.weights_version) {
+      const bool earlier = hello.weights_version() == this->view.previous_version &&
+                           hello.wanted_since_known() && since < this->view.previous_wanted_since;
+      if (earlier) this->view.previous_wanted_since = since;
+      return earlier;
+    }
     const bool newer = hello.weights_version() > this->view.weights_version;
     if (newer) {
       if (this->view.wanted_since) {
@@ -112,10 +118,9 @@
       this->view.wanted_since.reset();
     }
     if (!hello.wanted_since_known()) return newer;
-    const Instant since = now - std::chrono::milliseconds(hello.wanted_for_ms());
-    const bool was_known = this->view.wanted_since.has_value();
-    this->view.wanted_since = was_known ? std::min(*this->view.wanted_since, since) : since;
-    return newer || !was_known;
+    if (this->view.wanted_since && since >= *this->view.wanted_since) return newer;
+    this->view.wanted_since = since;
+    return true;
   }
 
   // ---- to entries ----
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -330,10 +330,13 @@
 
 void EntryLinks::SetTarget(const RolloutTarget& target) {
   const RolloutTarget before = std::exchange(this->impl->target, target);
+  const bool corrected =
+      target.wanted_since && before.wanted_since &&
+      *before.wanted_since - *target.wanted_since >= this->impl->options.min_time_correction;
   if (target.version != before.version || target.model != before.model) {
     this->impl->SendHelloToAll();
   } else if (target.engines_without_weights != before.engines_without_weights ||
-             target.requests_resumable != before.requests_resumable) {
+             target.requests_resumable != before.requests_resumable || corrected) {
     this->impl->ScheduleHello();
   }
 }
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -30,6 +30,8 @@
   // Changes of what agents must know within this time are sent in one hello. A change of the wanted
   // version is sent at once.
   Duration change_batch_delay = std::chrono::milliseconds(150);
+  // Smaller corrections of the wanted version's announcement time go with the next periodic hello.
+  Duration min_time_correction = std::chrono::milliseconds(200);
   // The entry that is responsible for an agent sends it the list of agents. Any other entry that is
   // in touch with it sends the list if the agent's one is still outdated after this time.
   Duration list_takeover_delay = std::chrono::milliseconds(1500);
