Count the deadline of a postponed copy from its own announcement

Cause: a copy that starts after a newer version was announced took the newer version's announcement time, so its load was scheduled for a later deadline than its own. Change: StartCopy() takes the time of the version that it copies. Measured: found by reading, when versions are named in quick succession; WeightsCopier has no test of its own, and no run showed the effect alone.

--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -233,7 +233,7 @@
     const Instant assumed_since = this->Now() - this->options.assumed_age;
     this->newest = VersionCopy{.model = model,
                                .version = version,
-                               .wanted_since = this->view.wanted_since.value_or(assumed_since),
+                               .wanted_since = this->WantedSince(version).value_or(assumed_since),
                                .manifest = std::move(manifest)};
     const std::uint32_t chunk_count = this->newest->manifest->ChunkCount();
     this->notified.assign(chunk_count, false);
