Judge outages of the store by the answers that any entry got

Cause: any error of one entry's watch (a reset or cut connection, a refusal of that machine) counted as an outage of the store, and its end was passed on to all entries. The other way round, all entries took over the latest end that any of them noticed, up to 2.75 s after the store's return. Change: OutageDetector. An outage is a pause of 3 s or more in the answers that all entries together got, and ends with the first of them. Watchers tell since when the store has answered without such a pause (the same fields of RecordsOffer and RecordsPush); who learns later that it answered a peer all the while withdraws the outage, and deferred removals then take effect at once. A process that got no answer since its start takes its first failure for an outage, as before. New log lines: store_outage (length, who got the answer), store_outage_withdrawn, upstream_removal_deferred; store_reachable has no_answer_for_ms. Ruled out: judging by the kind of error (a silent connection and a silent store look the same); no grace at all (after a real outage all upstreams would be dropped at once).

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -281,14 +281,21 @@
       if (const auto* upstream = std::get_if<Upstream>(&decoded.value())) {
         this->OnUpstream(*upstream);
       } else if (const auto* gone = std::get_if<UpstreamGone>(&decoded.value())) {
-        if (this->upstreams.Remove(gone->id, now, this->upstream_records.ReachableSince())) {
-          this->RemoveFromDispatcher(gone->id, "removed");
-        }
+        this->OnUpstreamGone(gone->id, now);
       }
     }
     this->UpdateEngines();
   }
 
+  void OnUpstreamGone(const std::string& id, Instant now) {
+    const Instant outage_end = this->upstream_records.OutageEnd();
+    const bool removed = this->upstreams.Remove(id, now, outage_end);
+    if (removed) return this->RemoveFromDispatcher(id, "removed");
+    if (!this->upstreams.IsRemovalDeferred(id)) return;
+    Log(LogLevel::kInfo, "upstream_removal_deferred",
+        {{"upstream", id}, {"outage_ended_ms_ago", ToMillis(now - outage_end)}});
+  }
+
   void OnUpstream(const Upstream& upstream) {
     const auto known = this->upstreams.All().find(upstream.id);
     const bool is_new = known == this->upstreams.All().end();
@@ -400,8 +407,10 @@
 
   void RunMaintenance() {
     FlushLog();
-    for (const std::string& id : this->upstreams.TakeExpired(this->loop.Now())) {
-      this->RemoveFromDispatcher(id, "not back after the store returned");
+    const Instant outage_end = this->upstream_records.OutageEnd();
+    for (const std::string& id : this->upstreams.TakeExpired(this->loop.Now(), outage_end)) {
+      this->RemoveFromDispatcher(id, outage_end == Instant() ? "the store was not away"
+                                                             : "not back after the store returned");
     }
     this->FollowEngines();
     if (this->stopping_since) this->AdvanceStop();
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "records/outage_detector.h"
 #include "records/record_store.h"
 #include "records/watcher_selection.h"
 #include "runtime/event_loop.h"
@@ -19,6 +20,8 @@
 constexpr std::size_t kMaxRecordsPerMessage = 500;
 constexpr std::size_t kMaxBytesPerMessage = std::size_t{512} * 1024;
 constexpr Duration kProbeWait = std::chrono::milliseconds(1);
+// A change that is pushed within this time of the store's last answer came with that answer.
+constexpr Duration kJustAnswered = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -38,10 +41,9 @@
   bool listed = false;  // List() succeeded; Watch() continues from the mirror's revision
   bool watching = true;
   bool reachable = false;
-  bool ever_reachable = false;
-  bool in_outage = false;
+  bool lost = false;                         // the last call failed
   std::optional<Instant> last_contact = {};  // last successful answer of the store
-  Instant reachable_since = {};
+  OutageDetector outages = OutageDetector();
   Duration retry_delay = {};
   std::optional<Instant> behind_since = {};
   Instant next_pull = {};
@@ -115,6 +117,7 @@
     }
     this->SetReachable(true, "");
     this->last_contact = this->loop.Now();
+    this->AddAnswers({.since = *this->last_contact, .last = *this->last_contact}, "store");
     this->retry_delay = this->options.min_retry_delay;
     this->listed = true;
     const std::uint64_t before = this->mirror.AsOf();
@@ -141,6 +144,7 @@
     }
     this->store_errors.Add();
     this->SetReachable(false, Describe(error));
+    this->outages.OnFailure(this->loop.Now());
     this->ScheduleRead(this->retry_delay);
     this->retry_delay = std::min(this->options.max_retry_delay, this->retry_delay * 2);
   }
@@ -151,29 +155,55 @@
   }
 
   void SetReachable(bool now_reachable, const std::string& reason) {
-    if (now_reachable && std::exchange(this->in_outage, false)) {
-      this->reachable_since = this->loop.Now();
+    if (now_reachable && std::exchange(this->lost, false)) {
       Log(LogLevel::kInfo, "store_reachable",
-          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}});
+          {{"prefix", this->options.prefix},
+           {"as_of", this->mirror.AsOf()},
+           {"no_answer_for_ms", this->last_contact ? ToMillis(this->ContactAge()) : -1}});
     }
-    if (!now_reachable && !std::exchange(this->in_outage, true)) {
+    if (!now_reachable && !std::exchange(this->lost, true)) {
       Log(LogLevel::kWarn, "store_lost",
           {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"reason", reason}});
     }
     this->reachable = now_reachable;
   }
 
-  // Milliseconds since the store became reachable again; 0 if no outage was seen.
-  std::uint32_t ReachableForMs() const {
-    if (this->reachable_since == Instant()) return 0;
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        ToMillis(this->loop.Now() - this->reachable_since), 1, UINT32_MAX));
+  // `source`: who got the answers, the store's own or the address of a peer.
+  void AddAnswers(AnswerSpan answers, std::string_view source) {
+    const Instant before = this->outages.OutageEnd();
+    this->outages.AddAnswers(answers);
+    const Instant end = this->outages.OutageEnd();
+    if (end == before) return;
+    if (end == Instant()) {
+      Log(LogLevel::kInfo, "store_outage_withdrawn",
+          {{"prefix", this->options.prefix}, {"answered", source}});
+      return;
+    }
+    if (end < before) return;  // the same outage, whose end a peer saw earlier
+    Log(LogLevel::kWarn, "store_outage",
+        {{"prefix", this->options.prefix},
+         {"answered", source},
+         {"length_ms", ToMillis(this->outages.OutageLength())},
+         {"ended_ms_ago", ToMillis(this->loop.Now() - end)}});
+  }
+
+  Duration ContactAge() const { return this->loop.Now() - *this->last_contact; }
+  // Whether the store answers this process, as far as it knows.
+  bool HasContact() const { return this->watching && this->reachable && this->last_contact; }
+
+  // For how long the store has answered without an outage; 0 if this process does not know.
+  std::uint32_t AnsweringForMs() const {
+    if (!this->HasContact()) return 0;
+    const Duration length = this->loop.Now() - this->outages.Answers()->since;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ToMillis(length), 1, UINT32_MAX));
   }
 
-  void MergeReachableFor(std::uint32_t for_ms) {
-    if (for_ms == 0) return;
-    this->reachable_since =
-        std::max(this->reachable_since, this->loop.Now() - std::chrono::milliseconds(for_ms));
+  void AddPeerAnswers(const std::string& peer, std::uint32_t answering_for_ms,
+                      std::uint32_t contact_ms) {
+    if (answering_for_ms == 0) return;
+    const Instant last = this->loop.Now() - std::chrono::milliseconds(contact_ms);
+    const Instant since = this->loop.Now() - std::chrono::milliseconds(answering_for_ms);
+    this->AddAnswers({.since = std::min(since, last), .last = last}, peer);
   }
 
   // ---- peers ----
@@ -181,9 +211,7 @@
   void Offer() {
     if (this->peers.empty()) return;
     std::uint32_t contact_ms = UINT32_MAX;
-    if (this->watching && this->reachable && this->last_contact) {
-      contact_ms = static_cast<std::uint32_t>(ToMillis(this->loop.Now() - *this->last_contact));
-    }
+    if (this->HasContact()) contact_ms = static_cast<std::uint32_t>(ToMillis(this->ContactAge()));
     const bool to_all = this->watching;
     const std::size_t first = UniformBelow(this->random, this->peers.size());
     for (std::size_t i = 0; i < (to_all ? this->peers.size() : 1); ++i) {
@@ -192,7 +220,7 @@
       offer.set_prefix(this->options.prefix);
       offer.set_as_of(this->mirror.AsOf());
       offer.set_contact_ms(contact_ms);
-      offer.set_reachable_for_ms(this->ReachableForMs());
+      offer.set_reachable_for_ms(this->AnsweringForMs());
       this->transport.Send(this->peers[(first + i) % this->peers.size()], Lane::kControl,
                            std::move(message));
     }
@@ -202,7 +230,7 @@
     if (offer.prefix() != this->options.prefix) return;
     this->selection.OnPeerContact(from, std::chrono::milliseconds(offer.contact_ms()),
                                   this->loop.Now());
-    this->MergeReachableFor(offer.reachable_for_ms());
+    this->AddPeerAnswers(from, offer.reachable_for_ms(), offer.contact_ms());
     const std::uint64_t as_of = this->mirror.AsOf();
     if (offer.as_of() < as_of) {
       // A peer that has read nothing yet gets everything without having to ask.
@@ -256,6 +284,7 @@
   void Push(const std::string& to, std::uint64_t after) {
     if (this->mirror.AsOf() == 0) return;
     const RecordUpdate update = this->mirror.ChangesAfter(after);
+    const bool just_answered = this->HasContact() && this->ContactAge() < kJustAnswered;
     std::size_t next = 0;
     do {
       wire::Envelope message;
@@ -277,7 +306,7 @@
       push.set_as_of(update.as_of);
       push.set_whole(update.full);
       push.set_after(update.after);
-      push.set_reachable_for_ms(this->ReachableForMs());
+      push.set_reachable_for_ms(just_answered ? this->AnsweringForMs() : 0);
       this->transport.Send(to, Lane::kBulk, std::move(message));
     } while (next < update.records.size());
   }
@@ -296,7 +325,7 @@
     update.as_of = push.as_of();
     update.full = push.whole();
     update.after = push.after();
-    this->MergeReachableFor(push.reachable_for_ms());
+    this->AddPeerAnswers(from, push.reachable_for_ms(), 0);
     if (update.as_of <= this->mirror.AsOf()) return;
     this->behind_since.reset();
     this->Apply(update, "peer");
@@ -349,6 +378,6 @@
   this->impl->peers = std::move(peers);
 }
 
-Instant RecordSync::ReachableSince() const { return this->impl->reachable_since; }
+Instant RecordSync::OutageEnd() const { return this->impl->outages.OutageEnd(); }
 
 }  // namespace savory
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -55,9 +55,9 @@
   // Sets the addresses of the other processes that mirror the same records.
   void SetPeers(std::vector<std::string> peers);
 
-  // When the store became reachable again after its last outage, as seen by this process or
-  // reported by a peer; the epoch if no outage was seen.
-  Instant ReachableSince() const;
+  // When the last outage of the store ended, judged from what this process and its peers saw; the
+  // epoch if none is known. Becomes earlier, or the epoch, when a peer saw the store answer before.
+  Instant OutageEnd() const;
 
  private:
   struct Impl;
--- a/src/records/record_sync_test.cc
+++ b/src/records/record_sync_test.cc
@@ -155,5 +155,47 @@
   EXPECT_LE(needed, kInForceWithin);
 }
 
+// The connection of one watcher is reset several times while the others read on. Guards against
+// processes that take this for an outage of the store and use removed upstreams for 2.2 s more: on
+// alhadid-seals a request reached an upstream 2,133 ms after it had left.
+TEST_F(RecordSyncTest, LostConnectionsOfOneProcessAreNoOutage) {
+  this->RunUntilAllHave("first");
+  for (int i = 0; i < 3; ++i) {
+    this->store.Refuse({*this->watchers.begin()});
+    this->RunFor(milliseconds(300));
+    this->store.Refuse({});
+    this->RunFor(milliseconds(700));
+  }
+  for (const auto& process : this->processes) EXPECT_EQ(process->sync.OutageEnd(), Instant());
+}
+
+// One process is refused for longer than an outage must last. Guards against the same when the
+// refusal is long.
+TEST_F(RecordSyncTest, RefusalOfOneProcessIsNoOutage) {
+  this->RunUntilAllHave("first");
+  this->store.Refuse({*this->watchers.begin()});
+  this->RunFor(milliseconds(3500));
+  this->store.Refuse({});
+  this->RunFor(milliseconds(1700));
+  for (const auto& process : this->processes) EXPECT_EQ(process->sync.OutageEnd(), Instant());
+}
+
+// Guards against processes, above all those that do not watch, that miss an outage of the store:
+// all upstreams whose records expired in it would be removed at once.
+TEST_F(RecordSyncTest, AllProcessesLearnOfAnOutage) {
+  this->RunUntilAllHave("first");
+  std::set<std::string> all;
+  for (const auto& process : this->processes) all.insert(process->address);
+  this->store.Refuse(all);
+  this->RunFor(milliseconds(3500));
+  const Instant back = this->loop.Now();
+  this->store.Refuse({});
+  this->RunFor(milliseconds(1700));
+  for (const auto& process : this->processes) {
+    EXPECT_GE(process->sync.OutageEnd(), back);
+    EXPECT_LE(process->sync.OutageEnd(), back + milliseconds(1300));
+  }
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/upstream_list.cc
+++ b/src/relay/upstream_list.cc
@@ -38,22 +38,23 @@
   this->pending_removals.erase(id);
 }
 
-bool UpstreamList::Remove(const std::string& id, Instant now, Instant reachable_since) {
+bool UpstreamList::InGrace(Instant now, Instant outage_end) const {
+  return outage_end != Instant() && now < outage_end + this->options.store_return_grace;
+}
+
+bool UpstreamList::Remove(const std::string& id, Instant now, Instant outage_end) {
   if (!this->upstreams.contains(id)) return false;
-  const Instant grace_end = reachable_since + this->options.store_return_grace;
-  if (reachable_since != Instant() && now < grace_end) {
-    this->pending_removals.emplace(id, grace_end);
+  if (this->InGrace(now, outage_end)) {
+    this->pending_removals.insert(id);
     return false;
   }
   this->Erase(id);
   return true;
 }
 
-std::vector<std::string> UpstreamList::TakeExpired(Instant now) {
-  std::vector<std::string> expired;
-  for (const auto& [id, grace_end] : this->pending_removals) {
-    if (now >= grace_end) expired.push_back(id);
-  }
+std::vector<std::string> UpstreamList::TakeExpired(Instant now, Instant outage_end) {
+  if (this->InGrace(now, outage_end)) return {};
+  std::vector<std::string> expired(this->pending_removals.begin(), this->pending_removals.end());
   for (const std::string& id : expired) this->Erase(id);
   return expired;
 }
--- a/src/relay/upstream_list.h
+++ b/src/relay/upstream_list.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,11 +35,15 @@
   // has ended, but its record expires only after a time-out.
   UpstreamListChange Set(const Upstream& upstream);
   // Returns true if the upstream was removed now; otherwise it is unknown or its removal is
-  // deferred to the end of the grace period. `reachable_since`: end of the last store outage; the
-  // epoch if there was none.
-  bool Remove(const std::string& id, Instant now, Instant reachable_since);
-  // Removes the upstreams whose grace period has ended and returns their ids.
-  std::vector<std::string> TakeExpired(Instant now);
+  // deferred to the end of the grace period. `outage_end`: end of the last store outage; the epoch
+  // if none is known.
+  bool Remove(const std::string& id, Instant now, Instant outage_end);
+  // Removes the upstreams whose grace period has ended and returns their ids. If the outage turned
+  // out to be none, that is all of those deferred.
+  std::vector<std::string> TakeExpired(Instant now, Instant outage_end);
+  bool IsRemovalDeferred(const std::string& id) const {
+    return this->pending_removals.contains(id);
+  }
 
   const std::map<std::string, Upstream>& All() const { return this->upstreams; }
 
@@ -46,10 +51,11 @@
   // Returns the upstream at `address` unless its id is `id`; nullptr if there is none.
   const Upstream* OtherAt(const std::string& address, const std::string& id) const;
   void Erase(const std::string& id);
+  bool InGrace(Instant now, Instant outage_end) const;
 
   UpstreamListOptions options;
   std::map<std::string, Upstream> upstreams = {};
-  std::map<std::string, Instant> pending_removals = {};     // id -> end of its grace period
+  std::set<std::string> pending_removals = {};              // ids
   std::unordered_map<std::string, std::string> id_at = {};  // by address
 };
 
--- a/src/relay/upstream_list_test.cc
+++ b/src/relay/upstream_list_test.cc
@@ -19,8 +19,8 @@
   EXPECT_FALSE(list.Remove("a", kStart + milliseconds(100), kStart));
   EXPECT_FALSE(list.Remove("b", kStart + milliseconds(100), kStart));
   list.Set({.id = "b"});
-  EXPECT_TRUE(list.TakeExpired(kStart + seconds(2)).empty());
-  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(2300)), std::vector<std::string>{"a"});
+  EXPECT_TRUE(list.TakeExpired(kStart + seconds(2), kStart).empty());
+  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(2300), kStart), std::vector<std::string>{"a"});
   EXPECT_EQ(list.All().size(), 1u);
 }
 
@@ -30,11 +30,20 @@
   UpstreamList list;
   list.Set({.id = "a"});
   EXPECT_FALSE(list.Remove("a", kStart + milliseconds(2100), kStart));
-  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(2200)), std::vector<std::string>{"a"});
+  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(2200), kStart), std::vector<std::string>{"a"});
   list.Set({.id = "b"});
   EXPECT_TRUE(list.Remove("b", kStart + milliseconds(2300), kStart));
 }
 
+// Guards against sending on to a removed upstream after an outage that turned out to be none.
+TEST(UpstreamListTest, GracePeriodEndsWhenTheOutageIsWithdrawn) {
+  UpstreamList list;
+  list.Set({.id = "a"});
+  EXPECT_FALSE(list.Remove("a", kStart + milliseconds(100), kStart));
+  EXPECT_TRUE(list.IsRemovalDeferred("a"));
+  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(200), Instant()), std::vector<std::string>{"a"});
+}
+
 // Guards against a grace period without a store outage.
 TEST(UpstreamListTest, RemovalIsImmediateWithoutAnOutage) {
   UpstreamList list;
