Bound the time for which a removal of an upstream is deferred

Cause: a removal that follows an outage of the store is deferred until 2.2 s after its end, and an upstream that leaves without saying so may be used for 2 s after its removal (`drainMs`, 2 s here, 3 s and more on larger sites). Change: a removal is deferred for at most the drain time of the deployment less 0.4 s; `upstream_drain_ms` in the settings, from `bounds.drainMs`. Ruled out: a shorter grace for all (sites with a drain time of 3 s keep 2.2 s). Measured: UpstreamListTest.RemovalIsDeferredForALimitedTime fails on the code before.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -47,6 +47,10 @@
 // none.
 constexpr Duration kMaxWaitForUpstreams = milliseconds(3000);
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
+// An upstream that was removed gets no request from this long before it ends: the removal arrives
+// up to 0.2 s late, takes effect with the next maintenance, and a request in progress of connecting
+// is sent within 0.1 s.
+constexpr Duration kDrainReserve = milliseconds(400);
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 // Smaller corrections of the time since when a version is wanted come from message delays.
@@ -66,6 +70,10 @@
   return options;
 }
 
+UpstreamListOptions MakeListOptions(const DirectEntrySettings& settings) {
+  return {.max_deferral = std::max(Duration(0), settings.upstream_drain - kDrainReserve)};
+}
+
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings) {
   return RelayOptions{
       .dispatcher = {.data_centre = settings.process.data_centre, .entry = settings.process.peer},
@@ -87,7 +95,7 @@
   EntryLinks links;
   RecordSync operator_records;
   RecordSync upstream_records;
-  UpstreamList upstreams = UpstreamList();
+  UpstreamList upstreams;
   EntryDemandTracker demands;
   std::size_t sharing_entries = 1;
   std::size_t followed_engines = 0;  // as last logged
@@ -126,6 +134,7 @@
         upstream_records(
             loop, this->peers, adapter.store, metrics, this->random,
             {.prefix = adapter.records.UpstreamPrefix(), .peer = this->settings.process.peer}),
+        upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
                  .data_centre = this->settings.process.data_centre}),
         callers(loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
@@ -458,6 +467,8 @@
     Log(LogLevel::kInfo, "settings_read", {{"needs_restart", needs_restart}});
     this->settings.weights_deadline = next.weights_deadline;
     this->settings.stop_grace = next.stop_grace;
+    this->settings.upstream_drain = next.upstream_drain;
+    this->upstreams.SetOptions(MakeListOptions(this->settings));
     this->ApplyWantedVersions();
   }
 
--- a/src/direct/entry_settings.cc
+++ b/src/direct/entry_settings.cc
@@ -45,6 +45,8 @@
   settings.retry_budget.window = FromSeconds(retry_budget.Number("window_s", kSeconds, 10));
   settings.weights_deadline =
       std::chrono::milliseconds(reader.Integer("weights_deadline_ms", kMillis, 8000));
+  settings.upstream_drain =
+      std::chrono::milliseconds(reader.Integer("upstream_drain_ms", kMillis, 2000));
   settings.stop_grace = FromSeconds(reader.Number("stop_grace_s", kSeconds, 8));
   return settings;
 }
--- a/src/direct/entry_settings.h
+++ b/src/direct/entry_settings.h
@@ -36,6 +36,8 @@
   // Engines with older weights get no requests once this time has passed since a newer version was
   // announced.
   Duration weights_deadline = std::chrono::seconds(8);
+  // An upstream that leaves serves on for this long after its record was removed or says so.
+  Duration upstream_drain = std::chrono::milliseconds(2000);
   // Time from SIGTERM until the platform kills the process.
   Duration stop_grace = std::chrono::seconds(8);
 };
--- a/src/relay/upstream_list.cc
+++ b/src/relay/upstream_list.cc
@@ -45,7 +45,7 @@
 bool UpstreamList::Remove(const std::string& id, Instant now, Instant outage_end) {
   if (!this->upstreams.contains(id)) return false;
   if (this->InGrace(now, outage_end)) {
-    this->pending_removals.insert(id);
+    this->pending_removals.emplace(id, now);
     return false;
   }
   this->Erase(id);
@@ -53,8 +53,11 @@
 }
 
 std::vector<std::string> UpstreamList::TakeExpired(Instant now, Instant outage_end) {
-  if (this->InGrace(now, outage_end)) return {};
-  std::vector<std::string> expired(this->pending_removals.begin(), this->pending_removals.end());
+  const bool in_grace = this->InGrace(now, outage_end);
+  std::vector<std::string> expired;
+  for (const auto& [id, removed_at] : this->pending_removals) {
+    if (!in_grace || now >= removed_at + this->options.max_deferral) expired.push_back(id);
+  }
   for (const std::string& id : expired) this->Erase(id);
   return expired;
 }
--- a/src/relay/upstream_list.h
+++ b/src/relay/upstream_list.h
@@ -4,7 +4,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +17,8 @@
   // After a store outage, a live upstream whose record expired registers again within about two
   // seconds. A removal in this period takes effect at its end.
   Duration store_return_grace = std::chrono::milliseconds(2200);
+  // A removal is deferred for at most this long, whatever is taken for an outage.
+  Duration max_deferral = std::chrono::milliseconds(2200);
 };
 
 // Effect of a new or changed record of an upstream.
@@ -30,6 +31,7 @@
 class UpstreamList {
  public:
   explicit UpstreamList(UpstreamListOptions options = {}) : options(options) {}
+  void SetOptions(UpstreamListOptions given) { this->options = given; }
 
   // If two upstreams have the same address, the one that started earlier is dropped: its process
   // has ended, but its record expires only after a time-out.
@@ -38,8 +40,8 @@
   // deferred to the end of the grace period. `outage_end`: end of the last store outage; the epoch
   // if none is known.
   bool Remove(const std::string& id, Instant now, Instant outage_end);
-  // Removes the upstreams whose grace period has ended and returns their ids. If the outage turned
-  // out to be none, that is all of those deferred.
+  // Removes the upstreams whose removal is deferred no longer and returns their ids. If the outage
+  // turned out to be none, that is all of them.
   std::vector<std::string> TakeExpired(Instant now, Instant outage_end);
   bool IsRemovalDeferred(const std::string& id) const {
     return this->pending_removals.contains(id);
@@ -55,7 +57,7 @@
 
   UpstreamListOptions options;
   std::map<std::string, Upstream> upstreams = {};
-  std::set<std::string> pending_removals = {};              // ids
+  std::map<std::string, Instant> pending_removals = {};     // id -> when it was removed
   std::unordered_map<std::string, std::string> id_at = {};  // by address
 };
 
--- a/src/relay/upstream_list_test.cc
+++ b/src/relay/upstream_list_test.cc
@@ -44,6 +44,18 @@
   EXPECT_EQ(list.TakeExpired(kStart + milliseconds(200), Instant()), std::vector<std::string>{"a"});
 }
 
+// Guards against a removed upstream that is used for longer than it serves on, because an outage
+// was noticed late or another one follows.
+TEST(UpstreamListTest, RemovalIsDeferredForALimitedTime) {
+  UpstreamList list({.max_deferral = milliseconds(1500)});
+  list.Set({.id = "a"});
+  EXPECT_FALSE(list.Remove("a", kStart, kStart));
+  EXPECT_FALSE(list.Remove("a", kStart + milliseconds(1000), kStart));
+  EXPECT_TRUE(list.TakeExpired(kStart + milliseconds(1400), kStart + milliseconds(1300)).empty());
+  EXPECT_EQ(list.TakeExpired(kStart + milliseconds(1500), kStart + milliseconds(1300)),
+            std::vector<std::string>{"a"});
+}
+
 // Guards against a grace period without a store outage.
 TEST(UpstreamListTest, RemovalIsImmediateWithoutAnOutage) {
   UpstreamList list;
