Forget the former address of an engine that starts again elsewhere

When an engine started again under its id at another address, the dispatcher kept the former address as its own: reports from there (of another engine, once the address is used again) counted for it, and after its removal a report from there looked up an id that is gone. Change: a changed address is dropped from the index. Ruled out: the same in UpstreamList (OtherAt() checks that the address is current). Measured: DispatcherTest.ReportsOfAFormerAddressAreIgnored; before, the request waits for the engine that the other address reported as not accepting, and the program ends at the report after the removal.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -35,6 +35,8 @@
   if (state.upstream.started_unix_ms != upstream.started_unix_ms ||
       state.upstream.address != upstream.address) {
     // The upstream was restarted, so its health, load and reports no longer apply.
+    const auto former = this->id_at.find(state.upstream.address);
+    if (former != this->id_at.end() && former->second == upstream.id) this->id_at.erase(former);
     const std::uint32_t own = state.own;
     state = UpstreamState{.upstream = upstream, .own = own};
   }
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -411,5 +411,23 @@
   EXPECT_EQ(Name(verdicts[0]), "refuse");
 }
 
+// An engine starts again under its id at another address. Guards against reports of the former
+// address that count for it, and that are looked up after it was removed.
+TEST_F(DispatcherTest, ReportsOfAFormerAddressAreIgnored) {
+  const std::string id = this->AddEngine(1);
+  this->dispatcher.SetUpstream({.id = id,
+                                .pool = "chat",
+                                .address = "10.0.0.2:80",
+                                .data_centre = "dc-a",
+                                .slots = 16,
+                                .weights_version = 1,
+                                .is_engine = true});
+  this->Report(1, 0, 1, false);
+  EXPECT_EQ(this->Submit(this->Chat()), id);
+  this->dispatcher.RemoveUpstream(id);
+  this->Report(1, 0);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+}
+
 }  // namespace
 }  // namespace savory
