Withdraw requests that would begin at engines with outdated weights

Cause: an entry checked the version when it sent a request and stopped sending 1.2 s before the deadline. A request that waits longer at the engine (slow engine, long queue, a caller's retry that later requests overtake) begins with the older weights after the deadline. Change: a weights rule carries its deadline. From 0.5 s before it, the dispatcher names the attempts without a first event at engines that hold older weights and do not load newer ones; the relay closes their connections from the entry's maintenance timer and retries them like attempts that may have run. Health is not affected. Only streams are withdrawn, as the events of other answers do not show whether they began. Each one is logged (attempt_withdrawn) and counted (savory_attempts_withdrawn_total). The new tests fail without the change: there the dispatcher names no attempt and upstream "a" of AttemptAtOutdatedEngineIsWithdrawn keeps the request.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -422,6 +422,7 @@
                                                              : "not back after the store returned");
     }
     this->FollowEngines();
+    this->relay.WithdrawOutdated();
     if (this->stopping_since) this->AdvanceStop();
   }
 
--- a/src/direct/wanted_versions.cc
+++ b/src/direct/wanted_versions.cc
@@ -68,10 +68,15 @@
 std::vector<WeightsRule> WantedVersions::Rules(const WantedVersionsOptions& options) const {
   std::vector<WeightsRule> rules;
   for (const Version& known : this->versions) {
-    const Instant enforced_at = known.wanted_since
-                                    ? *known.wanted_since + options.deadline - options.margin
-                                    : known.first_seen + options.unknown_grace;
-    rules.push_back({.version = known.version, .enforced_at = enforced_at});
+    WeightsRule rule{.version = known.version};
+    if (known.wanted_since) {
+      rule.deadline = *known.wanted_since + options.deadline;
+      rule.enforced_at = rule.deadline - options.margin;
+    } else {
+      rule.enforced_at = known.first_seen + options.unknown_grace;
+      rule.deadline = rule.enforced_at + options.unknown_margin;
+    }
+    rules.push_back(rule);
   }
   return rules;
 }
--- a/src/direct/wanted_versions.h
+++ b/src/direct/wanted_versions.h
@@ -19,6 +19,8 @@
   Duration margin = std::chrono::milliseconds(1200);
   // A version whose announcement time is unknown is enforced this long after it was first seen.
   Duration unknown_grace = {};
+  // From then until its deadline.
+  Duration unknown_margin = std::chrono::milliseconds(700);
 };
 
 // Performs no I/O. Each version keeps its own deadline when newer versions are announced.
--- a/src/direct/wanted_versions_test.cc
+++ b/src/direct/wanted_versions_test.cc
@@ -73,6 +73,7 @@
   EXPECT_FALSE(versions.AddFromAgent(2, start + seconds(1), start + seconds(6)));
   EXPECT_EQ(Required(versions, start + milliseconds(6700)), 0u);
   EXPECT_EQ(Required(versions, start + milliseconds(6900)), 2u);
+  EXPECT_EQ(versions.Rules(kOptions).front().deadline, start + kOptions.deadline);
 }
 
 // The same when the agents' reports arrive before the store's record.
--- a/src/relay/attempt_plan.cc
+++ b/src/relay/attempt_plan.cc
@@ -16,6 +16,8 @@
       return "broken-off";
     case AttemptEnd::kSilent:
       return "silent";
+    case AttemptEnd::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/src/relay/attempt_plan.h
+++ b/src/relay/attempt_plan.h
@@ -16,6 +16,7 @@
   kNoAnswer,     // the connection ended before an answer: may have run
   kBrokenOff,    // the answer was truncated: the request ran
   kSilent,       // this entry gave up waiting for an answer: may have run
+  kWithdrawn,    // this entry closed the connection before the answer began: may have run
 };
 
 std::string_view AttemptEndName(AttemptEnd end);
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -60,6 +60,16 @@
   Duration report_age = {};
 };
 
+// An attempt without a first event that must not begin at its upstream any more, because the
+// weights there are about to be outdated or are so already.
+struct OutdatedAttempt {
+  AttemptNumber attempt = 0;
+  std::string upstream = {};  // id
+  std::uint64_t held = 0;     // version of the weights there
+  std::uint64_t wanted = 0;   // version that is mandatory from the deadline on
+  Duration time_left = {};    // until the deadline; negative after it
+};
+
 // An upstream was ejected, or is usable again after an ejection.
 struct HealthChange {
   std::string upstream;  // id
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -129,6 +129,42 @@
   return std::max({state.upstream.weights_version, reported, passed_on});
 }
 
+const WeightsRule* Dispatcher::NextRule(const UpstreamState& state) const {
+  const auto found = this->weights.find(state.upstream.pool);
+  if (!state.upstream.is_engine || found == this->weights.end()) return nullptr;
+  const std::uint64_t held = this->WeightsOf(state);
+  const WeightsRule* next = nullptr;
+  for (const WeightsRule& rule : found->second) {
+    if (rule.version <= held) continue;
+    if (next == nullptr || rule.deadline < next->deadline) next = &rule;
+  }
+  return next;
+}
+
+bool Dispatcher::IsLoading(const UpstreamState& state, Instant now) const {
+  const bool is_recent =
+      state.reported_at && now - *state.reported_at < this->options.load_lifetime;
+  return is_recent && !state.report->accepting && state.report->weights_version == 0;
+}
+
+std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
+  std::vector<OutdatedAttempt> outdated;
+  for (const auto& [attempt, sent] : this->sent) {
+    const auto known = this->pool_of.find(sent.upstream);
+    if (sent.began || known == this->pool_of.end()) continue;
+    const UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
+    const WeightsRule* rule = this->NextRule(state);
+    if (rule == nullptr || now < rule->deadline - this->options.outdated_reserve) continue;
+    if (this->IsLoading(state, now)) continue;
+    outdated.push_back({.attempt = attempt,
+                        .upstream = sent.upstream,
+                        .held = this->WeightsOf(state),
+                        .wanted = rule->version,
+                        .time_left = rule->deadline - now});
+  }
+  return outdated;
+}
+
 void Dispatcher::SetEntries(std::vector<EntryDemand> all) {
   std::sort(all.begin(), all.end(), [](const EntryDemand& a, const EntryDemand& b) {
     return std::tie(a.data_centre, a.entry) < std::tie(b.data_centre, b.entry);
@@ -449,6 +485,7 @@
 void Dispatcher::OnFirstEvent(AttemptNumber attempt) {
   const auto found = this->sent.find(attempt);
   if (found == this->sent.end()) return;
+  found->second.began = true;
   const double tokens = std::exchange(found->second.prefill_tokens, 0);
   const auto known = this->pool_of.find(found->second.upstream);
   if (known == this->pool_of.end()) return;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -70,14 +70,19 @@
   Duration load_propagation_time = std::chrono::milliseconds(500);
   // Minimum interval between two recomputations of the shares.
   Duration shares_period = std::chrono::milliseconds(50);
+  // No request may begin at an engine with older weights from this long before the deadline of a
+  // version. This covers the period of the checks and the time until the engine notices the closed
+  // connection of an attempt that was withdrawn.
+  Duration outdated_reserve = std::chrono::milliseconds(500);
 };
 
-// From `enforced_at` on, only engines with weights `version` or newer receive requests. Each
-// version that operators requested has its own rule, so a newer version does not postpone the
-// deadline of an older one.
+// From `enforced_at` on, only engines with weights `version` or newer receive requests; from
+// `deadline` on, no request may begin with older weights. Each version that operators requested has
+// its own rule, so a newer version does not postpone the deadline of an older one.
 struct WeightsRule {
   std::uint64_t version = 0;
   Instant enforced_at = {};
+  Instant deadline = Instant::max();
 };
 
 // Assigns requests to upstreams. Each entry decides alone, from its own attempts, the engines'
@@ -110,6 +115,9 @@
 
   // The first event arrived, so the prompt has been processed.
   void OnFirstEvent(AttemptNumber attempt);
+  // Returns the attempts that must be withdrawn, as they could begin with outdated weights. Must be
+  // called several times within `outdated_reserve`.
+  std::vector<OutdatedAttempt> OutdatedAttempts(Instant now) const;
   // Returns the change if this result ejected the upstream or made it usable again.
   std::optional<HealthChange> OnEnded(AttemptNumber attempt, AttemptResult result, Instant now);
 
@@ -145,6 +153,7 @@
   struct Sent {
     std::string upstream;
     double prefill_tokens = 0;
+    bool began = false;  // the first event arrived
   };
   struct Candidate {
     const UpstreamState* state = nullptr;
@@ -177,6 +186,10 @@
   // Whether this entry has a free slot in its confirmed share, or room in its part of the queue.
   bool HasOwnSlot(const UpstreamState& state) const;
   std::uint64_t WeightsOf(const UpstreamState& state) const;
+  // The version that first makes the engine's weights outdated; nullptr: none.
+  const WeightsRule* NextRule(const UpstreamState& state) const;
+  // Whether the engine loads weights, so that requests in its queue begin with the new ones.
+  bool IsLoading(const UpstreamState& state, Instant now) const;
   double LoadOf(const UpstreamState& state, Instant now) const;
   double SentByOthers(const UpstreamState& state, Instant now) const;
   Candidate Evaluate(const UpstreamState& state, const DispatchRequest& request,
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -109,6 +109,31 @@
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
 }
 
+// A request waits in an engine's queue until the deadline of a newer version. Guards against its
+// beginning with the older weights after that.
+TEST_F(DispatcherTest, WaitingAttemptsAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  const DispatchRequest began = this->Chat();
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(began), "engine-1");
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->dispatcher.OnFirstEvent(began.attempt);
+  this->now = deadline - milliseconds(600);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty());
+  this->now = deadline - milliseconds(400);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().attempt, waits.attempt);
+  EXPECT_EQ(outdated.front().time_left, milliseconds(400));
+  this->Report(1, 1, 0, false);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "the engine loads weights";
+  this->Report(1, 1, 2);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "the weights are new";
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -41,6 +41,8 @@
       return AttemptResult::kRefused;
     case AttemptEnd::kSilent:
       return AttemptResult::kSilent;
+    case AttemptEnd::kWithdrawn:
+      return AttemptResult::kCancelled;
     case AttemptEnd::kServerError:
     case AttemptEnd::kNoAnswer:
     case AttemptEnd::kBrokenOff:
@@ -58,6 +60,7 @@
   HttpConnectionPool& upstreams;
   const RelayCodec& codec;
   Metrics& metrics;
+  Counter& withdrawn;
   RelayOptions options;
   Random& random;
   Dispatcher dispatcher;
@@ -78,6 +81,7 @@
         upstreams(upstreams),
         codec(codec),
         metrics(metrics),
+        withdrawn(metrics.CounterFor("savory_attempts_withdrawn_total")),
         options(std::move(given)),
         random(random),
         dispatcher(this->options.dispatcher, random),
@@ -85,6 +89,7 @@
 
   void SchedulePoll();
   void Poll();
+  void WithdrawOutdated();
   // Reports the result to the dispatcher and logs when the upstream is ejected or usable again.
   void ReportEnd(AttemptNumber attempt, AttemptResult result);
   bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left);
@@ -369,6 +374,21 @@
     this->EndAttempt(AttemptEnd::kSilent);
   }
 
+  // Only the events of a stream show whether a request has begun.
+  void WithdrawOutdated(const OutdatedAttempt& outdated) {
+    if (this->finished || !this->call || this->route.kind != RequestKind::kStream) return;
+    Log(LogLevel::kInfo, "attempt_withdrawn",
+        {{"request", this->metadata.attempt_id},
+         {"upstream", outdated.upstream},
+         {"weights", outdated.held},
+         {"wanted", outdated.wanted},
+         {"deadline_in_ms", ToMillis(outdated.time_left)},
+         {"sent_ms_ago", ToMillis(this->relay.loop.Now() - this->sent_at)}});
+    this->relay.withdrawn.Add();
+    this->call.reset();
+    this->EndAttempt(AttemptEnd::kWithdrawn);
+  }
+
   // ---- end of attempts and of the request ----
 
   void EndAttempt(AttemptEnd end) {
@@ -625,6 +645,17 @@
   }
 }
 
+void Relay::Impl::WithdrawOutdated() {
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->loop.Now());
+  if (outdated.empty()) return;
+  std::map<AttemptNumber, std::shared_ptr<RelayedRequest>> by_attempt;
+  for (const auto& [key, request] : this->requests) by_attempt.emplace(request->attempt, request);
+  for (const OutdatedAttempt& found : outdated) {
+    const auto request = by_attempt.find(found.attempt);
+    if (request != by_attempt.end()) request->second->WithdrawOutdated(found);
+  }
+}
+
 void Relay::Impl::ReportEnd(AttemptNumber attempt, AttemptResult result) {
   const auto change = this->dispatcher.OnEnded(attempt, result, this->loop.Now());
   if (!change) return;
@@ -701,5 +732,6 @@
 PoolRetryBudget& Relay::Budget() { return this->impl->budget; }
 void Relay::StopAccepting() { this->impl->stopping = true; }
 std::size_t Relay::InProgress() const { return this->impl->requests.size(); }
+void Relay::WithdrawOutdated() { this->impl->WithdrawOutdated(); }
 
 }  // namespace savory
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -61,6 +61,8 @@
   // Refuses further requests, with a Retry-After of 0 so that callers go to another entry at once.
   void StopAccepting();
   std::size_t InProgress() const;
+  // Withdraws attempts that could begin with outdated weights. Call every 100 ms.
+  void WithdrawOutdated();
 
  private:
   friend class RelayedRequest;
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -108,6 +108,17 @@
         {.id = id, .pool = "pool", .address = address, .data_centre = data_centre, .slots = 4});
   }
 
+  void SetEngine(const std::string& id, int port, const std::string& data_centre,
+                 std::uint64_t version) {
+    this->relay.RequestDispatcher().SetUpstream({.id = id,
+                                                 .pool = "pool",
+                                                 .address = "127.0.0.1:" + std::to_string(port),
+                                                 .data_centre = data_centre,
+                                                 .slots = 4,
+                                                 .weights_version = version,
+                                                 .is_engine = true});
+  }
+
   void OnArrival(const std::string& id, const SharedExchange& exchange) {
     const HttpHead& head = exchange->Head();
     std::string line = id + " gets " + head.method + " " + head.target;
@@ -419,6 +430,30 @@
   ExpectGoldenText("caller_leaves", this->printed);
 }
 
+// Upstream "a" holds weights that become outdated while a request waits there. Guards against the
+// request beginning with them, and against a second run of one that must not run twice.
+TEST_F(RelaySession, AttemptAtOutdatedEngineIsWithdrawn) {
+  const Counter& withdrawn = this->metrics.CounterFor("savory_attempts_withdrawn_total");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 2);
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  for (const std::string target : {"/chat/1", "/feed/1"}) {
+    // The dispatcher keeps for a while which engines it found outdated.
+    this->loop.After(2 * DispatcherOptions().shares_period, [this] { this->loop.Stop(); });
+    this->loop.Run();
+    const Instant now = this->loop.Now();
+    this->relay.RequestDispatcher().SetWeightsRules("pool",
+                                                    {{.version = 2,
+                                                      .enforced_at = now + milliseconds(30),
+                                                      .deadline = now + milliseconds(550)}});
+    this->behaviours["a"] = {Silent()};
+    this->behaviours["b"] = {Events(1, 2, true)};
+    this->Call("POST", target, "prompt");
+  }
+  EXPECT_EQ(withdrawn.Value(), 2u);
+  ExpectGoldenText("outdated_engine", this->printed);
+}
+
 // Guards against forwarding requests without a route or a valid API key, or while the entry is
 // stopping.
 TEST_F(RelaySession, UnroutableRequestsReachNoUpstream) {
