Send no request where it would begin after a version's deadline

Cause: until 1.2 s before the deadline of a version, requests went to engines with older weights whatever the wait forecast there. A retry is sent without regard to its forecast, so it could begin after the deadline. Change: an engine fits a request only if the forecast first event comes before the deadline less the reserve.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -371,6 +371,11 @@
   if (candidate.state->upstream.is_engine && !request.rerun && !is_allowed) return false;
   const double slots = std::max(1u, candidate.state->upstream.slots);
   if (!candidate.state->upstream.is_engine) return candidate.load < slots * (1 + kPlainQueueRatio);
+  const WeightsRule* rule = this->NextRule(*candidate.state);
+  const bool begins_in_time =
+      rule == nullptr ||
+      now + candidate.forecast.first_event < rule->deadline - this->options.outdated_reserve;
+  if (!begins_in_time) return false;
   if (request.rerun) return candidate.load < slots * 1.5;
   const Duration left = request.deadline - now;
   if (request.is_caller_retry) {
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -109,6 +109,29 @@
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
 }
 
+// Shortly before the deadline of a version, a request that is retried queues even at a busy engine.
+// Guards against sending it to an engine with older weights where it would begin too late.
+TEST_F(DispatcherTest, RequestThatWouldBeginAfterTheDeadlineIsNotSent) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + milliseconds(1300);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  DispatchRequest rerun = this->Chat();
+  rerun.rerun = true;
+  const auto report = [this](double pace) {
+    this->dispatcher.AddReport({.address = "10.0.0.1:80",
+                                .load = {.running = 16, .waiting = 1},
+                                .weights_version = 1,
+                                .pace = pace},
+                               this->now);
+  };
+  report(8);
+  EXPECT_EQ(this->Submit(rerun), "wait");
+  this->dispatcher.Withdraw(rerun.attempt);
+  report(1);
+  EXPECT_EQ(this->Submit(rerun), "engine-1");
+}
+
 // A request waits in an engine's queue until the deadline of a newer version. Guards against its
 // beginning with the older weights after that.
 TEST_F(DispatcherTest, WaitingAttemptsAreWithdrawnBeforeTheDeadline) {
