End a call when an answer to another call ends with the connection

Cause: an answer to another call without a length lasts until the connection closes. At the close the pool dropped that answer and went on waiting for the call's own, on a connection that was gone, until the caller's deadline. Change: while an answer is dropped, the end of the connection ends the call without an answer. Ruled out: answers with a length or in chunks; there the close already failed the call. AnswerOfAnotherCallUntilCloseIsNoAnswer passes.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -346,6 +346,18 @@
   }
 }
 
+// An answer to another call ends with its connection. Guards against a call that then waits until
+// its deadline.
+TEST_F(AsyncHttpTest, AnswerOfAnotherCallUntilCloseIsNoAnswer) {
+  RawPeer peer(26927, {"HTTP/1.1 200 OK\r\nCall: 1\r\n\r\nwrong"}, RawPeer::End::kClose);
+  HttpCallOptions options = this->CallTo("127.0.0.1:26927", "/");
+  options.matches_call = [](const HttpHead& head) {
+    return FieldValue(head.fields, "Call") == "2";
+  };
+  const Collector collector = this->Call(std::move(options));
+  EXPECT_EQ(collector.failure, CallFailure::kNoAnswer);
+}
+
 // Guards against SIGPIPE ending the process when a caller disconnects while its answer is written.
 TEST_F(AsyncHttpServerTest, WritingToClosedConnectionDoesNotEndProcess) {
   std::signal(SIGPIPE, SIG_DFL);
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -167,14 +167,15 @@
     this->call->Fail(CallFailure::kNotSent);
     return;
   }
-  if (end == TcpEnd::kClosed && this->parser.HasHead()) {
+  if (end == TcpEnd::kClosed && this->parser.HasHead() && !this->call->discarding) {
     this->parser.FeedEnd();
     if (this->parser.IsDone()) {
       this->call->OnInput();
       return;
     }
   }
-  const bool answered = this->call->head_delivered || this->parser.HasInput();
+  const bool answered =
+      this->call->head_delivered || (this->parser.HasInput() && !this->call->discarding);
   this->call->Fail(answered ? CallFailure::kBrokenOff : CallFailure::kNoAnswer);
 }
 
