Trust no refusal that an earlier answer may have left on the connection

Cause: an answer without an attempt id was taken for the request's own. An earlier refusal (503 with Not-Executed, 421, 429, 400) written once more on a kept connection, without an id, was thus believed of a request that the upstream was running: a request that must run once went to a second upstream (TWICE), or its caller was told that it had not run (REFUSED). Change: the codec says of an answer that it is this call's, another's, or that nothing tells. The last kind counts as the first answer on a connection only. After another answer the call fails as unmatched, is logged and counted, the connection is closed, and the request may have run: repeatable requests are retried, others get 502. Requests without an id use a new connection. The stand-ins of engines now echo the id in refusals and other short answers, as the protocol says engines do. Ruled out: dropping such an answer and waiting for another, which would hold requests to an upstream that echoes no ids until their deadline. Refusals with the id of an earlier request are dropped as before, in any split of the bytes, also before an answer to HEAD.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -204,6 +204,7 @@
         return this->EndAttempt(this->answer_not_run ? AttemptEnd::kNotRun
                                                      : AttemptEnd::kBrokenOff);
       case CallFailure::kMalformed:
+      case CallFailure::kUnmatched:
         return this->EndAttempt(AttemptEnd::kNoAnswer);
     }
   }
@@ -286,10 +287,12 @@
         .body = body,
         .connect_timeout = std::min(left, this->relay.options.connect_timeout),
         .answer_has_body = this->exchange->Head().method != "HEAD",
-        .matches_call = [this](const HttpHead& head) {
-          return this->relay.codec.BelongsTo(head, this->metadata.attempt_id);
+        .match = [this](const HttpHead& head) {
+          return this->relay.codec.MatchAnswer(head, this->metadata.attempt_id);
         }};
     if (!MayRerun(this->history)) options.max_idle = this->relay.options.max_idle_non_retryable;
+    // Answers to a request without an id cannot be told from others.
+    if (this->metadata.attempt_id.empty()) options.max_idle = Duration(0);
     this->call = this->relay.upstreams.Start(std::move(options), *this);
     this->SetSilenceLimit(this->FirstByteLimit());
   }
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "relay/routing_rules.h"
 #include "relay/upstream.h"
+#include "runtime/http_call.h"
 #include "runtime/http_head.h"
 
 namespace savory {
@@ -52,7 +53,7 @@
   virtual std::string EncodeRequest(const HttpHead& head,
                                     const UpstreamMetadata& metadata) const = 0;
   // Whether the answer belongs to the request `attempt_id`.
-  virtual bool BelongsTo(const HttpHead& answer, std::string_view attempt_id) const = 0;
+  virtual AnswerMatch MatchAnswer(const HttpHead& answer, std::string_view attempt_id) const = 0;
   virtual UpstreamAnswer DecodeAnswer(const HttpHead& answer) const = 0;
   // Returns the header fields of an upstream's answer that are passed to the caller, without
   // framing.
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -41,9 +41,10 @@
     AppendRequestHead(out, head.method, head.target, fields);
     return out;
   }
-  bool BelongsTo(const HttpHead& answer, std::string_view attempt_id) const override {
+  AnswerMatch MatchAnswer(const HttpHead& answer, std::string_view attempt_id) const override {
     const std::string* id = FindField(answer.fields, "Id");
-    return id == nullptr || *id == attempt_id;
+    if (id == nullptr) return AnswerMatch::kUnknown;
+    return *id == attempt_id ? AnswerMatch::kThisCall : AnswerMatch::kOtherCall;
   }
   UpstreamAnswer DecodeAnswer(const HttpHead& answer) const override {
     return {.not_run = FindField(answer.fields, "Not-Run") != nullptr};
@@ -139,7 +140,12 @@
 
   static Behaviour AnswerWith(int status, const std::string& body,
                               std::vector<HttpField> fields = {}) {
-    return [=](const SharedExchange& exchange) { exchange->Answer(status, fields, body); };
+    return [=](const SharedExchange& exchange) {
+      std::vector<HttpField> all = fields;
+      all.push_back(
+          {.name = "Id", .value = std::string(FieldValue(exchange->Head().fields, "Id"))});
+      exchange->Answer(status, all, body);
+    };
   }
   static Behaviour Refuse() { return AnswerWith(503, "full", {{.name = "Not-Run", .value = "1"}}); }
   static Behaviour Silent() {
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -146,6 +146,10 @@
   std::thread thread;
 };
 
+AnswerMatch MatchSecondCall(const HttpHead& head) {
+  return FieldValue(head.fields, "Call") == "2" ? AnswerMatch::kThisCall : AnswerMatch::kOtherCall;
+}
+
 class AsyncHttpTest : public ::testing::Test {
  protected:
   HttpCallOptions CallTo(const std::string& address, const std::string& target,
@@ -337,9 +341,7 @@
     RawPeer peer(port, {before + answer}, RawPeer::End::kStayOpen);
     HttpCallOptions options = this->CallTo("127.0.0.1:" + std::to_string(port++), "/");
     options.answer_has_body = false;
-    options.matches_call = [](const HttpHead& head) {
-      return FieldValue(head.fields, "Call") == "2";
-    };
+    options.match = &MatchSecondCall;
     const Collector collector = this->Call(std::move(options));
     EXPECT_TRUE(collector.done);
     EXPECT_EQ(collector.body, "");
@@ -351,9 +353,7 @@
 TEST_F(AsyncHttpTest, AnswerOfAnotherCallUntilCloseIsNoAnswer) {
   RawPeer peer(26927, {"HTTP/1.1 200 OK\r\nCall: 1\r\n\r\nwrong"}, RawPeer::End::kClose);
   HttpCallOptions options = this->CallTo("127.0.0.1:26927", "/");
-  options.matches_call = [](const HttpHead& head) {
-    return FieldValue(head.fields, "Call") == "2";
-  };
+  options.match = &MatchSecondCall;
   const Collector collector = this->Call(std::move(options));
   EXPECT_EQ(collector.failure, CallFailure::kNoAnswer);
 }
@@ -412,9 +412,7 @@
                 "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 5\r\n\r\nright"},
                RawPeer::End::kStayOpen);
   HttpCallOptions options = this->CallTo("127.0.0.1:26915", "/");
-  options.matches_call = [](const HttpHead& head) {
-    return FieldValue(head.fields, "Call") == "2";
-  };
+  options.match = &MatchSecondCall;
   const Collector collector = this->Call(std::move(options));
   EXPECT_EQ(collector.body, "right");
 }
@@ -431,9 +429,7 @@
   EndlessPeer peer(26921, "HTTP/1.1 200 OK\r\nCall: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
                    "1\r\na\r\n");
   HttpCallOptions options = this->CallTo("127.0.0.1:26921", "/");
-  options.matches_call = [](const HttpHead& head) {
-    return FieldValue(head.fields, "Call") == "2";
-  };
+  options.match = &MatchSecondCall;
   const Collector collector = this->Call(std::move(options));
   EXPECT_EQ(collector.failure, CallFailure::kMalformed);
 }
--- a/src/runtime/http_call.h
+++ b/src/runtime/http_call.h
@@ -19,11 +19,19 @@
   kNoAnswer,   // sent, but no byte of an answer was received: the call may have arrived
   kBrokenOff,  // the answer ended early, or its body is malformed
   kMalformed,  // the received bytes are not an HTTP response
+  kUnmatched,  // an answer that may belong to an earlier call: the call may have arrived
 };
 
 // Name of `failure` in logs.
 std::string_view CallFailureName(CallFailure failure);
 
+// Whose answer it is.
+enum class AnswerMatch {
+  kThisCall,
+  kOtherCall,  // an earlier one on the connection
+  kUnknown,    // nothing in it tells
+};
+
 // Receives the answer. A handler may destroy its call in any of these functions; no further one is
 // called then.
 class HttpCallHandler {
@@ -45,9 +53,9 @@
   // must not be retried set a short time.
   Duration max_idle = Duration::max();
   bool answer_has_body = true;  // false for HEAD
-  // An answer for which this returns false answers an earlier call on the connection and is
-  // discarded.
-  std::function<bool(const HttpHead& head)> matches_call = {};
+  // Answers to other calls are discarded. One that nothing identifies is accepted as the first
+  // answer on a connection. After another answer it may be a copy of that one, so the call fails.
+  std::function<AnswerMatch(const HttpHead& head)> match = {};
 };
 
 // Destroying it cancels the call and closes its connection.
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "base/metrics.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_parser.h"
@@ -55,7 +56,7 @@
   HttpParser parser{HttpMessageKind::kResponse, kAnswerLimits};
   HttpCall::Impl* call = nullptr;
   bool connected = false;
-  bool used_before = false;
+  bool has_answered = false;  // an earlier answer arrived on it
   bool ended = false;
   Instant idle_since = {};
   Instant usable_until = {};
@@ -65,7 +66,7 @@
 struct HttpCall::Impl {
   std::weak_ptr<HttpConnectionPool::Impl> pool;
   HttpCallHandler* handler;
-  std::function<bool(const HttpHead& head)> matches_call;
+  std::function<AnswerMatch(const HttpHead& head)> match;
   bool answer_has_body;
   std::unique_ptr<PooledConnection> connection = {};
   bool head_delivered = false;
@@ -78,10 +79,12 @@
   void Fail(CallFailure failure);
 
  private:
-  // DeliverHead() and DeliverBody() return false when the handler has destroyed the call.
+  // DeliverHead() and DeliverBody() return false when the call has failed or the handler has
+  // destroyed it.
   bool DeliverHead(const std::weak_ptr<bool>& guard);
   bool DeliverBody(const std::weak_ptr<bool>& guard);
   bool HandleDone();
+  void RejectUnmatched(const HttpHead& head);
   bool DiscardsTooMuch() const {
     return this->discarded_answers > kMaxDiscardedAnswers ||
            this->discarded_bytes > kMaxDiscardedBytes;
@@ -132,7 +135,6 @@
           usable, FromSeconds(ToSeconds(*announced) * this->options.announced_timeout_fraction));
     }
     connection->call = nullptr;
-    connection->used_before = true;
     connection->idle_since = now;
     connection->usable_until = now + usable;
     connection->parser.Next();
@@ -181,10 +183,16 @@
 
 bool HttpCall::Impl::DeliverHead(const std::weak_ptr<bool>& guard) {
   const HttpHead& head = this->connection->parser.Head();
-  this->discarding = head.status < 200 || (this->matches_call && !this->matches_call(head));
+  const bool interim = head.status < 200;
+  const AnswerMatch match = !interim && this->match ? this->match(head) : AnswerMatch::kThisCall;
+  if (match == AnswerMatch::kUnknown && this->connection->has_answered) {
+    this->RejectUnmatched(head);
+    return false;
+  }
+  this->discarding = interim || match == AnswerMatch::kOtherCall;
   if (this->discarding) {
     ++this->discarded_answers;
-    if (head.status >= 200) {
+    if (!interim) {
       if (const auto owner = this->pool.lock()) owner->stray.Add();
     }
     return true;
@@ -194,6 +202,13 @@
   return !guard.expired();
 }
 
+void HttpCall::Impl::RejectUnmatched(const HttpHead& head) {
+  if (const auto owner = this->pool.lock()) owner->stray.Add();
+  Log(LogLevel::kWarn, "upstream_answer_unmatched",
+      {{"address", this->connection->address}, {"status", head.status}});
+  this->Fail(CallFailure::kUnmatched);
+}
+
 bool HttpCall::Impl::DeliverBody(const std::weak_ptr<bool>& guard) {
   const std::string body = this->connection->parser.TakeBody();
   if (this->discarding) this->discarded_bytes += body.size();
@@ -204,8 +219,10 @@
 
 // Returns true when the finished message was discarded and the call still waits for its answer.
 bool HttpCall::Impl::HandleDone() {
+  HttpParser& parser = this->connection->parser;
+  if (parser.Head().status >= 200) this->connection->has_answered = true;
   if (std::exchange(this->discarding, false)) {
-    this->connection->parser.Next(!this->answer_has_body);
+    parser.Next(!this->answer_has_body);
     return true;
   }
   std::unique_ptr<PooledConnection> done = std::move(this->connection);
@@ -285,12 +302,12 @@
   if (!options.answer_has_body) connection->parser.SkipBody();
   const std::string_view pieces[] = {options.head, options.body};
   connection->tcp.Write(pieces);
-  auto call = std::make_unique<HttpCall::Impl>(
-      HttpCall::Impl{.pool = this->impl,
-                     .handler = &handler,
-                     .matches_call = std::move(options.matches_call),
-                     .answer_has_body = options.answer_has_body,
-                     .connection = std::move(connection)});
+  auto call =
+      std::make_unique<HttpCall::Impl>(HttpCall::Impl{.pool = this->impl,
+                                                      .handler = &handler,
+                                                      .match = std::move(options.match),
+                                                      .answer_has_body = options.answer_has_body,
+                                                      .connection = std::move(connection)});
   call->connection->call = call.get();
   return std::unique_ptr<HttpCall>(new HttpCall(std::move(call)));
 }
@@ -311,6 +328,8 @@
       return "broken-off";
     case CallFailure::kMalformed:
       return "malformed";
+    case CallFailure::kUnmatched:
+      return "unmatched";
   }
   return "unknown";
 }
