Retry a request at an address that has answered it on a new connection

Cause: upstreams that were tried are avoided by id. One that restarts is known under another id at the same address, and the retry went out on the kept connection. A second copy of the refusal of the first attempt has the id of the request and passed for the refusal of the second. Change: an attempt at an address that was tried before uses a new connection. Ruled out: the same upstream under the same id; the dispatcher never picks an avoided one, also for the rest of a stream. Measured: RetryAtTheSameAddressUsesANewConnection got 503 for a request that the upstream ran, and gets its 200 now.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -293,6 +293,11 @@
     if (!MayRerun(this->history)) options.max_idle = this->relay.options.max_idle_non_retryable;
     // Answers to a request without an id cannot be told from others.
     if (this->metadata.attempt_id.empty()) options.max_idle = Duration(0);
+    // A copy of the answer to an earlier attempt there would have the same id.
+    if (std::ranges::find(this->tried_addresses, chosen.address) != this->tried_addresses.end()) {
+      options.max_idle = Duration(0);
+    }
+    this->tried_addresses.push_back(chosen.address);
     this->call = this->relay.upstreams.Start(std::move(options), *this);
     this->SetSilenceLimit(this->FirstByteLimit());
   }
@@ -562,6 +567,7 @@
   std::optional<Duration> first_part = {};
 
   std::vector<std::string> avoided = {};
+  std::vector<std::string> tried_addresses = {};
   int attempts = 0;
   std::optional<AttemptEnd> last_end = {};
   std::optional<RefuseRequest> refusal = {};
