Look at the socket before a kept connection is used again

Cause: bytes or the end of the connection that had arrived on an idle connection, but that the loop had not read yet, went unnoticed when a call took the connection. The call was sent on a connection that was closed, or that had a second answer in its buffer, and could at best end as one that may have run; answers to the agents' control calls carry no id, so there the second copy passed for the answer. Change: taking an idle connection looks at its socket; one with input or an end is closed, bytes are reported as unmatched, and another one is used. Ruled out: bytes that arrive after the look. For requests the answer's id decides. Measured: AsyncHttpTest.ConnectionWithUnreadInputIsNotReused fails without the look, with the bytes of a second answer and with the end, and passes.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -44,6 +44,19 @@
   std::optional<CallFailure> failure = {};
 };
 
+int ListenAt(int port) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address = {.sin_family = AF_INET,
+                               .sin_port = htons(static_cast<std::uint16_t>(port)),
+                               .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
+                               .sin_zero = {}};
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  EXPECT_EQ(bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+  EXPECT_EQ(listen(listener, 8), 0);
+  return listener;
+}
+
 // A peer that accepts one connection and replies to each read with the next of `answers`.
 class RawPeer {
  public:
@@ -331,6 +344,39 @@
   EXPECT_EQ(this->pool.IdleConnections(), 0u);
 }
 
+// A second copy of an answer, or the end of the connection, has arrived, but the loop has not read
+// it when the next call starts. Guards against a call on a connection that is of no use any more.
+TEST_F(AsyncHttpTest, ConnectionWithUnreadInputIsNotReused) {
+  const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+  for (const bool closes : {false, true}) {
+    int reported = 0;
+    HttpConnectionPool reporting{
+        this->loop, this->metrics, {.on_unmatched_bytes = [&reported] { ++reported; }}};
+    int listener = ListenAt(26924);
+    Collector first(this->loop);
+    const auto call = reporting.Start(this->CallTo("127.0.0.1:26924", "/"), first);
+    int peer = -1;
+    this->loop.After(std::chrono::milliseconds(10), [&] {
+      peer = accept(listener, nullptr, nullptr);
+      (void)!write(peer, answer.data(), answer.size());
+    });
+    this->loop.Run();
+    EXPECT_EQ(reporting.IdleConnections(), 1u);
+    if (closes) shutdown(peer, SHUT_WR);
+    if (!closes) (void)!write(peer, answer.data(), answer.size());
+    usleep(10'000);
+    const auto before =
+        this->metrics.CounterFor("savory_upstream_connections_opened_total").Value();
+    Collector second(this->loop);
+    const auto next = reporting.Start(this->CallTo("127.0.0.1:26924", "/"), second);
+    EXPECT_EQ(this->metrics.CounterFor("savory_upstream_connections_opened_total").Value(),
+              before + 1);
+    EXPECT_EQ(reported, closes ? 0 : 1);
+    close(peer);
+    close(listener);
+  }
+}
+
 // Guards against waiting for a body that an answer to HEAD never has, or ending the process, when
 // another answer arrives just before it.
 TEST_F(AsyncHttpTest, HeadAnswerBehindAnotherAnswerHasNoBody) {
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -48,6 +48,9 @@
         tcp(loop, address, *this, options) {}
 
   void OnConnected() override { this->connected = true; }
+  // Whether the idle connection has neither ended nor received bytes, also since the loop last read
+  // from it.
+  bool IsQuiet();
   void OnBytes(std::span<const std::byte> bytes) override;
   void OnEnd(TcpEnd end) override;
 
@@ -121,7 +124,7 @@
         list.push_back(std::move(last));
         return nullptr;
       }
-      return last;
+      if (last->IsQuiet()) return last;
     }
     return nullptr;
   }
@@ -152,6 +155,12 @@
   }
 };
 
+bool PooledConnection::IsQuiet() {
+  const TcpPending pending = this->tcp.Pending();
+  if (pending == TcpPending::kBytes && this->on_unmatched_bytes) this->on_unmatched_bytes();
+  return pending == TcpPending::kNothing;
+}
+
 void PooledConnection::OnBytes(std::span<const std::byte> bytes) {
   if (this->call == nullptr) {
     // Unsolicited bytes belong to no call, so the connection is not reused.
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -6,6 +6,7 @@
 #include <uv.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -122,11 +123,23 @@
 
   // libuv reports end of stream for an orderly close, but also when a reset follows the last bytes;
   // another read distinguishes the two.
-  bool WasReset() {
+  bool WasReset() { return this->Peek() != 0; }
+
+  // Result of a recv() that takes nothing; -1 also when there is no socket.
+  ssize_t Peek() {
     uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) != 0) return true;
+    errno = 0;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) != 0) return -1;
     char byte = 0;
-    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  }
+
+  TcpPending Pending() {
+    if (!this->connected) return TcpPending::kNothing;
+    const ssize_t count = this->Peek();
+    if (count > 0) return TcpPending::kBytes;
+    const bool nothing = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return nothing ? TcpPending::kNothing : TcpPending::kEnd;
   }
 
   void OnRead(ssize_t count, const char* data) {
@@ -257,6 +270,8 @@
   return uv_stream_get_write_queue_size(this->impl->Stream()) + this->impl->before_connect.size();
 }
 
+TcpPending TcpConnection::Pending() const { return this->impl->Pending(); }
+
 void TcpConnection::PauseReading() { uv_read_stop(this->impl->Stream()); }
 
 void TcpConnection::ResumeReading() {
--- a/src/runtime/tcp_connection.h
+++ b/src/runtime/tcp_connection.h
@@ -22,6 +22,9 @@
   kReset,    // it failed: reset, or no acknowledgement in time
 };
 
+// Input that has arrived but was not delivered yet.
+enum class TcpPending { kNothing, kBytes, kEnd };
+
 // Receives the events of a connection. A handler may destroy the connection in any call.
 class TcpHandler {
  public:
@@ -60,6 +63,9 @@
   // Bytes written that the operating system has not accepted yet.
   std::size_t UnsentBytes() const;
 
+  // Looks at the socket itself, ahead of the loop. A connection that is not established has none.
+  TcpPending Pending() const;
+
   // While paused, no bytes are read and the peer's close is not detected.
   void PauseReading();
   void ResumeReading();
