Pass on a status that promises 'not run' only if the upstream says so

Cause: 408, 421, 429 and 503 tell callers that the request has not run and never will. Change: the codec names these statuses, and the relay treats such an answer as a broken one: a request that may run again is retried, others get 502.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -153,6 +153,9 @@
     if (this->history.delivered && !this->answer_streams && !answer.not_run) {
       this->answer_unusable = true;
     }
+    if (!answer.not_run && this->relay.codec.PromisesNotRun(head.status)) {
+      this->answer_unusable = true;
+    }
     this->SetSilenceLimit(this->FirstByteLimit());
   }
 
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -55,6 +55,9 @@
   // Whether the answer belongs to the request `attempt_id`.
   virtual AnswerMatch MatchAnswer(const HttpHead& answer, std::string_view attempt_id) const = 0;
   virtual UpstreamAnswer DecodeAnswer(const HttpHead& answer) const = 0;
+  // Whether callers take `status` to mean that the request has not run and never will. An answer
+  // with it is passed on only if the upstream says so, too.
+  virtual bool PromisesNotRun(int status) const = 0;
   // Returns the header fields of an upstream's answer that are passed to the caller, without
   // framing.
   virtual std::vector<HttpField> EncodeAnswer(const HttpHead& answer) const = 0;
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -49,6 +49,7 @@
   UpstreamAnswer DecodeAnswer(const HttpHead& answer) const override {
     return {.not_run = FindField(answer.fields, "Not-Run") != nullptr};
   }
+  bool PromisesNotRun(int status) const override { return status == 503; }
   std::vector<HttpField> EncodeAnswer(const HttpHead& answer) const override {
     std::vector<HttpField> fields;
     for (const HttpField& field : answer.fields) {
