Send no body in the answer to HEAD, also when it is a stream

Cause: an upstream's answer to HEAD with the type of an event stream was passed on as a stream, and its end, the last chunk, was written to a caller that reads no body after HEAD. The caller finds these bytes where it expects the answer to its next request. Change: parts and the end of a streamed answer to HEAD are not written. Ruled out: answers with a length, whose body was left out already.

--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -45,6 +45,9 @@
   Instant received_at;
   std::function<void()> on_disconnected = {};
   bool begun = false;
+
+  // An answer to HEAD has no body.
+  bool IsHead() const { return this->head.method == "HEAD"; }
 };
 
 struct AsyncHttpServer::Impl : std::enable_shared_from_this<AsyncHttpServer::Impl> {
@@ -300,9 +303,8 @@
   if (this->IsOver()) return;
   CallerConnection& connection = *this->impl->connection;
   this->impl->begun = true;
-  const bool is_head = this->impl->head.method == "HEAD";
   connection.SendHead(status, fields, "Content-Length:" + std::to_string(body.size()),
-                      is_head ? std::string_view() : body);
+                      this->impl->IsHead() ? std::string_view() : body);
   connection.FinishExchange();
 }
 
@@ -313,12 +315,12 @@
 }
 
 void HttpExchange::SendPart(std::string_view bytes) {
-  if (!this->IsOver()) this->impl->connection->SendChunk(bytes);
+  if (!this->IsOver() && !this->impl->IsHead()) this->impl->connection->SendChunk(bytes);
 }
 
 void HttpExchange::EndStream() {
   if (this->IsOver()) return;
-  this->impl->connection->SendLastChunk();
+  if (!this->impl->IsHead()) this->impl->connection->SendLastChunk();
   this->impl->connection->FinishExchange();
 }
 
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -235,6 +235,24 @@
   EXPECT_TRUE(broken.failure.has_value());
 }
 
+// Guards against the parts of a stream, or its end, being sent to a caller of HEAD, who takes them
+// for the answer to its next request.
+TEST_F(AsyncHttpServerTest, AnswerToHeadHasNoBody) {
+  int unmatched = 0;
+  HttpConnectionPool callers{
+      this->loop, this->metrics, {.on_unmatched_bytes = [&unmatched] { ++unmatched; }}};
+  Collector collector(this->loop);
+  const auto call = callers.Start({.address = kAddress,
+                                   .head = "HEAD /stream HTTP/1.1\r\nHost: test\r\n\r\n",
+                                   .answer_has_body = false},
+                                  collector);
+  this->loop.Run();
+  this->loop.After(std::chrono::milliseconds(10), [this] { this->loop.Stop(); });
+  this->loop.Run();
+  EXPECT_EQ(collector.status, 200);
+  EXPECT_EQ(unmatched, 0);
+}
+
 // Guards against opening a connection for every call: upstreams limit new connections.
 TEST_F(AsyncHttpServerTest, ConnectionsAreReused) {
   for (int i = 0; i < 5; ++i) EXPECT_TRUE(this->Call(this->CallTo(kAddress, "/echo")).done);
