Decode what an upstream's answer says of the upstream

Cause: Server-Leaving in any answer, and Retry-After with 503, were not read: an entry knew of a leaving upstream from the store alone, and of a requested pause not at all. Change: UpstreamAnswer has `leaving`, and `no_requests_for` with 503 only.

--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -42,6 +42,10 @@
   // The upstream at the address is not the intended one.
   bool misdirected = false;
   std::optional<UpstreamLoad> load = {};
+  // The upstream is about to shut down and wants no further requests.
+  bool leaving = false;
+  // The upstream refused the request and wants no others for this time.
+  std::optional<Duration> no_requests_for = {};
 };
 
 class RelayCodec {
