Send nothing to upstreams that said they leave or want no requests

Cause: the dispatcher chose upstreams by the store's list and by reports alone. What an upstream said in its answers had no place in it, so a leaving upstream got requests until the store said so, and one that asked for a pause got every request that its load seemed to allow. Change: UpstreamNotices keeps, for the newest start of each id that said something, that it leaves and until when it wants no requests, apart from the list: re-reading, removing or replacing the record clears nothing, a newer start does. Every choice respects it (new requests, retries, reruns, probes, borrowed slots). It is not part of IsServing(), which divides the slots by data that all entries have; the window of followed engines is widened past such engines instead. When all serving upstreams of a pool wait for longer than a request may be held, it is refused at once as overloaded, with a Retry-After from the earliest end on, spread over 1.2 s, within the third of the caller's time that callers honour. Reruns are held as before. Ruled out: keeping the notice in UpstreamState, which SetUpstream() resets and RemoveUpstream() erases.

--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -20,7 +20,9 @@
   Instant arrived = {};   // arrival of the request, not start of this attempt
   Duration target = {};   // latency target: an answer within it has its full value
   Instant deadline = {};  // after it the caller no longer waits
-  int priority = 5;       // 0 is the most urgent
+  // After it the caller sends the request no more. Ignored if earlier than `deadline`.
+  Instant caller_deadline = {};
+  int priority = 5;  // 0 is the most urgent
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;             // upper bound
   Duration max_pause = std::chrono::hours(1);  // longest pause between two events for full value
@@ -36,6 +38,7 @@
 struct SendTo {
   std::string upstream;  // id
   std::string address;
+  std::int64_t started_unix_ms = 0;  // start time of the upstream; 0: unknown
   std::uint64_t weights_version = 0;
   // Values behind the decision, for the log.
   Duration predicted = {};  // until the first event
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -18,6 +18,10 @@
   return std::find(request.avoided.begin(), request.avoided.end(), id) != request.avoided.end();
 }
 
+UpstreamStart StartOf(const Upstream& upstream) {
+  return {.id = upstream.id, .started_unix_ms = upstream.started_unix_ms};
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
@@ -109,6 +113,14 @@
   this->UpdateLoad(state, load, now);
 }
 
+bool Dispatcher::AddLeaving(const UpstreamStart& start, Instant now) {
+  return this->notices.AddLeaving(start, now);
+}
+
+bool Dispatcher::AddWait(const UpstreamStart& start, Duration wait, Instant now) {
+  return this->notices.AddWait(start, wait, now);
+}
+
 void Dispatcher::SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules) {
   this->weights[pool] = std::move(rules);
 }
@@ -202,7 +214,7 @@
   const std::vector<std::uint32_t> shares =
       this->entries.size() <= 1 ? slots : DivideSlots(slots, demands, this->own_entry);
   for (std::size_t i = 0; i < serving.size(); ++i) serving[i]->share = shares[i];
-  const IndexRange window = this->ChooseWindow(serving, slots, demands);
+  const IndexRange window = this->ChooseWindow(serving, slots, demands, now);
   for (std::size_t i = window.first; i < window.last; ++i) serving[i]->followed = true;
   for (auto& [id, state] : pool) {
     this->ConfirmShare(state, now);
@@ -213,13 +225,15 @@
 }
 
 // The window is widened until half of `min_followed_engines` accept requests of this entry, which
-// may be cut off from engines that serve the other entries.
+// may be cut off from engines that serve the other entries, or may not use them for what they said.
 IndexRange Dispatcher::ChooseWindow(std::span<UpstreamState* const> serving,
                                     std::span<const std::uint32_t> slots,
-                                    std::span<const double> demands) const {
+                                    std::span<const double> demands, Instant now) const {
   IndexRange window{.last = serving.size()};
   if (this->entries.size() <= 1) return window;
-  const auto accepts = [](const UpstreamState* state) { return !state->health.IsHalfOpen(); };
+  const auto accepts = [this, now](const UpstreamState* state) {
+    return !state->health.IsHalfOpen() && this->notices.MayUse(StartOf(state->upstream), now);
+  };
   for (std::size_t least = this->options.min_followed_engines;; least *= 2) {
     window = EngineWindow(slots, demands, this->own_entry, least);
     const std::size_t size = window.last - window.first;
@@ -255,7 +269,8 @@
 bool Dispatcher::MayUse(const UpstreamState& state, const DispatchRequest& request,
                         Instant now) const {
   if (IsAvoided(request, state.upstream.id)) return false;
-  return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now);
+  return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now) &&
+         this->notices.MayUse(StartOf(state.upstream), now);
 }
 
 bool Dispatcher::IsCandidate(const UpstreamState& state, const DispatchRequest& request) const {
@@ -407,6 +422,7 @@
   return DispatchVerdict{.attempt = request.attempt,
                          .decision = SendTo{.upstream = upstream.id,
                                             .address = upstream.address,
+                                            .started_unix_ms = upstream.started_unix_ms,
                                             .weights_version = this->WeightsOf(state),
                                             .predicted = best.forecast.first_event,
                                             .load = best.load,
@@ -420,17 +436,58 @@
   return std::min(request.deadline, request.arrived + wait);
 }
 
+std::optional<Instant> Dispatcher::EndOfWaits(std::string_view pool,
+                                              std::span<const std::string> avoided,
+                                              Instant now) const {
+  const auto found = this->pools.find(pool);
+  if (found == this->pools.end()) return std::nullopt;
+  bool waits = false;
+  Instant earliest = Instant::max();
+  for (const auto& [id, state] : found->second) {
+    const UpstreamStart start = StartOf(state.upstream);
+    if (!this->IsServing(state, now) || this->notices.IsLeaving(start, now)) continue;
+    const Instant wait_end = this->notices.WaitEnd(start);
+    waits = waits || wait_end > now;
+    if (std::find(avoided.begin(), avoided.end(), id) != avoided.end()) continue;
+    earliest = std::min(earliest, std::max({now, wait_end, state.health.EjectedUntil()}));
+  }
+  return waits ? std::optional(earliest) : std::nullopt;
+}
+
+bool Dispatcher::IsHopeless(const DispatchRequest& request, const Candidate& best,
+                            Instant now) const {
+  // A rerun waits for an upstream that is not in the list yet: otherwise its answer is lost.
+  if (best.state != nullptr || request.rerun) return false;
+  const std::optional<Instant> end = this->EndOfWaits(request.pool, request.avoided, now);
+  return end && *end > this->WaitLimit(request);
+}
+
+Duration Dispatcher::RetryAfter(std::string_view pool, Instant caller_deadline, Instant now) {
+  const Duration least = this->options.min_retry_after;
+  const Duration spread = this->options.max_retry_after - least;
+  Duration earliest = least;
+  Duration latest = earliest + spread;
+  if (const auto end = this->EndOfWaits(pool, {}, now); end && *end > now) {
+    const Duration limit = std::max(least, FromSeconds(ToSeconds(caller_deadline - now) *
+                                                       this->options.max_retry_after_fraction));
+    earliest = std::max(least, *end - now);
+    latest = std::min(earliest + spread, limit);
+    if (earliest > limit) earliest = std::max(least, limit - spread);
+  }
+  return earliest + FromSeconds(ToSeconds(latest - earliest) * UniformUnit(this->random));
+}
+
 Duration Dispatcher::LoadAge(const UpstreamState& state, Instant now) {
   return state.load_at ? now - *state.load_at : Duration(-1);
 }
 
 DispatchVerdict Dispatcher::Refuse(const DispatchRequest& request, const Candidate& best,
                                    Instant now) {
-  const Duration spread = this->options.max_retry_after - this->options.min_retry_after;
+  const bool waits = this->EndOfWaits(request.pool, {}, now).has_value();
+  const Instant caller_deadline = std::max(request.deadline, request.caller_deadline);
   RefuseRequest refusal{
-      .kind = best.state == nullptr ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded,
-      .retry_after = this->options.min_retry_after +
-                     FromSeconds(ToSeconds(spread) * UniformUnit(this->random)),
+      .kind = best.state == nullptr && !waits ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded,
+      .retry_after = this->RetryAfter(request.pool, caller_deadline, now),
       .usable = best.usable,
       .predicted = best.forecast.first_event,
       .load = best.load};
@@ -455,7 +512,9 @@
   if (pool != nullptr && pool->engine && request.avoided.empty()) ++this->engine_requests;
   if (auto placed = this->TryPlace(request, now, best)) return *placed;
   if (request.rerun) request.arrived = now;  // it waits from the end of the last attempt
-  if (now >= this->WaitLimit(request)) return this->Refuse(request, best, now);
+  if (now >= this->WaitLimit(request) || this->IsHopeless(request, best, now)) {
+    return this->Refuse(request, best, now);
+  }
   const AttemptNumber attempt = request.attempt;
   const auto later =
       std::find_if(this->waiting.begin(), this->waiting.end(), [&](const DispatchRequest& other) {
@@ -472,7 +531,7 @@
     Candidate best;
     if (auto placed = this->TryPlace(*request, now, best)) {
       verdicts.push_back(std::move(*placed));
-    } else if (now >= this->WaitLimit(*request)) {
+    } else if (now >= this->WaitLimit(*request) || this->IsHopeless(*request, best, now)) {
       verdicts.push_back(this->Refuse(*request, best, now));
     } else {
       ++request;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -18,6 +18,7 @@
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
 #include "relay/upstream_health.h"
+#include "relay/upstream_notices.h"
 
 namespace savory {
 
@@ -45,6 +46,8 @@
   double caller_retry_load_fraction = 0.9;
   Duration min_retry_after = std::chrono::milliseconds(700);
   Duration max_retry_after = std::chrono::milliseconds(1900);
+  // Callers wait as told for at most this fraction of the time that they have left.
+  double max_retry_after_fraction = 1.0 / 3;
   // For each request that this entry sent to a plain service since its last load sample, every
   // other entry is assumed to have sent this many, because all entries see the same load and prefer
   // the same upstreams.
@@ -104,6 +107,10 @@
   // Availability of an engine as another entry passes it on. A report of its agent goes before it.
   void AddAvailability(const EngineAvailability& passed_on, Instant now);
   void AddLoad(std::string_view upstream, const UpstreamLoad& load, Instant now);
+  // An answer said that the upstream is leaving, or that it wants no requests for `wait`. Both
+  // return whether this was not known before. The upstream need not be in the list.
+  bool AddLeaving(const UpstreamStart& start, Instant now);
+  bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   void SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules);
 
   DispatchVerdict Submit(DispatchRequest request, Instant now);
@@ -121,6 +128,11 @@
   // Returns the change if this result ejected the upstream or made it usable again.
   std::optional<HealthChange> OnEnded(AttemptNumber attempt, AttemptResult result, Instant now);
 
+  // Time after which a caller that is refused now should return. Random, so that callers do not
+  // return together. If all upstreams of `pool` want no requests for a while, it lies after that
+  // while as far as the caller waits so long.
+  Duration RetryAfter(std::string_view pool, Instant caller_deadline, Instant now);
+
   // Number of requests to engine pools submitted so far, without retries.
   std::uint64_t EngineRequests() const { return this->engine_requests; }
   std::size_t Waiting() const { return this->waiting.size(); }
@@ -176,8 +188,8 @@
   void UpdatePoolShares(PoolUpstreams& pool, Instant now);
   // The engines among `serving` that this entry follows.
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
-                          std::span<const std::uint32_t> slots,
-                          std::span<const double> demands) const;
+                          std::span<const std::uint32_t> slots, std::span<const double> demands,
+                          Instant now) const;
   // Requests of a slot's previous owner may still be running. So a gained slot is used only once a
   // newer report has counted them, or after a time without a report.
   void ConfirmShare(UpstreamState& state, Instant now) const;
@@ -201,6 +213,12 @@
   DispatchVerdict Refuse(const DispatchRequest& request, const Candidate& best, Instant now);
   static Duration LoadAge(const UpstreamState& state, Instant now);
   Instant WaitLimit(const DispatchRequest& request) const;
+  // When the first serving upstream outside `avoided` may be used; nullopt if none of the pool's
+  // upstreams asked for a wait.
+  std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
+                                    Instant now) const;
+  // Whether it is known that the request cannot be sent within the time that it may wait here.
+  bool IsHopeless(const DispatchRequest& request, const Candidate& best, Instant now) const;
   void UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now);
 
   DispatcherOptions options;
@@ -216,6 +234,8 @@
   TextMap<std::vector<WeightsRule>> weights = {};  // by pool
   std::unordered_map<AttemptNumber, Sent> sent = {};
   std::list<DispatchRequest> waiting = {};  // most urgent first
+  // Apart from `pools`, because what an upstream said outlives its record.
+  UpstreamNotices notices = UpstreamNotices();
 };
 
 }  // namespace savory
