Pass notices in answers on to the dispatcher

Cause: the relay read the load from an answer's head and nothing else about the upstream. Change: as soon as the head of an answer is there, whatever its status and whether its body arrives in full, the dispatcher learns that the upstream leaves or wants no requests. The notice is attributed to the start that the request was sent to. A misdirected answer (421) comes from an unknown upstream at the address, so its notices are not used, and neither are those of answers that belong to no request. Retry-After of "upstreams refused" and "out of time" comes from the dispatcher too. One line for each change of belief, upstream_leaving and upstream_waits, and a counter. Measured: relay_test passes. Without the call, the three new session tests over sockets fail (LeavingUpstreamGetsNoFurtherRequests, LeavingIsKnownFromATruncatedAnswer, UpstreamThatAsksForAWaitGetsNoRequests).

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -92,6 +92,9 @@
   void WithdrawOutdated();
   // Reports the result to the dispatcher and logs when the upstream is ejected or usable again.
   void ReportEnd(AttemptNumber attempt, AttemptResult result);
+  // Passes what an answer said of its upstream on to the dispatcher and logs what is new.
+  void TakeNotices(const SendTo& sent, std::string_view request, const UpstreamAnswer& answer,
+                   int status);
   bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left);
   void AnswerLocally(HttpExchange& exchange, int status, std::string_view attempt_id,
                      std::string_view reason, std::optional<Duration> retry_after);
@@ -141,6 +144,7 @@
     if (answer.load) {
       this->relay.dispatcher.AddLoad(this->target.upstream, *answer.load, this->relay.loop.Now());
     }
+    this->relay.TakeNotices(this->target, this->metadata.attempt_id, answer, head.status);
     this->answer_status = head.status;
     this->answer_not_run = answer.not_run;
     this->answer_misdirected = answer.misdirected;
@@ -233,6 +237,7 @@
                             .arrived = this->arrived,
                             .target = this->route.target_latency,
                             .deadline = this->timeout,
+                            .caller_deadline = this->deadline,
                             .priority = this->priority,
                             .prompt_tokens = this->metadata.prompt_tokens,
                             .answer_tokens = this->metadata.answer_tokens,
@@ -426,7 +431,7 @@
         this->Submit();
         return;
       case NextStep::kAnswerNotRun:
-        this->AnswerLocally(503, "upstreams refused", this->RandomRetryAfter());
+        this->AnswerLocally(503, "upstreams refused", this->RetryAfter());
         return;
       case NextStep::kAnswerUnknown:
         this->AnswerLocally(502, "no whole answer", {});
@@ -441,11 +446,8 @@
     }
   }
 
-  Duration RandomRetryAfter() {
-    const DispatcherOptions& options = this->relay.options.dispatcher;
-    return options.min_retry_after +
-           FromSeconds(ToSeconds(options.max_retry_after - options.min_retry_after) *
-                       UniformUnit(this->relay.random));
+  Duration RetryAfter() {
+    return this->relay.dispatcher.RetryAfter(this->pool, this->deadline, this->relay.loop.Now());
   }
 
   // The upstream's answer is complete.
@@ -496,7 +498,7 @@
     } else if (may_have_run) {
       this->AnswerLocally(504, "out of time", {});
     } else {
-      this->AnswerLocally(503, "out of time", this->RandomRetryAfter());
+      this->AnswerLocally(503, "out of time", this->RetryAfter());
     }
   }
 
@@ -681,6 +683,29 @@
   }
 }
 
+void Relay::Impl::TakeNotices(const SendTo& sent, std::string_view request,
+                              const UpstreamAnswer& answer, int status) {
+  // An unknown upstream answered at the address of the intended one.
+  if (answer.misdirected) return;
+  const Instant now = this->loop.Now();
+  const UpstreamStart start{.id = sent.upstream, .started_unix_ms = sent.started_unix_ms};
+  const auto count = [this](const std::string& notice) {
+    this->metrics.CounterFor("savory_upstream_notices_total", "notice=\"" + notice + "\"").Add();
+  };
+  if (answer.leaving && this->dispatcher.AddLeaving(start, now)) {
+    count("leaving");
+    Log(LogLevel::kInfo, "upstream_leaving",
+        {{"upstream", sent.upstream}, {"request", request}, {"status", status}});
+  }
+  if (answer.no_requests_for && this->dispatcher.AddWait(start, *answer.no_requests_for, now)) {
+    count("wait");
+    Log(LogLevel::kInfo, "upstream_waits",
+        {{"upstream", sent.upstream},
+         {"request", request},
+         {"for_ms", ToMillis(*answer.no_requests_for)}});
+  }
+}
+
 bool Relay::Impl::IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) {
   if (!time_left) return false;
   Duration& longest = this->longest_time_left[route.name];
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -47,7 +47,13 @@
     return *id == attempt_id ? AnswerMatch::kThisCall : AnswerMatch::kOtherCall;
   }
   UpstreamAnswer DecodeAnswer(const HttpHead& answer) const override {
-    return {.not_run = FindField(answer.fields, "Not-Run") != nullptr};
+    UpstreamAnswer decoded{.not_run = FindField(answer.fields, "Not-Run") != nullptr,
+                           .misdirected = answer.status == 421,
+                           .leaving = FindField(answer.fields, "Leaving") != nullptr};
+    if (const auto wait = ParseDecimal(FieldValue(answer.fields, "Wait-Ms"))) {
+      decoded.no_requests_for = milliseconds(*wait);
+    }
+    return decoded;
   }
   bool PromisesNotRun(int status) const override { return status == 503; }
   std::vector<HttpField> EncodeAnswer(const HttpHead& answer) const override {
@@ -243,6 +249,16 @@
     this->loop.Cancel(limit);
   }
 
+  void RunFor(Duration duration) {
+    this->loop.After(duration, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  std::uint64_t Notices(const std::string& notice) {
+    return this->metrics.CounterFor("savory_upstream_notices_total", "notice=\"" + notice + "\"")
+        .Value();
+  }
+
   void Print(const std::string& line) { this->printed += line + "\n"; }
 
   void TearDown() override {
@@ -305,6 +321,60 @@
   ExpectGoldenText("refused_everywhere", this->printed);
 }
 
+// Guards against requests, retries and resumed streams at an upstream that said that it is leaving,
+// with any answer of its own, also one that breaks off.
+TEST_F(RelaySession, LeavingUpstreamGetsNoFurtherRequests) {
+  const std::vector<HttpField> leaving = {{.name = "Leaving", .value = "1"}};
+  this->behaviours["a"] = {AnswerWith(421, "", {{.name = "Not-Run", .value = "1"}, leaving[0]}),
+                           AnswerWith(200, "last of a", leaving)};
+  this->Call("GET", "/read/1");  // another upstream answered at the address of "a"
+  EXPECT_NE(this->printed.find("b gets GET /read/1"), std::string::npos) << this->printed;
+  this->RunFor(seconds(2));  // the ejection ends
+  this->Call("GET", "/read/2");
+  EXPECT_NE(this->printed.find("caller has whole answer: last of a"), std::string::npos);
+  this->printed.clear();
+  this->Call("GET", "/read/3");
+  this->Call("POST", "/book/1", "van 7");
+  this->behaviours["b"] = {Events(1, 3, false)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(this->printed.find("a gets"), std::string::npos) << this->printed;
+  EXPECT_EQ(this->Notices("leaving"), 1u);
+}
+
+// Guards against a notice that is lost with the answer that carried it.
+TEST_F(RelaySession, LeavingIsKnownFromATruncatedAnswer) {
+  this->behaviours["a"] = {[this](const SharedExchange& exchange) {
+    exchange->BeginStream(200, std::vector<HttpField>{{.name = "Leaving", .value = "1"}});
+    exchange->SendPart("half of a");
+    this->loop.After(milliseconds(20), [exchange] { exchange->Abort(); });
+  }};
+  this->Call("GET", "/read/1");
+  this->Call("GET", "/read/2");
+  EXPECT_EQ(this->Notices("leaving"), 1u);
+  EXPECT_EQ(this->printed.find("a gets GET /read/2"), std::string::npos) << this->printed;
+}
+
+// Guards against requests within the time for which an upstream wants none, and against holding
+// callers when all upstreams want none.
+TEST_F(RelaySession, UpstreamThatAsksForAWaitGetsNoRequests) {
+  const auto wait = [](int ms) {
+    return AnswerWith(
+        503, "full",
+        {{.name = "Not-Run", .value = "1"}, {.name = "Wait-Ms", .value = std::to_string(ms)}});
+  };
+  this->behaviours["a"] = {wait(400)};
+  this->Call("GET", "/read/1");
+  this->Call("GET", "/read/2");
+  this->behaviours["b"] = {wait(60'000)};
+  this->Call("GET", "/read/3");
+  this->Call("GET", "/read/4");
+  ExpectGoldenText("upstreams_wait", this->printed);
+  EXPECT_EQ(this->Notices("wait"), 2u);
+  this->RunFor(milliseconds(400));
+  this->Call("GET", "/read/5");
+  EXPECT_NE(this->printed.find("a gets GET /read/5"), std::string::npos) << this->printed;
+}
+
 // Guards against lost, duplicate or partial events when another upstream resumes a stream. It may
 // begin with events that were already sent.
 TEST_F(RelaySession, BrokenStreamIsResumedAtAnotherUpstream) {
