Model engines that ask for a wait in a burst

Change: load pattern "waits": in a burst of 1.4 times the load, a random half of the engines refuses requests for 2 s and says so. The test runs it with and without the notice.

--- a/src/loadmodel/fleet_model.cc
+++ b/src/loadmodel/fleet_model.cc
@@ -119,6 +119,8 @@
     EngineModel model;
     bool accepting = true;
     std::uint64_t weights_version = 1;
+    Instant refuses_until = {};
+    bool announces_refusals = false;
     UpstreamLoad sampled = {};
     std::vector<SentReport> last_reports = {};  // by entry
     std::vector<bool> follows = {};             // by entry: it gets reports
@@ -312,6 +314,9 @@
     for (const EngineOutage& outage : this->options.outages) {
       this->At(this->start + outage.at, [this, outage] { this->StartOutage(outage); });
     }
+    for (const EngineWait& wait : this->options.waits) {
+      this->At(this->start + wait.at, [this, wait] { this->StartWait(wait); });
+    }
     for (std::size_t i = 0; i < this->options.rollouts.size(); ++i) {
       this->At(this->start + this->options.rollouts[i].at, [this, i] { this->StartRollout(i); });
     }
@@ -501,13 +506,17 @@
     const Attempt& attempt = this->attempts.at(number);
     const Caller& caller = this->callers.at(attempt.caller);
     EngineModel& model = this->engines[attempt.engine]->model;
-    const bool accepted = model.Enqueue(
-        {.id = number, .prompt_tokens = caller.prompt_tokens, .events = caller.events}, this->now);
+    const bool accepted =
+        this->now >= this->engines[attempt.engine]->refuses_until &&
+        model.Enqueue(
+            {.id = number, .prompt_tokens = caller.prompt_tokens, .events = caller.events},
+            this->now);
     if (accepted) {
       this->SchedulePass(attempt.engine);
       return;
     }
     ++this->outcome.rejected_by_engines;
+    this->ReturnWait(attempt.entry, engine);
     this->After(this->DelayOf(attempt), [this, number, engine] {
       if (!this->IsAtEngine(number, engine)) return;
       Attempt& item = this->attempts.at(number);
@@ -517,6 +526,16 @@
     });
   }
 
+  // A refusal says for how long the engine wants no requests.
+  void ReturnWait(std::uint32_t entry, std::size_t number) {
+    const Engine& engine = *this->engines[number];
+    const Duration wait = engine.refuses_until - this->now;
+    if (wait <= Duration(0) || !engine.announces_refusals) return;
+    this->After(this->DelayBetween(entry, number), [this, entry, number, wait] {
+      this->entries[entry].dispatcher->AddWait({.id = this->engines[number]->id}, wait, this->now);
+    });
+  }
+
   void SchedulePass(std::size_t number) {
     Engine& engine = *this->engines[number];
     if (!engine.model.PassEnd()) return;
@@ -605,6 +624,14 @@
     }
   }
 
+  void StartWait(const EngineWait& wait) {
+    for (const auto& engine : this->engines) {
+      if (UniformUnit(this->random) >= wait.share) continue;
+      engine->refuses_until = this->now + wait.length;
+      engine->announces_refusals = wait.announced;
+    }
+  }
+
   void FailAttempt(AttemptNumber number) {
     Attempt& attempt = this->attempts.at(number);
     this->entries[attempt.entry].dispatcher->OnEnded(number, AttemptResult::kErrored, this->now);
--- a/src/loadmodel/fleet_model.h
+++ b/src/loadmodel/fleet_model.h
@@ -56,6 +56,15 @@
   double share = 0;
 };
 
+// A random share of the engines refuses requests for `length`. An answer tells the entry how long
+// if `announced`.
+struct EngineWait {
+  Duration at = {};
+  Duration length = {};
+  double share = 0;
+  bool announced = true;
+};
+
 // All engines load a new version, at staggered times.
 struct RolloutModel {
   Duration at = {};      // the first load starts; all chunks are staged by then
@@ -73,6 +82,7 @@
   std::vector<LoadStep> steps = {};
   std::vector<CallerShift> shifts = {};
   std::vector<EngineOutage> outages = {};
+  std::vector<EngineWait> waits = {};
   std::vector<RolloutModel> rollouts = {};
   Duration join_at = {};     // when the first engine joins
   Duration join_every = {};  // time between two joins
--- a/src/loadmodel/fleet_model_test.cc
+++ b/src/loadmodel/fleet_model_test.cc
@@ -27,6 +27,23 @@
   return sum / static_cast<double>(seeds);
 }
 
+// Sums over several runs.
+struct WaitOutcome {
+  double value_ratio = 0;
+  std::uint64_t late = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t rejected = 0;  // by engines
+
+  void Add(const FleetOutcome& outcome) {
+    this->value_ratio += outcome.ValueRatio();
+    this->rejected += outcome.rejected_by_engines;
+    for (const ClassOutcome& row : outcome.classes) {
+      this->late += row.late;
+      this->refused += row.refused;
+    }
+  }
+};
+
 // Steady load of a busy day. Guards against entries that overload the same engines.
 TEST(FleetModelTest, SteadyLoadIsServedInTime) {
   EXPECT_GE(MeanValueRatio("steady"), 0.95);
@@ -66,6 +83,30 @@
   EXPECT_GE(MeanValueRatio("return", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
+// Half of the engines ask for a wait in a burst. Guards against requests that go to these engines
+// nevertheless, and against callers that return while no engine accepts them.
+TEST(FleetModelTest, WaitsThatEnginesAskForAreRespected) {
+  const auto run = [](std::string_view fleet, bool announced) {
+    WaitOutcome sum;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      FleetModelOptions options = *FindLoadPattern("waits", fleet, seed);
+      options.waits.front().announced = announced;
+      sum.Add(RunFleetModel(options));
+    }
+    std::cout << fleet << " waits, announced " << announced << ": value ratio "
+              << sum.value_ratio / kSeeds << ", late " << sum.late << ", refused " << sum.refused
+              << ", rejected by engines " << sum.rejected << '\n';
+    return sum;
+  };
+  for (const char* fleet : {"small", "medium"}) {
+    const WaitOutcome unknown = run(fleet, false);
+    const WaitOutcome respected = run(fleet, true);
+    EXPECT_LT(respected.rejected, unknown.rejected / 4) << fleet;
+    EXPECT_LT(respected.late, unknown.late) << fleet;
+    EXPECT_GE(respected.value_ratio / kSeeds, kMinValueRatio) << fleet;
+  }
+}
+
 // Callers move from one region to another, as when a region's entries are unreachable. Guards
 // against shares of the engines that follow the demand too slowly.
 TEST(FleetModelTest, CallersThatMoveKeepTheTargetValueRatio) {
--- a/src/loadmodel/load_patterns.cc
+++ b/src/loadmodel/load_patterns.cc
@@ -14,6 +14,7 @@
     LoadPattern{"burst", "1.7 times that load for 3 s"},
     LoadPattern{"rollout", "every engine pauses once within 4.2 s to load new weights"},
     LoadPattern{"loss", "one engine in six is offline for 4.5 s"},
+    LoadPattern{"waits", "in a burst, half of the engines want no requests for 2 s"},
     LoadPattern{"return", "engines rejoin one by one after a power outage, under the full load"},
     LoadPattern{"shift", "half of the callers of the first region move to the last one for 4 s"},
 };
@@ -153,6 +154,9 @@
     options.rollouts = {{.at = seconds(4), .window = milliseconds(4200)}};
   } else if (name == "loss") {
     options.outages = {{.at = seconds(4), .length = milliseconds(4500), .share = 0.17}};
+  } else if (name == "waits") {
+    options.steps = {{.at = seconds(5), .factor = 1.4}, {.at = seconds(8), .factor = 1}};
+    options.waits = {{.at = milliseconds(5500), .length = seconds(2), .share = 0.5}};
   } else if (name == "return") {
     for (RegionModel& region : options.regions) region.joining = std::exchange(region.engines, 0);
     options.join_at = milliseconds(500);
