Check queue, slots and window beside upstreams that want no requests

Change: tests only. Requests that wait here take no slot that becomes free at an upstream which has said meanwhile that it is leaving; an entry whose own slots are at an engine that wants no requests borrows others; it follows further engines when those it follows want none, and returns to them afterwards. Measured: with MayUse() not asking the notices, the first two tests fail; with the window not asking them, the third fails. relay_test passes with both.

--- a/src/relay/dispatcher_notices_test.cc
+++ b/src/relay/dispatcher_notices_test.cc
@@ -175,6 +175,30 @@
   EXPECT_TRUE(std::holds_alternative<RefuseRequest>(verdicts.front().decision));
 }
 
+// Guards against waiting requests that take a slot which becomes free at an upstream that has said
+// in the meantime that it is leaving.
+TEST_F(DispatcherNoticesTest, WaitingRequestsAreNotSentToALeavingUpstream) {
+  std::map<std::string, AttemptNumber> running;
+  for (const char* id : {"a", "b"}) {
+    Upstream small = Listed(id);
+    small.slots = 1;
+    this->dispatcher.SetUpstream(small);
+  }
+  std::string sent_to = this->Send();
+  while (sent_to != "wait") {
+    running[sent_to] = this->next_attempt - 1;
+    sent_to = this->Send();
+  }
+  ASSERT_EQ(running.size(), 2u);
+  this->dispatcher.AddLeaving({.id = "a", .started_unix_ms = 1}, this->now);
+  this->dispatcher.OnEnded(running["a"], AttemptResult::kServed, this->now);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  this->dispatcher.OnEnded(running["b"], AttemptResult::kServed, this->now);
+  const auto verdicts = this->dispatcher.Poll(this->now);
+  ASSERT_EQ(verdicts.size(), 1u);
+  EXPECT_EQ(std::get<SendTo>(verdicts.front().decision).upstream, "b");
+}
+
 // ---- random schedules ----
 
 struct Said {
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -402,6 +402,48 @@
   EXPECT_TRUE(this->Submit(this->Chat()).starts_with("engine-"));
 }
 
+// The engine with this entry's slots wants no requests, which the other entries do not know, so the
+// slots are not divided again. Guards against refusing requests while slots of others are free.
+TEST_F(DispatcherTest, EntryWhoseEngineWantsNoRequestsBorrows) {
+  for (int i = 1; i <= 2; ++i) this->AddEngine(i);
+  this->dispatcher.SetEntries(Entries(2));  // engine-1 is this entry's, engine-2 the other one's
+  for (int i = 0; i < 3; ++i) {
+    this->Report(1, 0);
+    this->Report(2, 0);
+    this->dispatcher.EnginesToFollow(this->now);
+    this->now += milliseconds(100);
+  }
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->dispatcher.AddWait({.id = "engine-1"}, seconds(2), this->now);
+  int borrowed = 0;
+  for (DispatchRequest request = this->Chat(); this->Submit(request) == "engine-2";
+       request = this->Chat()) {
+    this->dispatcher.OnFirstEvent(request.attempt);
+    ++borrowed;
+  }
+  EXPECT_GE(borrowed, 8);
+  EXPECT_LE(borrowed, 14);
+}
+
+// Guards against an entry that stays with the engines it follows when these want no requests.
+TEST_F(DispatcherTest, EntryFollowsOthersWhenItsEnginesWantNoRequests) {
+  for (int i = 1; i <= 40; ++i) this->AddEngine(i);
+  this->dispatcher.SetEntries(Entries(10));
+  const std::vector<std::string> before = this->dispatcher.EnginesToFollow(this->now);
+  ASSERT_EQ(before.size(), 16u);
+  for (int i = 1; i <= 40; ++i) {
+    if (std::count(before.begin(), before.end(), "10.0.0." + std::to_string(i) + ":80") == 0) {
+      continue;
+    }
+    const std::string id = "engine-" + std::to_string(i);
+    this->dispatcher.AddWait({.id = id}, seconds(2), this->now);
+  }
+  this->now += milliseconds(100);
+  EXPECT_GE(this->dispatcher.EnginesToFollow(this->now).size(), 24u);
+  this->now += seconds(2);
+  EXPECT_EQ(this->dispatcher.EnginesToFollow(this->now).size(), 16u);
+}
+
 // Callers retry after a refusal. Guards against these retries, which are late already, taking the
 // slots of new requests.
 TEST_F(DispatcherTest, CallerRetriesLeaveSlotsForNewRequests) {
