--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -12,6 +12,7 @@
 #include "runtime/async_http_server.h"
 #include "runtime/buffered_call.h"
 #include "runtime/event_loop.h"
+#include "runtime/http_client.h"
 #include "runtime/http_connection_pool.h"
 #include "runtime/tcp_connection.h"
 #include "runtime/tcp_listener.h"
@@ -534,6 +535,16 @@
   EXPECT_EQ(reporting.IdleConnections(), 0u);
 }
 
+// Guards against an empty answer of the blocking client when its peer stops anywhere in the head.
+TEST_F(AsyncHttpTest, BlockingClientFailsWhenTheHeadStops) {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+    RawPeer peer(26928, {head.substr(0, bytes)}, RawPeer::End::kClose);
+    const auto answer = HttpClient("127.0.0.1:26928").Call({});
+    EXPECT_FALSE(answer) << bytes;
+  }
+}
+
 // Guards against a refused connection being reported as a call that may have arrived.
 TEST_F(AsyncHttpTest, RefusedConnectionIsReportedAsNotSent) {
   const Collector collector = this->Call(this->CallTo("127.0.0.1:26919", "/"));
