Let soak callers use their open connections until these end

Cause: the soak's callers sent nothing more to an entry once its readiness probe failed, so open connections were not in use while an entry stopped, and hardly any while one was paused. Change: callers open connections only to entries that are ready, but go on using idle ones to others. The route "feed" has a timeout of 4 s, so that its requests can begin at a slow upstream.

--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -12,8 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kProbePeriod = milliseconds(500);
-// Callers disconnect after this time, 1 s after the route's timeout of 1.5 s.
-constexpr Duration kCallerDeadline = milliseconds(2500);
+// Callers disconnect this long after the route's timeout.
+constexpr Duration kExtraPatience = milliseconds(1000);
 // Some callers disconnect early: with this probability, after the minimum delay plus a random part
 // of the spread.
 constexpr double kCancelProbability = 0.05;
@@ -31,10 +31,14 @@
       checker(checker),
       layout(layout),
       random(seed),
-      connections(loop, this->metrics, {.idle_timeout = kConnectionIdle}),
       probes(loop, this->metrics, {}),
       rules(layout.Rules(1, "alpha")),
-      ready(layout.entries, false) {}
+      ready(layout.entries, false) {
+  for (std::size_t i = 0; i < layout.entries; ++i) {
+    this->connections.push_back(std::make_unique<HttpConnectionPool>(
+        loop, this->metrics, HttpConnectionPoolOptions{.idle_timeout = kConnectionIdle}));
+  }
+}
 
 void SoakCallers::Start(double requests_per_second) {
   this->rate = requests_per_second;
@@ -61,9 +65,13 @@
   if (this->ReadyEntries() > 0) this->SendOne();
 }
 
+bool SoakCallers::IsUsable(std::size_t entry) const {
+  return this->ready[entry] || this->connections[entry]->IdleConnections() > 0;
+}
+
 void SoakCallers::SendOne() {
   std::size_t entry = UniformBelow(this->random, this->layout.entries);
-  while (!this->ready[entry]) entry = (entry + 1) % this->layout.entries;
+  while (!this->IsUsable(entry)) entry = (entry + 1) % this->layout.entries;
   double draw = UniformUnit(this->random);
   std::size_t index = 0;
   while (index + 1 < kRouteShares.size() && draw >= kRouteShares[index]) {
@@ -80,7 +88,7 @@
                                   .target = route.path_prefix + "x?n=" + id.substr(0, 4),
                                   .api_key = account.api_keys.front(),
                                   .body = "body of " + id,
-                                  .time_left = kCallerDeadline};
+                                  .time_left = route.timeout + kExtraPatience};
   if (UniformUnit(this->random) < kCancelProbability) {
     request.cancel_after =
         kMinCancelDelay + FromSeconds(ToSeconds(kCancelDelaySpread) * UniformUnit(this->random));
@@ -91,7 +99,7 @@
                         .entry_vm = this->layout.EntryVm(entry),
                         .sent = this->loop.Now()});
   ++this->in_progress;
-  platform::StartCall(this->loop, this->connections, request,
+  platform::StartCall(this->loop, *this->connections[entry], request,
                       [this, id](const platform::CallerAnswer& answer) {
                         --this->in_progress;
                         this->checker.OnAnswered(id, answer, this->loop.Now());
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -30,6 +30,8 @@
  private:
   void Probe();
   void SendNext();
+  // Callers open connections only to entry VMs that are ready, but use open ones until they end.
+  bool IsUsable(std::size_t entry) const;
   void SendOne();
 
   EventLoop& loop;
@@ -37,8 +39,8 @@
   SoakLayout layout;
   Random random;
   Metrics metrics;
-  // Callers keep idle connections as long as the entry VM does.
-  HttpConnectionPool connections;
+  // By entry VM. Callers keep idle connections as long as the entry VM does.
+  std::vector<std::unique_ptr<HttpConnectionPool>> connections = {};
   HttpConnectionPool probes;
   RoutingRules rules;
   std::vector<bool> ready;
--- a/soak/soak_layout.cc
+++ b/soak/soak_layout.cc
@@ -58,13 +58,13 @@
   using std::chrono::milliseconds;
   RoutingRules rules{.version = version};
   const auto add = [&rules](std::string name, RequestKind kind, const std::string& pool,
-                            bool resumable) {
+                            bool resumable, Duration timeout = milliseconds(1500)) {
     rules.routes.push_back({.name = name,
                             .host = "soak.example",
                             .path_prefix = "/" + name + "/",
                             .kind = kind,
                             .pools = {{.pool = pool}},
-                            .timeout = milliseconds(1500),
+                            .timeout = timeout,
                             .target_latency = milliseconds(400),
                             .max_pause = milliseconds(300),
                             .max_attempts = 2,
@@ -72,7 +72,8 @@
                             .resumable = resumable});
   };
   add("chat", RequestKind::kStream, "chat", true);
-  add("feed", RequestKind::kStream, "chat", false);
+  // Long enough to begin at a slow upstream.
+  add("feed", RequestKind::kStream, "chat", false, milliseconds(4000));
   add("book", RequestKind::kNonIdempotent, "alpha", false);
   add("read", RequestKind::kIdempotent, "beta", false);
   add("moved", RequestKind::kIdempotent, moved_route_pool, false);
