--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -30,6 +30,8 @@
 constexpr double kBurstFactor = 4;
 constexpr Duration kUpstreamDowntime = milliseconds(1500);
 constexpr Duration kStoreLinkResetPeriod = milliseconds(700);
+// An upstream leaves this long after a reset, just after the entry VM has reconnected.
+constexpr Duration kLeaveAfterReset = milliseconds(150);
 // Wait of requests at a slow upstream, as a share of the fault's duration: at most 2.4 s.
 constexpr double kStartDelayShare = 0.6;
 // An agent is paused for this long when weights are published, so that its engine keeps the older
@@ -270,9 +272,11 @@
       case FaultKind::kUpstreamLeftAtReset:
         this->checker.MarkDisturbed(entry_vm, now, fault.duration);
         this->ResetStoreLink(entry, fault.duration);
-        // The entry VM learns of both removals when it reconnects.
-        this->upstreams.Leave(upstream, fault.duration);
-        this->loop.After(kStoreLinkResetPeriod,
+        // One upstream leaves at the first reset, the next one at the second.
+        this->loop.After(kLeaveAfterReset, [this, upstream, duration = fault.duration] {
+          this->upstreams.Leave(upstream, duration);
+        });
+        this->loop.After(kStoreLinkResetPeriod + kLeaveAfterReset,
                          [this, next = (upstream + 1) % this->layout.UpstreamCount(),
                           duration = fault.duration] { this->upstreams.Leave(next, duration); });
         return;
