Let the soak withhold published weights from the origin

Change: instead, the origin lacks the published weights for 11 s, so that all engines keep the older ones while their agents work.

--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -47,12 +47,13 @@
   // All entry VMs and agents at once.
   kAllKilled,
   // Since plan 2.
-  kEntryStoreLinkReset,          // repeatedly
-  kUpstreamLeft,                 // its record is removed while it serves on
-  kUpstreamLeftAtReset,          // as before, while the store connections of one entry VM are reset
-  kUpstreamSlow,                 // requests wait long before they begin
-  kWeightsPublishedEntryPaused,  // an entry VM and an agent are paused meanwhile
-  kWeightsPublishedEngineSlow,   // an agent is paused; its engine is slow as the rollout limit ends
+  kEntryStoreLinkReset,  // repeatedly
+  kUpstreamLeft,         // its record is removed while it serves on
+  kUpstreamLeftAtReset,  // as before, while the store connections of one entry VM are reset
+  kUpstreamSlow,         // requests wait long before they begin
+  // The origin has the published weights only after the rollout limit.
+  kWeightsPublishedEntryPaused,  // an entry VM is paused meanwhile
+  kWeightsPublishedEngineSlow,   // an engine is slow as the limit ends
 };
 
 std::string_view FaultName(FaultKind kind);
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -34,10 +34,11 @@
 constexpr Duration kLeaveAfterReset = milliseconds(150);
 // Wait of requests at a slow upstream, as a share of the fault's duration: at most 2.4 s.
 constexpr double kStartDelayShare = 0.6;
-// An agent is paused for this long when weights are published, so that its engine keeps the older
-// ones beyond CheckerOptions::weights_rollout_limit.
-constexpr Duration kAgentPause = seconds(11);
-// From the publication until the engine of a paused agent gets slow, and how long it is slow.
+// The origin lacks published weights for this long, so that engines keep the older ones beyond
+// CheckerOptions::weights_rollout_limit.
+constexpr Duration kOriginDelay = seconds(11);
+// From the publication of weights that the origin lacks until an engine gets slow, and how long it
+// is slow.
 constexpr Duration kSlowAfterPublication = seconds(5);
 constexpr Duration kSlowTime = seconds(5);
 
@@ -75,9 +76,9 @@
 
  private:
   static Duration LengthOf(const Fault& fault) {
-    const bool pauses_agent = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
-                              fault.kind == FaultKind::kWeightsPublishedEngineSlow;
-    return pauses_agent ? kAgentPause : fault.duration;
+    const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
+                               fault.kind == FaultKind::kWeightsPublishedEngineSlow;
+    return delays_origin ? kOriginDelay : fault.duration;
   }
 
   void AwaitStart() {
@@ -283,15 +284,13 @@
       case FaultKind::kUpstreamSlow:
         return this->SlowUpstream(upstream, StartDelay(fault.duration), fault.duration);
       case FaultKind::kWeightsPublishedEntryPaused:
-        this->processes.Pause(agent_vm, kAgentPause);
         this->PauseEntry(entry_vm, fault.duration);
-        return this->upstreams.PublishWeights();
+        return this->upstreams.PublishWeights(kOriginDelay);
       case FaultKind::kWeightsPublishedEngineSlow:
-        this->processes.Pause(agent_vm, kAgentPause);
         this->loop.After(kSlowAfterPublication, [this, engine, duration = fault.duration] {
           this->SlowUpstream(engine, StartDelay(duration), kSlowTime);
         });
-        return this->upstreams.PublishWeights();
+        return this->upstreams.PublishWeights(kOriginDelay);
     }
   }
 
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -188,9 +188,16 @@
                                              this->config_version, this->moved_route_pool)));
 }
 
-void SoakUpstreams::PublishWeights() {
+void SoakUpstreams::PublishWeights(Duration origin_delay) {
   if (!this->store_available) return;
-  this->origin.SetNewestVersion(++this->weights_version);
+  const std::uint64_t version = ++this->weights_version;
+  if (origin_delay == Duration(0)) {
+    this->origin.SetNewestVersion(version);
+  } else {
+    this->loop.After(origin_delay, [this, version] {
+      if (version == this->weights_version) this->origin.SetNewestVersion(version);
+    });
+  }
   this->checker.OnWeightsPublished(this->weights_version, this->loop.Now());
   this->store.Put(platform::WeightsKey(kModel),
                   platform::EncodeWeightsWanted(kModel, this->weights_version));
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -42,7 +42,8 @@
   void SetFault(std::size_t upstream, platform::EngineFault fault);
   void CorruptStagedChunk(std::size_t upstream, std::uint64_t seed);
   void SwitchRoutePool();
-  void PublishWeights();
+  // The origin has the weights after `origin_delay`, unless newer ones are published before.
+  void PublishWeights(Duration origin_delay = {});
 
   // Number of engines that hold the newest weights.
   std::size_t UpToDateEngines() const;
