Let the soak check what upstreams say in their answers

Cause: upstreams of the soak said nothing in their answers, and no rule covered Server-Leaving, or Retry-After with a 503. Change: upstreams that leave say so in all their answers. Fault kind: an upstream asks to wait. Checker: a request that its caller sent more than the drain time after its entry had passed on an answer that says leaving must not reach that upstream from that entry, disturbed or not; a restart or pause of the entry since then excuses it. No more than two requests of an entry may reach an upstream from half a second after its request to wait until the end of the wait; a restart, pause or cut of the entry, and a disturbed link to the upstream, excuse them.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -78,6 +78,16 @@
 void Checker::OnEntryStarted(std::string_view vm) {
   this->stopping_entries.erase(std::string(vm));
   std::erase_if(this->observed_changes, [vm](const auto& row) { return row.first.first == vm; });
+  this->OnEntryPaused(vm);
+}
+
+void Checker::OnEntryPaused(std::string_view vm) {
+  std::erase_if(this->passed_on_leaving, [vm](const auto& row) { return row.first.first == vm; });
+  this->OnEntryCut(vm);
+}
+
+void Checker::OnEntryCut(std::string_view vm) {
+  std::erase_if(this->requested_waits, [vm](const auto& row) { return row.first.first == vm; });
 }
 
 void Checker::OnStagedChunkCorrupted(std::string_view upstream, Instant now) {
@@ -135,6 +145,11 @@
     }
     return;
   }
+  // With several runs it is unknown whose answer was passed on.
+  if (answer.sealed && request->answer_says_leaving && request->runs == 1) {
+    this->passed_on_leaving.emplace(
+        EntryAndUpstream(request->sent.entry_vm, *request->upstreams.begin()), now);
+  }
   if (answer.status == 200) this->CheckSuccess(*request);
   if (answer.state == AnswerState::kComplete && GuaranteesNotRun(answer.status)) {
     this->CheckNotRunAnswer(*request);
@@ -200,7 +215,46 @@
                               "an upstream received unknown request " + arrived.attempt_id);
   }
   request->arrived_at = now;
+  request->answer_says_leaving = false;
   this->CheckLeaving(*request, arrived, now);
+  this->CheckNotices(*request, arrived, now);
+}
+
+void Checker::OnNotice(const ArrivedRequest& arrived, const platform::UpstreamNotice& notice,
+                       Instant now) {
+  Request* request = this->Find(arrived.attempt_id);
+  if (request == nullptr) return;
+  request->answer_says_leaving = notice.leaving;
+  // The answer may be lost on a disturbed link.
+  if (!notice.retry_after || !this->IsUndisturbed(LinkTo(arrived.upstream), now)) return;
+  auto& waits = this->requested_waits[{request->sent.entry_vm, arrived.upstream}];
+  const RequestedWait wait{.from = now + this->options.wait_notice_tolerance,
+                           .until = now + *notice.retry_after};
+  // Repeated answers give the rest of the same wait.
+  if (waits.empty() || wait.until > waits.back().until + std::chrono::milliseconds(1)) {
+    waits.push_back(wait);
+  }
+}
+
+void Checker::CheckNotices(const Request& request, const ArrivedRequest& arrived, Instant now) {
+  const EntryAndUpstream key(request.sent.entry_vm, arrived.upstream);
+  const auto leaving = this->passed_on_leaving.find(key);
+  if (leaving != this->passed_on_leaving.end() &&
+      request.sent.sent > leaving->second + this->options.drain_time) {
+    this->AddViolation("leaving-answer",
+                       arrived.attempt_id + " reached " + arrived.upstream + ", sent " +
+                           std::to_string(ToMillis(request.sent.sent - leaving->second)) +
+                           " ms after " + key.first + " passed on that it leaves");
+  }
+  if (!this->IsUndisturbed(LinkTo(arrived.upstream), now)) return;
+  for (RequestedWait& wait : this->requested_waits[key]) {
+    if (now < wait.from || now > wait.until) continue;
+    if (++wait.arrivals != this->options.max_requests_during_wait + 1) continue;
+    this->AddViolation("asked-to-wait",
+                       arrived.attempt_id + " is request " + std::to_string(wait.arrivals) +
+                           " of " + key.first + " at " + arrived.upstream + " during a wait with " +
+                           std::to_string(ToMillis(wait.until - now)) + " ms left");
+  }
 }
 
 void Checker::CheckLeaving(const Request& request, const ArrivedRequest& arrived, Instant now) {
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -36,6 +36,10 @@
   Duration corruption_tolerance = std::chrono::milliseconds(3000);
   // After this time no request may begin on weights older than the published version.
   Duration weights_rollout_limit = std::chrono::seconds(8);
+  // An upstream that asked an entry VM to wait may receive requests from it for this long after
+  // that, and then at most so many until the end of the wait.
+  Duration wait_notice_tolerance = std::chrono::milliseconds(500);
+  std::uint32_t max_requests_during_wait = 2;
   std::uint32_t stream_events = 8;  // in a complete stream
 };
 
@@ -77,6 +81,10 @@
   // A planned stop is no disturbance and must not truncate answers.
   void OnEntryStopping(std::string_view vm, Instant now);
   void OnEntryStarted(std::string_view vm);
+  // The entry VM was paused, at the begin and at the end: what it was told before binds it no more.
+  void OnEntryPaused(std::string_view vm);
+  // As OnEntryPaused(), but requests to wait only.
+  void OnEntryCut(std::string_view vm);
   void OnStagedChunkCorrupted(std::string_view upstream, Instant now);
 
   // ---- changes ----
@@ -95,6 +103,9 @@
   void OnArrived(const platform::ArrivedRequest& request, Instant now);
   void OnRun(const platform::ArrivedRequest& request, Instant now);
   void OnRunEnded(std::string_view attempt_id, Instant now);
+  // The upstream's answer to the request says something about the upstream.
+  void OnNotice(const platform::ArrivedRequest& request, const platform::UpstreamNotice& notice,
+                Instant now);
   void OnLoad(std::string_view upstream, std::uint64_t version, bool complete, Instant now);
 
   // Records a violation; also used by the run for checks made outside this class.
@@ -111,6 +122,7 @@
     SentRequest sent;
     std::set<std::string> upstreams = {};  // that ran the request
     Instant arrived_at = {};               // at the latest upstream
+    bool answer_says_leaving = false;      // by the latest upstream
     std::uint32_t runs = 0;
     std::uint32_t running = 0;
     std::optional<platform::CallerAnswer> answer = {};
@@ -123,6 +135,14 @@
     Instant at = {};
   };
 
+  // An upstream's wish to receive no requests from an entry VM.
+  struct RequestedWait {
+    Instant from = {};
+    Instant until = {};
+    std::uint32_t arrivals = 0;
+  };
+  using EntryAndUpstream = std::pair<std::string, std::string>;
+
   Request* Find(std::string_view attempt_id);
   // End of the component's last disturbance, including the settle time.
   Instant UndisturbedSince(std::string_view component) const;
@@ -133,6 +153,7 @@
   void CheckNotRunAnswer(const Request& request);
   void CheckTruncation(const Request& request, Instant now);
   void CheckLeaving(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
+  void CheckNotices(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckRoute(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckWeights(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void Count(const platform::CallerAnswer& answer);
@@ -144,6 +165,9 @@
   std::map<std::string, Instant, std::less<>> disturbed_until = {};
   std::map<std::string, Instant, std::less<>> stopping_entries = {};
   std::map<std::string, Instant, std::less<>> leaving_since = {};
+  // When the entry VM passed on an answer in which the upstream says that it leaves.
+  std::map<EntryAndUpstream, Instant> passed_on_leaving = {};
+  std::map<EntryAndUpstream, std::vector<RequestedWait>> requested_waits = {};
   std::map<std::string, Instant, std::less<>> corrupted_at = {};
   std::map<std::string, std::vector<RouteChange>, std::less<>> route_changes = {};
   std::map<std::uint64_t, Instant> weights_published_at = {};  // version -> publication time
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -61,6 +61,19 @@
     return text;
   }
 
+  // Entry "entry-1" passes on an answer in which upstream "u1" says that it leaves.
+  void PassOnLeaving(const std::string& id) {
+    this->Send(id, RequestKind::kIdempotent);
+    this->Run(ArrivedAt(id, "u1"));
+    this->checker.OnNotice(ArrivedAt(id, "u1"), {.leaving = true}, this->now);
+    this->Answer(id, AnswerState::kComplete, 200, platform::ExpectedBody(id, "b"));
+  }
+
+  void SendTo(const std::string& id, const std::string& upstream) {
+    this->Send(id, RequestKind::kIdempotent);
+    this->checker.OnArrived(ArrivedAt(id, upstream), this->now);
+  }
+
   void ExpectOnly(const std::string& rule) {
     ASSERT_EQ(this->checker.Violations().size(), 1u);
     EXPECT_EQ(this->checker.Violations()[0].rule, rule);
@@ -276,6 +289,93 @@
   this->ExpectOnly("weights-in-time");
 }
 
+// Guards against requests at an upstream that said in an answer that it leaves.
+TEST_F(CheckerTest, FindsRequestAfterLeavingAnswerAlsoFromDisturbedEntry) {
+  this->PassOnLeaving("a");
+  this->checker.MarkDisturbed("entry-1", this->now, seconds(60));
+  this->checker.MarkDisturbed("store", this->now, seconds(60));
+  this->checker.MarkLinkDisturbed("u1", this->now, seconds(60));
+  this->now += seconds(2);
+  this->Send("b", RequestKind::kIdempotent);
+  this->now += seconds(1);
+  this->checker.OnArrived(ArrivedAt("b", "u1"), this->now);
+  this->SendTo("c", "u2");
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->SendTo("d", "u1");
+  this->ExpectOnly("leaving-answer");
+}
+
+TEST_F(CheckerTest, LeavingAnswerBindsOnlyUntilRestartOrPause) {
+  this->PassOnLeaving("a");
+  this->checker.OnEntryStarted("entry-1");
+  this->now += seconds(3);
+  this->SendTo("b", "u1");
+  this->PassOnLeaving("c");
+  this->checker.OnEntryPaused("entry-1");
+  this->now += seconds(3);
+  this->SendTo("d", "u1");
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->PassOnLeaving("e");
+  this->checker.OnEntryCut("entry-1");
+  this->checker.OnEntryPaused("entry-2");
+  this->now += seconds(3);
+  this->SendTo("f", "u1");
+  this->ExpectOnly("leaving-answer");
+}
+
+TEST_F(CheckerTest, LeavingAnswerBindsOnlyIfItWasPassedOn) {
+  this->Send("a", RequestKind::kIdempotent);
+  this->Run(ArrivedAt("a", "u1"));
+  this->checker.OnNotice(ArrivedAt("a", "u1"), {.leaving = true}, this->now);
+  this->Run(ArrivedAt("a", "u2"));
+  this->Answer("a", AnswerState::kComplete, 200, platform::ExpectedBody("a", "b"));
+  this->now += seconds(3);
+  this->SendTo("b", "u1");
+  EXPECT_TRUE(this->checker.Violations().empty());
+}
+
+// Guards against more than two requests at an upstream that asked the entry to wait.
+TEST_F(CheckerTest, FindsThirdRequestDuringARequestedWait) {
+  this->SendTo("a", "u1");
+  this->checker.OnNotice(ArrivedAt("a", "u1"), {.retry_after = seconds(2)}, this->now);
+  this->now += milliseconds(499);
+  for (const char* id : {"b", "c", "d"}) this->SendTo(id, "u1");
+  this->now += milliseconds(1);
+  this->SendTo("e", "u1");
+  this->checker.OnNotice(ArrivedAt("e", "u1"), {.retry_after = milliseconds(1500)}, this->now);
+  this->now += milliseconds(600);
+  this->SendTo("f", "u1");
+  for (const char* id : {"g", "h", "i"}) this->SendTo(id, "u2");
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->SendTo("j", "u1");
+  this->ExpectOnly("asked-to-wait");
+}
+
+TEST_F(CheckerTest, RequestedWaitEndsAndIsExcusedByCutsAndRestarts) {
+  const auto ask_to_wait = [this](const std::string& id) {
+    this->SendTo(id, "u1");
+    this->checker.OnNotice(ArrivedAt(id, "u1"), {.retry_after = seconds(1)}, this->now);
+  };
+  const auto send_three = [this](const std::string& id) {
+    this->now += milliseconds(700);
+    for (const char* number : {"1", "2", "3"}) this->SendTo(id + number, "u1");
+  };
+  ask_to_wait("a");
+  this->now += milliseconds(400);
+  send_three("b");
+  ask_to_wait("c");
+  this->checker.OnEntryCut("entry-1");
+  send_three("d");
+  ask_to_wait("e");
+  this->checker.OnEntryStarted("entry-1");
+  send_three("f");
+  EXPECT_TRUE(this->checker.Violations().empty());
+  ask_to_wait("g");
+  this->checker.OnEntryCut("entry-2");
+  send_three("h");
+  this->ExpectOnly("asked-to-wait");
+}
+
 // Guards against requests that arrive in time and wait at the upstream past the rollout limit.
 TEST_F(CheckerTest, FindsBeginOnOutdatedWeightsAfterAWait) {
   this->checker.OnWeightsPublished(2, this->now);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 33> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 34> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -47,6 +47,7 @@
     {FaultKind::kUpstreamLeft, "upstream-left", 8},
     {FaultKind::kUpstreamLeftAtReset, "upstream-left-at-reset", 6},
     {FaultKind::kUpstreamSlow, "upstream-slow", 6},
+    {FaultKind::kUpstreamAsksToWait, "upstream-asks-to-wait", 6},
     {FaultKind::kWeightsPublishedEntryPaused, "weights-named-entry-paused", 6},
     {FaultKind::kWeightsPublishedEngineSlow, "weights-named-engine-slow", 6},
 }};
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -51,6 +51,7 @@
   kUpstreamLeft,         // its record is removed while it serves on
   kUpstreamLeftAtReset,  // as before, while the store connections of one entry VM are reset
   kUpstreamSlow,         // requests wait long before they begin
+  kUpstreamAsksToWait,   // refuses requests and says for how long
   // The origin has the published weights only after the rollout limit.
   kWeightsPublishedEntryPaused,  // an entry VM is paused meanwhile
   kWeightsPublishedEngineSlow,   // an engine is slow as the limit ends
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -175,6 +175,8 @@
 
   void PauseEntry(const std::string& entry_vm, Duration duration) {
     this->checker.MarkDisturbed(entry_vm, this->loop.Now(), duration);
+    this->checker.OnEntryPaused(entry_vm);
+    this->loop.After(duration, [this, entry_vm] { this->checker.OnEntryPaused(entry_vm); });
     this->processes.Pause(entry_vm, duration);
   }
 
@@ -212,6 +214,7 @@
         return this->upstreams.Store().CompactHistory();
       case FaultKind::kEntryCutFromStore: {
         this->checker.MarkDisturbed(entry_vm, now, fault.duration);
+        this->checker.OnEntryCut(entry_vm);
         FaultProxy& link = this->upstreams.StoreLink(entry);
         link.SetCondition(LinkCondition::kSilent);
         return this->RevertAfter(fault.duration, "store-link " + entry_vm,
@@ -283,6 +286,8 @@
         return;
       case FaultKind::kUpstreamSlow:
         return this->SlowUpstream(upstream, StartDelay(fault.duration), fault.duration);
+      case FaultKind::kUpstreamAsksToWait:
+        return this->upstreams.AskToWait(upstream, fault.duration);
       case FaultKind::kWeightsPublishedEntryPaused:
         this->PauseEntry(entry_vm, fault.duration);
         return this->upstreams.PublishWeights(kOriginDelay);
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -141,6 +141,7 @@
 void SoakUpstreams::ServeOn(std::size_t index, Duration extra) {
   ManagedUpstream& managed = this->upstreams[index];
   managed.leaving = true;
+  managed.standin->AnnounceLeaving();
   this->checker.OnUpstreamLeaving(managed.record.id, this->loop.Now());
   this->loop.After(kDrainTime + extra, [this, index] {
     this->upstreams[index].standin->RejectNewRequests();
@@ -169,6 +170,10 @@
   if (this->upstreams[upstream].standin) this->upstreams[upstream].standin->SetStartDelay(delay);
 }
 
+void SoakUpstreams::AskToWait(std::size_t upstream, Duration duration) {
+  if (this->upstreams[upstream].standin) this->upstreams[upstream].standin->RejectFor(duration);
+}
+
 void SoakUpstreams::CorruptStagedChunk(std::size_t upstream, std::uint64_t seed) {
   ManagedUpstream& managed = this->upstreams[upstream];
   if (!managed.standin || managed.standin->Staged().empty()) return;
@@ -234,6 +239,10 @@
 void SoakUpstreams::OnRunEnded(std::string_view attempt_id) {
   this->checker.OnRunEnded(attempt_id, this->loop.Now());
 }
+void SoakUpstreams::OnNotice(const platform::ArrivedRequest& request,
+                             const platform::UpstreamNotice& notice) {
+  this->checker.OnNotice(request, notice, this->loop.Now());
+}
 void SoakUpstreams::OnLoad(std::string_view upstream, std::uint64_t version, bool complete) {
   this->checker.OnLoad(upstream, version, complete, this->loop.Now());
 }
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -39,6 +39,8 @@
   // As Drain(), but removes the upstream's record instead of marking it.
   void Leave(std::size_t upstream, Duration extra);
   void SetStartDelay(std::size_t upstream, Duration delay);
+  // The upstream refuses requests and says for how long.
+  void AskToWait(std::size_t upstream, Duration duration);
   void SetFault(std::size_t upstream, platform::EngineFault fault);
   void CorruptStagedChunk(std::size_t upstream, std::uint64_t seed);
   void SwitchRoutePool();
@@ -51,6 +53,8 @@
   void OnArrived(const platform::ArrivedRequest& request) override;
   void OnRun(const platform::ArrivedRequest& request) override;
   void OnRunEnded(std::string_view attempt_id) override;
+  void OnNotice(const platform::ArrivedRequest& request,
+                const platform::UpstreamNotice& notice) override;
   void OnLoad(std::string_view upstream, std::uint64_t version, bool complete) override;
 
  private:
