--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -47,12 +47,27 @@
     {FaultKind::kUpstreamLeft, "upstream-left", 8},
     {FaultKind::kUpstreamLeftAtReset, "upstream-left-at-reset", 6},
     {FaultKind::kUpstreamSlow, "upstream-slow", 6},
-    {FaultKind::kUpstreamAsksToWait, "upstream-asks-to-wait", 6},
     {FaultKind::kWeightsPublishedEntryPaused, "weights-named-entry-paused", 6},
     {FaultKind::kWeightsPublishedEngineSlow, "weights-named-engine-slow", 6},
+    {FaultKind::kUpstreamAsksToWait, "upstream-asks-to-wait", 6},
 }};
 
-constexpr std::size_t kFaultsOfFirstPlan = 27;
+// Number of kinds in the plans of older versions.
+constexpr std::size_t kFirstPlanKinds = 27;
+constexpr std::size_t kSecondPlanKinds = 33;
+
+std::span<const FaultSpec> SpecsOf(PlanVersion version) {
+  const std::span<const FaultSpec> all = kFaultSpecs;
+  switch (version) {
+    case PlanVersion::kFirst:
+      return all.first(kFirstPlanKinds);
+    case PlanVersion::kSecond:
+      return all.first(kSecondPlanKinds);
+    case PlanVersion::kNewest:
+      break;
+  }
+  return all;
+}
 
 // Mean time between the starts of two series.
 constexpr double kMeanSeriesIntervalS = 2.5;
@@ -98,8 +113,7 @@
   Random random(seed);
   std::vector<Fault> plan;
   const bool first = version == PlanVersion::kFirst;
-  const std::span<const FaultSpec> specs =
-      std::span(kFaultSpecs).first(first ? kFaultsOfFirstPlan : kFaultSpecs.size());
+  const std::span<const FaultSpec> specs = SpecsOf(version);
   const double interval =
       first ? kMeanSeriesIntervalS
             : kShortSeriesIntervalS +
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -51,10 +51,11 @@
   kUpstreamLeft,         // its record is removed while it serves on
   kUpstreamLeftAtReset,  // as before, while the store connections of one entry VM are reset
   kUpstreamSlow,         // requests wait long before they begin
-  kUpstreamAsksToWait,   // refuses requests and says for how long
   // The origin has the published weights only after the rollout limit.
   kWeightsPublishedEntryPaused,  // an entry VM is paused meanwhile
   kWeightsPublishedEngineSlow,   // an engine is slow as the limit ends
+  // Since plan 3.
+  kUpstreamAsksToWait,  // refuses requests and says for how long
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -68,7 +69,7 @@
 };
 
 // How plans are drawn. Older ways are kept so that seeds that failed once can be repeated.
-enum class PlanVersion { kFirst = 1, kNewest = 2 };
+enum class PlanVersion { kFirst = 1, kSecond = 2, kNewest = 3 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
 // overlap; none starts in the last tenth of `length`.
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -24,14 +24,21 @@
 
 // Guards against seeds of soak/regression_seeds.txt that no longer inject what they injected when
 // they failed.
-TEST(FaultPlan, FirstPlanIsUnchanged) {
-  const auto plan = MakeFaultPlan(15, seconds(20), PlanVersion::kFirst);
-  ASSERT_EQ(plan.size(), 13u);
-  EXPECT_EQ(plan.front().kind, FaultKind::kHistoryCompacted);
-  EXPECT_EQ(plan.front().at, std::chrono::microseconds(782714));
-  EXPECT_EQ(plan.back().kind, FaultKind::kWeightsPublished);
-  EXPECT_EQ(plan.back().target, 516u);
-  EXPECT_EQ(plan.back().duration, std::chrono::microseconds(2805535));
+TEST(FaultPlan, OlderPlansAreUnchanged) {
+  const auto first = MakeFaultPlan(15, seconds(20), PlanVersion::kFirst);
+  ASSERT_EQ(first.size(), 13u);
+  EXPECT_EQ(first.front().kind, FaultKind::kHistoryCompacted);
+  EXPECT_EQ(first.front().at, std::chrono::microseconds(782714));
+  EXPECT_EQ(first.back().kind, FaultKind::kWeightsPublished);
+  EXPECT_EQ(first.back().target, 516u);
+  EXPECT_EQ(first.back().duration, std::chrono::microseconds(2805535));
+  const auto second = MakeFaultPlan(114, seconds(20), PlanVersion::kSecond);
+  ASSERT_EQ(second.size(), 14u);
+  EXPECT_EQ(second[1].kind, FaultKind::kUpstreamLeftAtReset);
+  EXPECT_EQ(second[1].target, 520u);
+  EXPECT_EQ(ToMillis(second[1].at), 1694);
+  EXPECT_EQ(second.back().kind, FaultKind::kEntryPaused);
+  EXPECT_EQ(ToMillis(second.back().duration), 3396);
 }
 
 // Guards against fault kinds that are never injected, and against plans without overlapping faults.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -54,7 +54,7 @@
       ("help", "prints this text")
       ("seed", po::value(&options.seed)->default_value(1), "seed of the fault plan and requests")
       ("plan", po::value(&plan)->default_value(static_cast<int>(PlanVersion::kNewest)),
-       "version of the fault plan: 1 for the plans of older seeds, or 2")
+       "version of the fault plan: lower ones for seeds that failed before")
       ("seconds", po::value(&seconds)->default_value(20), "time during which faults start")
       ("bin-dir", po::value(&options.bin_directory)->default_value("build/bin"),
        "directory of the programs")
@@ -76,7 +76,11 @@
     return EXIT_SUCCESS;
   }
   options.length = FromSeconds(seconds);
-  options.plan = plan == 1 ? PlanVersion::kFirst : PlanVersion::kNewest;
+  if (plan < 1 || plan > static_cast<int>(PlanVersion::kNewest)) {
+    std::cerr << "no plan version " << plan << '\n';
+    return kExitUsage;
+  }
+  options.plan = static_cast<PlanVersion>(plan);
   auto result = RunSoak(options);
   // Another soak run, or left-over processes of one, may use the addresses.
   for (int blocks_tried = 1;
