Send no announcement time with a version that nobody announced

Cause: until a version is announced, an entry tells agents to load the newest version that engines hold, with the time since when it has known any held version, which is that of its own start. An entry that misses the first announcement, and sees engines with the new version before the operators' record, would send the new version with that time. Since times are corrected to the earliest one, all entries would enforce the version at once and all engines load it at once. Change: such a target carries no time. Agents take a version without a time as nearly due, as before a known time. Ruled out: restarting the time when the held version changes; this entry does not know when that was announced.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -105,7 +105,6 @@
   AsyncHttpServer metrics_server;
   SharedRouting rules = {};
   std::map<std::string, WantedVersions> wanted_versions = {};  // by model
-  std::optional<Instant> held_version_since = {};
   std::set<std::string> seen_with_weights = {};  // ids of upstreams that have held any version
   std::optional<Instant> stopping_since = {};
   bool was_ready = false;
@@ -265,14 +264,12 @@
   }
 
   // Until a version is announced, engines that join load the newest one that other engines of the
-  // pool hold.
+  // pool hold. It has no announcement time: this entry may only have missed its announcement.
   void SetTargetToHeldVersion(const std::string& pool, const std::string& model) {
     const HeldWeights held = this->HeldWeightsOf(pool);
     if (held.newest == 0) return;
-    if (!this->held_version_since) this->held_version_since = this->loop.Now();
     this->links.SetTarget({.model = model,
                            .version = held.newest,
-                           .wanted_since = *this->held_version_since,
                            .engines_without_weights = held.any_without_weights,
                            .requests_resumable = this->rules->AllRoutesResumable(pool)});
   }
