Count a watcher's contact from the store's answer, not from the report of it

Cause: of the three watchers of the prefix the store refused two, and the machine of the third was cut off from the store only. That one went on to report its last answer with a growing age of up to 1.6 s, and the other entries counted 1.3 s more from the receipt of each report before they watched themselves: up to 3.1 s. The class of the incident: the time of receipt taken for the time of the event. Also found by the reviewer by reading. Change: contact counts from the answer, for 1.6 s; a watch waits for 0.8 s at most, was 1 s, so that a sound watcher's contact is always more recent than that. Ruled out: a shorter time-out alone (substitutes would start beside sound watchers). Measured: ReportsOfAnOldAnswerDoNotPostponeWatching failed before. ProcessWatchesWithoutARecentWatcher has tighter bounds, 0.6 and 0.8 s after a report of 0.9 s, were 1.2 and 1.4 s; it fails on the code before.

--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -24,7 +24,7 @@
   std::string peer;  // IP:PORT at which peers reach this process
   // Longest wait of one watch call. A longer one saves calls, which the platform counts; but only a
   // completed call shows the peers that the store still answers this process.
-  Duration watch_wait = std::chrono::milliseconds(1000);
+  Duration watch_wait = std::chrono::milliseconds(800);
   // Pause between two watch calls, so that one call returns several changes in quick succession.
   Duration watch_pause = std::chrono::milliseconds(150);
   Duration min_retry_delay = std::chrono::milliseconds(100);
--- a/src/records/watcher_selection.cc
+++ b/src/records/watcher_selection.cc
@@ -45,12 +45,13 @@
 }
 
 void WatcherSelection::OnPeerContact(const std::string& peer, Duration contact_age, Instant now) {
-  if (contact_age > this->options.max_contact_age) return;
+  const Instant contact = now - contact_age;
   if (const auto watcher = this->watchers.find(peer); watcher != this->watchers.end()) {
-    watcher->second = now;
+    watcher->second = std::max(watcher->second, contact);
   }
   const std::uint64_t own = RendezvousScore(this->options.prefix, this->options.peer);
-  if (RendezvousScore(this->options.prefix, peer) > own) this->last_watcher_contact = now;
+  if (RendezvousScore(this->options.prefix, peer) <= own) return;
+  this->last_watcher_contact = std::max(this->last_watcher_contact, contact);
 }
 
 bool WatcherSelection::ShouldWatch(Instant now) const {
--- a/src/records/watcher_selection.h
+++ b/src/records/watcher_selection.h
@@ -15,10 +15,10 @@
   std::string peer;    // address at which peers reach this process
   // Number of watchers, independent of the number of processes.
   std::size_t max_watchers = 3;
-  // A process whose last answer from the store is older than this does not count as a watcher.
-  Duration max_contact_age = std::chrono::milliseconds(1600);
-  // A process that has heard from no watcher for this long watches the store itself.
-  Duration watcher_timeout = std::chrono::milliseconds(1300);
+  // A process watches the store itself when the last answer that it knows any watcher to have got
+  // is older than this. Above the 1.5 s that pass at most from one answer of a watcher until its
+  // peers learn of the next one.
+  Duration watcher_timeout = std::chrono::milliseconds(1600);
 };
 
 // The platform counts each watch as a call, and its rate limits grow more slowly than the number of
@@ -47,9 +47,9 @@
  private:
   WatcherSelectionOptions options;
   bool selected = true;
-  // Other watchers, and when they last reported recent contact.
+  // Other watchers, and when the store last answered them.
   std::map<std::string, Instant> watchers = {};
-  // When a higher-ranked process last reported recent contact.
+  // When the store last answered a higher-ranked process.
   Instant last_watcher_contact = {};
 };
 
