--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -48,8 +48,8 @@
 constexpr Duration kMaxWaitForUpstreams = milliseconds(3000);
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // An upstream that was removed gets no request from this long before it ends: the removal arrives
-// up to 0.2 s late, takes effect with the next maintenance, and a request in progress of connecting
-// is sent within 0.1 s.
+// up to 0.2 s late and takes effect with the next maintenance, after up to 0.1 s. A connection that
+// takes longer than the rest may still bring a request too late.
 constexpr Duration kDrainReserve = milliseconds(400);
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
--- a/src/records/outage_detector.h
+++ b/src/records/outage_detector.h
@@ -8,9 +8,10 @@
 namespace savory {
 
 struct OutageDetectorOptions {
-  // A pause between two answers counts as an outage of the store from this length on. Upstreams
-  // report every 1.2 s, so in a shorter one they hardly miss two reports and no record expires. An
-  // answered watch takes 1.2 s at most, one that is reset 0.1 s more.
+  // A pause between two answers counts as an outage of the store from this length on. At report
+  // intervals of 0.75 s and more, no record expires in a shorter one: that takes two missed
+  // reports. A watch that is answered takes 1 s at most, pause included, and one that is reset 0.1
+  // s more.
   Duration min_outage = std::chrono::milliseconds(1500);
 };
 
