--- a/src/base/time.h
+++ b/src/base/time.h
@@ -39,8 +39,15 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Longer times are cut to this, so that they can be added to an Instant. It is about 30 years.
+constexpr double kMaxSeconds = 1e9;
+
 constexpr Duration FromSeconds(double seconds) {
-  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+  if (seconds != seconds) return Duration(0);  // not a number
+  const double bounded = seconds < -kMaxSeconds  ? -kMaxSeconds
+                         : seconds > kMaxSeconds ? kMaxSeconds
+                                                 : seconds;
+  return Duration(static_cast<Duration::rep>(bounded * 1e6));
 }
 
 }  // namespace savory
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -23,6 +23,8 @@
 constexpr int kMaxDiscardedAnswers = 16;
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{1024} * 1024;
 
+// Longer idle timeouts are cut to this.
+constexpr std::uint64_t kMaxAnnouncedSeconds = 3600;
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 // Idle timeout in a Keep-Alive field ("timeout=5, max=100"), or nullopt.
@@ -33,7 +35,7 @@
   list.remove_prefix(found + kTimeoutParameter.size());
   const auto seconds = ParseDecimal(list.substr(0, list.find_first_not_of("0123456789")));
   if (!seconds) return std::nullopt;
-  return std::chrono::seconds(*seconds);
+  return std::chrono::seconds(std::min<std::uint64_t>(*seconds, kMaxAnnouncedSeconds));
 }
 
 }  // namespace
