Refuse requests that end the upstreams that run them, at all entries

Cause: the direct request path had no memory of a request beyond one receipt. Class: a guard that exists on one of two paths only. CrashRegistry moves out of src/routing into src/crashes and serves both.

How an end is told from a cut or a reset: a lost connection makes its request a suspect only if the upstream refuses a new connection, or a later start of it is listed, within 8 s; leaving upstreams are left out (UpstreamEndDetector). All requests that ran there are suspects; two ends refuse a request unless another suspect explains one of them as well, then three do; a complete answer clears it. Records spread by gossip as before; entries that missed some get them from four others when the digests in the statuses differ (8 bytes a status); and a refusal is kept in the platform's store for ten minutes with a lease, as all entries may lose their memory at once: one listing a start, two writes a refused request. Callers get 503 with the rest of the refusal as Retry-After, unsent, or 502 if an attempt has run.

Ruled out: counting lost connections alone (answer_lost, reset_conns and cuts would refuse sound requests; LostConnectionsAreNoCrashes).

--- a/src/routing/crash_registry_test.cc
+++ b/src/crashes/crash_registry_test.cc
@@ -1,4 +1,4 @@
-#include "routing/crash_registry.h"
+#include "crashes/crash_registry.h"
 
 #include <gtest/gtest.h>
 
@@ -14,7 +14,7 @@
 
 CrashRecordReceived Crash(const std::string& request, const std::string& vm,
                           std::uint64_t incarnation) {
-  return {{.fingerprint = Sha256(request), .vm = vm, .upstream_incarnation = incarnation}};
+  return {{.fingerprint = Sha256(request), .upstream = vm, .upstream_incarnation = incarnation}};
 }
 
 // Guards against refusing a request after a single crash, also if it is reported twice, and against
@@ -32,6 +32,77 @@
   EXPECT_FALSE(registry.IsRefused(Sha256("unknown"), kStart));
 }
 
+// Guards against refusing a request that twice ran beside the one that crashes its upstreams.
+TEST(CrashRegistryTest, AmbiguousSuspectsAreNotRefusedYet) {
+  Random random(1);
+  CrashRegistry registry({}, random);
+  for (const char* vm : {"vm-1", "vm-2"}) {
+    registry.Handle(Crash("bad", vm, 1), kStart);
+    registry.Handle(Crash("innocent", vm, 1), kStart);
+  }
+  EXPECT_FALSE(registry.IsRefused(Sha256("bad"), kStart));
+  registry.Handle(Crash("bad", "vm-3", 1), kStart);
+  EXPECT_TRUE(registry.IsRefused(Sha256("bad"), kStart));
+  EXPECT_FALSE(registry.IsRefused(Sha256("innocent"), kStart));
+}
+
+// Guards against refusing a frequent request that ran during unrelated crashes: an upstream
+// answered it in between. Reports of those crashes may arrive later.
+TEST(CrashRegistryTest, AnsweredRequestIsNoSuspectOfEarlierCrashes) {
+  Random random(1);
+  CrashRegistry registry({}, random);
+  registry.Handle(CrashPeersChanged{.peers = {"p1"}}, kStart);
+  registry.Handle(Crash("often", "vm-1", 1), kStart);
+  const Instant answered = kStart + std::chrono::seconds(1);
+  const auto actions = registry.Handle(RequestServed{.fingerprint = Sha256("often")}, answered);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::get<CrashForward>(actions.front()).record.served);
+  CrashRecordReceived late = Crash("often", "vm-2", 1);
+  late.record.age = std::chrono::seconds(1);
+  registry.Handle(late, answered + std::chrono::milliseconds(500));
+  registry.Handle(Crash("often", "vm-3", 1), answered + std::chrono::milliseconds(500));
+  EXPECT_FALSE(registry.IsRefused(Sha256("often"), answered + std::chrono::milliseconds(500)));
+  EXPECT_TRUE(registry.Handle(RequestServed{.fingerprint = Sha256("unknown")}, answered).empty());
+}
+
+// Guards against an entry that never learns of crashes it missed while it was down or cut off, and
+// against all entries sending it the same.
+TEST(CrashRegistryTest, EntriesThatMissedRecordsGetThemFromAFew) {
+  Random random(1);
+  constexpr std::size_t kKnowing = 40;
+  constexpr Duration kLater = std::chrono::minutes(1);
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i <= kKnowing; ++i) addresses.push_back("e" + std::to_string(i));
+  CrashRegistry restarted({.self = addresses.back()}, random);
+  const CrashDigestReceived empty{.peer = addresses.back(),
+                                  .digest = restarted.SharedDigest(kStart)};
+  std::size_t senders = 0;
+  for (std::size_t i = 0; i < kKnowing; ++i) {
+    CrashRegistry knowing({.self = addresses[i]}, random);
+    std::vector<std::string> others = addresses;
+    std::erase(others, addresses[i]);
+    knowing.Handle(CrashPeersChanged{.peers = others}, kStart);
+    knowing.Handle(Crash("bad", "vm-1", 1), kStart);
+    knowing.Handle(Crash("bad", "vm-2", 1), kStart);
+    knowing.Handle(Crash("once", "vm-2", 1), kStart);
+    const auto actions = knowing.Handle(empty, kStart + kLater);
+    senders += actions.empty() ? 0 : 1;
+    EXPECT_LE(actions.size(), 2U);  // one crash alone refuses nothing
+    for (const CrashAction& action : actions) {
+      const CrashRecord& record = std::get<CrashForward>(action).record;
+      EXPECT_EQ(record.age, kLater);
+      EXPECT_TRUE(restarted.Handle(CrashRecordReceived{record}, kStart + kLater).empty());
+    }
+    if (!actions.empty()) {
+      EXPECT_EQ(restarted.SharedDigest(kStart + kLater), knowing.SharedDigest(kStart + kLater));
+    }
+  }
+  EXPECT_EQ(senders, CrashRegistryOptions().resync_peers);
+  const Instant end = kStart + CrashRegistryOptions().refusal_duration;
+  EXPECT_TRUE(restarted.IsRefused(Sha256("bad"), end - Duration(1)));
+  EXPECT_FALSE(restarted.IsRefused(Sha256("bad"), end));
+}
+
 // Guards against a refusal that ends early or never, and against records that never expire.
 TEST(CrashRegistryTest, RefusalExpiresAfterTenMinutes) {
   Random random(1);
--- /dev/null
+++ b/src/direct/crash_archive.h
@@ -0,0 +1,43 @@
+// Keeps refused requests in the platform's store, in case all entries lose their memory at once.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+
+#include "base/time.h"
+#include "crashes/crash_record.h"
+
+namespace savory {
+
+class EventLoop;
+class RecordStore;
+
+struct CrashArchiveOptions {
+  Duration lifetime = std::chrono::minutes(10);  // of a refusal
+  Duration min_retry_delay = std::chrono::milliseconds(500);
+  Duration max_retry_delay = std::chrono::seconds(5);
+  int max_writes = 8;  // attempts for one request; the store may be away for longer
+};
+
+// All calls on the loop's thread.
+class CrashArchive {
+ public:
+  using Listener = std::function<void(const CrashRecord& record)>;
+
+  // The references must outlive the object.
+  CrashArchive(EventLoop& loop, RecordStore& store, CrashArchiveOptions options);
+  ~CrashArchive();
+
+  // Reads what the store has, until it has answered once, and passes each record to `listener`.
+  void Load(Listener listener);
+  // Writes the crashes of one request. The store forgets them after `lifetime`.
+  void Save(std::span<const CrashRecord> records);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace savory
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -13,7 +13,9 @@
 #include "base/metrics.h"
 #include "base/process_start.h"
 #include "base/random.h"
+#include "crashes/crash_notice.h"
 #include "direct/copy_policy.h"
+#include "direct/crash_archive.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
 #include "fleet/entry_links.h"
@@ -27,6 +29,7 @@
 #include "runtime/http_connection_pool.h"
 #include "runtime/peer_transport.h"
 #include "runtime/process_load.h"
+#include "wire/savoryrouter.pb.h"
 
 namespace savory {
 namespace {
@@ -77,7 +80,8 @@
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings) {
   return RelayOptions{
       .dispatcher = {.data_centre = settings.process.data_centre, .entry = settings.process.peer},
-      .budget = settings.retry_budget};
+      .budget = settings.retry_budget,
+      .crashes = {.registry = {.self = settings.process.peer}}};
 }
 
 }  // namespace
@@ -95,6 +99,7 @@
   EntryLinks links;
   RecordSync operator_records;
   RecordSync upstream_records;
+  CrashArchive crash_archive;
   UpstreamList upstreams;
   EntryDemandTracker demands;
   std::size_t sharing_entries = 1;
@@ -133,6 +138,7 @@
         upstream_records(
             loop, this->peers, adapter.store, metrics, this->random,
             {.prefix = adapter.records.UpstreamPrefix(), .peer = this->settings.process.peer}),
+        crash_archive(loop, adapter.store, {}),
         upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
                  .data_centre = this->settings.process.data_centre}),
@@ -325,6 +331,9 @@
       this->RemoveFromDispatcher(change.replaced, "a later start has its address");
     }
     this->relay.RequestDispatcher().SetUpstream(upstream);
+    this->relay.Crashes().OnUpstreamListed({.id = upstream.id,
+                                            .address = upstream.address,
+                                            .started_unix_ms = upstream.started_unix_ms});
   }
 
   void RemoveFromDispatcher(const std::string& id, std::string_view reason) {
@@ -495,6 +504,7 @@
     });
     this->links.OnEntriesChange(
         [this](const std::vector<std::string>& others) { this->OnEntriesChange(others); });
+    this->ConnectCrashGuard();
     std::vector<std::string> seeds;
     for (const std::string& seed : MakeLinkOptions(this->settings).presence.seeds) {
       if (seed != this->settings.process.peer) seeds.push_back(seed);
@@ -502,6 +512,25 @@
     this->SetPeerEntries(seeds);
   }
 
+  void ConnectCrashGuard() {
+    CrashGuard& crashes = this->relay.Crashes();
+    crashes.OnForward([this](const CrashForward& forward) {
+      wire::Envelope message;
+      EncodeCrashNotice(forward.record, *message.mutable_crash_notice());
+      this->peers.Send(forward.peer, Lane::kControl, std::move(message));
+    });
+    crashes.OnRefusal(
+        [this](std::span<const CrashRecord> records) { this->crash_archive.Save(records); });
+    this->peers.Subscribe(wire::Envelope::kCrashNotice,
+                          [&crashes](const wire::Envelope& message, auto) {
+                            crashes.AddRecord(DecodeCrashNotice(message.crash_notice()));
+                          });
+    this->links.SetCrashesDigestSource([&crashes] { return crashes.SharedDigest(); });
+    this->links.OnCrashesDigest([&crashes](const std::string& entry, std::uint64_t digest) {
+      crashes.OnPeerDigest(entry, digest);
+    });
+  }
+
   void OnEntriesChange(const std::vector<std::string>& others) {
     this->SetPeerEntries(others);
     this->demands.SetLiveEntries(this->links.LiveEntries());
@@ -513,6 +542,7 @@
     this->relay.Budget().SetEntries(entries);
     this->operator_records.SetPeers(others);
     this->upstream_records.SetPeers(others);
+    this->relay.Crashes().SetPeers(others);
   }
 
   int Run() {
@@ -537,6 +567,8 @@
     this->process_load.Start(kProcessLoadPeriod);
     this->operator_records.Start();
     this->upstream_records.Start();
+    this->crash_archive.Load(
+        [this](const CrashRecord& record) { this->relay.Crashes().AddRecord(record); });
     this->links.Start();
     this->loop.Run();
     FlushLog();
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -41,6 +41,8 @@
   EntriesListener on_entries_change = {};
   WantedSinceListener on_wanted_since = {};
   DemandListener on_demand = {};
+  CrashesDigestSource crashes_digest = {};
+  CrashesDigestListener on_crashes_digest = {};
 
   Impl(EventLoop& loop, PeerTransport& transport, Metrics& metrics, EntryLinksOptions given)
       : loop(loop),
@@ -92,6 +94,7 @@
     status.set_requests_per_second(this->demand.requests_per_second);
     status.set_period_ms(static_cast<std::uint32_t>(ToMillis(action.status.period)));
     status.set_leaving(action.status.leaving);
+    if (this->crashes_digest) status.set_crashes_digest(this->crashes_digest());
     status.set_reply_wanted(action.status.reply_wanted);
     status.set_entries_known(static_cast<std::uint32_t>(action.status.entries_known));
     for (const std::string& entry : action.status.entries) {
@@ -256,6 +259,7 @@
     this->Execute(this->presence.OnEntryStatus(from, report, this->loop.Now()));
     this->Advance();
     if (status.leaving()) return;
+    if (this->on_crashes_digest) this->on_crashes_digest(from, status.crashes_digest());
     if (this->on_demand) {
       this->on_demand({.entry = from,
                        .data_centre = status.data_centre(),
@@ -291,6 +295,12 @@
   this->impl->on_wanted_since = std::move(listener);
 }
 void EntryLinks::OnDemand(DemandListener listener) { this->impl->on_demand = std::move(listener); }
+void EntryLinks::SetCrashesDigestSource(CrashesDigestSource source) {
+  this->impl->crashes_digest = std::move(source);
+}
+void EntryLinks::OnCrashesDigest(CrashesDigestListener listener) {
+  this->impl->on_crashes_digest = std::move(listener);
+}
 
 void EntryLinks::Start() {
   Impl& self = *this->impl;
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -57,6 +57,10 @@
   // `valid_for`: the next report follows within this time, unless the entry is gone.
   using DemandListener = std::function<void(EntryDemand demand, Duration valid_for)>;
 
+  // Returns the digest of crashed requests that goes with each status to other entries.
+  using CrashesDigestSource = std::function<std::uint64_t()>;
+  using CrashesDigestListener = std::function<void(const std::string& entry, std::uint64_t digest)>;
+
   // The references must outlive the object.
   EntryLinks(EventLoop& loop, PeerTransport& peers, Metrics& metrics, EntryLinksOptions options);
   ~EntryLinks();
@@ -69,6 +73,9 @@
   void OnWantedSinceReport(WantedSinceListener listener);
   // Called with the demand that another entry reports.
   void OnDemand(DemandListener listener);
+  void SetCrashesDigestSource(CrashesDigestSource source);
+  // Called with the digest that another entry reports.
+  void OnCrashesDigest(CrashesDigestListener listener);
   void Start();
   // Takes leave of the other entries and the agents. Later messages are ignored.
   void Leave();
--- a/src/records/record_store.h
+++ b/src/records/record_store.h
@@ -1,4 +1,4 @@
-// Interface to the platform's key-value store, as far as RecordSync uses it.
+// Interface to the platform's key-value store, as far as the product uses it.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +24,10 @@
   // Waits up to `wait` for changes after revision `after` to keys that begin with `prefix`.
   virtual void Watch(const std::string& prefix, std::uint64_t after, Duration wait,
                      Callback done) = 0;
+  // Writes a record that the store removes after `lifetime`. Errors: as above; kTimeout means that
+  // it may have been written.
+  virtual void Put(const std::string& key, const std::string& value, Duration lifetime,
+                   std::function<void(Result<void>)> done) = 0;
 };
 
 }  // namespace savory
--- a/src/records/record_sync_test.cc
+++ b/src/records/record_sync_test.cc
@@ -87,6 +87,11 @@
     this->store.Read(this->address, after, this->store.loop.Now() + wait, std::move(done));
   }
 
+  void Put(const std::string&, const std::string&, Duration,
+           std::function<void(Result<void>)>) override {
+    ADD_FAILURE() << "mirrors do not write";
+  }
+
   std::string address;
   std::string value = {};
   FakeStore& store;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -112,6 +112,8 @@
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   void SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules);
+  // Whether this start of the upstream is listed and not known to be leaving.
+  bool IsExpectedToStay(const UpstreamStart& start, Instant now) const;
 
   DispatchVerdict Submit(DispatchRequest request, Instant now);
   // Returns the waiting requests that are now sent or refused. Must be called periodically while
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -8,6 +8,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "crashes/request_fingerprint.h"
 #include "relay/attempt_plan.h"
 #include "relay/event_splitter.h"
 #include "relay/relay_codec.h"
@@ -65,6 +66,7 @@
   Random& random;
   Dispatcher dispatcher;
   PoolRetryBudget budget;
+  CrashGuard crashes;
   SharedRouting rules = {};
   bool stopping = false;
   AttemptNumber next_attempt = 1;
@@ -85,7 +87,8 @@
         options(std::move(given)),
         random(random),
         dispatcher(this->options.dispatcher, random),
-        budget(this->options.budget) {}
+        budget(this->options.budget),
+        crashes(loop, metrics, random, this->options.crashes) {}
 
   void SchedulePoll();
   void Poll();
@@ -130,6 +133,7 @@
     this->exchange->OnCallerDisconnected(this->Guarded([this] { this->OnCallerDisconnected(); }));
     this->timer =
         this->relay.loop.After(this->timeout - now, this->Guarded([this] { this->OnTimeout(); }));
+    if (this->CrashesUpstreams()) return this->RefuseCrashing();
     this->Submit();
   }
 
@@ -145,6 +149,9 @@
       this->relay.dispatcher.AddLoad(this->target.upstream, *answer.load, this->relay.loop.Now());
     }
     this->relay.TakeNotices(this->target, this->metadata.attempt_id, answer, head.status);
+    if (!answer.misdirected) {
+      this->relay.crashes.OnAnswered(this->target.upstream, this->target.started_unix_ms);
+    }
     this->answer_status = head.status;
     this->answer_not_run = answer.not_run;
     this->answer_misdirected = answer.misdirected;
@@ -201,6 +208,9 @@
   void OnCallFailed(CallFailure failure) override {
     const auto keep = this->shared_from_this();
     this->call.reset();
+    if (failure == CallFailure::kNoAnswer || failure == CallFailure::kBrokenOff) {
+      this->OnConnectionLost();
+    }
     switch (failure) {
       case CallFailure::kNotSent:
         return this->EndAttempt(AttemptEnd::kNotSent);
@@ -230,6 +240,45 @@
     return this->route.pools.back().pool;
   }
 
+  // ---- requests that end upstreams ----
+
+  const Digest& Fingerprint() {
+    if (!this->fingerprint) {
+      const HttpHead& head = this->exchange->Head();
+      this->fingerprint =
+          RequestFingerprint({this->account, head.method, head.target, this->exchange->Body()});
+    }
+    return *this->fingerprint;
+  }
+
+  bool CrashesUpstreams() {
+    return this->relay.crashes.HasSuspects() && this->relay.crashes.IsRefused(this->Fingerprint());
+  }
+
+  void OnConnectionLost() {
+    const UpstreamStart start{.id = this->target.upstream,
+                              .started_unix_ms = this->target.started_unix_ms};
+    // One that leaves may close its connections.
+    if (!this->relay.dispatcher.IsExpectedToStay(start, this->relay.loop.Now())) return;
+    this->relay.crashes.OnConnectionLost({.id = this->target.upstream,
+                                          .address = this->target.address,
+                                          .started_unix_ms = this->target.started_unix_ms},
+                                         this->Fingerprint(), this->metadata.attempt_id);
+  }
+
+  // Answers a request that is not sent, or not sent again, as it ends the upstreams that run it.
+  void RefuseCrashing() {
+    const std::string_view reason = AnswerFor(ErrorKind::kRequestCrashesUpstream).name;
+    if (this->history.delivered) {
+      this->Finish(reason, 0);
+      this->exchange->Abort();
+    } else if (this->history.may_have_run > 0) {
+      this->AnswerLocally(502, reason, {});
+    } else {
+      this->AnswerLocally(503, reason, this->relay.crashes.RefusedFor(this->Fingerprint()));
+    }
+  }
+
   void Submit() {
     this->attempt = this->relay.next_attempt++;
     DispatchRequest request{.attempt = this->attempt,
@@ -274,6 +323,12 @@
     this->target = chosen;
     this->sent_at = now;
     this->ResetAnswer();
+    if (this->CrashesUpstreams()) {
+      this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
+      this->attempt = 0;
+      this->RefuseCrashing();
+      return;
+    }
     if (left < kMinTimeLeft) {
       this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
@@ -428,6 +483,7 @@
   void Execute(NextStep step) {
     switch (step) {
       case NextStep::kRetry:
+        if (this->CrashesUpstreams()) return this->RefuseCrashing();
         this->Submit();
         return;
       case NextStep::kAnswerNotRun:
@@ -457,6 +513,7 @@
       this->relay.ReportEnd(this->attempt, AttemptResult::kServed);
       this->attempt = 0;
     }
+    if (this->relay.crashes.HasSuspects()) this->relay.crashes.OnServed(this->Fingerprint());
     if (!this->exchange->HasBegun() && !this->first_part) this->RecordFirstPart();
     this->Finish(this->answer_status >= kMinServerErrorStatus ? "server-error" : "served",
                  this->answer_status);
@@ -571,6 +628,7 @@
   std::optional<std::uint64_t> last_event = {};  // last event sent, or named by the caller
   std::optional<Duration> first_part = {};
 
+  std::optional<Digest> fingerprint = {};  // computed when it is needed
   std::vector<std::string> avoided = {};
   std::vector<std::string> tried_addresses = {};
   int attempts = 0;
@@ -767,6 +825,7 @@
 
 Dispatcher& Relay::RequestDispatcher() { return this->impl->dispatcher; }
 PoolRetryBudget& Relay::Budget() { return this->impl->budget; }
+CrashGuard& Relay::Crashes() { return this->impl->crashes; }
 void Relay::StopAccepting() { this->impl->stopping = true; }
 std::size_t Relay::InProgress() const { return this->impl->requests.size(); }
 void Relay::WithdrawOutdated() { this->impl->WithdrawOutdated(); }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "relay/crash_guard.h"
 #include "relay/dispatcher.h"
 #include "relay/pool_retry_budget.h"
 #include "relay/routing_index.h"
@@ -22,6 +23,7 @@
 struct RelayOptions {
   DispatcherOptions dispatcher = {};
   PoolRetryBudgetOptions budget = {};
+  CrashGuardOptions crashes = {};
   // Answers that are not streams are buffered up to this size, so that an idempotent request can be
   // retried when its answer is truncated.
   std::size_t max_buffered_answer = 1u << 20;
@@ -58,6 +60,7 @@
   void SetRules(SharedRouting rules);
   Dispatcher& RequestDispatcher();
   PoolRetryBudget& Budget();
+  CrashGuard& Crashes();
   // Refuses further requests, with a Retry-After of 0 so that callers go to another entry at once.
   void StopAccepting();
   std::size_t InProgress() const;
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -12,6 +12,7 @@
 #include "base/metrics.h"
 #include "base/sha256_hasher.h"
 #include "claims/claim_driver.h"
+#include "crashes/crash_notice.h"
 #include "membership/membership_driver.h"
 #include "routing/answer_queue.h"
 #include "routing/request_flow.h"
@@ -429,11 +430,7 @@
 }
 
 void EntryDriver::Impl::OnCrash(const wire::Envelope& message) {
-  const wire::CrashNotice& notice = message.crash_notice();
-  this->Feed(CrashNoticed{.record = {.fingerprint = DigestFromRaw(notice.fingerprint()),
-                                     .vm = notice.vm(),
-                                     .upstream_incarnation = notice.upstream_incarnation(),
-                                     .hops = notice.hops()}});
+  this->Feed(CrashNoticed{.record = DecodeCrashNotice(message.crash_notice())});
 }
 
 // ---- actions ----
@@ -591,11 +588,7 @@
 
 void EntryDriver::Impl::Do(const CrashForward& action) {
   wire::Envelope envelope;
-  wire::CrashNotice& notice = *envelope.mutable_crash_notice();
-  notice.set_fingerprint(std::string(action.record.fingerprint.View()));
-  notice.set_vm(action.record.vm);
-  notice.set_upstream_incarnation(action.record.upstream_incarnation);
-  notice.set_hops(action.record.hops);
+  EncodeCrashNotice(action.record, *envelope.mutable_crash_notice());
   this->node.peers.Send(action.peer, Lane::kControl, std::move(envelope));
 }
 
--- a/src/routing/request_events.h
+++ b/src/routing/request_events.h
@@ -11,9 +11,9 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/time.h"
+#include "crashes/crash_registry.h"
 #include "membership/member.h"
 #include "routing/balancer.h"
-#include "routing/crash_registry.h"
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "base/random.h"
+#include "crashes/crash_registry.h"
 #include "routing/account_limiter.h"
 #include "routing/balancer.h"
-#include "routing/crash_registry.h"
 #include "routing/request_events.h"
 #include "routing/retry_budget.h"
 
--- a/src/routing/request_flow_test.cc
+++ b/src/routing/request_flow_test.cc
@@ -352,7 +352,7 @@
   session.Report("b");
   session.Arrive(1, "/read");
   for (const char* vm : {"a", "b"}) {
-    session.Feed("crash", CrashNoticed{.record = {.fingerprint = Sha256("/read"), .vm = vm}});
+    session.Feed("crash", CrashNoticed{.record = {.fingerprint = Sha256("/read"), .upstream = vm}});
   }
   session.End(1, wire::ATTEMPT_UPSTREAM_CRASHED, 0);
   session.Arrive(2, "/read");
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -176,7 +176,7 @@
 void PooledConnection::OnEnd(TcpEnd end) {
   this->ended = true;
   if (this->call == nullptr) return;
-  if (end == TcpEnd::kRefused) {
+  if (end == TcpEnd::kRefused || end == TcpEnd::kUnreachable) {
     this->call->Fail(CallFailure::kNotSent);
     return;
   }
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -74,14 +74,14 @@
     const Duration wait = started ? this->options.connect_timeout : Duration(0);
     this->connect_timer = this->loop.After(wait, [this] {
       this->connect_timer = 0;
-      this->End(TcpEnd::kRefused);
+      this->End(TcpEnd::kUnreachable);
     });
   }
 
   void OnConnect(int status) {
     if (this->handler == nullptr) return;
     if (status != 0) {
-      this->End(TcpEnd::kRefused);
+      this->End(status == UV_ECONNREFUSED ? TcpEnd::kRefused : TcpEnd::kUnreachable);
       return;
     }
     this->Start();
--- a/src/runtime/tcp_connection.h
+++ b/src/runtime/tcp_connection.h
@@ -17,9 +17,10 @@
 
 // How a connection ended.
 enum class TcpEnd {
-  kRefused,  // it was never established; nothing was sent
-  kClosed,   // orderly close by the peer
-  kReset,    // it failed: reset, or no acknowledgement in time
+  kRefused,      // never established: nothing listens at the address
+  kUnreachable,  // never established for another reason: no answer, no route, malformed address
+  kClosed,       // orderly close by the peer
+  kReset,        // it failed: reset, or no acknowledgement in time
 };
 
 // Input that has arrived but was not delivered yet.
