Send no request late in a planned stop that may outlast it, and answer the rest at its end

Cause: the request path did not know the end of the process. Class: a condition that was checked when a request was taken, not for the time at which it ends. Change: from SIGTERM on, a request that must not run twice is sent only if its time-out ends before the process does; others if the longest recent answer of their route fits (AnswerTimes). The rest is refused unsent, with Retry-After 0. What still runs 0.2 s before the end is answered: 504 if it may have run, 503 if it was not sent.

Ruled out: refusing everything from SIGTERM on, as the balancer still sends new connections for two checks.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -46,6 +46,9 @@
 constexpr Duration kMinStopTime = milliseconds(3200);
 // The process exits this long before the platform would kill it at the end of the grace period.
 constexpr Duration kStopReserve = milliseconds(400);
+// Requests that are still in progress are answered this long before the process exits, so that the
+// answers are sent.
+constexpr Duration kLastAnswersReserve = milliseconds(200);
 // An entry that knows no upstream becomes ready after this time, because the platform may have
 // none.
 constexpr Duration kMaxWaitForUpstreams = milliseconds(3000);
@@ -145,8 +148,8 @@
         callers(loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
         ready_server(loop, {},
                      [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
-        metrics_server(
-            loop, {}, [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }) {}
+        metrics_server(loop, {},
+                       [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }) {}
 
   // ---- records ----
 
@@ -432,9 +435,12 @@
     if (this->stopping_since) this->AdvanceStop();
   }
 
+  Duration StopTime() const { return this->settings.stop_grace - kStopReserve; }
+
   void BeginStop() {
     if (this->stopping_since) return;
     this->stopping_since = this->loop.Now();
+    this->relay.BeginStop(*this->stopping_since + this->StopTime() - kLastAnswersReserve);
     Log(LogLevel::kInfo, "stopping", {{"in_progress", this->relay.InProgress()}});
     this->callers.StartDraining(kIdleConnectionLinger);
   }
@@ -445,9 +451,13 @@
       this->relay.StopAccepting();
       this->links.Leave();
     }
+    if (stopping_for >= this->StopTime() - kLastAnswersReserve && this->relay.InProgress() > 0) {
+      Log(LogLevel::kWarn, "stop_ends_requests", {{"in_progress", this->relay.InProgress()}});
+      this->relay.EndAll();
+    }
     const std::size_t busy = this->callers.BusyConnections();
     const bool done = stopping_for >= kMinStopTime && this->relay.InProgress() == 0 && busy == 0;
-    if (!done && stopping_for < this->settings.stop_grace - kStopReserve) return;
+    if (!done && stopping_for < this->StopTime()) return;
     Log(LogLevel::kInfo, "stopped",
         {{"cut_off", this->relay.InProgress()}, {"busy_connections", busy}});
     this->loop.Stop();
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "crashes/request_fingerprint.h"
+#include "relay/answer_times.h"
 #include "relay/attempt_plan.h"
 #include "relay/event_splitter.h"
 #include "relay/relay_codec.h"
@@ -69,6 +70,9 @@
   CrashGuard crashes;
   SharedRouting rules = {};
   bool stopping = false;
+  Instant stop_end = Instant::max();  // of a planned stop
+  AnswerTimes answer_times = AnswerTimes();
+  EndListener on_end = {};
   AttemptNumber next_attempt = 1;
   std::map<RelayedRequest*, std::shared_ptr<RelayedRequest>> requests = {};
   std::map<AttemptNumber, RelayedRequest*> waiting = {};
@@ -93,6 +97,7 @@
   void SchedulePoll();
   void Poll();
   void WithdrawOutdated();
+  void EndAll();
   // Reports the result to the dispatcher and logs when the upstream is ejected or usable again.
   void ReportEnd(AttemptNumber attempt, AttemptResult result);
   // Passes what an answer said of its upstream on to the dispatcher and logs what is new.
@@ -134,6 +139,7 @@
     this->timer =
         this->relay.loop.After(this->timeout - now, this->Guarded([this] { this->OnTimeout(); }));
     if (this->CrashesUpstreams()) return this->RefuseCrashing();
+    if (this->EndsAfterStop()) return this->RefuseAtStop();
     this->Submit();
   }
 
@@ -279,6 +285,37 @@
     }
   }
 
+  // ---- planned stop ----
+
+  // Whether a request that has not run yet might be cut off by the end of the process.
+  bool EndsAfterStop() const {
+    if (this->relay.stop_end == Instant::max() || this->history.may_have_run > 0) return false;
+    const Instant now = this->relay.loop.Now();
+    Duration longest = this->timeout - now;
+    if (MayRerun(this->history)) {
+      const auto usual = this->relay.answer_times.Longest(this->route.name);
+      longest = std::min(longest, usual.value_or(longest));
+    }
+    return now + longest > this->relay.stop_end;
+  }
+
+  void RefuseAtStop() { this->AnswerLocally(503, "stopping", Duration(0)); }
+
+  void EndNow() {
+    if (this->finished) return;
+    const auto keep = this->shared_from_this();
+    const bool may_have_run = this->call != nullptr || this->history.may_have_run > 0;
+    this->CancelCall(AttemptResult::kCancelled);
+    if (this->exchange->HasBegun()) {
+      this->Finish("stopped", 0);
+      this->exchange->Abort();
+    } else if (may_have_run) {
+      this->AnswerLocally(504, "stopped", {});
+    } else {
+      this->RefuseAtStop();
+    }
+  }
+
   void Submit() {
     this->attempt = this->relay.next_attempt++;
     DispatchRequest request{.attempt = this->attempt,
@@ -329,6 +366,12 @@
       this->RefuseCrashing();
       return;
     }
+    if (this->EndsAfterStop()) {
+      this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
+      this->attempt = 0;
+      this->RefuseAtStop();
+      return;
+    }
     if (left < kMinTimeLeft) {
       this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
@@ -513,6 +556,7 @@
       this->relay.ReportEnd(this->attempt, AttemptResult::kServed);
       this->attempt = 0;
     }
+    this->relay.answer_times.Add(this->route.name, this->relay.loop.Now() - this->sent_at);
     if (this->relay.crashes.HasSuspects()) this->relay.crashes.OnServed(this->Fingerprint());
     if (!this->exchange->HasBegun() && !this->first_part) this->RecordFirstPart();
     this->Finish(this->answer_status >= kMinServerErrorStatus ? "server-error" : "served",
@@ -656,6 +700,7 @@
         .Observe(ToSeconds(*this->first_part));
   }
   this->LogEnd(outcome, status, now);
+  if (this->relay.on_end) this->relay.on_end(outcome == "served");
   // Must be the last statement: the map may hold the last reference to this object.
   this->relay.requests.erase(this);
 }
@@ -728,6 +773,11 @@
   }
 }
 
+void Relay::Impl::EndAll() {
+  const auto ending = this->requests;
+  for (const auto& [key, request] : ending) request->EndNow();
+}
+
 void Relay::Impl::ReportEnd(AttemptNumber attempt, AttemptResult result) {
   const auto change = this->dispatcher.OnEnded(attempt, result, this->loop.Now());
   if (!change) return;
@@ -799,6 +849,7 @@
          {"host", FieldValue(head.fields, "Host")},
          {"target", head.target},
          {"rules", self.rules ? self.rules->Version() : 0}});
+    if (self.on_end && status >= kMinServerErrorStatus) self.on_end(false);
     self.AnswerLocally(*exchange, status, metadata.attempt_id, reason, retry_after);
   };
   if (self.stopping) return refuse(503, "stopping", Duration(0));
@@ -826,7 +877,10 @@
 Dispatcher& Relay::RequestDispatcher() { return this->impl->dispatcher; }
 PoolRetryBudget& Relay::Budget() { return this->impl->budget; }
 CrashGuard& Relay::Crashes() { return this->impl->crashes; }
+void Relay::OnRequestEnd(EndListener listener) { this->impl->on_end = std::move(listener); }
+void Relay::BeginStop(Instant end) { this->impl->stop_end = end; }
 void Relay::StopAccepting() { this->impl->stopping = true; }
+void Relay::EndAll() { this->impl->EndAll(); }
 std::size_t Relay::InProgress() const { return this->impl->requests.size(); }
 void Relay::WithdrawOutdated() { this->impl->WithdrawOutdated(); }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -61,8 +61,19 @@
   Dispatcher& RequestDispatcher();
   PoolRetryBudget& Budget();
   CrashGuard& Crashes();
-  // Refuses further requests, with a Retry-After of 0 so that callers go to another entry at once.
+  // Called with each request that ended: whether it was served.
+  using EndListener = std::function<void(bool served)>;
+  void OnRequestEnd(EndListener listener);
+
+  // The process stops at `end`. From now on a request is sent only if it can be answered before
+  // that: by its time-out if it must not run twice, otherwise by the time that answers of its route
+  // take. Others are refused, with a Retry-After of 0 so that callers go to another entry at once.
+  void BeginStop(Instant end);
+  // Refuses all further requests in the same way.
   void StopAccepting();
+  // Answers all requests that are still in progress: as not run, or as possibly run. An answer that
+  // has begun is broken off.
+  void EndAll();
   std::size_t InProgress() const;
   // Withdraws attempts that could begin with outdated weights. Call every 100 ms.
   void WithdrawOutdated();
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -540,6 +540,39 @@
   ExpectGoldenText("unroutable", this->printed);
 }
 
+// Guards against requests that are taken late in a planned stop and cut off at its end.
+TEST_F(RelaySession, RequestsThatMayOutlastAStopAreRefusedUnsent) {
+  this->Call("GET", "/read/1");
+  this->relay.BeginStop(this->loop.Now() + milliseconds(800));
+  this->printed.clear();
+  this->Call("POST", "/book/1", "van 7");   // its time-out is 1.5 s, and it must not run twice
+  this->Call("POST", "/chat/1", "prompt");  // it is not known how long its answers take
+  this->Call("GET", "/read/2");
+  this->Call("POST", "/book/2", "van 7", "k1", 500);
+  EXPECT_EQ(this->printed,
+            "caller sends POST /book/1\ncaller gets 503 Own=1 Retry-After=some\n"
+            "caller has whole answer: stopping|\n"
+            "caller sends POST /chat/1\ncaller gets 503 Own=1 Retry-After=some\n"
+            "caller has whole answer: stopping|\n"
+            "caller sends GET /read/2\na gets GET /read/2\ncaller gets 200\n"
+            "caller has whole answer: from a\n"
+            "caller sends POST /book/2\na gets POST /book/2 body van 7\ncaller gets 200\n"
+            "caller has whole answer: from a\n");
+}
+
+// Guards against a planned stop that closes connections without an answer.
+TEST_F(RelaySession, EndOfAStopAnswersWhatIsInProgress) {
+  const auto end_soon = [this] {
+    this->loop.After(milliseconds(100), [this] { this->relay.EndAll(); });
+  };
+  this->behaviours["a"] = {Silent()};
+  end_soon();
+  this->Call("POST", "/book/1", "van 7");
+  EXPECT_TRUE(
+      this->printed.ends_with("caller gets 504 Own=1\ncaller has whole answer: stopped|\n"));
+  EXPECT_EQ(this->relay.InProgress(), 0u);
+}
+
 // Guards against answering "not found" while the entry has no routing rules yet.
 TEST_F(RelaySession, EntryWithoutRulesAnswersNotRun) {
   Relay unconfigured(this->loop, this->upstreams, this->codec, this->metrics, this->random, {});
