--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -16,6 +16,7 @@
 #include "crashes/crash_notice.h"
 #include "direct/copy_policy.h"
 #include "direct/crash_archive.h"
+#include "direct/start_timeline.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
 #include "fleet/entry_links.h"
@@ -120,6 +121,7 @@
   FileTime settings_mtime = {};
   bool operator_records_listed = false;
   Instant first_rules_at = {};  // when the first routing rules arrived
+  StartTimeline start_timeline;
 
   Impl(EventLoop& loop, Metrics& metrics, DirectEntrySettings given, DirectEntryAdapter adapter)
       : loop(loop),
@@ -149,7 +151,8 @@
         ready_server(loop, {},
                      [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
         metrics_server(loop, {},
-                       [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }) {}
+                       [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }),
+        start_timeline(loop.Now()) {}
 
   // ---- records ----
 
@@ -208,6 +211,7 @@
          {"pools", found.pools.size()},
          {"accounts", found.accounts.size()}});
     if (!this->rules) this->first_rules_at = this->loop.Now();
+    this->start_timeline.Mark(StartStep::kRules, this->loop.Now());
     this->rules = std::make_shared<const RoutingIndex>(std::move(found));
     this->relay.SetRules(this->rules);
     const CallerLimits& limits = this->rules->Rules().limits;
@@ -333,6 +337,7 @@
     if (!change.replaced.empty()) {
       this->RemoveFromDispatcher(change.replaced, "a later start has its address");
     }
+    this->start_timeline.Mark(StartStep::kUpstreams, this->loop.Now());
     this->relay.RequestDispatcher().SetUpstream(upstream);
     this->relay.Crashes().OnUpstreamListed({.id = upstream.id,
                                             .address = upstream.address,
@@ -376,6 +381,7 @@
       this->was_ready = ready;
       Log(LogLevel::kInfo, ready ? "ready" : "not_ready");
     }
+    if (ready) this->start_timeline.Mark(StartStep::kReady, this->loop.Now());
     const bool known = exchange.Head().target == this->adapter.ready_path;
     exchange.Answer(!known ? 404 : (ready ? 200 : 503), {}, "");
   }
@@ -432,9 +438,22 @@
     }
     this->FollowEngines();
     this->relay.WithdrawOutdated();
+    if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
   }
 
+  // How long each part of the start took. -1: not reached yet.
+  void LogStart() const {
+    const auto millis = [](std::optional<Duration> time) { return time ? ToMillis(*time) : -1; };
+    const auto at = [&](StartStep step) {
+      return LogField{StartStepName(step), millis(this->start_timeline.At(step))};
+    };
+    Log(LogLevel::kInfo, "start_timeline",
+        {at(StartStep::kRules), at(StartStep::kUpstreams), at(StartStep::kEngineReport),
+         at(StartStep::kReady), at(StartStep::kFirstRequest), at(StartStep::kFirstServed),
+         LogField{"serving_again_ms", millis(this->start_timeline.ServingAgain())}});
+  }
+
   Duration StopTime() const { return this->settings.stop_grace - kStopReserve; }
 
   void BeginStop() {
@@ -501,7 +520,12 @@
         [this](std::span<const Record> changed) { this->OnOperatorRecords(changed); });
     this->upstream_records.OnChange(
         [this](std::span<const Record> changed) { this->OnUpstreamRecords(changed); });
+    this->relay.OnRequestEnd(
+        [this](bool served) { this->start_timeline.OnRequestEnd(served, this->loop.Now()); });
     this->links.OnReport([this](const EngineReport& report) {
+      if (report.reachable && report.accepting) {
+        this->start_timeline.Mark(StartStep::kEngineReport, this->loop.Now());
+      }
       this->relay.RequestDispatcher().AddReport(report, this->loop.Now());
     });
     this->links.OnWantedSinceReport(
--- a/src/savoryrouter.h
+++ b/src/savoryrouter.h
@@ -28,6 +28,10 @@
 // Distribution of weights to the VMs of a pool.
 #include "distribution/distribution_driver.h"
 
+// Requests that end the upstreams that run them.
+#include "crashes/crash_registry.h"
+#include "crashes/upstream_end_detector.h"
+
 // Requests: claims that ensure execution at most once, the agent's side, the entry's side.
 #include "claims/claim_driver.h"
 #include "gate/gate_driver.h"
