Send requests that end their upstreams in the soak, and check that they stop

Plan 4 has the fault crashing-request: two copies of one request at a time, 12 times, every 0.7 s, to random entries; each upstream that begins to run it ends for 1 s. The checker counts what reaches upstreams later than the contact time after the third end, and innocent requests that are refused. Older plans are unchanged.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -34,8 +34,17 @@
 
 std::string LinkTo(std::string_view upstream) { return "link to " + std::string(upstream); }
 
+constexpr std::string_view kCrashingPrefix = "crash-";
+// Reason in the body of a refusal.
+constexpr std::string_view kRefusedAsCrashing = "request-crashes-upstream";
+
 }  // namespace
 
+std::string CrashingBody(int number) {
+  return std::string(kCrashingPrefix) + std::to_string(number);
+}
+bool IsCrashingBody(std::string_view body) { return body.starts_with(kCrashingPrefix); }
+
 void Checker::AddViolation(std::string_view rule, const std::string& detail) {
   this->violations.push_back({.rule = std::string(rule), .detail = detail});
 }
@@ -159,6 +168,11 @@
                        std::string(attempt_id) + " was answered " + std::to_string(answer.status));
   }
   if (answer.state != AnswerState::kComplete) this->CheckTruncation(*request, now);
+  const bool is_refused = answer.body.find(kRefusedAsCrashing) != std::string::npos;
+  if (is_refused && !IsCrashingBody(request->sent.request.body)) {
+    this->AddViolation("innocent-request",
+                       std::string(attempt_id) + " was refused although it ends no upstream");
+  }
 }
 
 void Checker::CheckSuccess(const Request& request) {
@@ -218,6 +232,25 @@
   request->answer_says_leaving = false;
   this->CheckLeaving(*request, arrived, now);
   this->CheckNotices(*request, arrived, now);
+  this->CheckCrashing(*request, arrived, now);
+}
+
+void Checker::CheckCrashing(const Request& request, const ArrivedRequest& arrived, Instant now) {
+  const auto found = this->crashing.find(arrived.body);
+  if (found == this->crashing.end()) return;
+  CrashingRequest& crashing = found->second;
+  if (crashing.ends.size() < this->options.crashes_until_known) return;
+  const Instant known_at = crashing.ends[this->options.crashes_until_known - 1];
+  if (request.sent.sent <= known_at + this->options.settle_time ||
+      !this->IsUndisturbed(request.sent.entry_vm, now)) {
+    return;
+  }
+  if (++crashing.arrivals_when_known != this->options.max_arrivals_when_known + 1) return;
+  this->AddViolation("crashing-request",
+                     arrived.attempt_id + " of " + request.sent.entry_vm + " reached " +
+                         arrived.upstream + ", the same request ended " +
+                         std::to_string(crashing.ends.size()) + " upstreams before, the third " +
+                         std::to_string(ToMillis(now - known_at)) + " ms ago");
 }
 
 void Checker::OnNotice(const ArrivedRequest& arrived, const platform::UpstreamNotice& notice,
@@ -279,6 +312,7 @@
   const SentRequest& sent = request->sent;
   ++request->runs;
   ++request->running;
+  if (IsCrashingBody(arrived.body)) this->crashing[arrived.body].ends.push_back(now);
   request->upstreams.insert(arrived.upstream);
   const bool same = arrived.target == sent.request.target && arrived.body == sent.request.body &&
                     arrived.account == sent.account && !arrived.has_api_key;
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -40,6 +40,10 @@
   // that, and then at most so many until the end of the wait.
   Duration wait_notice_tolerance = std::chrono::milliseconds(500);
   std::uint32_t max_requests_during_wait = 2;
+  // A request that ended `crashes_until_known` upstreams may reach upstreams so often, sent later
+  // than `settle_time` after the last of these ends.
+  std::size_t crashes_until_known = 3;
+  std::uint32_t max_arrivals_when_known = 3;
   std::uint32_t stream_events = 8;  // in a complete stream
 };
 
@@ -68,6 +72,10 @@
   std::uint64_t loads = 0;
 };
 
+// Bodies of requests that end each upstream that runs them.
+std::string CrashingBody(int number);
+bool IsCrashingBody(std::string_view body);
+
 // Performs no I/O. `now` must not decrease between calls.
 class Checker {
  public:
@@ -154,6 +162,7 @@
   void CheckTruncation(const Request& request, Instant now);
   void CheckLeaving(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckNotices(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
+  void CheckCrashing(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckRoute(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckWeights(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void Count(const platform::CallerAnswer& answer);
@@ -168,6 +177,12 @@
   // When the entry VM passed on an answer in which the upstream says that it leaves.
   std::map<EntryAndUpstream, Instant> passed_on_leaving = {};
   std::map<EntryAndUpstream, std::vector<RequestedWait>> requested_waits = {};
+  // Ends of upstreams by requests with the same body.
+  struct CrashingRequest {
+    std::vector<Instant> ends = {};
+    std::uint32_t arrivals_when_known = 0;
+  };
+  std::map<std::string, CrashingRequest, std::less<>> crashing = {};  // by body
   std::map<std::string, Instant, std::less<>> corrupted_at = {};
   std::map<std::string, std::vector<RouteChange>, std::less<>> route_changes = {};
   std::map<std::uint64_t, Instant> weights_published_at = {};  // version -> publication time
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -376,6 +376,38 @@
   this->ExpectOnly("asked-to-wait");
 }
 
+TEST_F(CheckerTest, FindsCrashingRequestThatUpstreamsGetAgain) {
+  const auto send_crashing = [this](const std::string& id) {
+    this->Send(id, RequestKind::kIdempotent);
+    ArrivedRequest request = ArrivedAt(id, "u-" + id);
+    request.body = CrashingBody(1);
+    this->checker.OnArrived(request, this->now);
+    return request;
+  };
+  for (const char* id : {"a", "b", "c"}) {
+    this->checker.OnRun(send_crashing(id), this->now);
+  }
+  const std::size_t altered = this->checker.Violations().size();  // Send() has another body
+  this->now += seconds(3);
+  for (const char* id : {"d", "e", "f", "g"}) send_crashing(id);
+  this->now += milliseconds(1);
+  for (const char* id : {"h", "i", "j"}) send_crashing(id);
+  EXPECT_EQ(this->checker.Violations().size(), altered);
+  this->checker.MarkDisturbed("entry-1", this->now, seconds(1));
+  send_crashing("k");
+  EXPECT_EQ(this->checker.Violations().size(), altered);
+  this->now += seconds(5);
+  send_crashing("l");
+  ASSERT_EQ(this->checker.Violations().size(), altered + 1);
+  EXPECT_EQ(this->checker.Violations().back().rule, "crashing-request");
+}
+
+TEST_F(CheckerTest, FindsInnocentRequestRefusedAsCrashing) {
+  this->Send("a", RequestKind::kIdempotent);
+  this->Answer("a", AnswerState::kComplete, 503, "request-crashes-upstream\n", false);
+  this->ExpectOnly("innocent-request");
+}
+
 // Guards against requests that arrive in time and wait at the upstream past the rollout limit.
 TEST_F(CheckerTest, FindsBeginOnOutdatedWeightsAfterAWait) {
   this->checker.OnWeightsPublished(2, this->now);
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -56,6 +56,8 @@
   kWeightsPublishedEngineSlow,   // an engine is slow as the limit ends
   // Since plan 3.
   kUpstreamAsksToWait,  // refuses requests and says for how long
+  // Since plan 4.
+  kCrashingRequest,  // ends each upstream that runs it, and is sent again and again
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -69,7 +71,7 @@
 };
 
 // How plans are drawn. Older ways are kept so that seeds that failed once can be repeated.
-enum class PlanVersion { kFirst = 1, kSecond = 2, kNewest = 3 };
+enum class PlanVersion { kFirst = 1, kSecond = 2, kThird = 3, kNewest = 4 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
 // overlap; none starts in the last tenth of `length`.
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -19,6 +19,8 @@
 constexpr double kCancelProbability = 0.05;
 constexpr Duration kMinCancelDelay = milliseconds(40);
 constexpr Duration kCancelDelaySpread = milliseconds(250);
+// Copies of a request that ends its upstreams that are sent at the same time.
+constexpr int kCopiesAtOnce = 2;
 constexpr Duration kConnectionIdle = milliseconds(4000);
 // Request shares of the routes in the order of SoakLayout::Rules: chat, feed, book, read, moved.
 constexpr std::array<double, 5> kRouteShares = {0.40, 0.20, 0.15, 0.10, 0.15};
@@ -69,9 +71,27 @@
   return this->ready[entry] || this->connections[entry]->IdleConnections() > 0;
 }
 
-void SoakCallers::SendOne() {
+std::size_t SoakCallers::DrawEntry() {
   std::size_t entry = UniformBelow(this->random, this->layout.entries);
   while (!this->IsUsable(entry)) entry = (entry + 1) % this->layout.entries;
+  return entry;
+}
+
+void SoakCallers::RepeatCrashing(const std::string& body, int times, Duration period) {
+  if (this->stopped || times == 0) return;
+  if (this->ReadyEntries() > 0) {
+    const auto route = std::find_if(this->rules.routes.begin(), this->rules.routes.end(),
+                                    [](const RouteRule& rule) { return rule.name == "chat"; });
+    for (int i = 0; i < kCopiesAtOnce; ++i) {
+      this->Send(this->DrawEntry(), *route, this->rules.accounts.front(), body);
+    }
+  }
+  this->loop.After(period,
+                   [this, body, times, period] { this->RepeatCrashing(body, times - 1, period); });
+}
+
+void SoakCallers::SendOne() {
+  const std::size_t entry = this->DrawEntry();
   double draw = UniformUnit(this->random);
   std::size_t index = 0;
   while (index + 1 < kRouteShares.size() && draw >= kRouteShares[index]) {
@@ -80,16 +100,23 @@
   const RouteRule& route = this->rules.routes[index];
   const AccountRule& account =
       this->rules.accounts[UniformBelow(this->random, this->rules.accounts.size())];
+  this->Send(entry, route, account, "");
+}
+
+void SoakCallers::Send(std::size_t entry, const RouteRule& route, const AccountRule& account,
+                       const std::string& body) {
+  const bool is_crashing = !body.empty();
   std::string id(16, '0');
   for (char& digit : id) digit = "0123456789abcdef"[UniformBelow(this->random, 16)];
-  platform::CallerRequest request{.entry = this->layout.CallerAddress(entry),
-                                  .attempt_id = id,
-                                  .host = route.host,
-                                  .target = route.path_prefix + "x?n=" + id.substr(0, 4),
-                                  .api_key = account.api_keys.front(),
-                                  .body = "body of " + id,
-                                  .time_left = route.timeout + kExtraPatience};
-  if (UniformUnit(this->random) < kCancelProbability) {
+  platform::CallerRequest request{
+      .entry = this->layout.CallerAddress(entry),
+      .attempt_id = id,
+      .host = route.host,
+      .target = route.path_prefix + "x?n=" + (is_crashing ? body : id.substr(0, 4)),
+      .api_key = account.api_keys.front(),
+      .body = is_crashing ? body : "body of " + id,
+      .time_left = route.timeout + kExtraPatience};
+  if (!is_crashing && UniformUnit(this->random) < kCancelProbability) {
     request.cancel_after =
         kMinCancelDelay + FromSeconds(ToSeconds(kCancelDelaySpread) * UniformUnit(this->random));
   }
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "base/metrics.h"
@@ -21,6 +22,8 @@
   SoakCallers(EventLoop& loop, Checker& checker, const SoakLayout& layout, std::uint64_t seed);
 
   void Start(double requests_per_second);
+  // Sends a request that ends its upstreams to several entry VMs, again and again.
+  void RepeatCrashing(const std::string& body, int times, Duration period);
   void SetRate(double requests_per_second) { this->rate = requests_per_second; }
   void Stop() { this->stopped = true; }
   // Number of entry VMs whose readiness probe succeeds.
@@ -33,6 +36,9 @@
   // Callers open connections only to entry VMs that are ready, but use open ones until they end.
   bool IsUsable(std::size_t entry) const;
   void SendOne();
+  std::size_t DrawEntry();
+  void Send(std::size_t entry, const RouteRule& route, const AccountRule& account,
+            const std::string& body);
 
   EventLoop& loop;
   Checker& checker;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -42,6 +42,10 @@
 constexpr Duration kSlowAfterPublication = seconds(5);
 constexpr Duration kSlowTime = seconds(5);
 
+// A request that ends its upstreams is sent so often.
+constexpr int kCrashingRepeats = 12;
+constexpr Duration kCrashingPeriod = milliseconds(700);
+
 Duration StartDelay(Duration fault_duration) {
   return FromSeconds(kStartDelayShare * ToSeconds(fault_duration));
 }
@@ -78,6 +82,7 @@
   static Duration LengthOf(const Fault& fault) {
     const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
                                fault.kind == FaultKind::kWeightsPublishedEngineSlow;
+    if (fault.kind == FaultKind::kCrashingRequest) return kCrashingRepeats * kCrashingPeriod;
     return delays_origin ? kOriginDelay : fault.duration;
   }
 
@@ -288,6 +293,9 @@
         return this->SlowUpstream(upstream, StartDelay(fault.duration), fault.duration);
       case FaultKind::kUpstreamAsksToWait:
         return this->upstreams.AskToWait(upstream, fault.duration);
+      case FaultKind::kCrashingRequest:
+        return this->callers.RepeatCrashing(CrashingBody(++this->crashing_requests),
+                                            kCrashingRepeats, kCrashingPeriod);
       case FaultKind::kWeightsPublishedEntryPaused:
         this->PauseEntry(entry_vm, fault.duration);
         return this->upstreams.PublishWeights(kOriginDelay);
@@ -309,6 +317,7 @@
   SoakCallers callers;
   SoakResult result = {};
   std::map<std::string, int> fault_generations = {};
+  int crashing_requests = 0;
   Instant start_deadline = {};
   Instant evaluation_start = {};
 };
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -20,6 +20,8 @@
 constexpr Duration kDrainTime = milliseconds(2300);
 // Delay until another upstream takes over the address.
 constexpr Duration kAddressReuseDelay = milliseconds(2000);
+// Downtime of an upstream that a request has ended.
+constexpr Duration kCrashDowntime = milliseconds(1000);
 constexpr Duration kPollPeriod = milliseconds(50);
 
 }  // namespace
@@ -235,6 +237,14 @@
 }
 void SoakUpstreams::OnRun(const platform::ArrivedRequest& request) {
   this->checker.OnRun(request, this->loop.Now());
+  if (!IsCrashingBody(request.body)) return;
+  // Until its callers have noticed the end.
+  this->checker.MarkDisturbed(request.upstream, this->loop.Now(), kCrashDowntime);
+  this->loop.After(Duration(0), [this, id = request.upstream] {
+    for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+      if (this->upstreams[i].record.id == id) this->Crash(i, kCrashDowntime);
+    }
+  });
 }
 void SoakUpstreams::OnRunEnded(std::string_view attempt_id) {
   this->checker.OnRunEnded(attempt_id, this->loop.Now());
