--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -169,8 +169,13 @@
   if (record.hops >= this->options.max_hops) return {};
   ++record.hops;
   std::vector<std::string> chosen;
-  std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(chosen),
-              this->options.fan_out, this->random);
+  if (!this->options.self.empty() && this->peers.size() <= this->options.max_direct_peers) {
+    record.hops = this->options.max_hops;
+    chosen = this->peers;
+  } else {
+    std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(chosen),
+                this->options.fan_out, this->random);
+  }
   std::vector<CrashAction> actions;
   actions.reserve(chosen.size());
   for (std::string& peer : chosen) {
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -24,8 +24,12 @@
   std::uint32_t crash_threshold = 2;
   std::uint32_t certain_threshold = 3;  // distinct crashes after which it is refused anyway
   Duration refusal_duration = std::chrono::minutes(10);  // from the last recorded crash
-  std::uint32_t fan_out = 4;              // random entries that a new record is sent to
-  std::uint32_t max_hops = 6;             // maximum forwards of a record along one path
+  std::uint32_t fan_out = 4;   // random entries that a new record is sent to
+  std::uint32_t max_hops = 6;  // maximum forwards of a record along one path
+  // With at most this many other entries, the one that detects a crash sends the record to all of
+  // them, and they do not forward it. Not in use if entries do not compare their digests, which
+  // makes up for lost messages.
+  std::size_t max_direct_peers = 64;
   std::size_t max_fingerprints = 10'000;  // the first to expire is dropped
   std::uint32_t max_records = 8;          // crashes recorded for each fingerprint
   // Address of this entry among its peers. Without it, entries do not compare their digests.
@@ -74,9 +78,9 @@
 // ran at that moment are suspects of the crash. A request is refused for ten minutes after two
 // distinct crashes, unless another suspect of one of them has as many crashes; then after three.
 // One that is answered completely is no suspect of earlier crashes. Each record that is new to this
-// registry is forwarded to random entries, so that it spreads to all of them; entries that missed
-// some, as they were restarted, paused or cut off, get them from a few others when their digests
-// differ.
+// registry is sent to all other entries, or in a large fleet forwarded to random ones, so that it
+// spreads to all of them; entries that missed some, as they were restarted, paused or cut off, get
+// them from a few others when their digests differ.
 class CrashRegistry {
  public:
   // `random` must outlive this object.
--- a/src/crashes/crash_registry_test.cc
+++ b/src/crashes/crash_registry_test.cc
@@ -149,6 +149,21 @@
   EXPECT_TRUE(registry.IsRefused(Sha256("bad"), kStart));
 }
 
+// Guards against a storm of messages when many requests are suspects at once: in a small fleet,
+// each record is sent once to each entry.
+TEST(CrashRegistryTest, SmallFleetsGetEachRecordOnce) {
+  Random random(1);
+  CrashRegistry detecting({.self = "e0"}, random);
+  CrashRegistry receiving({.self = "e1"}, random);
+  detecting.Handle(CrashPeersChanged{.peers = {"e1", "e2", "e3", "e4", "e5", "e6"}}, kStart);
+  receiving.Handle(CrashPeersChanged{.peers = {"e0", "e2", "e3", "e4", "e5", "e6"}}, kStart);
+  const auto sent = detecting.Handle(Crash("bad", "vm-1", 1), kStart);
+  ASSERT_EQ(sent.size(), 6U);
+  const CrashRecord& record = std::get<CrashForward>(sent.front()).record;
+  EXPECT_TRUE(receiving.Handle(CrashRecordReceived{record}, kStart).empty());
+  EXPECT_EQ(receiving.Fingerprints(), 1U);
+}
+
 // Guards against records that do not spread. Two crashes of a request are reported to one entry; at
 // least 90 % of 320 entries must then refuse it.
 TEST(CrashRegistryTest, RecordsReachNinetyPercentOfEntries) {
--- a/src/relay/crash_guard.cc
+++ b/src/relay/crash_guard.cc
@@ -155,7 +155,7 @@
 void CrashGuard::OnConnectionLost(const UpstreamProcess& process, const Digest& request,
                                   std::string_view request_id) {
   Impl& self = *this->impl;
-  Log(LogLevel::kInfo, "suspect",
+  Log(LogLevel::kInfo, "request_suspected",
       {{"request", request_id},
        {"fingerprint", request.Hex().substr(0, kLoggedDigits)},
        {"upstream", process.id}});
