--- a/src/crashes/crash_registry_test.cc
+++ b/src/crashes/crash_registry_test.cc
@@ -69,15 +69,15 @@
 // against all entries sending it the same.
 TEST(CrashRegistryTest, EntriesThatMissedRecordsGetThemFromAFew) {
   Random random(1);
-  constexpr std::size_t kKnowing = 40;
-  constexpr Duration kLater = std::chrono::minutes(1);
+  constexpr std::size_t knowing_entries = 40;
+  constexpr Duration later = std::chrono::minutes(1);
   std::vector<std::string> addresses;
-  for (std::size_t i = 0; i <= kKnowing; ++i) addresses.push_back("e" + std::to_string(i));
+  for (std::size_t i = 0; i <= knowing_entries; ++i) addresses.push_back("e" + std::to_string(i));
   CrashRegistry restarted({.self = addresses.back()}, random);
   const CrashDigestReceived empty{.peer = addresses.back(),
                                   .digest = restarted.SharedDigest(kStart)};
   std::size_t senders = 0;
-  for (std::size_t i = 0; i < kKnowing; ++i) {
+  for (std::size_t i = 0; i < knowing_entries; ++i) {
     CrashRegistry knowing({.self = addresses[i]}, random);
     std::vector<std::string> others = addresses;
     std::erase(others, addresses[i]);
@@ -85,16 +85,16 @@
     knowing.Handle(Crash("bad", "vm-1", 1), kStart);
     knowing.Handle(Crash("bad", "vm-2", 1), kStart);
     knowing.Handle(Crash("once", "vm-2", 1), kStart);
-    const auto actions = knowing.Handle(empty, kStart + kLater);
+    const auto actions = knowing.Handle(empty, kStart + later);
     senders += actions.empty() ? 0 : 1;
     EXPECT_LE(actions.size(), 2U);  // one crash alone refuses nothing
     for (const CrashAction& action : actions) {
       const CrashRecord& record = std::get<CrashForward>(action).record;
-      EXPECT_EQ(record.age, kLater);
-      EXPECT_TRUE(restarted.Handle(CrashRecordReceived{record}, kStart + kLater).empty());
+      EXPECT_EQ(record.age, later);
+      EXPECT_TRUE(restarted.Handle(CrashRecordReceived{record}, kStart + later).empty());
     }
     if (!actions.empty()) {
-      EXPECT_EQ(restarted.SharedDigest(kStart + kLater), knowing.SharedDigest(kStart + kLater));
+      EXPECT_EQ(restarted.SharedDigest(kStart + later), knowing.SharedDigest(kStart + later));
     }
   }
   EXPECT_EQ(senders, CrashRegistryOptions().resync_peers);
