Keep a request alive while it aborts an answer that ended with half an event

OnAnswerDone() may end the request, which drops the last reference to it, and then still used its exchange to reset the caller's connection (a stream that is complete by HTTP and ends in the middle of an event, not resumable). Found by reading while RefuseCrashing() was written, which has the same need; no run has shown it. OnCallFailed() held a reference already.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -198,6 +198,7 @@
   }
 
   void OnAnswerDone() override {
+    const auto keep = this->shared_from_this();
     this->call.reset();
     if (this->answer_not_run) {
       this->EndAttempt(AttemptEnd::kNotRun);
@@ -274,6 +275,7 @@
 
   // Answers a request that is not sent, or not sent again, as it ends the upstreams that run it.
   void RefuseCrashing() {
+    const auto keep = this->shared_from_this();
     const std::string_view reason = AnswerFor(ErrorKind::kRequestCrashesUpstream).name;
     if (this->history.delivered) {
       this->Finish(reason, 0);
