Move the exchange of crashes out of the entry's composition

CrashExchange connects the guard with the other entries and the store; no change of behaviour (direct_test passes, 16 tests).

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -13,9 +13,8 @@
 #include "base/metrics.h"
 #include "base/process_start.h"
 #include "base/random.h"
-#include "crashes/crash_notice.h"
 #include "direct/copy_policy.h"
-#include "direct/crash_archive.h"
+#include "direct/crash_exchange.h"
 #include "direct/start_timeline.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
@@ -30,7 +29,6 @@
 #include "runtime/http_connection_pool.h"
 #include "runtime/peer_transport.h"
 #include "runtime/process_load.h"
-#include "wire/savoryrouter.pb.h"
 
 namespace savory {
 namespace {
@@ -103,7 +101,7 @@
   EntryLinks links;
   RecordSync operator_records;
   RecordSync upstream_records;
-  CrashArchive crash_archive;
+  CrashExchange crash_exchange;
   UpstreamList upstreams;
   EntryDemandTracker demands;
   std::size_t sharing_entries = 1;
@@ -143,7 +141,7 @@
         upstream_records(
             loop, this->peers, adapter.store, metrics, this->random,
             {.prefix = adapter.records.UpstreamPrefix(), .peer = this->settings.process.peer}),
-        crash_archive(loop, adapter.store, {}),
+        crash_exchange(loop, this->peers, this->links, adapter.store, this->relay.Crashes()),
         upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
                  .data_centre = this->settings.process.data_centre}),
@@ -538,7 +536,6 @@
     });
     this->links.OnEntriesChange(
         [this](const std::vector<std::string>& others) { this->OnEntriesChange(others); });
-    this->ConnectCrashGuard();
     std::vector<std::string> seeds;
     for (const std::string& seed : MakeLinkOptions(this->settings).presence.seeds) {
       if (seed != this->settings.process.peer) seeds.push_back(seed);
@@ -546,25 +543,6 @@
     this->SetPeerEntries(seeds);
   }
 
-  void ConnectCrashGuard() {
-    CrashGuard& crashes = this->relay.Crashes();
-    crashes.OnForward([this](const CrashForward& forward) {
-      wire::Envelope message;
-      EncodeCrashNotice(forward.record, *message.mutable_crash_notice());
-      this->peers.Send(forward.peer, Lane::kControl, std::move(message));
-    });
-    crashes.OnRefusal(
-        [this](std::span<const CrashRecord> records) { this->crash_archive.Save(records); });
-    this->peers.Subscribe(wire::Envelope::kCrashNotice,
-                          [&crashes](const wire::Envelope& message, auto) {
-                            crashes.AddRecord(DecodeCrashNotice(message.crash_notice()));
-                          });
-    this->links.SetCrashesDigestSource([&crashes] { return crashes.SharedDigest(); });
-    this->links.OnCrashesDigest([&crashes](const std::string& entry, std::uint64_t digest) {
-      crashes.OnPeerDigest(entry, digest);
-    });
-  }
-
   void OnEntriesChange(const std::vector<std::string>& others) {
     this->SetPeerEntries(others);
     this->demands.SetLiveEntries(this->links.LiveEntries());
@@ -601,8 +579,7 @@
     this->process_load.Start(kProcessLoadPeriod);
     this->operator_records.Start();
     this->upstream_records.Start();
-    this->crash_archive.Load(
-        [this](const CrashRecord& record) { this->relay.Crashes().AddRecord(record); });
+    this->crash_exchange.Start();
     this->links.Start();
     this->loop.Run();
     FlushLog();
