Let an answer clear a suspected end only after the upstream was probed

An answer that an upstream sent before it ended can be read after the loss of another connection, in the same round of the loop; it cleared the suspicion, and the end was missed. Found in the closing read. AnswersBeforeTheProbeProveNothing fails without the change by its code path (the suspicion was erased, so the probe confirmed nothing); crashes_test passes, 14 tests.

--- a/src/crashes/upstream_end_detector.cc
+++ b/src/crashes/upstream_end_detector.cc
@@ -44,6 +44,7 @@
   this->Expire(now);
   const auto found = this->suspicions.find(process.id);
   if (found == this->suspicions.end() || !IsSameStart(found->second.process, process)) return {};
+  found->second.probed = true;
   if (result != ProbeResult::kRefused || found->second.ended) return {};
   return {this->Confirm(found->second, "connection refused")};
 }
@@ -64,7 +65,8 @@
 
 void UpstreamEndDetector::OnAnswered(std::string_view id, std::int64_t started_unix_ms) {
   const auto found = this->suspicions.find(id);
-  if (found == this->suspicions.end() || found->second.ended) return;
+  if (found == this->suspicions.end()) return;
+  if (found->second.ended || !found->second.probed) return;
   if (found->second.process.started_unix_ms == started_unix_ms) this->suspicions.erase(found);
 }
 
--- a/src/crashes/upstream_end_detector.h
+++ b/src/crashes/upstream_end_detector.h
@@ -65,7 +65,8 @@
                                           Instant now);
   // The upstream is listed. Confirms the end of earlier starts with its id or address.
   std::vector<UpstreamEndAction> OnListed(const UpstreamProcess& process, Instant now);
-  // The process answered a request.
+  // The process answered a request. That counts once it has been probed: answers that it sent
+  // before it ended may be read after the loss of another connection.
   void OnAnswered(std::string_view id, std::int64_t started_unix_ms);
   // Forgets what can no longer be confirmed. Call at least every second.
   void Expire(Instant now);
@@ -77,6 +78,7 @@
   struct Suspicion {
     UpstreamProcess process;
     Instant lost_at = {};  // the first lost connection
+    bool probed = false;
     bool ended = false;
     std::vector<Digest> requests = {};
   };
--- a/src/crashes/upstream_end_detector_test.cc
+++ b/src/crashes/upstream_end_detector_test.cc
@@ -53,6 +53,13 @@
   EXPECT_TRUE(this->detector.OnListed(Process(2000), kStart).empty());
 }
 
+// Guards against missing an end because answers that were sent before it are read late.
+TEST_F(UpstreamEndDetectorTest, AnswersBeforeTheProbeProveNothing) {
+  this->LoseTwo();
+  this->detector.OnAnswered("u1", 1000);
+  EXPECT_EQ(Suspects(this->detector.OnProbed(Process(), ProbeResult::kRefused, kStart)), 2U);
+}
+
 // Guards against missing the end of an upstream that is back before the probe, under its former id
 // or another one.
 TEST_F(UpstreamEndDetectorTest, LaterStartProvesTheEnd) {
