Send one copy at a time of a request that is a suspect of two ends, and don't retry it there

A request that ran at two ends is now sent only if no copy of it is at an upstream (503 with a Retry-After of 1 s otherwise), and one that ran at an end and loses its connection again is not retried at another upstream.

Cause and class: a suspicion takes time to be confirmed, and meanwhile a suspect was treated like any other request.

--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -48,6 +48,11 @@
   return this->IsRefused(fingerprint, now) ? this->by_fingerprint.at(fingerprint)->expires : now;
 }
 
+std::size_t CrashRegistry::CrashesOf(const Digest& fingerprint, Instant now) const {
+  const CrashHistory* history = this->Find(fingerprint, now);
+  return history == nullptr ? 0 : history->crashes.size();
+}
+
 std::vector<CrashRecord> CrashRegistry::RecordsOf(const Digest& fingerprint, Instant now) const {
   const CrashHistory* history = this->Find(fingerprint, now);
   return history == nullptr ? std::vector<CrashRecord>() : this->RecordsOf(*history, now);
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -94,6 +94,8 @@
   bool IsRefused(const Digest& fingerprint, Instant now) const;
   // When the refusal ends; `now` if the request is not refused.
   Instant RefusalEnd(const Digest& fingerprint, Instant now) const;
+  // Number of distinct crashes of which the request is a suspect.
+  std::size_t CrashesOf(const Digest& fingerprint, Instant now) const;
   // The crashes of `fingerprint`, as they would be forwarded.
   std::vector<CrashRecord> RecordsOf(const Digest& fingerprint, Instant now) const;
 
--- a/src/relay/crash_guard.cc
+++ b/src/relay/crash_guard.cc
@@ -183,6 +183,15 @@
   return this->impl->registry.IsRefused(request, this->impl->loop.Now());
 }
 
+bool CrashGuard::IsSuspect(const Digest& request) const {
+  return this->impl->registry.CrashesOf(request, this->impl->loop.Now()) > 0;
+}
+
+bool CrashGuard::IsStrongSuspect(const Digest& request) const {
+  return this->impl->registry.CrashesOf(request, this->impl->loop.Now()) >=
+         this->impl->options.registry.crash_threshold;
+}
+
 Duration CrashGuard::RefusedFor(const Digest& request) const {
   const Instant now = this->impl->loop.Now();
   return this->impl->registry.RefusalEnd(request, now) - now;
--- a/src/relay/crash_guard.h
+++ b/src/relay/crash_guard.h
@@ -59,6 +59,9 @@
   // be called, which saves the fingerprint.
   bool HasSuspects() const;
   bool IsRefused(const Digest& request) const;
+  // Whether the request ran at an upstream that ended, and at two of them.
+  bool IsSuspect(const Digest& request) const;
+  bool IsStrongSuspect(const Digest& request) const;
   // Time until the request is accepted again.
   Duration RefusedFor(const Digest& request) const;
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -28,6 +28,8 @@
 // A request whose time left is below this fraction of the longest one seen on its route is taken
 // for a caller's retry. First tries differ in their time left, but stay above this fraction.
 constexpr double kMinFirstTryTimeFraction = 0.82;
+// Retry-After of a request whose copy may be ending an upstream at the moment.
+constexpr Duration kCopyRetryAfter = std::chrono::seconds(1);
 // Lowest HTTP status that is a server error.
 constexpr int kMinServerErrorStatus = 500;
 
@@ -273,8 +275,30 @@
                                          this->Fingerprint(), this->metadata.attempt_id);
   }
 
+  // Whether the request ran at two upstreams that ended, and a copy of it is at an upstream now.
+  // That one shows whether it ends a third.
+  bool MustAwaitCopy() {
+    CrashGuard& crashes = this->relay.crashes;
+    if (!crashes.HasSuspects() || !crashes.IsStrongSuspect(this->Fingerprint())) return false;
+    const auto& all = this->relay.requests;
+    return std::any_of(all.begin(), all.end(), [this](const auto& row) {
+      const RelayedRequest& other = *row.second;
+      return &other != this && other.call && other.fingerprint == this->fingerprint;
+    });
+  }
+
+  // Whether the request lost the connection to an upstream and had run at one that ended before.
+  bool IsRepeatedSuspect(AttemptEnd end) {
+    const bool lost = end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
+    return lost && this->relay.crashes.HasSuspects() &&
+           this->relay.crashes.IsSuspect(this->Fingerprint());
+  }
+
   // Answers a request that is not sent, or not sent again, as it ends the upstreams that run it.
   void RefuseCrashing() {
+    this->RefuseCrashing(this->relay.crashes.RefusedFor(this->Fingerprint()));
+  }
+  void RefuseCrashing(Duration retry_after) {
     const auto keep = this->shared_from_this();
     const std::string_view reason = AnswerFor(ErrorKind::kRequestCrashesUpstream).name;
     if (this->history.delivered) {
@@ -283,7 +307,7 @@
     } else if (this->history.may_have_run > 0) {
       this->AnswerLocally(502, reason, {});
     } else {
-      this->AnswerLocally(503, reason, this->relay.crashes.RefusedFor(this->Fingerprint()));
+      this->AnswerLocally(503, reason, retry_after);
     }
   }
 
@@ -368,6 +392,12 @@
       this->RefuseCrashing();
       return;
     }
+    if (this->MustAwaitCopy()) {
+      this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
+      this->attempt = 0;
+      this->RefuseCrashing(kCopyRetryAfter);
+      return;
+    }
     if (this->EndsAfterStop()) {
       this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
@@ -517,7 +547,8 @@
     const bool certainly_not_run = end == AttemptEnd::kNotSent || end == AttemptEnd::kNotRun;
     ++(certainly_not_run ? this->history.not_run : this->history.may_have_run);
     const bool in_time = this->timeout - now > kMinTimeLeft;
-    const NextStep planned = PlanNext(this->history, end, in_time);
+    const bool may_retry = in_time && !this->IsRepeatedSuspect(end);
+    const NextStep planned = PlanNext(this->history, end, may_retry);
     // A request that was not sent reached no upstream, so its retry does not use the budget.
     const bool granted = planned != NextStep::kRetry || end == AttemptEnd::kNotSent ||
                          this->relay.budget.Take(this->pool, now);
