Refuse requests with a part of the prompt that ends upstreams, and explain ends together

Suspects are now a request's fingerprint and the shared parts of its prompt, on both request paths. FindCrashCauses() looks for the fewest causes that explain all ends: what ran beside a guilty request at its ends explains nothing of its own. Digests that were only seen together are refused together. Answers clear parts, at the entry that saw them before any suspicion, and at others when they suspect one. After ten minutes one entry tries a part again, for ten more the others don't. Operators see refusals and their evidence at /refusals, with savoryrouterctl refusals, and lift them.

--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -6,6 +6,7 @@
 #include "apps/ctl_fleet.h"
 #include "apps/ctl_manifest.h"
 #include "apps/ctl_options.h"
+#include "apps/ctl_refusals.h"
 #include "apps/ctl_tables.h"
 #include "base/command_line.h"
 #include "base/log.h"
@@ -34,6 +35,8 @@
       {"rollback", RunRollback},
       {"status", RunStatus},
       {"watch", RunWatch},
+      {"refusals", RunRefusals},
+      {"lift", RunLift},
       {"manifest", RunManifest},
   };
   return kCommands;
--- a/src/apps/ctl_options.cc
+++ b/src/apps/ctl_options.cc
@@ -27,6 +27,9 @@
 Fleet:
   status                         print the status of every process
   watch POOL                     print the progress of a rollout until it is complete
+Requests that end upstreams:
+  refusals                       print which requests are refused, and the evidence
+  lift CAUSE                     accept the requests of a refusal again, at all entries
 Weights:
   manifest FILE --name NAME --out FILE
                                  compute the manifest of a weights file, print its digest
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -74,6 +74,17 @@
     server.Handle("GET", "/status", [this](const HttpRequest&) {
       return HttpReply{.body = this->host.RunOnLoop([this] { return this->RenderOwnStatus(); })};
     });
+    server.Handle("GET", "/refusals", [this](const HttpRequest&) {
+      return HttpReply{.content_type = "application/json", .body = this->host.RunOnLoop([this] {
+                         return this->requests.RenderRefusals();
+                       })};
+    });
+    server.Handle("POST", "/refusals/lift", [this](const HttpRequest& request) {
+      const std::string lifted = this->host.RunOnLoop([this, &request]() -> std::string {
+        return this->requests.LiftRefusal(request.body) ? "lifted" : "";
+      });
+      return HttpReply{.status = lifted.empty() ? 404 : 200};
+    });
     server.Handle("GET", "/", [this](const HttpRequest&) {
       return HttpReply{
           .content_type = "text/html; charset=utf-8",
--- /dev/null
+++ b/src/crashes/crash_causes.h
@@ -0,0 +1,54 @@
+// Finds the requests, and parts of prompts, that explain why upstreams ended.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/digest.h"
+#include "crashes/crash_suspect.h"
+
+namespace savory {
+
+// An upstream's id and incarnation.
+using UpstreamIncarnation = std::pair<std::string, std::uint64_t>;
+// The requests that ran at each upstream when it ended.
+using CrashSuspects = std::map<UpstreamIncarnation, std::vector<CrashSuspect>>;
+
+// A fingerprint or a part, and the crashes of which it may be the cause.
+struct CrashCandidate {
+  Digest digest = {};
+  std::vector<UpstreamIncarnation> crashes = {};  // sorted
+};
+
+// Requests that have each of `all_of`, as fingerprint or part, end the upstreams that run them.
+// There are several if they were only seen together.
+struct CrashCause {
+  std::vector<Digest> all_of = {};                // sorted
+  std::vector<UpstreamIncarnation> crashes = {};  // that it explains, sorted
+
+  bool Has(const CrashSuspect& request) const;
+};
+
+struct CrashCauseOptions {
+  std::size_t crash_threshold = 2;    // crashes that prove a cause if nothing else explains them
+  std::size_t certain_threshold = 3;  // crashes that prove it also beside others
+};
+
+struct CrashCauses {
+  std::vector<CrashCause> proved = {};
+  // Digests, sorted, with `crash_threshold` crashes that no proved cause explains.
+  std::vector<Digest> open = {};
+};
+
+// Looks for the fewest causes that explain all crashes: the candidate with the most crashes first,
+// then the one with the most of the rest. A request that ran beside the guilty ones, even at
+// several crashes, explains none that they don't. `candidates` are those with at least
+// `crash_threshold` crashes.
+CrashCauses FindCrashCauses(std::span<const CrashCandidate> candidates,
+                            const CrashSuspects& suspects, const CrashCauseOptions& options);
+
+}  // namespace savory
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -5,37 +5,53 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <variant>
 #include <vector>
 
 #include "base/digest.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "crashes/crash_causes.h"
 #include "crashes/crash_record.h"
+#include "crashes/crash_suspect.h"
+#include "crashes/sound_parts.h"
 
 namespace savory {
 
 struct CrashRegistryOptions {
-  // Distinct crashes after which a request is refused, if no other request explains one of them as
-  // well.
-  std::uint32_t crash_threshold = 2;
-  std::uint32_t certain_threshold = 3;  // distinct crashes after which it is refused anyway
+  CrashCauseOptions causes = {};
   Duration refusal_duration = std::chrono::minutes(10);  // from the last recorded crash
+  // After a refusal for a part of a prompt, only one entry accepts requests with it for this time.
+  // Otherwise each entry might end an upstream to learn that the part still does.
+  Duration trial_duration = std::chrono::minutes(10);
+  // A part that was answered so shortly before a crash did not cause it.
+  Duration sound_before_crash = std::chrono::seconds(2);
+  SoundPartsOptions sound_parts = {};
   std::uint32_t fan_out = 4;   // random entries that a new record is sent to
   std::uint32_t max_hops = 6;  // maximum forwards of a record along one path
   // With at most this many other entries, the one that detects a crash sends the record to all of
   // them, and they do not forward it. Not in use if entries do not compare their digests, which
   // makes up for lost messages.
   std::size_t max_direct_peers = 64;
-  std::size_t max_fingerprints = 10'000;  // the first to expire is dropped
-  std::uint32_t max_records = 8;          // crashes recorded for each fingerprint
+  // Fingerprints and parts. Those with one crash are dropped first, the oldest before the others.
+  std::size_t max_fingerprints = 10'000;
+  std::size_t max_records = 64;      // crashes recorded for each fingerprint
+  std::size_t max_candidates = 256;  // compared as causes, those with the most crashes
   // Address of this entry among its peers. Without it, entries do not compare their digests.
   std::string self = {};
   std::size_t resync_peers = 4;  // entries that send a peer what it lacks
   std::size_t max_resync_records = 1024;
+  // Crashes of a refusal that Evidence() returns.
+  std::size_t max_evidence = 8;
+};
+
+// Why requests are refused.
+struct CrashRefusal {
+  CrashCause cause = {};
+  Instant end = {};
 };
 
 // ---- events ----
@@ -45,9 +61,14 @@
 struct CrashRecordReceived {
   CrashRecord record;
 };
-// A request was answered completely by an upstream.
+// An upstream answered a request completely, or has streamed its answer for a while.
 struct RequestServed {
   Digest fingerprint = {};
+  std::vector<Digest> parts = {};
+};
+// An operator ends the refusal of requests that have `all_of`.
+struct RefusalLifted {
+  std::vector<Digest> all_of;
 };
 // The addresses of the other entries that are alive.
 struct CrashPeersChanged {
@@ -61,8 +82,8 @@
 // Removes expired records, as every event does. Should be sent at least every second.
 struct CrashTick {};
 
-using CrashEvent = std::variant<CrashRecordReceived, RequestServed, CrashPeersChanged,
-                                CrashDigestReceived, CrashTick>;
+using CrashEvent = std::variant<CrashRecordReceived, RequestServed, RefusalLifted,
+                                CrashPeersChanged, CrashDigestReceived, CrashTick>;
 
 // ---- actions ----
 
@@ -74,13 +95,14 @@
 
 using CrashAction = std::variant<CrashForward>;
 
-// Records the fingerprints of requests that were running when upstreams ended. All requests that
-// ran at that moment are suspects of the crash. A request is refused for ten minutes after two
-// distinct crashes, unless another suspect of one of them has as many crashes; then after three.
-// One that is answered completely is no suspect of earlier crashes. Each record that is new to this
-// registry is sent to all other entries, or in a large fleet forwarded to random ones, so that it
-// spreads to all of them; entries that missed some, as they were restarted, paused or cut off, get
-// them from a few others when their digests differ.
+// Records which requests, with which parts of their prompts, were running when upstreams ended. All
+// of them are suspects of the crash; FindCrashCauses() tells which fingerprints and parts explain
+// the crashes. Requests that have one are refused for ten minutes. An answer clears a request, and
+// the parts of its prompt, of earlier crashes. Parts that this entry has seen answered shortly
+// before a crash are no suspects of it; if another entry suspects one, it is told. Each record that
+// is new to this registry is sent to all other entries, or in a large fleet forwarded to random
+// ones, so that it spreads to all of them; entries that missed some, as they were restarted, paused
+// or cut off, get them from a few others when their digests differ.
 class CrashRegistry {
  public:
   // `random` must outlive this object.
@@ -90,56 +112,95 @@
 
   std::vector<CrashAction> Handle(const CrashEvent& event, Instant now);
 
-  // Whether requests with `fingerprint` must be refused with kRequestCrashesUpstream.
+  // Whether the request must be refused with kRequestCrashesUpstream.
+  bool IsRefused(const CrashSuspect& request, Instant now) const;
   bool IsRefused(const Digest& fingerprint, Instant now) const;
+  // The refusal of the request that ends last; nullopt if it is not refused.
+  std::optional<CrashRefusal> RefusalOf(const CrashSuspect& request, Instant now) const;
   // When the refusal ends; `now` if the request is not refused.
   Instant RefusalEnd(const Digest& fingerprint, Instant now) const;
-  // Number of distinct crashes of which the request is a suspect.
-  std::size_t CrashesOf(const Digest& fingerprint, Instant now) const;
-  // The crashes of `fingerprint`, as they would be forwarded.
-  std::vector<CrashRecord> RecordsOf(const Digest& fingerprint, Instant now) const;
-
-  // Digest of all fingerprints with so many crashes that they may be refused; 0 if there are none.
+  std::vector<CrashRefusal> Refusals(Instant now) const;
+  // Whether this entry acts for all: it saves the refusal, and accepts requests again first.
+  bool RanksFirst(const CrashCause& cause) const;
+  // The last crashes that the cause of a refusal explains, one record for each, as they would be
+  // forwarded.
+  std::vector<CrashRecord> Evidence(const CrashCause& cause, Instant now) const;
+
+  // Whether the request, or a part of its prompt, is a suspect of a crash without a known cause.
+  bool IsSuspect(const CrashSuspect& request, Instant now) const;
+  // Those of its digests that are suspects of two such crashes.
+  std::vector<Digest> StrongSuspicions(const CrashSuspect& request) const;
+
+  // Digest of all fingerprints and parts with so many crashes that they may be refused; 0 if there
+  // are none.
   std::uint64_t SharedDigest(Instant now) const;
-  // The number of fingerprints with at least one record.
+  // The number of fingerprints and parts with at least one record.
   std::size_t Fingerprints() const;
 
  private:
   struct Crash {
-    std::string upstream;
-    std::uint64_t incarnation = 0;
+    UpstreamIncarnation process;
     Instant at = {};
   };
+  // Of a fingerprint or a part.
   struct CrashHistory {
-    Digest fingerprint;
+    Digest digest;
+    bool is_part = false;
+    bool is_strong = false;  // which list it is in
     std::vector<Crash> crashes = {};
-    Instant served_at = {};  // last complete answer; epoch: none
+    Instant served_at = {};  // last answer; epoch: none
+    Instant refused_until = {};
     Instant expires = {};
   };
   using CrashHistories = std::list<CrashHistory>;
-  using UpstreamIncarnation = std::pair<std::string, std::uint64_t>;
 
-  std::vector<CrashAction> AddCrash(const CrashRecord& record, Instant now);
+  // Older records are ignored.
+  Duration MaxAge(const CrashRecord& record) const;
+  std::vector<CrashAction> AddCrash(CrashRecord record, Instant now);
+  // Records a crash of one fingerprint or part. Returns whether it is new.
+  bool AddCrashOf(const Digest& digest, bool is_part, const UpstreamIncarnation& process,
+                  Instant at);
+  void AddSuspect(const CrashRecord& record);
+  // Removes from the record the parts that were answered around the crash, and returns what the
+  // others must know of them.
+  std::vector<CrashAction> DropSoundParts(CrashRecord& record, Instant now);
   std::vector<CrashAction> AddServed(const CrashRecord& record, Instant now);
+  std::vector<CrashAction> AddAnswer(const RequestServed& served, Instant now);
+  std::vector<CrashAction> Lift(const RefusalLifted& lifted, Instant now);
   std::vector<CrashAction> Resync(const CrashDigestReceived& received, Instant now);
-  // Whether another suspect of one of the crashes has as many crashes.
-  bool HasOtherSuspect(const CrashHistory& history, Instant now) const;
-  const CrashHistory* Find(const Digest& fingerprint, Instant now) const;
-  CrashHistory& HistoryFor(const Digest& fingerprint);
-  void Drop(CrashHistories::iterator history);
-  void ForgetSuspect(const Crash& crash, const Digest& fingerprint);
+  // Removes the crashes that the answer disproves. Returns whether there are any.
+  bool ClearCrashes(const Digest& digest, Instant answered);
+  // What other entries need to refuse, and accept, the same requests.
+  std::vector<CrashRecord> RecordsToShare(Instant now) const;
+  static const Crash* FindCrash(const CrashHistory& history, const UpstreamIncarnation& process);
+  const CrashHistory* Find(const Digest& digest, Instant now) const;
+  CrashHistories::iterator HistoryFor(const Digest& digest, bool is_part);
+  // Whether it has so many crashes that it may be refused.
+  bool MayBeRefused(const CrashHistory& history) const;
+  // Moves the history to the end of the list that it belongs to.
+  void Relist(CrashHistories::iterator row);
+  void Drop(CrashHistories::iterator row);
+  void ForgetSuspect(const Crash& crash, const CrashHistory& history);
   std::vector<CrashAction> Forward(CrashRecord record);
   // Whether this entry is one of those that send `peer` what it lacks.
   bool IsResponsibleFor(const std::string& peer) const;
-  std::vector<CrashRecord> RecordsOf(const CrashHistory& history, Instant now) const;
+  bool Applies(const CrashRefusal& refusal, Instant now) const;
+  Instant CrashedAt(const UpstreamIncarnation& process, const CrashCause& cause, Instant now) const;
+  void UpdateCauses(Instant now);
   void Expire(Instant now);
 
   CrashRegistryOptions options;
   Random& random;
   std::vector<std::string> peers;
-  CrashHistories histories;  // in the order of their last records
-  std::unordered_map<Digest, CrashHistories::iterator> by_fingerprint;
-  std::map<UpstreamIncarnation, std::vector<Digest>> suspects;  // fingerprints by crash
+  // In the order of their last records: with one crash, and with more.
+  CrashHistories weak;
+  CrashHistories strong;
+  std::unordered_map<Digest, CrashHistories::iterator> by_digest;
+  CrashSuspects suspects;
+  SoundParts sound_parts;
+  bool causes_outdated = false;
+  CrashCauses causes;
+  std::vector<CrashRefusal> refusals;  // of `causes.proved`
   // Digests of peers that differed from this entry's when they last reported them.
   std::map<std::string, std::uint64_t> differing;
 };
--- a/src/crashes/upstream_end_detector.cc
+++ b/src/crashes/upstream_end_detector.cc
@@ -10,16 +10,18 @@
   return a.id == b.id && a.started_unix_ms == b.started_unix_ms;
 }
 
-CrashRecord RecordOf(const UpstreamProcess& process, const Digest& request) {
-  return {.fingerprint = request,
+CrashRecord RecordOf(const UpstreamProcess& process, const CrashSuspect& request, Duration age) {
+  return {.fingerprint = request.fingerprint,
+          .parts = request.parts,
           .upstream = process.id,
-          .upstream_incarnation = static_cast<std::uint64_t>(process.started_unix_ms)};
+          .upstream_incarnation = static_cast<std::uint64_t>(process.started_unix_ms),
+          .age = age};
 }
 
 }  // namespace
 
 std::vector<UpstreamEndAction> UpstreamEndDetector::OnConnectionLost(const UpstreamProcess& process,
-                                                                     const Digest& request,
+                                                                     const CrashSuspect& request,
                                                                      Instant now) {
   const bool is_full = this->suspicions.size() >= this->options.max_upstreams;
   const auto known = this->suspicions.find(process.id);
@@ -29,8 +31,9 @@
   if (is_new) suspicion = {.process = process, .lost_at = now};
   // Further requests of a process that is known to have ended.
   if (suspicion.ended) {
-    return {UpstreamEnded{
-        .process = process, .evidence = "known", .suspects = {RecordOf(process, request)}}};
+    return {UpstreamEnded{.process = process,
+                          .evidence = "known",
+                          .suspects = {RecordOf(process, request, now - suspicion.lost_at)}}};
   }
   if (suspicion.requests.size() < this->options.max_requests) {
     suspicion.requests.push_back(request);
@@ -46,7 +49,7 @@
   if (found == this->suspicions.end() || !IsSameStart(found->second.process, process)) return {};
   found->second.probed = true;
   if (result != ProbeResult::kRefused || found->second.ended) return {};
-  return {this->Confirm(found->second, "connection refused")};
+  return {this->Confirm(found->second, "connection refused", now)};
 }
 
 std::vector<UpstreamEndAction> UpstreamEndDetector::OnListed(const UpstreamProcess& process,
@@ -58,7 +61,7 @@
     const bool is_successor = (process.id == id || process.address == suspect.address) &&
                               process.started_unix_ms > suspect.started_unix_ms;
     if (!is_successor || suspicion.ended) continue;
-    actions.push_back(this->Confirm(suspicion, "later start"));
+    actions.push_back(this->Confirm(suspicion, "later start", now));
   }
   return actions;
 }
@@ -76,11 +79,12 @@
   });
 }
 
-UpstreamEndAction UpstreamEndDetector::Confirm(Suspicion& suspicion, std::string_view evidence) {
+UpstreamEndAction UpstreamEndDetector::Confirm(Suspicion& suspicion, std::string_view evidence,
+                                               Instant now) {
   suspicion.ended = true;
   UpstreamEnded ended{.process = suspicion.process, .evidence = evidence};
-  for (const Digest& request : std::exchange(suspicion.requests, {})) {
-    ended.suspects.push_back(RecordOf(suspicion.process, request));
+  for (const CrashSuspect& request : std::exchange(suspicion.requests, {})) {
+    ended.suspects.push_back(RecordOf(suspicion.process, request, now - suspicion.lost_at));
   }
   return ended;
 }
--- a/src/crashes/upstream_end_detector.h
+++ b/src/crashes/upstream_end_detector.h
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
-#include "base/digest.h"
 #include "base/time.h"
 #include "crashes/crash_record.h"
+#include "crashes/crash_suspect.h"
 
 namespace savory {
 
@@ -60,7 +60,7 @@
 
   // The connection that `request` was sent on ended before its answer was complete.
   std::vector<UpstreamEndAction> OnConnectionLost(const UpstreamProcess& process,
-                                                  const Digest& request, Instant now);
+                                                  const CrashSuspect& request, Instant now);
   std::vector<UpstreamEndAction> OnProbed(const UpstreamProcess& process, ProbeResult result,
                                           Instant now);
   // The upstream is listed. Confirms the end of earlier starts with its id or address.
@@ -80,10 +80,10 @@
     Instant lost_at = {};  // the first lost connection
     bool probed = false;
     bool ended = false;
-    std::vector<Digest> requests = {};
+    std::vector<CrashSuspect> requests = {};
   };
 
-  UpstreamEndAction Confirm(Suspicion& suspicion, std::string_view evidence);
+  UpstreamEndAction Confirm(Suspicion& suspicion, std::string_view evidence, Instant now);
 
   UpstreamEndDetectorOptions options;
   std::map<std::string, Suspicion, std::less<>> suspicions = {};  // by id
--- a/src/crashes/upstream_end_detector_test.cc
+++ b/src/crashes/upstream_end_detector_test.cc
@@ -13,6 +13,8 @@
   return {.id = "u1", .address = "10.0.0.1:80", .started_unix_ms = started};
 }
 
+CrashSuspect Request(std::string_view name) { return {.fingerprint = Sha256(name)}; }
+
 // Number of suspects in the only action, an UpstreamEnded; 0 if there is none.
 std::size_t Suspects(const std::vector<UpstreamEndAction>& actions) {
   if (actions.size() != 1) return 0;
@@ -24,10 +26,10 @@
  protected:
   // Two requests lose their connections; only the first causes a probe.
   void LoseTwo() {
-    const auto first = this->detector.OnConnectionLost(Process(), Sha256("a"), kStart);
+    const auto first = this->detector.OnConnectionLost(Process(), Request("a"), kStart);
     ASSERT_EQ(first.size(), 1U);
     EXPECT_TRUE(std::holds_alternative<ProbeUpstreamProcess>(first.front()));
-    EXPECT_TRUE(this->detector.OnConnectionLost(Process(), Sha256("b"), kStart).empty());
+    EXPECT_TRUE(this->detector.OnConnectionLost(Process(), Request("b"), kStart).empty());
   }
 
   UpstreamEndDetector detector;
@@ -38,7 +40,7 @@
 TEST_F(UpstreamEndDetectorTest, RefusedConnectionProvesTheEnd) {
   this->LoseTwo();
   EXPECT_EQ(Suspects(this->detector.OnProbed(Process(), ProbeResult::kRefused, kStart)), 2U);
-  EXPECT_EQ(Suspects(this->detector.OnConnectionLost(Process(), Sha256("c"), kStart)), 1U);
+  EXPECT_EQ(Suspects(this->detector.OnConnectionLost(Process(), Request("c"), kStart)), 1U);
   EXPECT_TRUE(this->detector.OnProbed(Process(), ProbeResult::kRefused, kStart).empty());
 }
 
@@ -82,11 +84,11 @@
   EXPECT_FALSE(this->detector.HasSuspicion());
   UpstreamEndDetector bounded({.max_upstreams = 1, .max_requests = 2});
   for (int i = 0; i < 5; ++i) {
-    bounded.OnConnectionLost(Process(), Sha256(std::to_string(i)), kStart);
+    bounded.OnConnectionLost(Process(), Request(std::to_string(i)), kStart);
   }
   UpstreamProcess other = Process();
   other.id = "u2";
-  EXPECT_TRUE(bounded.OnConnectionLost(other, Sha256("x"), kStart).empty());
+  EXPECT_TRUE(bounded.OnConnectionLost(other, Request("x"), kStart).empty());
   EXPECT_EQ(Suspects(bounded.OnProbed(Process(), ProbeResult::kRefused, kStart)), 2U);
 }
 
--- a/src/direct/crash_archive.cc
+++ b/src/direct/crash_archive.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "crashes/crash_causes.h"
 #include "crashes/crash_notice.h"
 #include "records/record_store.h"
 #include "runtime/event_loop.h"
@@ -86,12 +87,12 @@
   this->impl->List();
 }
 
-void CrashArchive::Save(std::span<const CrashRecord> records) {
+void CrashArchive::Save(const CrashCause& cause, std::span<const CrashRecord> records) {
   if (records.empty()) return;
   wire::CrashedRequest request;
   request.set_written_unix_ms(UnixMs());
   for (const CrashRecord& record : records) EncodeCrashNotice(record, *request.add_crashes());
-  this->impl->Write(kPrefix + records.front().fingerprint.Hex(), request.SerializeAsString(), 1,
+  this->impl->Write(kPrefix + cause.all_of.front().Hex(), request.SerializeAsString(), 1,
                     this->impl->options.min_retry_delay);
 }
 
--- a/src/direct/crash_archive.h
+++ b/src/direct/crash_archive.h
@@ -1,4 +1,5 @@
-// Keeps refused requests in the platform's store, in case all entries lose their memory at once.
+// Keeps the refusals of requests in the platform's store, in case all entries lose their memory at
+// once.
 #pragma once
 
 #include <cstdint>
@@ -13,9 +14,10 @@
 
 class EventLoop;
 class RecordStore;
+struct CrashCause;
 
 struct CrashArchiveOptions {
-  Duration lifetime = std::chrono::minutes(10);  // of a refusal
+  Duration lifetime = std::chrono::minutes(10);  // of a refusal; also the store's longest lease
   Duration min_retry_delay = std::chrono::milliseconds(500);
   Duration max_retry_delay = std::chrono::seconds(5);
   int max_writes = 8;  // attempts for one request; the store may be away for longer
@@ -32,8 +34,9 @@
 
   // Reads what the store has, until it has answered once, and passes each record to `listener`.
   void Load(Listener listener);
-  // Writes the crashes of one request. The store forgets them after `lifetime`.
-  void Save(std::span<const CrashRecord> records);
+  // Writes what is known of one cause, in place of what was written of it before. The store forgets
+  // it after `lifetime`.
+  void Save(const CrashCause& cause, std::span<const CrashRecord> records);
 
  private:
   struct Impl;
--- a/src/direct/crash_exchange.cc
+++ b/src/direct/crash_exchange.cc
@@ -20,8 +20,9 @@
     EncodeCrashNotice(forward.record, *message.mutable_crash_notice());
     this->peers.Send(forward.peer, Lane::kControl, std::move(message));
   });
-  this->crashes.OnRefusal(
-      [this](std::span<const CrashRecord> records) { this->archive.Save(records); });
+  this->crashes.OnSave([this](const CrashCause& cause, std::span<const CrashRecord> records) {
+    this->archive.Save(cause, records);
+  });
   this->peers.Subscribe(wire::Envelope::kCrashNotice, [this](const wire::Envelope& message, auto) {
     this->crashes.AddRecord(DecodeCrashNotice(message.crash_notice()));
   });
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -56,6 +56,9 @@
 // up to 0.2 s late and takes effect with the next maintenance, after up to 0.1 s. A connection that
 // takes longer than the rest may still bring a request too late.
 constexpr Duration kDrainReserve = milliseconds(400);
+// On the address of the metrics.
+constexpr std::string_view kRefusalsPath = "/refusals";
+constexpr std::string_view kLiftPath = "/refusals/lift";
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 // Smaller corrections of the time since when a version is wanted come from message delays.
@@ -385,10 +388,27 @@
   }
 
   void AnswerMetrics(HttpExchange& exchange) {
+    const HttpHead& head = exchange.Head();
+    if (head.target == kRefusalsPath) return this->AnswerRefusals(exchange);
+    if (head.target == kLiftPath) return this->LiftRefusal(exchange);
     const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
     exchange.Answer(200, fields, this->metrics.Render());
   }
 
+  // ---- operators ----
+
+  void AnswerRefusals(HttpExchange& exchange) {
+    const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "application/json"}};
+    exchange.Answer(200, fields, this->relay.Crashes().RenderRefusals());
+  }
+
+  // The body names the cause.
+  void LiftRefusal(HttpExchange& exchange) {
+    if (exchange.Head().method != "POST") return exchange.Answer(405, {}, "");
+    const bool lifted = this->relay.Crashes().Lift(exchange.Body());
+    exchange.Answer(lifted ? 200 : 404, {}, "");
+  }
+
   // ---- engine shares ----
 
   void UpdateDemand() {
--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "crashes/crash_notice.h"
 #include "gate/upstream_call.h"
 #include "gate/upstream_gate.h"
 #include "runtime/event_loop.h"
@@ -56,6 +57,12 @@
   Instant since;
 };
 
+std::vector<Digest> DigestsOf(const google::protobuf::RepeatedPtrField<std::string>& rows) {
+  std::vector<Digest> digests;
+  for (const std::string& row : rows) digests.push_back(DigestFromRaw(row));
+  return digests;
+}
+
 Lane LaneOf(bool bulk) { return bulk ? Lane::kBulk : Lane::kControl; }
 
 }  // namespace
@@ -189,6 +196,7 @@
                            .priority = start.priority(),
                            .idempotent = start.idempotent(),
                            .fingerprint = DigestFromRaw(start.fingerprint()),
+                           .prompt_parts = DigestsOf(start.prompt_parts()),
                            .resume_from = start.resume_from()});
 }
 
@@ -409,10 +417,11 @@
 void GateDriver::Impl::Do(const NotifyCrash& action) {
   this->node.metrics.CounterFor("savory_gate_upstream_crashes_total").Add();
   wire::Envelope envelope;
-  wire::CrashNotice& notice = *envelope.mutable_crash_notice();
-  notice.set_fingerprint(std::string(action.fingerprint.View()));
-  notice.set_vm(this->node.identity.vm);
-  notice.set_upstream_incarnation(action.upstream_incarnation);
+  EncodeCrashNotice({.fingerprint = action.fingerprint,
+                     .parts = action.prompt_parts,
+                     .upstream = this->node.identity.vm,
+                     .upstream_incarnation = action.upstream_incarnation},
+                    *envelope.mutable_crash_notice());
   for (const auto& [peer, until] : this->subscribers) {
     this->node.peers.Send(peer, Lane::kControl, envelope);
   }
--- a/src/gate/gate_events.h
+++ b/src/gate/gate_events.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/attempt_key.h"
 #include "base/digest.h"
@@ -25,6 +26,7 @@
   int priority = 0;  // higher first
   bool idempotent = false;
   Digest fingerprint = {};
+  std::vector<Digest> prompt_parts = {};  // that the request shares with others
   std::uint32_t resume_from = 0;
 };
 struct CancelReceived {
@@ -122,6 +124,7 @@
 struct ProbeUpstream {};
 struct NotifyCrash {
   Digest fingerprint = {};
+  std::vector<Digest> prompt_parts = {};
   std::uint64_t upstream_incarnation = 0;
 };
 // Sends load reports to the entries at once, because the readiness, the manifest served or the
--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -277,6 +277,7 @@
     this->active.erase(id);
     if (crashed) {
       this->actions.push_back(NotifyCrash{.fingerprint = record.start.fingerprint,
+                                          .prompt_parts = record.start.prompt_parts,
                                           .upstream_incarnation = crashed_incarnation});
     }
     this->End(id, record, crashed ? wire::ATTEMPT_UPSTREAM_CRASHED : wire::ATTEMPT_BROKEN,
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -8,6 +8,8 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "crashes/prompt_parts.h"
+#include "crashes/refusal_report.h"
 #include "crashes/request_fingerprint.h"
 #include "relay/answer_times.h"
 #include "relay/attempt_plan.h"
@@ -28,6 +30,9 @@
 // A request whose time left is below this fraction of the longest one seen on its route is taken
 // for a caller's retry. First tries differ in their time left, but stay above this fraction.
 constexpr double kMinFirstTryTimeFraction = 0.82;
+// A retry after a lost connection waits until the upstream has been probed, so that what is learned
+// of its end counts for the retry.
+constexpr Duration kCrashVerdictTime = std::chrono::milliseconds(30);
 // Retry-After of a request whose copy may be ending an upstream at the moment.
 constexpr Duration kCopyRetryAfter = std::chrono::seconds(1);
 // Lowest HTTP status that is a server error.
@@ -37,6 +42,10 @@
   return FieldValue(head.fields, "Content-Type").starts_with("text/event-stream");
 }
 
+bool LostConnection(AttemptEnd end) {
+  return end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
+}
+
 AttemptResult ResultOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotSent:
@@ -94,11 +103,15 @@
         random(random),
         dispatcher(this->options.dispatcher, random),
         budget(this->options.budget),
-        crashes(loop, metrics, random, this->options.crashes) {}
+        crashes(loop, metrics, random, this->options.crashes) {
+    this->crashes.OnRefusal([this] { this->RefuseCrashing(); });
+  }
 
   void SchedulePoll();
   void Poll();
   void WithdrawOutdated();
+  // Ends the attempts of requests that are refused from now on and wait at an upstream.
+  void RefuseCrashing();
   void EndAll();
   // Reports the result to the dispatcher and logs when the upstream is ejected or usable again.
   void ReportEnd(AttemptNumber attempt, AttemptResult result);
@@ -123,6 +136,9 @@
         account(std::move(account)),
         priority(priority),
         arrived(this->exchange->ReceivedAt()) {
+    for (const std::string& id : this->metadata.prompt_parts) {
+      this->suspect.parts.push_back(PromptPartDigest(id));
+    }
     this->history = {.kind = route.kind,
                      .resumable = route.resumable,
                      .max_attempts = std::max(1u, route.max_attempts)};
@@ -251,17 +267,18 @@
 
   // ---- requests that end upstreams ----
 
-  const Digest& Fingerprint() {
-    if (!this->fingerprint) {
+  // As identified if it is sent again, or another one with a part of its prompt.
+  const CrashSuspect& Suspect() {
+    if (this->suspect.fingerprint.IsZero()) {
       const HttpHead& head = this->exchange->Head();
-      this->fingerprint =
+      this->suspect.fingerprint =
           RequestFingerprint({this->account, head.method, head.target, this->exchange->Body()});
     }
-    return *this->fingerprint;
+    return this->suspect;
   }
 
   bool CrashesUpstreams() {
-    return this->relay.crashes.HasSuspects() && this->relay.crashes.IsRefused(this->Fingerprint());
+    return this->relay.crashes.HasSuspects() && this->relay.crashes.IsRefused(this->Suspect());
   }
 
   void OnConnectionLost() {
@@ -269,34 +286,66 @@
                               .started_unix_ms = this->target.started_unix_ms};
     // One that leaves may close its connections.
     if (!this->relay.dispatcher.IsExpectedToStay(start, this->relay.loop.Now())) return;
+    if (this->streams_soundly) return;
     this->relay.crashes.OnConnectionLost({.id = this->target.upstream,
                                           .address = this->target.address,
                                           .started_unix_ms = this->target.started_unix_ms},
-                                         this->Fingerprint(), this->metadata.attempt_id);
+                                         this->Suspect(), this->metadata.attempt_id,
+                                         this->metadata.prompt_parts);
   }
 
-  // Whether the request ran at two upstreams that ended, and a copy of it is at an upstream now.
-  // That one shows whether it ends a third.
+  // Whether the request, or a part of its prompt, ran at two upstreams that ended, and another
+  // such request is at an upstream now. That one shows whether it ends a third.
   bool MustAwaitCopy() {
     CrashGuard& crashes = this->relay.crashes;
-    if (!crashes.HasSuspects() || !crashes.IsStrongSuspect(this->Fingerprint())) return false;
-    const auto& all = this->relay.requests;
-    return std::any_of(all.begin(), all.end(), [this](const auto& row) {
-      const RelayedRequest& other = *row.second;
-      return &other != this && other.call && other.fingerprint == this->fingerprint;
+    if (!crashes.HasSuspects()) return false;
+    const std::vector<Digest> suspicions = crashes.StrongSuspicions(this->Suspect());
+    if (suspicions.empty()) return false;
+    return std::ranges::any_of(this->relay.requests, [&](const auto& row) {
+      RelayedRequest& other = *row.second;
+      if (&other == this || !other.call || other.streams_soundly) return false;
+      const std::vector<Digest> others = crashes.StrongSuspicions(other.Suspect());
+      return std::ranges::find_first_of(suspicions, others) != suspicions.end();
     });
   }
 
-  // Whether the request lost the connection to an upstream and had run at one that ended before.
+  // Whether the request lost the connection to an upstream, and it, or another one with a part of
+  // its prompt, had run at one that ended before.
   bool IsRepeatedSuspect(AttemptEnd end) {
-    const bool lost = end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
-    return lost && this->relay.crashes.HasSuspects() &&
-           this->relay.crashes.IsSuspect(this->Fingerprint());
+    return LostConnection(end) && !this->streams_soundly && this->relay.crashes.HasSuspects() &&
+           this->relay.crashes.IsSuspect(this->Suspect());
+  }
+
+  // The upstream has streamed an answer for a while: nothing in the request ends it.
+  void NoteSoundStream() {
+    if (this->streams_soundly) return;
+    if (this->relay.loop.Now() - this->first_event_at < kSoundStreamTime) return;
+    this->streams_soundly = true;
+    this->relay.crashes.OnServed({.parts = this->suspect.parts});
+  }
+
+  // Ends an attempt that has not begun if the request is refused by now.
+  void RefuseIfCrashing() {
+    if (this->finished || !this->call || this->first_event_seen || !this->CrashesUpstreams())
+      return;
+    const auto keep = this->shared_from_this();
+    this->CancelCall(AttemptResult::kCancelled);
+    ++this->history.may_have_run;
+    this->RefuseCrashing();
   }
 
   // Answers a request that is not sent, or not sent again, as it ends the upstreams that run it.
   void RefuseCrashing() {
-    this->RefuseCrashing(this->relay.crashes.RefusedFor(this->Fingerprint()));
+    const auto refusal = this->relay.crashes.RefusalOf(this->Suspect());
+    if (!refusal) return this->RefuseCrashing(kCopyRetryAfter);
+    const Duration remaining = std::max(kCopyRetryAfter, refusal->end - this->relay.loop.Now());
+    LogSampled("request_refused", {{"request", this->metadata.attempt_id},
+                                   {"cause", CauseName(refusal->cause)},
+                                   {"parts", this->relay.crashes.PartIds(refusal->cause)},
+                                   {"crashes", refusal->cause.crashes.size()},
+                                   {"for_ms", ToMillis(remaining)},
+                                   {"attempts", this->attempts}});
+    this->RefuseCrashing(remaining);
   }
   void RefuseCrashing(Duration retry_after) {
     const auto keep = this->shared_from_this();
@@ -393,6 +442,7 @@
       return;
     }
     if (this->MustAwaitCopy()) {
+      Log(LogLevel::kInfo, "suspect_awaits_copy", {{"request", this->metadata.attempt_id}});
       this->relay.ReportEnd(this->attempt, AttemptResult::kCancelled);
       this->attempt = 0;
       this->RefuseCrashing(kCopyRetryAfter);
@@ -453,6 +503,7 @@
     this->answer_unusable = false;
     this->answer_streams = false;
     this->first_event_seen = false;
+    this->streams_soundly = false;
   }
 
   // ---- streams ----
@@ -465,8 +516,10 @@
       if (event.id && this->last_event && *event.id <= *this->last_event) continue;
       if (!this->first_event_seen) {
         this->first_event_seen = true;
+        this->first_event_at = this->relay.loop.Now();
         this->relay.dispatcher.OnFirstEvent(this->attempt);
       }
+      this->NoteSoundStream();
       if (!this->exchange->HasBegun()) {
         this->RecordFirstPart();
         this->exchange->BeginStream(this->answer_status, this->answer_fields);
@@ -548,12 +601,22 @@
     ++(certainly_not_run ? this->history.not_run : this->history.may_have_run);
     const bool in_time = this->timeout - now > kMinTimeLeft;
     const bool may_retry = in_time && !this->IsRepeatedSuspect(end);
+    if (in_time && !may_retry) {
+      Log(LogLevel::kInfo, "suspect_not_retried",
+          {{"request", this->metadata.attempt_id}, {"upstream", this->target.upstream}});
+    }
     const NextStep planned = PlanNext(this->history, end, may_retry);
     // A request that was not sent reached no upstream, so its retry does not use the budget.
     const bool granted = planned != NextStep::kRetry || end == AttemptEnd::kNotSent ||
                          this->relay.budget.Take(this->pool, now);
     this->LogAttempt(end, granted);
-    this->Execute(granted ? planned : PlanNext(this->history, end, false));
+    const NextStep next = granted ? planned : PlanNext(this->history, end, false);
+    const bool awaits_verdict =
+        next == NextStep::kRetry && LostConnection(end) && !this->streams_soundly;
+    if (!awaits_verdict) return this->Execute(next);
+    this->relay.loop.After(kCrashVerdictTime, this->Guarded([this, next] {
+      if (!this->finished) this->Execute(next);
+    }));
   }
 
   void Execute(NextStep step) {
@@ -590,7 +653,7 @@
       this->attempt = 0;
     }
     this->relay.answer_times.Add(this->route.name, this->relay.loop.Now() - this->sent_at);
-    if (this->relay.crashes.HasSuspects()) this->relay.crashes.OnServed(this->Fingerprint());
+    this->ReportServed();
     if (!this->exchange->HasBegun() && !this->first_part) this->RecordFirstPart();
     this->Finish(this->answer_status >= kMinServerErrorStatus ? "server-error" : "served",
                  this->answer_status);
@@ -604,6 +667,12 @@
     }
   }
 
+  void ReportServed() {
+    const bool has_suspects = this->relay.crashes.HasSuspects();
+    if (!has_suspects && this->suspect.parts.empty()) return;
+    this->relay.crashes.OnServed(has_suspects ? this->Suspect() : this->suspect);
+  }
+
   void AnswerLocally(int status, std::string_view reason, std::optional<Duration> retry_after) {
     const auto keep = this->shared_from_this();
     this->Finish(reason, status);
@@ -693,6 +762,8 @@
   std::unique_ptr<HttpCall> call = {};
   EventSplitter splitter = {};
   bool first_event_seen = false;
+  Instant first_event_at = {};
+  bool streams_soundly = false;  // for kSoundStreamTime
 
   // The answer.
   int answer_status = 0;
@@ -705,7 +776,7 @@
   std::optional<std::uint64_t> last_event = {};  // last event sent, or named by the caller
   std::optional<Duration> first_part = {};
 
-  std::optional<Digest> fingerprint = {};  // computed when it is needed
+  CrashSuspect suspect = {};  // the fingerprint is computed when it is needed
   std::vector<std::string> avoided = {};
   std::vector<std::string> tried_addresses = {};
   int attempts = 0;
@@ -806,6 +877,11 @@
   }
 }
 
+void Relay::Impl::RefuseCrashing() {
+  const auto affected = this->requests;
+  for (const auto& [key, request] : affected) request->RefuseIfCrashing();
+}
+
 void Relay::Impl::EndAll() {
   const auto ending = this->requests;
   for (const auto& [key, request] : ending) request->EndNow();
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -24,6 +24,9 @@
   std::optional<std::uint64_t> last_event_id = {};  // resume the stream after this event
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;  // upper bound
+  // Ids of the parts of the prompt that the request shares with others, bounded in number and
+  // length.
+  std::vector<std::string> prompt_parts = {};
 };
 
 // What a request to an upstream carries in addition to the caller's request.
--- a/src/routing/entry_driver.cc
+++ b/src/routing/entry_driver.cc
@@ -13,6 +13,8 @@
 #include "base/sha256_hasher.h"
 #include "claims/claim_driver.h"
 #include "crashes/crash_notice.h"
+#include "crashes/prompt_parts.h"
+#include "crashes/refusal_report.h"
 #include "membership/membership_driver.h"
 #include "routing/answer_queue.h"
 #include "routing/request_flow.h"
@@ -99,6 +101,8 @@
       .deadline = ParseDeadline(request.headers),
       .non_idempotent = HeaderValue(request.headers, "X-Non-Idempotent") == "true",
       .fingerprint = FingerprintOf(request),
+      .prompt_parts =
+          PromptPartDigests(SharedPromptParts(HeaderValue(request.headers, "X-Prompt-Parts"))),
       .affinity = request.body.substr(0, kAffinityPrefixBytes)};
   arrived.claim_key = ClaimDriver::KeyOf(arrived.account, arrived.idempotency_key);
   return arrived;
@@ -460,6 +464,7 @@
   start.set_priority(action.priority);
   start.set_idempotent(action.idempotent);
   start.set_fingerprint(std::string(action.fingerprint.View()));
+  for (const Digest& part : action.prompt_parts) start.add_prompt_parts(std::string(part.View()));
   start.set_account(action.account);
   start.set_resume_from(action.resume_from);
   const bool sent = this->node.peers.SendShared(action.agent.peer, Lane::kControl,
@@ -622,6 +627,20 @@
   this->impl->SubscribeToAgents(false);
 }
 
+std::string EntryDriver::RenderRefusals() const {
+  const auto no_ids = [](const CrashCause&) { return std::string(); };
+  return savory::RenderRefusals(this->impl->flow.Crashes(), no_ids, this->impl->node.loop.Now());
+}
+
+bool EntryDriver::LiftRefusal(std::string_view cause_name) {
+  const auto refusal =
+      FindRefusal(this->impl->flow.Crashes(), cause_name, this->impl->node.loop.Now());
+  if (!refusal) return false;
+  Log(LogLevel::kWarn, "refusal_lifted", {{"cause", cause_name}});
+  this->impl->Feed(savory::LiftRefusal{.all_of = refusal->cause.all_of});
+  return true;
+}
+
 void EntryDriver::Drain(std::function<void()> done) {
   this->impl->on_drained = std::move(done);
   Log(LogLevel::kInfo, "entry_draining", {{"requests", this->impl->flow.InProgress()}});
--- a/src/routing/entry_driver.h
+++ b/src/routing/entry_driver.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/settings.h"
 #include "runtime/node.h"
@@ -38,6 +39,12 @@
   void Start();
   void ApplyTables(const wire::Tables& tables);
 
+  // See RenderRefusals() in crashes/refusal_report.h. Ids of parts are not known here.
+  std::string RenderRefusals() const;
+  // Accepts the requests of a refusal again, at all entries. Returns false if no refusal's cause
+  // has that name.
+  bool LiftRefusal(std::string_view cause_name);
+
   // Refuses new requests as "not run". Calls `done` after the requests in progress have ended and
   // the HTTP server has stopped.
   void Drain(std::function<void()> done);
--- a/src/routing/request_events.h
+++ b/src/routing/request_events.h
@@ -30,10 +30,11 @@
   std::string path = {};             // without the query
   std::string idempotency_key = {};  // empty: none
   std::optional<Duration> deadline = {};
-  bool non_idempotent = false;  // from the header X-Non-Idempotent
-  Digest fingerprint = {};      // of method, target and body
-  Digest claim_key = {};        // of the account and the idempotency key
-  std::string affinity = {};    // prefix of the body, for prefix affinity
+  bool non_idempotent = false;            // from the header X-Non-Idempotent
+  Digest fingerprint = {};                // of method, target and body
+  std::vector<Digest> prompt_parts = {};  // that the request shares with others
+  Digest claim_key = {};                  // of the account and the idempotency key
+  std::string affinity = {};              // prefix of the body, for prefix affinity
 };
 struct CallerDisconnected {
   RequestId id = 0;
@@ -79,13 +80,17 @@
 struct CrashNoticed {
   CrashRecord record;
 };
+// An operator ends the refusal of requests that have all of these fingerprints and parts.
+struct LiftRefusal {
+  std::vector<Digest> all_of;
+};
 struct StopAccepting {};
 struct FlowTick {};
 
 using RequestEvent =
     std::variant<RequestArrived, CallerDisconnected, ClaimSettled, PartArrived, EndArrived,
                  StatusArrived, StartDropped, ReportArrived, MembersChanged, TablesChanged,
-                 CrashNoticed, StopAccepting, FlowTick>;
+                 CrashNoticed, LiftRefusal, StopAccepting, FlowTick>;
 
 // ---- actions ----
 
@@ -99,6 +104,7 @@
   int priority = 0;
   bool idempotent = false;
   Digest fingerprint = {};
+  std::vector<Digest> prompt_parts = {};
   std::string account = {};
   std::uint32_t resume_from = 0;
 };
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -54,9 +54,10 @@
   if (this->stopping) return this->Refuse(event, ErrorKind::kDraining, "this entry is stopping");
   const wire::Route* route = this->MatchRoute(event);
   if (route == nullptr) return this->Refuse(event, ErrorKind::kNoRoute, event.path);
-  if (this->crash_registry.IsRefused(event.fingerprint, this->now)) {
+  const CrashSuspect suspect{.fingerprint = event.fingerprint, .parts = event.prompt_parts};
+  if (this->crash_registry.IsRefused(suspect, this->now)) {
     return this->Refuse(event, ErrorKind::kRequestCrashesUpstream,
-                        "the same request has crashed two upstreams");
+                        "the same request, or others with a part of its prompt, crashed upstreams");
   }
   const bool has_account = !event.account.empty();
   Request& request = this->requests[event.id];
@@ -186,6 +187,7 @@
                                        .priority = request.route.priority(),
                                        .idempotent = request.idempotent,
                                        .fingerprint = request.arrived.fingerprint,
+                                       .prompt_parts = request.arrived.prompt_parts,
                                        .account = request.arrived.account,
                                        .resume_from = request.next_part});
   this->Reschedule(request);
@@ -294,6 +296,10 @@
   }
   ++request.next_part;
   if (!request.first_part.has_value()) request.first_part = this->now;
+  if (!request.streams_soundly && this->now - *request.first_part >= kSoundStreamTime) {
+    request.streams_soundly = true;
+    this->UpdateCrashes(RequestServed{.parts = request.arrived.prompt_parts});
+  }
   this->actions.push_back(DeliverPart{.request = request.arrived.id,
                                       .number = event.number,
                                       .request_class = request.route.request_class()});
@@ -429,8 +435,15 @@
 }
 
 void RequestFlow::On(const CrashNoticed& event) {
-  for (const CrashAction& action :
-       this->crash_registry.Handle(CrashRecordReceived{.record = event.record}, this->now)) {
+  this->UpdateCrashes(CrashRecordReceived{.record = event.record});
+}
+
+void RequestFlow::On(const LiftRefusal& event) {
+  this->UpdateCrashes(RefusalLifted{.all_of = event.all_of});
+}
+
+void RequestFlow::UpdateCrashes(const CrashEvent& event) {
+  for (const CrashAction& action : this->crash_registry.Handle(event, this->now)) {
     this->actions.push_back(std::get<CrashForward>(action));
   }
 }
@@ -471,7 +484,9 @@
 bool RequestFlow::MayRetry(const Request& request, bool certainly_not_run) {
   const bool safe = request.idempotent || (certainly_not_run && !request.may_have_run);
   if (!safe || request.attempts >= this->options.max_attempts) return false;
-  if (this->crash_registry.IsRefused(request.arrived.fingerprint, this->now)) return false;
+  const CrashSuspect suspect{.fingerprint = request.arrived.fingerprint,
+                             .parts = request.arrived.prompt_parts};
+  if (this->crash_registry.IsRefused(suspect, this->now)) return false;
   if (request.next_part > 0 && !this->CanResume(request)) return false;
   if (!this->PickAgent(request).has_value()) return false;
   return this->budget.TakeRetry(request.arrived.account);
@@ -506,6 +521,8 @@
 // ---- the end of a request ----
 
 void RequestFlow::OnComplete(Request& request) {
+  this->UpdateCrashes(RequestServed{.fingerprint = request.arrived.fingerprint,
+                                    .parts = request.arrived.prompt_parts});
   if (request.claim.has_value()) {
     this->actions.push_back(FinishClaim{.request = request.arrived.id,
                                         .key = request.arrived.claim_key,
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -56,6 +56,7 @@
 
   std::size_t InProgress() const { return this->requests.size(); }
   const Balancer& GetBalancer() const { return this->balancer; }
+  const CrashRegistry& Crashes() const { return this->crash_registry; }
 
  private:
   enum class Phase { kAwaitingAdmission, kClaiming, kAttempting, kBackingOff };
@@ -89,6 +90,7 @@
     std::uint32_t status = 0;     // HTTP status of the delivered head
     Digest answer_manifest = {};  // manifest that produced the delivered parts
     bool may_have_run = false;
+    bool streams_soundly = false;           // for kSoundStreamTime
     bool caller_done = false;               // disconnected, or already answered with an error
     std::optional<wire::Claim> claim = {};  // requested or found; no nonce until granted
     std::optional<Instant> first_sent = {};
@@ -107,8 +109,10 @@
   void On(const MembersChanged& event);
   void On(const TablesChanged& event);
   void On(const CrashNoticed& event);
+  void On(const LiftRefusal& event);
   void On(const StopAccepting& event);
   void On(const FlowTick& event);
+  void UpdateCrashes(const CrashEvent& event);
 
   const wire::Route* MatchRoute(const RequestArrived& request) const;
   void Refuse(const RequestArrived& request, ErrorKind kind, std::string detail);
