Send changes of records where offers go, and read the store if peers aren't heard

Proof of one path was taken for another.

Changes up to 64 KB go over the connection of the offers: if it is silent, the peer hears no watcher and watches the store itself. A mirror that is still behind an offer after 0.6 s watches the store itself for ten seconds, as the pull or its answer was lost.

--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -25,6 +25,12 @@
 // A watch whose connection went silent is given up and made again within this time.
 constexpr Duration kLongestLostCall = std::chrono::milliseconds(3000);
 
+std::size_t BytesOf(const RecordUpdate& update) {
+  std::size_t bytes = 0;
+  for (const Record& record : update.records) bytes += record.key.size() + record.value.size();
+  return bytes;
+}
+
 }  // namespace
 
 struct RecordSync::Impl : GuardedCallbacks<RecordSync::Impl> {
@@ -48,6 +54,8 @@
   OutageDetector outages = OutageDetector();
   Duration retry_delay = {};
   std::optional<Instant> behind_since = {};
+  bool behind_check_scheduled = false;
+  Instant own_watch_until = {};
   Instant next_pull = {};
   bool pull_scheduled = false;
   // Records of an update whose last message has not arrived yet.
@@ -84,7 +92,9 @@
 
   void Read() {
     // The first read always goes to the store.
-    const bool should_watch = !this->listed || this->selection.ShouldWatch(this->loop.Now());
+    const Instant now = this->loop.Now();
+    const bool should_watch =
+        !this->listed || now < this->own_watch_until || this->selection.ShouldWatch(now);
     if (should_watch != this->watching) {
       this->watching = should_watch;
       Log(LogLevel::kInfo, should_watch ? "store_watched" : "store_left_to_watchers",
@@ -250,6 +260,7 @@
     }
     const Instant now = this->loop.Now();
     if (!this->behind_since) this->behind_since = now;
+    this->ScheduleBehindCheck(offer.as_of());
     const bool in_grace = as_of != 0 && now - *this->behind_since < this->options.behind_grace;
     if (now < this->next_pull) return;
     if (in_grace) return this->PullLater(from, offer.as_of());
@@ -266,6 +277,17 @@
     }));
   }
 
+  void ScheduleBehindCheck(std::uint64_t wanted) {
+    if (this->watching || std::exchange(this->behind_check_scheduled, true)) return;
+    this->loop.After(this->options.max_behind, this->Guarded([this, wanted] {
+      this->behind_check_scheduled = false;
+      if (this->mirror.AsOf() >= wanted) return;
+      Log(LogLevel::kInfo, "peers_not_heard",
+          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"wanted", wanted}});
+      this->own_watch_until = this->loop.Now() + this->options.own_watch_time;
+    }));
+  }
+
   void PullNow(const std::string& peer) {
     this->next_pull = this->loop.Now() + this->options.behind_grace;
     this->Pull(peer);
@@ -292,6 +314,8 @@
     if (this->mirror.AsOf() == 0) return;
     const RecordUpdate update = this->mirror.ChangesAfter(after);
     const bool just_answered = this->HasContact() && this->ContactAge() < kJustAnswered;
+    const bool is_long = BytesOf(update) > this->options.max_control_bytes;
+    const Lane lane = is_long ? Lane::kBulk : Lane::kControl;
     std::size_t next = 0;
     do {
       wire::Envelope message;
@@ -314,7 +338,7 @@
       push.set_whole(update.full);
       push.set_after(update.after);
       push.set_reachable_for_ms(just_answered ? this->AnsweringForMs() : 0);
-      this->transport.Send(to, Lane::kBulk, std::move(message));
+      this->transport.Send(to, lane, std::move(message));
     } while (next < update.records.size());
   }
 
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -1,6 +1,7 @@
 // Keeps a RecordMirror up to date, from the store or from peers that watch it.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,6 +38,13 @@
   // A peer is asked for changes only after this mirror has been behind for this long, because the
   // store notifies some watchers slightly later than others.
   Duration behind_grace = std::chrono::milliseconds(250);
+  // A mirror that is still behind after this time does not get what its peers send it: it watches
+  // the store itself for `own_watch_time`. By then a silent connection has been replaced.
+  Duration max_behind = std::chrono::milliseconds(600);
+  Duration own_watch_time = std::chrono::seconds(10);
+  // Longer updates go over the connection for bulk. Most go over the one that offers take too: if
+  // that one is silent, the peer hears no offers, either, and watches the store itself.
+  std::size_t max_control_bytes = std::size_t{64} * 1024;
 };
 
 // All methods are called on the event loop's thread.
