Treat a stream without a length that stops inside or before its first event as broken off

An engine that ends closes its connection, which also ends an answer with neither length nor chunks: the end of the engine was not noticed, and a stream without any event went to the caller as whole. The end inside an event was told before.

An early end between two events can't be told from a whole stream there.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -42,6 +42,11 @@
   return FieldValue(head.fields, "Content-Type").starts_with("text/event-stream");
 }
 
+bool EndsWithConnection(const HttpHead& head) {
+  return FindField(head.fields, "Content-Length") == nullptr &&
+         FindField(head.fields, "Transfer-Encoding") == nullptr;
+}
+
 bool LostConnection(AttemptEnd end) {
   return end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
 }
@@ -180,6 +185,7 @@
     this->answer_not_run = answer.not_run;
     this->answer_misdirected = answer.misdirected;
     this->answer_streams = head.status == 200 && IsEventStream(head);
+    this->ends_with_connection = EndsWithConnection(head);
     if (!this->history.delivered) {
       this->answer_fields = this->relay.codec.EncodeAnswer(head);
       this->answer_body.clear();
@@ -220,8 +226,8 @@
     this->call.reset();
     if (this->answer_not_run) {
       this->EndAttempt(AttemptEnd::kNotRun);
-    } else if (this->answer_unusable ||
-               (this->answer_streams && !this->splitter.Remainder().empty())) {
+    } else if (this->answer_unusable || this->StreamStopped()) {
+      if (this->ends_with_connection) this->OnConnectionLost();
       this->EndAttempt(AttemptEnd::kBrokenOff);
     } else if (this->answer_status >= kMinServerErrorStatus && !this->exchange->HasBegun()) {
       this->EndAttempt(AttemptEnd::kServerError);
@@ -502,6 +508,7 @@
     this->answer_misdirected = false;
     this->answer_unusable = false;
     this->answer_streams = false;
+    this->ends_with_connection = false;
     this->first_event_seen = false;
     this->streams_soundly = false;
   }
@@ -544,6 +551,14 @@
 
   void RecordFirstPart() { this->first_part = this->relay.loop.Now() - this->arrived; }
 
+  // Whether the stream ended inside an event or, where only the end of the connection ends it,
+  // before its first one.
+  bool StreamStopped() const {
+    if (!this->answer_streams) return false;
+    const bool lacks_event = this->ends_with_connection && !this->first_event_seen;
+    return lacks_event || !this->splitter.Remainder().empty();
+  }
+
   // ---- silent upstreams ----
 
   Duration FirstByteLimit() const {
@@ -770,6 +785,7 @@
   bool answer_not_run = false;
   bool answer_misdirected = false;
   bool answer_streams = false;
+  bool ends_with_connection = false;  // it has neither a length nor chunks
   bool answer_unusable = false;
   std::vector<HttpField> answer_fields = {};  // of the attempt that is passed on
   std::string answer_body = {};
