Test causes of crashes, sound parts, trials and lifted refusals, and the decoder of parts

A property test draws the order of ends, the sound requests beside them and their answers: a guilty part is refused after at most five ends, no sound request is.

--- /dev/null
+++ b/src/crashes/crash_causes_test.cc
@@ -0,0 +1,236 @@
+#include "crashes/crash_causes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "base/random.h"
+#include "crashes/crash_registry.h"
+#include "crashes/prompt_parts.h"
+
+namespace savory {
+namespace {
+
+constexpr Instant kStart = Instant(std::chrono::hours(1));
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+CrashSuspect Request(const std::string& name, const std::vector<std::string>& parts) {
+  CrashSuspect request{.fingerprint = Sha256(name)};
+  for (const std::string& part : parts) request.parts.push_back(PromptPartDigest(part));
+  return request;
+}
+
+CrashRecordReceived Crash(const std::string& upstream, const CrashSuspect& request,
+                          std::uint32_t hops = 0) {
+  return {{.fingerprint = request.fingerprint,
+           .parts = request.parts,
+           .upstream = upstream,
+           .upstream_incarnation = 1,
+           .hops = hops}};
+}
+
+class CrashCausesTest : public ::testing::Test {
+ protected:
+  void Add(const std::string& upstream, const CrashSuspect& request) {
+    this->registry.Handle(Crash(upstream, request), kStart);
+  }
+  bool Refuses(const CrashSuspect& request) const {
+    return this->registry.IsRefused(request, kStart);
+  }
+
+  Random random{1};
+  CrashRegistry registry{{.self = "e1"}, random};
+};
+
+// Guards against a part that ends an upstream with each request, no two alike.
+TEST_F(CrashCausesTest, PartOfTwoRequestsIsRefused) {
+  this->Add("u1", Request("r1", {"common", "bad"}));
+  EXPECT_FALSE(this->Refuses(Request("r2", {"common", "bad"})));
+  this->registry.Handle(RequestServed{.parts = {PromptPartDigest("common")}}, kStart);
+  this->Add("u2", Request("r2", {"common", "bad"}));
+  EXPECT_TRUE(this->Refuses(Request("r3", {"common", "other", "bad"})));
+  EXPECT_FALSE(this->Refuses(Request("r3", {"common", "other"})));
+}
+
+// Guards against refusing a part because one request with it ended two upstreams.
+TEST_F(CrashCausesTest, RequestExplainsItsOwnEnds) {
+  for (const char* upstream : {"u1", "u2"}) this->Add(upstream, Request("r1", {"a", "b"}));
+  EXPECT_TRUE(this->Refuses(Request("r1", {"a", "b"})));
+  EXPECT_FALSE(this->Refuses(Request("r2", {"a", "b"})));
+}
+
+// Guards against refusing sound requests that were retried after ends that others caused.
+TEST_F(CrashCausesTest, RequestsBesideAGuiltyPartExplainNothing) {
+  const CrashSuspect innocent = Request("innocent", {"subject"});
+  for (const char* upstream : {"u1", "u2", "u3"}) {
+    this->Add(upstream, Request(upstream, {"bad"}));
+    if (upstream != std::string("u3")) this->Add(upstream, innocent);
+  }
+  EXPECT_TRUE(this->Refuses(Request("r", {"bad"})));
+  EXPECT_FALSE(this->Refuses(innocent));
+  EXPECT_FALSE(this->registry.IsSuspect(innocent, kStart));
+}
+
+// Guards against refusing a sound part that was only seen with the guilty one.
+TEST_F(CrashCausesTest, PartsSeenOnlyTogetherAreRefusedTogether) {
+  for (const char* upstream : {"u1", "u2"}) {
+    this->Add(upstream, Request(upstream, {"bad", "subject"}));
+  }
+  EXPECT_TRUE(this->Refuses(Request("r", {"subject", "bad"})));
+  EXPECT_FALSE(this->Refuses(Request("r", {"subject"})));
+}
+
+// Guards against two guilty parts at the same time, the rarer of which explains less.
+TEST_F(CrashCausesTest, TwoGuiltyPartsAreBothFound) {
+  for (const char* upstream : {"u1", "u2", "u3", "u4"}) {
+    this->Add(upstream, Request(upstream, {"bad"}));
+  }
+  for (const char* upstream : {"u5", "u6", "u4"}) {
+    this->Add(upstream, Request(upstream + std::string("x"), {"worse"}));
+  }
+  EXPECT_TRUE(this->Refuses(Request("r", {"bad"})));
+  EXPECT_TRUE(this->Refuses(Request("r", {"worse"})));
+}
+
+// Guards against blaming a part that is answered all the time, here or at another entry.
+TEST_F(CrashCausesTest, PartsThatAreAnsweredAreNoSuspects) {
+  const CrashSuspect request = Request("r1", {"popular"});
+  this->registry.Handle(CrashPeersChanged{.peers = {"e2"}}, kStart);
+  this->registry.Handle(RequestServed{.parts = request.parts}, kStart);
+  const auto actions =
+      this->registry.Handle(Crash("u1", Request("other", {"popular"}), 6), kStart + seconds(1));
+  // The entry that suspects the part is told.
+  const auto told = std::ranges::find_if(actions, [&](const CrashAction& action) {
+    const CrashRecord& record = std::get<CrashForward>(action).record;
+    return record.served && record.fingerprint == request.parts.front();
+  });
+  EXPECT_NE(told, actions.end());
+  this->registry.Handle(Crash("u2", request), kStart + seconds(1));
+  EXPECT_FALSE(this->registry.IsRefused(Request("r2", {"popular"}), kStart + seconds(1)));
+  // It may have become guilty since.
+  for (const char* upstream : {"u3", "u4"}) {
+    this->registry.Handle(Crash(upstream, Request(upstream, {"popular"})), kStart + seconds(4));
+  }
+  EXPECT_TRUE(this->registry.IsRefused(Request("r2", {"popular"}), kStart + seconds(4)));
+}
+
+// Guards against many parts of callers' choice that push out what is known of a guilty one.
+TEST(CrashRegistryPartsTest, ManyDistinctPartsDoNotHideAGuiltyOne) {
+  Random random(1);
+  CrashRegistry registry({.sound_parts = {.max_parts = 100}, .max_fingerprints = 200}, random);
+  for (const char* upstream : {"u1", "u2", "u3"}) {
+    registry.Handle(Crash(upstream, Request(upstream, {"bad"})), kStart);
+  }
+  for (int i = 0; i < 2000; ++i) {
+    const std::string name = std::to_string(i);
+    registry.Handle(Crash("v" + name, Request("w" + name, {"p" + name, "q" + name})), kStart);
+    registry.Handle(RequestServed{.parts = {PromptPartDigest("s" + name)}}, kStart);
+  }
+  EXPECT_LE(registry.Fingerprints(), 200U);
+  EXPECT_TRUE(registry.IsRefused(Request("r", {"bad"}), kStart));
+}
+
+// Guards against each entry ending an upstream to learn that a part still does.
+TEST(CrashRegistryPartsTest, OneEntryTriesAPartAfterItsRefusal) {
+  Random random(1);
+  const std::vector<std::string> entries = {"e1", "e2", "e3", "e4"};
+  std::size_t trying = 0;
+  for (const std::string& self : entries) {
+    CrashRegistry registry({.self = self}, random);
+    std::vector<std::string> others = entries;
+    std::erase(others, self);
+    registry.Handle(CrashPeersChanged{.peers = others}, kStart);
+    for (const char* upstream : {"u1", "u2"}) {
+      registry.Handle(Crash(upstream, Request(upstream, {"bad"})), kStart);
+    }
+    const CrashSuspect request = Request("r", {"bad"});
+    EXPECT_TRUE(registry.IsRefused(request, kStart + minutes(10) - milliseconds(1)));
+    trying += registry.IsRefused(request, kStart + minutes(10)) ? 0 : 1;
+    // The trial ends an upstream: one more crash renews the refusal.
+    registry.Handle(Crash("u3", request), kStart + minutes(11));
+    EXPECT_TRUE(registry.IsRefused(Request("s", {"bad"}), kStart + minutes(20)));
+    registry.Handle(CrashTick{}, kStart + minutes(31));
+    EXPECT_EQ(registry.Fingerprints(), 0U);
+  }
+  EXPECT_EQ(trying, 1U);
+}
+
+// Guards against a lifted refusal that stays at other entries.
+TEST(CrashRegistryPartsTest, LiftedRefusalEndsEverywhere) {
+  Random random(1);
+  CrashRegistry here({.self = "e1"}, random);
+  CrashRegistry there({.self = "e2"}, random);
+  here.Handle(CrashPeersChanged{.peers = {"e2"}}, kStart);
+  for (const char* upstream : {"u1", "u2"}) {
+    here.Handle(Crash(upstream, Request(upstream, {"bad"})), kStart);
+    there.Handle(Crash(upstream, Request(upstream, {"bad"})), kStart);
+  }
+  const auto refusals = here.Refusals(kStart);
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_EQ(here.Evidence(refusals.front().cause, kStart).size(), 2U);
+  for (const CrashAction& action :
+       here.Handle(RefusalLifted{.all_of = refusals.front().cause.all_of}, kStart)) {
+    there.Handle(CrashRecordReceived{std::get<CrashForward>(action).record}, kStart);
+  }
+  EXPECT_FALSE(here.IsRefused(Request("r", {"bad"}), kStart));
+  EXPECT_FALSE(there.IsRefused(Request("r", {"bad"}), kStart));
+}
+
+// In any order of arrival, and beside sound requests that share their parts, a guilty part is
+// refused after at most five ends, and no sound request is.
+RC_GTEST_PROP(CrashCausesProperties, OnlyRequestsWithTheGuiltyPartAreRefused, ()) {
+  Random random(*rc::gen::arbitrary<std::uint32_t>());
+  CrashRegistry registry({}, random);
+  Instant now = kStart;
+  const auto draw = [&](const std::string& kind, std::size_t count) {
+    return kind + std::to_string(UniformBelow(random, count));
+  };
+  int next = 0;
+  int ends = 0;
+  bool refused = false;
+  while (ends < 5 && !refused) {
+    const std::string upstream = "u" + std::to_string(ends++);
+    const CrashSuspect guilty = Request("g" + std::to_string(next++), {"common", "bad"});
+    std::vector<CrashSuspect> running = {guilty};
+    const std::size_t others = UniformBelow(random, 6);
+    for (std::size_t i = 0; i < others; ++i) {
+      running.push_back(Request("s" + std::to_string(next++),
+                                {"common", draw("account", 4), draw("subject", 9)}));
+    }
+    std::ranges::shuffle(running, random);
+    for (const CrashSuspect& request : running) registry.Handle(Crash(upstream, request), now);
+    now += milliseconds(200);
+    // Sound requests are answered elsewhere meanwhile.
+    for (int i = 0; i < 12; ++i) {
+      const CrashSuspect served =
+          Request("t" + std::to_string(next++), {"common", draw("account", 4), draw("subject", 9)});
+      registry.Handle(RequestServed{.fingerprint = served.fingerprint, .parts = served.parts}, now);
+    }
+    refused = registry.IsRefused(Request("g", {"common", "bad"}), now);
+  }
+  RC_ASSERT(refused);
+  for (int i = 0; i < 50; ++i) {
+    const auto sound = Request("z", {"common", draw("account", 4), draw("subject", 9)});
+    RC_ASSERT(!registry.IsRefused(sound, now));
+  }
+}
+
+// Guards against odd lists of parts that fail a request or blame its own part.
+TEST(PromptPartsTest, LastPartAndOddEntriesAreLeftOut) {
+  using Ids = std::vector<std::string_view>;
+  EXPECT_EQ(SharedPromptParts("5c:800, 91:410,e4:250"), (Ids{"5c", "91"}));
+  EXPECT_EQ(SharedPromptParts("5c:800"), Ids());
+  EXPECT_EQ(SharedPromptParts(""), Ids());
+  EXPECT_EQ(SharedPromptParts(",,:7,a,a:1,b"), (Ids{"a"}));
+  EXPECT_EQ(SharedPromptParts(std::string(100, 'x') + ",y,z"), (Ids{"y"}));
+  std::string many;
+  for (int i = 0; i < 40; ++i) many += std::to_string(i) + ",";
+  EXPECT_EQ(SharedPromptParts(many).size(), kMaxPromptParts);
+}
+
+}  // namespace
+}  // namespace savory
