Play requests with a crashing part and connections silent for good in the soak

Plan 5 adds requests that share a part of their prompt, no two alike otherwise, and open connections to the store and to upstreams that fall silent for good. The checker has both rules: arrivals after the fifth end, and sound requests served beside such a part. Streams carry prompts that share parts.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -35,6 +35,9 @@
 std::string LinkTo(std::string_view upstream) { return "link to " + std::string(upstream); }
 
 constexpr std::string_view kCrashingPrefix = "crash-";
+constexpr std::string_view kCrashingPartPrefix = "deadly";
+// Route of the requests with crashing parts.
+constexpr std::string_view kCrashingRoute = "chat";
 // Reason in the body of a refusal.
 constexpr std::string_view kRefusedAsCrashing = "request-crashes-upstream";
 
@@ -45,6 +48,18 @@
 }
 bool IsCrashingBody(std::string_view body) { return body.starts_with(kCrashingPrefix); }
 
+std::string CrashingPart(int number) {
+  return std::string(kCrashingPartPrefix) + std::to_string(number);
+}
+std::string_view FindCrashingPart(std::string_view prompt) {
+  const std::size_t begin = prompt.find(kCrashingPartPrefix);
+  if (begin == std::string_view::npos) return {};
+  return prompt.substr(begin, prompt.find(':', begin) - begin);
+}
+bool EndsUpstreams(std::string_view body, std::string_view prompt) {
+  return IsCrashingBody(body) || !FindCrashingPart(prompt).empty();
+}
+
 void Checker::AddViolation(std::string_view rule, const std::string& detail) {
   this->violations.push_back({.rule = std::string(rule), .detail = detail});
 }
@@ -119,7 +134,12 @@
 
 void Checker::OnSent(const SentRequest& sent) {
   ++this->counts.sent;
-  this->requests[sent.request.attempt_id] = Request{.sent = sent};
+  const std::string_view part = FindCrashingPart(sent.request.prompt);
+  if (!part.empty()) this->part_last_sent[std::string(part)] = sent.sent;
+  const bool undisturbed = this->IsUndisturbed(sent.entry_vm, sent.sent) &&
+                           this->IsUndisturbed("store", sent.sent) &&
+                           this->IsUndisturbed("origin", sent.sent);
+  this->requests[sent.request.attempt_id] = Request{.sent = sent, .sent_undisturbed = undisturbed};
 }
 
 // ---- callers ----
@@ -169,7 +189,8 @@
   }
   if (answer.state != AnswerState::kComplete) this->CheckTruncation(*request, now);
   const bool is_refused = answer.body.find(kRefusedAsCrashing) != std::string::npos;
-  if (is_refused && !IsCrashingBody(request->sent.request.body)) {
+  const platform::CallerRequest& sent = request->sent.request;
+  if (is_refused && !EndsUpstreams(sent.body, sent.prompt)) {
     this->AddViolation("innocent-request",
                        std::string(attempt_id) + " was refused although it ends no upstream");
   }
@@ -236,11 +257,14 @@
 }
 
 void Checker::CheckCrashing(const Request& request, const ArrivedRequest& arrived, Instant now) {
-  const auto found = this->crashing.find(arrived.body);
+  const std::string_view part = FindCrashingPart(arrived.prompt);
+  const auto found = this->crashing.find(part.empty() ? std::string_view(arrived.body) : part);
   if (found == this->crashing.end()) return;
   CrashingRequest& crashing = found->second;
-  if (crashing.ends.size() < this->options.crashes_until_known) return;
-  const Instant known_at = crashing.ends[this->options.crashes_until_known - 1];
+  const std::size_t until_known =
+      part.empty() ? this->options.crashes_until_known : this->options.part_crashes_until_known;
+  if (crashing.ends.size() < until_known) return;
+  const Instant known_at = crashing.ends[until_known - 1];
   if (request.sent.sent <= known_at + this->options.settle_time ||
       !this->IsUndisturbed(request.sent.entry_vm, now)) {
     return;
@@ -248,9 +272,43 @@
   if (++crashing.arrivals_when_known != this->options.max_arrivals_when_known + 1) return;
   this->AddViolation("crashing-request",
                      arrived.attempt_id + " of " + request.sent.entry_vm + " reached " +
-                         arrived.upstream + ", the same request ended " +
-                         std::to_string(crashing.ends.size()) + " upstreams before, the third " +
-                         std::to_string(ToMillis(now - known_at)) + " ms ago");
+                         arrived.upstream + ", the same request or part ended " +
+                         std::to_string(crashing.ends.size()) + " upstreams before, the one that " +
+                         "makes it known " + std::to_string(ToMillis(now - known_at)) + " ms ago");
+}
+
+bool Checker::IsBesideCrashing(const Request& request) const {
+  return std::ranges::any_of(this->part_last_sent, [&](const auto& row) {
+    const auto found = this->crashing.find(row.first);
+    if (found == this->crashing.end() || found->second.ends.empty()) return false;
+    const std::vector<Instant>& ends = found->second.ends;
+    const std::size_t last = std::min(ends.size(), this->options.part_crashes_until_known) - 1;
+    return request.sent.sent >= ends[last] + this->options.sound_served_after &&
+           request.sent.sent <= row.second;
+  });
+}
+
+void Checker::CheckWholeRun() {
+  SoundRequests beside;
+  SoundRequests elsewhere;
+  for (const auto& [id, request] : this->requests) {
+    const platform::CallerRequest& sent = request.sent.request;
+    const bool counts = request.sent.route.name == kCrashingRoute && request.answer &&
+                        !sent.cancel_after && !EndsUpstreams(sent.body, sent.prompt) &&
+                        request.sent_undisturbed;
+    if (!counts) continue;
+    SoundRequests& group = this->IsBesideCrashing(request) ? beside : elsewhere;
+    ++group.sent;
+    group.ran += request.runs > 0 ? 1 : 0;
+  }
+  const std::uint64_t fewest = std::min(beside.sent, elsewhere.sent);
+  if (fewest < this->options.min_sound_requests) return;
+  if (beside.Share() >= this->options.min_sound_share * elsewhere.Share()) return;
+  this->AddViolation("sound-beside-crashing",
+                     std::to_string(beside.ran) + " of " + std::to_string(beside.sent) +
+                         " sound requests ran beside a part that ends upstreams, " +
+                         std::to_string(elsewhere.ran) + " of " + std::to_string(elsewhere.sent) +
+                         " elsewhere");
 }
 
 void Checker::OnNotice(const ArrivedRequest& arrived, const platform::UpstreamNotice& notice,
@@ -313,6 +371,9 @@
   ++request->runs;
   ++request->running;
   if (IsCrashingBody(arrived.body)) this->crashing[arrived.body].ends.push_back(now);
+  if (const std::string_view part = FindCrashingPart(arrived.prompt); !part.empty()) {
+    this->crashing[std::string(part)].ends.push_back(now);
+  }
   request->upstreams.insert(arrived.upstream);
   const bool same = arrived.target == sent.request.target && arrived.body == sent.request.body &&
                     arrived.account == sent.account && !arrived.has_api_key;
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -44,7 +44,14 @@
   // than `settle_time` after the last of these ends.
   std::size_t crashes_until_known = 3;
   std::uint32_t max_arrivals_when_known = 3;
-  std::uint32_t stream_events = 8;  // in a complete stream
+  // The same for requests that share a part of their prompt, together.
+  std::size_t part_crashes_until_known = 5;
+  // From so long after the last of these ends, while such requests are sent, at least this share of
+  // sound requests of their route begins, compared with the rest of the run.
+  Duration sound_served_after = std::chrono::milliseconds(6000);
+  double min_sound_share = 0.5;
+  std::uint64_t min_sound_requests = 20;  // fewer decide nothing
+  std::uint32_t stream_events = 8;        // in a complete stream
 };
 
 struct SentRequest {
@@ -75,6 +82,11 @@
 // Bodies of requests that end each upstream that runs them.
 std::string CrashingBody(int number);
 bool IsCrashingBody(std::string_view body);
+// Parts of prompts that end each upstream that answers a request with them.
+std::string CrashingPart(int number);
+// The crashing part in the prompt; empty if there is none.
+std::string_view FindCrashingPart(std::string_view prompt);
+bool EndsUpstreams(std::string_view body, std::string_view prompt);
 
 // Performs no I/O. `now` must not decrease between calls.
 class Checker {
@@ -82,7 +94,8 @@
   explicit Checker(CheckerOptions options) : options(options) {}
 
   // ---- faults: time limits are not checked for disturbed components ----
-  // `component`: a VM's name, an upstream's id or "store".
+  // `component`: a VM's name, an upstream's id, "store" or "origin". Engines that restart while
+  // the origin lacks their weights can't serve.
   void MarkDisturbed(std::string_view component, Instant now, Duration duration);
   // Disturbs the upstream too.
   void MarkLinkDisturbed(std::string_view upstream, Instant now, Duration duration);
@@ -119,6 +132,9 @@
   // Records a violation; also used by the run for checks made outside this class.
   void AddViolation(std::string_view rule, const std::string& detail);
 
+  // Checks what only the whole run shows. Call once, at its end.
+  void CheckWholeRun();
+
   const std::vector<Violation>& Violations() const { return this->violations; }
   const SoakCounts& Counts() const { return this->counts; }
   // Number of served and of all finished requests sent at or after `since`. Requests with an early
@@ -128,6 +144,7 @@
  private:
   struct Request {
     SentRequest sent;
+    bool sent_undisturbed = false;         // to an undisturbed entry VM, store and origin
     std::set<std::string> upstreams = {};  // that ran the request
     Instant arrived_at = {};               // at the latest upstream
     bool answer_says_leaving = false;      // by the latest upstream
@@ -182,7 +199,18 @@
     std::vector<Instant> ends = {};
     std::uint32_t arrivals_when_known = 0;
   };
-  std::map<std::string, CrashingRequest, std::less<>> crashing = {};  // by body
+  std::map<std::string, CrashingRequest, std::less<>> crashing = {};  // by body or part
+  std::map<std::string, Instant, std::less<>> part_last_sent = {};
+  // Sound requests sent to undisturbed entry VMs, and those of them that ran.
+  struct SoundRequests {
+    std::uint64_t sent = 0;
+    std::uint64_t ran = 0;
+
+    double Share() const {
+      return static_cast<double>(this->ran) / static_cast<double>(this->sent);
+    }
+  };
+  bool IsBesideCrashing(const Request& request) const;
   std::map<std::string, Instant, std::less<>> corrupted_at = {};
   std::map<std::string, std::vector<RouteChange>, std::less<>> route_changes = {};
   std::map<std::uint64_t, Instant> weights_published_at = {};  // version -> publication time
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -402,6 +402,60 @@
   EXPECT_EQ(this->checker.Violations().back().rule, "crashing-request");
 }
 
+TEST_F(CheckerTest, FindsCrashingPartThatUpstreamsGetAgain) {
+  const auto arrive = [this](const std::string& id) {
+    this->Send(id, RequestKind::kStream, true);
+    ArrivedRequest request = ArrivedAt(id, "u-" + id);
+    request.prompt = "c:1," + CrashingPart(1) + ":1," + id + ":1";
+    this->checker.OnArrived(request, this->now);
+    return request;
+  };
+  for (const char* id : {"a", "b", "c", "d", "e"}) this->checker.OnRun(arrive(id), this->now);
+  this->now += seconds(2);
+  for (const char* id : {"f", "g", "h", "i"}) arrive(id);
+  this->now += seconds(2);
+  for (const char* id : {"j", "k", "l"}) arrive(id);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  arrive("m");
+  ASSERT_EQ(this->checker.Violations().size(), 1u);
+  EXPECT_EQ(this->checker.Violations().back().rule, "crashing-request");
+}
+
+TEST_F(CheckerTest, FindsSoundRequestsThatDoNotRunBesideACrashingPart) {
+  const auto send = [this](const std::string& id, const std::string& prompt, bool runs) {
+    this->checker.OnSent({.request = {.entry = "",
+                                      .attempt_id = id,
+                                      .host = "h",
+                                      .target = "/r/1",
+                                      .body = "b",
+                                      .prompt = prompt},
+                          .route = {.name = "chat",
+                                    .kind = RequestKind::kStream,
+                                    .timeout = seconds(1),
+                                    .max_attempts = 2,
+                                    .resumable = true},
+                          .account = "shop",
+                          .entry_vm = "entry-1",
+                          .sent = this->now});
+    ArrivedRequest request = ArrivedAt(id, "u-" + id);
+    request.prompt = prompt;
+    if (runs) this->Run(request);
+    this->Answer(id, AnswerState::kComplete, 503, "overloaded", false);
+  };
+  const std::string deadly = "c:1," + CrashingPart(1) + ":1,x:1";
+  for (int i = 0; i < 5; ++i) send("bad" + std::to_string(i), deadly, true);
+  const auto run_beside = [&](const std::string& name, int running) {
+    for (int i = 0; i < 25; ++i) send(name + std::to_string(i), "c:1,y:1", i < running);
+  };
+  run_beside("before", 25);
+  this->now += seconds(7);
+  run_beside("beside", 10);
+  send("badlast", deadly, false);
+  this->checker.CheckWholeRun();
+  ASSERT_FALSE(this->checker.Violations().empty());
+  EXPECT_EQ(this->checker.Violations().back().rule, "sound-beside-crashing");
+}
+
 TEST_F(CheckerTest, FindsInnocentRequestRefusedAsCrashing) {
   this->Send("a", RequestKind::kIdempotent);
   this->Answer("a", AnswerState::kComplete, 503, "request-crashes-upstream\n", false);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 35> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 37> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -51,12 +51,15 @@
     {FaultKind::kWeightsPublishedEngineSlow, "weights-named-engine-slow", 6},
     {FaultKind::kUpstreamAsksToWait, "upstream-asks-to-wait", 6},
     {FaultKind::kCrashingRequest, "crashing-request", 12},
+    {FaultKind::kCrashingPart, "crashing-part", 16},
+    {FaultKind::kConnectionsSilent, "connections-silent", 8},
 }};
 
 // Number of kinds in the plans of older versions.
 constexpr std::size_t kFirstPlanKinds = 27;
 constexpr std::size_t kSecondPlanKinds = 33;
 constexpr std::size_t kThirdPlanKinds = 34;
+constexpr std::size_t kFourthPlanKinds = 35;
 
 std::span<const FaultSpec> SpecsOf(PlanVersion version) {
   const std::span<const FaultSpec> all = kFaultSpecs;
@@ -67,6 +70,8 @@
       return all.first(kSecondPlanKinds);
     case PlanVersion::kThird:
       return all.first(kThirdPlanKinds);
+    case PlanVersion::kFourth:
+      return all.first(kFourthPlanKinds);
     case PlanVersion::kNewest:
       break;
   }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -58,6 +58,9 @@
   kUpstreamAsksToWait,  // refuses requests and says for how long
   // Since plan 4.
   kCrashingRequest,  // ends each upstream that runs it, and is sent again and again
+  // Since plan 5.
+  kCrashingPart,       // requests that share a part of their prompt, which ends upstreams
+  kConnectionsSilent,  // open ones to the store and to upstreams, for good; new ones work
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -71,7 +74,7 @@
 };
 
 // How plans are drawn. Older ways are kept so that seeds that failed once can be repeated.
-enum class PlanVersion { kFirst = 1, kSecond = 2, kThird = 3, kNewest = 4 };
+enum class PlanVersion { kFirst = 1, kSecond = 2, kThird = 3, kFourth = 4, kNewest = 5 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
 // overlap; none starts in the last tenth of `length`.
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -116,6 +116,10 @@
 
 void FaultProxy::SetCondition(LinkCondition condition) { this->impl->condition = condition; }
 
+void FaultProxy::SilenceOpen() {
+  for (const auto& pair : this->impl->pairs) pair->discarding = true;
+}
+
 void FaultProxy::ResetAll() {
   const auto pairs = std::move(this->impl->pairs);
   this->impl->pairs.clear();
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -29,6 +29,8 @@
   // condition, since the lost bytes would leave a gap.
   void SetCondition(LinkCondition condition);
   void ResetAll();
+  // The open connections discard all bytes from now on; new ones are healthy.
+  void SilenceOpen();
 
  private:
   struct Impl;
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -21,6 +21,8 @@
 constexpr Duration kCancelDelaySpread = milliseconds(250);
 // Copies of a request that ends its upstreams that are sent at the same time.
 constexpr int kCopiesAtOnce = 2;
+// Parts of prompts on one subject, of which each stream has one.
+constexpr std::uint64_t kSubjects = 12;
 constexpr Duration kConnectionIdle = milliseconds(4000);
 // Request shares of the routes in the order of SoakLayout::Rules: chat, feed, book, read, moved.
 constexpr std::array<double, 5> kRouteShares = {0.40, 0.20, 0.15, 0.10, 0.15};
@@ -90,6 +92,25 @@
                    [this, body, times, period] { this->RepeatCrashing(body, times - 1, period); });
 }
 
+void SoakCallers::SendCrashingPart(const std::string& part, int times, Duration period) {
+  if (this->stopped || times == 0) return;
+  if (this->ReadyEntries() > 0) {
+    const auto route = std::ranges::find(this->rules.routes, "chat", &RouteRule::name);
+    const std::size_t account = UniformBelow(this->random, this->rules.accounts.size());
+    this->Send(this->DrawEntry(), *route, this->rules.accounts[account], "", part);
+  }
+  this->loop.After(
+      period, [this, part, times, period] { this->SendCrashingPart(part, times - 1, period); });
+}
+
+std::string SoakCallers::DrawPrompt(const std::string& account, const std::string& part,
+                                    const std::string& own) {
+  std::string prompt = "c0mm0n:40,";
+  if (!part.empty()) prompt += part + ":60,";
+  prompt += account + ":100,subject" + std::to_string(UniformBelow(this->random, kSubjects));
+  return prompt + ":120," + own + ":50";
+}
+
 void SoakCallers::SendOne() {
   const std::size_t entry = this->DrawEntry();
   double draw = UniformUnit(this->random);
@@ -104,7 +125,7 @@
 }
 
 void SoakCallers::Send(std::size_t entry, const RouteRule& route, const AccountRule& account,
-                       const std::string& body) {
+                       const std::string& body, const std::string& part) {
   const bool is_crashing = !body.empty();
   std::string id(16, '0');
   for (char& digit : id) digit = "0123456789abcdef"[UniformBelow(this->random, 16)];
@@ -116,7 +137,10 @@
       .api_key = account.api_keys.front(),
       .body = is_crashing ? body : "body of " + id,
       .time_left = route.timeout + kExtraPatience};
-  if (!is_crashing && UniformUnit(this->random) < kCancelProbability) {
+  if (route.kind == RequestKind::kStream) {
+    request.prompt = this->DrawPrompt(account.name, part, id);
+  }
+  if (!is_crashing && part.empty() && UniformUnit(this->random) < kCancelProbability) {
     request.cancel_after =
         kMinCancelDelay + FromSeconds(ToSeconds(kCancelDelaySpread) * UniformUnit(this->random));
   }
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -24,6 +24,8 @@
   void Start(double requests_per_second);
   // Sends a request that ends its upstreams to several entry VMs, again and again.
   void RepeatCrashing(const std::string& body, int times, Duration period);
+  // Sends requests that share the part `part` of their prompt, no two alike otherwise.
+  void SendCrashingPart(const std::string& part, int times, Duration period);
   void SetRate(double requests_per_second) { this->rate = requests_per_second; }
   void Stop() { this->stopped = true; }
   // Number of entry VMs whose readiness probe succeeds.
@@ -37,8 +39,12 @@
   bool IsUsable(std::size_t entry) const;
   void SendOne();
   std::size_t DrawEntry();
+  // With a `body` or a `part`, the request ends its upstreams.
   void Send(std::size_t entry, const RouteRule& route, const AccountRule& account,
-            const std::string& body);
+            const std::string& body, const std::string& part = {});
+  // Parts that other requests share, `part` among them unless it is empty, and one of its own.
+  std::string DrawPrompt(const std::string& account, const std::string& part,
+                         const std::string& own);
 
   EventLoop& loop;
   Checker& checker;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -45,6 +45,9 @@
 // A request that ends its upstreams is sent so often.
 constexpr int kCrashingRepeats = 12;
 constexpr Duration kCrashingPeriod = milliseconds(700);
+// Requests with a part that ends upstreams, and the time between two of them.
+constexpr int kCrashingParts = 36;
+constexpr Duration kCrashingPartPeriod = milliseconds(400);
 
 Duration StartDelay(Duration fault_duration) {
   return FromSeconds(kStartDelayShare * ToSeconds(fault_duration));
@@ -83,6 +86,7 @@
     const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
                                fault.kind == FaultKind::kWeightsPublishedEngineSlow;
     if (fault.kind == FaultKind::kCrashingRequest) return kCrashingRepeats * kCrashingPeriod;
+    if (fault.kind == FaultKind::kCrashingPart) return kCrashingParts * kCrashingPartPeriod;
     return delays_origin ? kOriginDelay : fault.duration;
   }
 
@@ -110,6 +114,7 @@
   }
 
   void Finish() {
+    this->checker.CheckWholeRun();
     const auto [served, all] = this->checker.ServedSince(this->evaluation_start);
     this->result.served_at_end =
         all == 0 ? 0 : static_cast<double>(served) / static_cast<double>(all);
@@ -185,6 +190,11 @@
     this->processes.Pause(entry_vm, duration);
   }
 
+  void PublishWeightsLate() {
+    this->checker.MarkDisturbed("origin", this->loop.Now(), kOriginDelay);
+    this->upstreams.PublishWeights(kOriginDelay);
+  }
+
   // Runs `revert` after `duration`, unless a later fault of the same component started meanwhile.
   void RevertAfter(Duration duration, const std::string& component, std::function<void()> revert) {
     const int generation = ++this->fault_generations[component];
@@ -296,14 +306,24 @@
       case FaultKind::kCrashingRequest:
         return this->callers.RepeatCrashing(CrashingBody(++this->crashing_requests),
                                             kCrashingRepeats, kCrashingPeriod);
+      case FaultKind::kCrashingPart:
+        return this->callers.SendCrashingPart(CrashingPart(++this->crashing_requests),
+                                              kCrashingParts, kCrashingPartPeriod);
+      case FaultKind::kConnectionsSilent:
+        this->MarkEntriesDisturbed({});
+        this->checker.MarkDisturbed("store", now, {});
+        for (std::size_t i = 0; i < this->layout.UpstreamCount(); ++i) {
+          this->checker.MarkLinkDisturbed(this->upstreams.UpstreamId(i), now, {});
+        }
+        return this->upstreams.SilenceConnections();
       case FaultKind::kWeightsPublishedEntryPaused:
         this->PauseEntry(entry_vm, fault.duration);
-        return this->upstreams.PublishWeights(kOriginDelay);
+        return this->PublishWeightsLate();
       case FaultKind::kWeightsPublishedEngineSlow:
         this->loop.After(kSlowAfterPublication, [this, engine, duration = fault.duration] {
           this->SlowUpstream(engine, StartDelay(duration), kSlowTime);
         });
-        return this->upstreams.PublishWeights(kOriginDelay);
+        return this->PublishWeightsLate();
     }
   }
 
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -66,6 +66,11 @@
   this->store.SetCondition(condition);
 }
 
+void SoakUpstreams::SilenceConnections() {
+  for (const auto& link : this->store_links) link->SilenceOpen();
+  for (const ManagedUpstream& managed : this->upstreams) managed.link->SilenceOpen();
+}
+
 std::string SoakUpstreams::UpstreamId(std::size_t upstream) const {
   return this->upstreams[upstream].record.id;
 }
@@ -237,7 +242,7 @@
 }
 void SoakUpstreams::OnRun(const platform::ArrivedRequest& request) {
   this->checker.OnRun(request, this->loop.Now());
-  if (!IsCrashingBody(request.body)) return;
+  if (!EndsUpstreams(request.body, request.prompt)) return;
   // Until its callers have noticed the end.
   this->checker.MarkDisturbed(request.upstream, this->loop.Now(), kCrashDowntime);
   this->loop.After(Duration(0), [this, id = request.upstream] {
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -28,6 +28,8 @@
   platform::StoreStandin& Store() { return this->store; }
   void SetStoreCondition(platform::StoreCondition condition);
   FaultProxy& StoreLink(std::size_t entry) { return *this->store_links[entry]; }
+  // All open connections to the store and to upstreams.
+  void SilenceConnections();
   FaultProxy& Link(std::size_t upstream) { return *this->upstreams[upstream].link; }
   std::string UpstreamId(std::size_t upstream) const;
 
