Keep certain causes of crashes, and count crashes less against parts that were answered before

A cause with three crashes stays unless a candidate explains the same crashes and more. Two crashes count for nothing against a part that some entry has seen answered, and entries tell those that suspect it.

--- a/src/crashes/crash_causes.h
+++ b/src/crashes/crash_causes.h
@@ -22,6 +22,8 @@
 struct CrashCandidate {
   Digest digest = {};
   std::vector<UpstreamIncarnation> crashes = {};  // sorted
+  // It was answered before, and may have become guilty only since.
+  bool was_sound = false;
 };
 
 // Requests that have each of `all_of`, as fingerprint or part, end the upstreams that run them.
@@ -36,6 +38,7 @@
 struct CrashCauseOptions {
   std::size_t crash_threshold = 2;    // crashes that prove a cause if nothing else explains them
   std::size_t certain_threshold = 3;  // crashes that prove it also beside others
+  std::size_t sound_discount = 2;     // crashes that count for nothing if it was sound before
 };
 
 struct CrashCauses {
@@ -44,11 +47,15 @@
   std::vector<Digest> open = {};
 };
 
-// Looks for the fewest causes that explain all crashes: the candidate with the most crashes first,
-// then the one with the most of the rest. A request that ran beside the guilty ones, even at
-// several crashes, explains none that they don't. `candidates` are those with at least
-// `crash_threshold` crashes.
+// Keeps the causes that were certain before, unless a candidate explains the same crashes and more:
+// over a long time, what runs beside several causes collects some crashes of each. Otherwise looks
+// for the fewest causes that explain all crashes: the candidate with the most crashes first,
+// less the discount if it was sound, then the one with the most of the rest. A request that ran
+// beside the guilty ones, even at several crashes, explains none that they don't. `candidates` are
+// those with at least `crash_threshold` crashes.
 CrashCauses FindCrashCauses(std::span<const CrashCandidate> candidates,
-                            const CrashSuspects& suspects, const CrashCauseOptions& options);
+                            const CrashSuspects& suspects,
+                            std::span<const CrashCause> proved_before,
+                            const CrashCauseOptions& options);
 
 }  // namespace savory
--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -217,13 +217,13 @@
   std::vector<CrashAction> actions;
   std::erase_if(record.parts, [&](const Digest& part) {
     const Instant answered = this->sound_parts.AnsweredAt(part);
-    if (answered == Instant() || at > answered + this->options.sound_before_crash) return false;
+    if (answered == Instant()) return false;
     // The entry that suspects the part does not know of the answer.
     if (record.hops > 0 && this->sound_parts.TakeAnnouncement(part, now)) {
       std::ranges::move(this->Forward({.fingerprint = part, .age = now - answered, .served = true}),
                         std::back_inserter(actions));
     }
-    return true;
+    return at <= answered + this->options.sound_before_crash;
   });
   return actions;
 }
@@ -232,8 +232,10 @@
 
 std::vector<CrashAction> CrashRegistry::AddServed(const CrashRecord& record, Instant now) {
   const Instant at = now - record.age;
+  const bool is_first = this->sound_parts.AnsweredAt(record.fingerprint) == Instant();
   const bool is_news = this->sound_parts.Add(record.fingerprint, at) &&
                        this->sound_parts.TakeAnnouncement(record.fingerprint, now);
+  this->causes_outdated = this->causes_outdated || (is_first && is_news);
   const bool cleared = this->ClearCrashes(record.fingerprint, at);
   if (!cleared && !is_news) return {};
   return this->Forward(record);
@@ -424,7 +426,9 @@
   std::vector<CrashCandidate> candidates;
   for (const CrashHistory& history : this->strong) {
     if (now >= history.expires) continue;
-    CrashCandidate candidate{.digest = history.digest};
+    const bool was_sound =
+        history.is_part && this->sound_parts.AnsweredAt(history.digest) != Instant();
+    CrashCandidate candidate{.digest = history.digest, .was_sound = was_sound};
     for (const Crash& crash : history.crashes) candidate.crashes.push_back(crash.process);
     std::ranges::sort(candidate.crashes);
     candidates.push_back(std::move(candidate));
@@ -434,7 +438,8 @@
     std::ranges::stable_sort(candidates, std::ranges::greater(), crashes);
     candidates.resize(this->options.max_candidates);
   }
-  this->causes = FindCrashCauses(candidates, this->suspects, this->options.causes);
+  this->causes =
+      FindCrashCauses(candidates, this->suspects, this->causes.proved, this->options.causes);
   this->refusals.clear();
   for (const CrashCause& cause : this->causes.proved) {
     CrashRefusal refusal{.cause = cause};
