--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -258,7 +258,9 @@
 
 void Checker::CheckCrashing(const Request& request, const ArrivedRequest& arrived, Instant now) {
   const std::string_view part = FindCrashingPart(arrived.prompt);
-  const auto found = this->crashing.find(part.empty() ? std::string_view(arrived.body) : part);
+  std::string_view key = arrived.body;
+  if (!part.empty()) key = part;
+  const auto found = this->crashing.find(key);
   if (found == this->crashing.end()) return;
   CrashingRequest& crashing = found->second;
   const std::size_t until_known =
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -325,7 +325,9 @@
   // The upstream has streamed an answer for a while: nothing in the request ends it.
   void NoteSoundStream() {
     if (this->streams_soundly) return;
-    if (this->relay.loop.Now() - this->first_event_at < kSoundStreamTime) return;
+    const Instant now = this->relay.loop.Now();
+    if (!this->first_event_at) this->first_event_at = now;
+    if (now - *this->first_event_at < kSoundStreamTime) return;
     this->streams_soundly = true;
     this->relay.crashes.OnServed({.parts = this->suspect.parts});
   }
@@ -510,6 +512,7 @@
     this->answer_streams = false;
     this->ends_with_connection = false;
     this->first_event_seen = false;
+    this->first_event_at.reset();
     this->streams_soundly = false;
   }
 
@@ -523,10 +526,9 @@
       if (event.id && this->last_event && *event.id <= *this->last_event) continue;
       if (!this->first_event_seen) {
         this->first_event_seen = true;
-        this->first_event_at = this->relay.loop.Now();
         this->relay.dispatcher.OnFirstEvent(this->attempt);
       }
-      this->NoteSoundStream();
+      if (!event.only_comments) this->NoteSoundStream();
       if (!this->exchange->HasBegun()) {
         this->RecordFirstPart();
         this->exchange->BeginStream(this->answer_status, this->answer_fields);
@@ -777,8 +779,8 @@
   std::unique_ptr<HttpCall> call = {};
   EventSplitter splitter = {};
   bool first_event_seen = false;
-  Instant first_event_at = {};
-  bool streams_soundly = false;  // for kSoundStreamTime
+  std::optional<Instant> first_event_at = {};  // other than comments
+  bool streams_soundly = false;                // for kSoundStreamTime
 
   // The answer.
   int answer_status = 0;
