--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -427,6 +427,7 @@
 
 void CrashRegistry::UpdateCauses(Instant now) {
   this->causes_outdated = false;
+  ++this->cause_updates;
   this->next_update = now + this->options.update_period;
   std::vector<CrashCandidate> candidates;
   for (const CrashHistory& history : this->strong) {
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -124,6 +124,8 @@
   // When the refusal ends; `now` if the request is not refused.
   Instant RefusalEnd(const Digest& fingerprint, Instant now) const;
   std::vector<CrashRefusal> Refusals(Instant now) const;
+  // Grows each time the causes are looked for. Otherwise refusals change by time only.
+  std::uint64_t CauseUpdates() const { return this->cause_updates; }
   // Whether this entry acts for all: it saves the refusal, and accepts requests again first.
   bool RanksFirst(const CrashCause& cause) const;
   // The last crashes that the cause of a refusal explains, one record for each, as they would be
@@ -204,6 +206,7 @@
   SoundParts sound_parts;
   bool causes_outdated = false;
   Instant next_update = {};
+  std::uint64_t cause_updates = 0;
   CrashCauses causes;
   std::vector<CrashRefusal> refusals;  // of `causes.proved`
   // Digests of peers that differed from this entry's when they last reported them.
--- a/src/relay/crash_guard.cc
+++ b/src/relay/crash_guard.cc
@@ -129,10 +129,12 @@
 
   // `source`: who reported the event.
   void Handle(const CrashEvent& event, std::string_view source) {
+    const std::uint64_t updates = this->registry.CauseUpdates();
     for (const CrashAction& action : this->registry.Handle(event, this->loop.Now())) {
       if (this->on_forward) this->on_forward(std::get<CrashForward>(action));
     }
-    this->ScheduleReport(source);
+    const bool may_differ = updates != this->registry.CauseUpdates() || source == kTime;
+    if (may_differ) this->ScheduleReport(source);
   }
 
   // The records of one end arrive one after another; those of its first requests alone would seem
