--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -307,15 +307,13 @@
 
 std::vector<CrashRecord> CrashRegistry::RecordsToShare(Instant now) const {
   std::vector<CrashRecord> records;
-  // What was answered comes first: without it, the crashes would prove more causes.
-  for (const CrashHistories* list : {&this->strong, &this->weak}) {
-    for (const CrashHistory& history : *list) {
-      if (now >= history.expires) continue;
-      const Instant answered =
-          history.is_part ? this->sound_parts.AnsweredAt(history.digest) : history.served_at;
-      if (answered == Instant()) continue;
-      records.push_back({.fingerprint = history.digest, .age = now - answered, .served = true});
-    }
+  const auto add_answer = [&](const CrashHistory& history, Instant answered) {
+    if (answered == Instant() || now >= history.expires) return;
+    records.push_back({.fingerprint = history.digest, .age = now - answered, .served = true});
+  };
+  // Answers of suspected parts come first: without them, the crashes would prove more causes.
+  for (const CrashHistory& history : this->strong) {
+    if (history.is_part) add_answer(history, this->sound_parts.AnsweredAt(history.digest));
   }
   const auto crash_of = [&](const Digest& digest, const UpstreamIncarnation& process) {
     const CrashHistory* history = this->Find(digest, now);
@@ -339,6 +337,11 @@
       records.push_back(std::move(record));
     }
   }
+  for (const CrashHistories* list : {&this->strong, &this->weak}) {
+    for (const CrashHistory& history : *list) {
+      if (!history.is_part) add_answer(history, history.served_at);
+    }
+  }
   return records;
 }
 
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -83,7 +83,7 @@
   std::string peer;
   std::uint64_t digest = 0;
 };
-// Removes expired records, as every event does. Should be sent at least every second.
+// Removes expired records. Should be sent at least every second.
 struct CrashTick {};
 
 using CrashEvent = std::variant<CrashRecordReceived, RequestServed, RefusalLifted,
