Look at sound parts last, and check refusals of sound requests from when the cause is known

What was answered before is now looked at only for ends that nothing else explains, and replaces no cause.

The users' rule asks for sound requests from six seconds after the last of five ends; the soak's check of refused innocents leaves out requests with shared parts until then, and a test has both sides of that moment.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -190,7 +190,10 @@
   if (answer.state != AnswerState::kComplete) this->CheckTruncation(*request, now);
   const bool is_refused = answer.body.find(kRefusedAsCrashing) != std::string::npos;
   const platform::CallerRequest& sent = request->sent.request;
-  if (is_refused && !EndsUpstreams(sent.body, sent.prompt)) {
+  // Until the cause is known, a sound request that shares parts with guilty ones may be taken for
+  // it.
+  const bool may_be_suspect = !sent.prompt.empty() && this->IsDisturbedByCrashing(*request);
+  if (is_refused && !EndsUpstreams(sent.body, sent.prompt) && !may_be_suspect) {
     this->AddViolation("innocent-request",
                        std::string(attempt_id) + " was refused although it ends no upstream");
   }
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -457,6 +457,37 @@
   EXPECT_EQ(this->checker.Violations().back().rule, "sound-beside-crashing");
 }
 
+TEST_F(CheckerTest, FindsSoundPartRefusedOnceTheCrashingOneIsKnown) {
+  const auto send = [this](const std::string& id, const std::string& prompt) {
+    this->checker.OnSent({.request = {.entry = "",
+                                      .attempt_id = id,
+                                      .host = "h",
+                                      .target = "/r/1",
+                                      .body = "b",
+                                      .prompt = prompt},
+                          .route = {.name = "r", .timeout = seconds(1), .max_attempts = 2},
+                          .account = "shop",
+                          .entry_vm = "entry-1",
+                          .sent = this->now});
+  };
+  const auto refuse = [&](const std::string& id) {
+    send(id, "c:1,y:1");
+    this->Answer(id, AnswerState::kComplete, 503, "request-crashes-upstream\n", false);
+  };
+  const std::string deadly = "c:1," + CrashingPart(1) + ":1,x:1";
+  send("bad", deadly);
+  ArrivedRequest guilty = ArrivedAt("bad", "u-bad");
+  guilty.prompt = deadly;
+  this->Run(guilty);
+  this->now += seconds(5);
+  refuse("early");
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->now += seconds(2);
+  refuse("late");
+  ASSERT_EQ(this->checker.Violations().size(), 1u);
+  EXPECT_EQ(this->checker.Violations().back().rule, "innocent-request");
+}
+
 TEST_F(CheckerTest, FindsInnocentRequestRefusedAsCrashing) {
   this->Send("a", RequestKind::kIdempotent);
   this->Answer("a", AnswerState::kComplete, 503, "request-crashes-upstream\n", false);
--- a/src/crashes/crash_causes.cc
+++ b/src/crashes/crash_causes.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace savory {
 namespace {
@@ -128,10 +129,9 @@
 }
 
 // Whether a candidate explains all of `crashes` and more.
-bool HasBetterCause(const Crashes& crashes, std::span<const Candidate> candidates,
-                    std::size_t unexplained, const CrashCauseOptions& options) {
+bool HasBetterCause(const Crashes& crashes, std::span<const Candidate> candidates) {
   return std::ranges::any_of(candidates, [&](const Candidate& candidate) {
-    return WeightOf(candidate, unexplained, options) > crashes.size() &&
+    return !candidate.was_sound && candidate.crashes.size() > crashes.size() &&
            std::ranges::includes(candidate.crashes, crashes);
   });
 }
@@ -188,20 +188,25 @@
   std::size_t unexplained = suspects.size();
   for (const CrashCause& before : proved_before) {
     const Crashes crashes = CommonCrashes(before, all);
-    const bool is_kept = crashes.size() >= options.certain_threshold &&
-                         !HasBetterCause(crashes, all, unexplained, options);
+    const bool is_kept =
+        crashes.size() >= options.certain_threshold && !HasBetterCause(crashes, all);
     if (!is_kept) continue;
     causes.proved.push_back({.all_of = before.all_of, .crashes = index.CrashesAt(crashes)});
     unexplained -= std::min(unexplained, crashes.size());
     RemoveCrashes(open, crashes);
     RemoveCrashes(rest, crashes);
   }
+  // What was sound before is looked at only for what nothing else explains.
+  bool with_sound = false;
   for (std::size_t round = 0; round < options.max_causes; ++round) {
     const auto weight_of = [&](const Candidate& row) {
-      return WeightOf(row, unexplained, options);
+      return row.was_sound && !with_sound ? 0 : WeightOf(row, unexplained, options);
     };
     const auto best = std::ranges::max_element(rest, {}, weight_of);
-    if (best == rest.end() || weight_of(*best) < options.crash_threshold) break;
+    if (best == rest.end() || weight_of(*best) < options.crash_threshold) {
+      if (std::exchange(with_sound, true)) break;
+      continue;
+    }
     const std::size_t weight = weight_of(*best);
     const Crashes crashes = best->crashes;
     std::vector<Digest> equal;
--- a/src/crashes/crash_causes.h
+++ b/src/crashes/crash_causes.h
@@ -50,10 +50,10 @@
 
 // Keeps the causes that were certain before, unless a candidate explains the same crashes and more:
 // over a long time, what runs beside several causes collects some crashes of each. Otherwise looks
-// for the fewest causes that explain all crashes: the candidate with the most crashes first,
-// less the discount if it was sound, then the one with the most of the rest. A request that ran
-// beside the guilty ones, even at several crashes, explains none that they don't. `candidates` are
-// those with at least `crash_threshold` crashes.
+// for the fewest causes that explain all crashes: the candidate with the most crashes first, then
+// the one with the most of the rest; what was sound, less the discount, only for what nothing else
+// explains. A request that ran beside the guilty ones, even at several crashes, explains none that
+// they don't. `candidates` are those with at least `crash_threshold` crashes.
 CrashCauses FindCrashCauses(std::span<const CrashCandidate> candidates,
                             const CrashSuspects& suspects,
                             std::span<const CrashCause> proved_before,
--- a/src/crashes/crash_causes_test.cc
+++ b/src/crashes/crash_causes_test.cc
@@ -131,6 +131,22 @@
   }
 }
 
+// Guards against blaming a part of half of all requests in place of causes that are certain, which
+// is then refused and never answered again (soak seed 706 of plan 5).
+TEST_F(CrashCausesTest, PopularSoundPartDoesNotReplaceCauses) {
+  this->registry.Handle(RequestServed{.parts = {PromptPartDigest("popular")}}, kStart - minutes(1));
+  const std::vector<std::pair<std::string, std::string>> ends = {{"u1", "bad"},   {"u2", "bad"},
+                                                                 {"u3", "bad"},   {"u4", "worse"},
+                                                                 {"u5", "worse"}, {"u6", "third"}};
+  for (const auto& [upstream, part] : ends) {
+    this->Add(upstream, Request("guilty " + upstream, {part}));
+    this->Add(upstream, Request("sound " + upstream, {"popular"}));
+    EXPECT_FALSE(this->Refuses(Request("r", {"popular"}))) << upstream;
+  }
+  EXPECT_TRUE(this->Refuses(Request("r", {"bad"})));
+  EXPECT_TRUE(this->Refuses(Request("r", {"worse"})));
+}
+
 // Guards against an entry that refuses sound requests after a restart, as it learns of crashes but
 // not of answers: soak seed 616 of plan 5.
 TEST_F(CrashCausesTest, RestartedEntryLearnsOfAnswers) {
