--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -334,8 +334,8 @@
 
   // Ends an attempt that has not begun if the request is refused by now.
   void RefuseIfCrashing() {
-    if (this->finished || !this->call || this->first_event_seen || !this->CrashesUpstreams())
-      return;
+    const bool waits = !this->finished && this->call && !this->first_event_seen;
+    if (!waits || !this->CrashesUpstreams()) return;
     const auto keep = this->shared_from_this();
     this->CancelCall(AttemptResult::kCancelled);
     ++this->history.may_have_run;
