--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -24,7 +24,7 @@
   void Start(double requests_per_second);
   // Sends a request that ends its upstreams to several entry VMs, again and again.
   void RepeatCrashing(const std::string& body, int times, Duration period);
-  // Sends requests that share the part `part` of their prompt, no two alike otherwise.
+  // Sends requests that share the prompt part `part`, no two alike otherwise.
   void SendCrashingPart(const std::string& part, int times, Duration period);
   void SetRate(double requests_per_second) { this->rate = requests_per_second; }
   void Stop() { this->stopped = true; }
