Log the age of staged chunks and the calls behind a load

The logs could not tell how old the oldest chunk was by the moment of its reading, how long calls took, which call was given up, and whether a load that the engine shows is the one that was requested last; a reading without an answer was logged as a bad chunk.

Now load_ordered and load_answered carry oldest_piece_ms, slowest_call_ms, calls_given_up and took_ms, staged_piece_bad its reason and how long ago the chunk was good, and engine_call_given_up and load_seen are new. The decisions are unchanged: OnChunkStaged() gets both times of the call and goes on using the time of the answer.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -244,8 +244,9 @@
       }
     }
     this->links.OnViewChange([this](const FleetView& next) { this->OnViewChange(next); });
-    this->copier.OnChunk([this](std::uint64_t version, std::uint32_t chunk, bool staged) {
-      this->loader.AddChunk(version, chunk, staged);
+    this->copier.OnChunk([this](std::uint64_t version, std::uint32_t chunk,
+                                const std::optional<CallTimes>& read_back) {
+      this->loader.AddChunk(version, chunk, read_back);
     });
     this->copier.OnNewestFound([this](const std::string& model, std::uint64_t version) {
       this->links.SetFoundVersion(model, version);
--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -1,5 +1,6 @@
 #include "direct/engine_loader.h"
 
+#include <algorithm>
 #include <variant>
 
 #include "base/log.h"
@@ -37,6 +38,10 @@
   VersionCopy target = {};  // the version that `rollout` loads onto the engine
   RolloutPosition position = {};
   std::uint32_t running = 0;
+  std::uint64_t accepted_loads = 0;  // as the engine's last state has it
+  Duration slowest_call = {};        // of those about chunks, since the last load request
+  std::uint32_t calls_given_up = 0;  // likewise
+  std::optional<Instant> last_load_request = {};
   std::function<void()> on_load_request_done = {};
 
   Impl(EventLoop& loop, Metrics& metrics, EngineControl& engine, const WeightsCopier& copier,
@@ -47,6 +52,36 @@
         load_requests(metrics.CounterFor("savory_load_orders_total")),
         rollout(options) {}
 
+  CallTimes TimesSince(Instant sent) const { return {.sent = sent, .answered = this->loop.Now()}; }
+
+  // The engine may still carry out a call that was given up.
+  void OnCallDone(std::string_view call, std::optional<std::uint32_t> chunk, CallTimes times,
+                  bool given_up) {
+    this->slowest_call = std::max(this->slowest_call, times.answered - times.sent);
+    if (!given_up) return;
+    ++this->calls_given_up;
+    Log(LogLevel::kWarn, "engine_call_given_up",
+        {{"call", call},
+         {"version", this->target.version},
+         {"piece", chunk ? std::to_string(*chunk) : "none"},
+         {"took_ms", ToMillis(times.answered - times.sent)}});
+  }
+
+  // Tells a load that the engine shows from the one that was requested last.
+  void LogNewLoads(const EngineState& state) {
+    const bool is_new = state.accepted_loads > this->accepted_loads;
+    this->accepted_loads = state.accepted_loads;
+    if (!is_new) return;
+    const Instant now = this->loop.Now();
+    Log(LogLevel::kInfo, "load_seen",
+        {{"orders", state.accepted_loads},
+         {"weights", state.weights_version},
+         {"busy", state.busy},
+         {"ordered_ms_ago",
+          this->last_load_request ? ToMillis(now - *this->last_load_request) : -1},
+         {"oldest_piece_ms", ToMillis(this->rollout.OldestStagedAge(now))}});
+  }
+
   void OnUnmatchedAnswer() {
     Log(LogLevel::kWarn, "engine_answer_unmatched", {{"version", this->target.version}});
     this->rollout.OnUnmatchedAnswer();
@@ -100,15 +135,19 @@
     const std::uint64_t version = this->target.version;
     const WeightsCopy* copy = this->copier.Find(*this->target.manifest);
     if (copy == nullptr || !copy->Holds(action.chunk)) {
-      this->rollout.OnChunkStaged(version, action.chunk, false, this->loop.Now());
+      this->rollout.OnChunkStaged(version, action.chunk, false, this->TimesSince(this->loop.Now()));
       return;
     }
-    const auto done = [this, version, chunk = action.chunk](const Result<void>& stored) {
+    const auto done = [this, version, chunk = action.chunk,
+                       sent = this->loop.Now()](const Result<void>& stored) {
+      const CallTimes times = this->TimesSince(sent);
+      this->OnCallDone("upload", chunk, times,
+                       !stored && stored.error().kind == ErrorKind::kTimeout);
       if (!stored) {
         Log(LogLevel::kWarn, "stage_failed",
             {{"version", version}, {"piece", chunk}, {"reason", Describe(stored.error())}});
       }
-      this->rollout.OnChunkStaged(version, chunk, stored.has_value(), this->loop.Now());
+      this->rollout.OnChunkStaged(version, chunk, stored.has_value(), times);
       if (stored) this->Advance(this->position);
     };
     this->engine.Stage(this->target.model, action.chunk,
@@ -117,13 +156,21 @@
 
   void Execute(const VerifyStagedChunk& action) {
     const auto done = [this, source = this->target.manifest, version = this->target.version,
-                       chunk = action.chunk](const Result<std::string>& bytes) {
+                       chunk = action.chunk,
+                       sent = this->loop.Now()](const Result<std::string>& bytes) {
+      const CallTimes times = this->TimesSince(sent);
+      this->OnCallDone("read-back", chunk, times,
+                       !bytes && bytes.error().kind == ErrorKind::kTimeout);
       const bool intact =
           bytes.has_value() && Sha256(AsBytes(bytes.value())) == source->DigestOf(chunk);
       if (!intact) {
-        Log(LogLevel::kWarn, "staged_piece_bad", {{"version", version}, {"piece", chunk}});
+        Log(LogLevel::kWarn, "staged_piece_bad",
+            {{"version", version},
+             {"piece", chunk},
+             {"reason", bytes ? std::string("digest") : Describe(bytes.error())},
+             {"good_ms_ago", ToMillis(times.sent - this->rollout.StagedCorrectAt(chunk))}});
       }
-      this->rollout.OnStagedChunkVerified(version, chunk, intact, this->loop.Now());
+      this->rollout.OnStagedChunkVerified(version, chunk, intact, times);
       this->Advance(this->position);
     };
     this->engine.ReadStaged(this->target.model, action.chunk, this->Guarded(done));
@@ -131,18 +178,29 @@
 
   void Execute(const SendLoadRequest& action) {
     this->load_requests.Add();
+    const Instant now = this->loop.Now();
+    this->last_load_request = now;
     Log(LogLevel::kInfo, "load_ordered",
         {{"version", action.request.version},
          {"orders", action.request.accepted_loads},
-         {"known_for_ms", ToMillis(this->loop.Now() - this->target.wanted_since)},
+         {"known_for_ms", ToMillis(now - this->target.wanted_since)},
+         {"oldest_piece_ms", ToMillis(this->rollout.OldestStagedAge(now))},
+         {"slowest_call_ms", ToMillis(this->slowest_call)},
+         {"calls_given_up", this->calls_given_up},
          {"rank", this->position.rank},
          {"engines", this->position.engines},
          {"running", this->running},
          {"interrupt", action.request.interrupt}});
-    const auto done = [this, version = action.request.version](LoadRequestResult result) {
+    this->slowest_call = {};
+    this->calls_given_up = 0;
+    const auto done = [this, version = action.request.version, now](LoadRequestResult result) {
+      const CallTimes times = this->TimesSince(now);
       Log(LogLevel::kInfo, "load_answered",
-          {{"version", version}, {"answer", LoadRequestResultName(result)}});
-      this->rollout.OnLoadRequestResult(result, this->loop.Now());
+          {{"version", version},
+           {"answer", LoadRequestResultName(result)},
+           {"took_ms", ToMillis(times.answered - times.sent)},
+           {"oldest_piece_ms", ToMillis(this->rollout.OldestStagedAge(times.answered))}});
+      this->rollout.OnLoadRequestResult(result, times.answered);
       if (this->on_load_request_done) this->on_load_request_done();
     };
     this->engine.RequestLoad(action.request, this->Guarded(done));
@@ -161,15 +219,17 @@
   this->impl->on_load_request_done = std::move(listener);
 }
 
-void EngineLoader::AddChunk(std::uint64_t version, std::uint32_t chunk, bool staged) {
+void EngineLoader::AddChunk(std::uint64_t version, std::uint32_t chunk,
+                            const std::optional<CallTimes>& read_back) {
   this->impl->AdoptNewestVersion();
   if (version != this->impl->rollout.Version()) return;
   this->impl->rollout.OnChunkAvailable(chunk);
-  if (staged) this->impl->rollout.OnChunkStaged(version, chunk, true, this->impl->loop.Now());
+  if (read_back) this->impl->rollout.OnChunkStaged(version, chunk, true, *read_back);
 }
 
 void EngineLoader::SetEngineState(const EngineState& state, Instant asked) {
   this->impl->running = state.running;
+  this->impl->LogNewLoads(state);
   this->impl->rollout.OnEngineState(state, asked);
 }
 
--- a/src/direct/engine_loader.h
+++ b/src/direct/engine_loader.h
@@ -28,8 +28,10 @@
   // engine's state should then be read soon.
   void OnLoadRequestDone(std::function<void()> listener);
 
-  // A verified chunk of `version` is available. `staged`: it was read back from the engine.
-  void AddChunk(std::uint64_t version, std::uint32_t chunk, bool staged);
+  // A verified chunk of `version` is available. `read_back`: the call that read it back from the
+  // engine, if one did.
+  void AddChunk(std::uint64_t version, std::uint32_t chunk,
+                const std::optional<CallTimes>& read_back);
   // `asked`: time at which the state was requested.
   void SetEngineState(const EngineState& state, Instant asked);
   void SetEngineUnreachable();
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -292,23 +292,25 @@
       this->to_read_back.pop_front();
       if (chunk >= this->newest->manifest->ChunkCount()) continue;
       ++this->read_back_calls;
-      const auto done = [this, source = this->newest->manifest,
-                         chunk](const Result<std::string>& bytes) {
+      const auto done = [this, source = this->newest->manifest, chunk,
+                         sent = this->Now()](const Result<std::string>& bytes) {
         --this->read_back_calls;
-        if (bytes) this->OnReadBack(*source, chunk, bytes.value());
+        if (bytes) this->OnReadBack(*source, chunk, bytes.value(), sent);
         this->ReadBack();
       };
       this->engine.ReadStaged(this->newest->model, chunk, this->Guarded(done));
     }
   }
 
-  void OnReadBack(const Manifest& source, std::uint32_t chunk, const std::string& bytes) {
+  void OnReadBack(const Manifest& source, std::uint32_t chunk, const std::string& bytes,
+                  Instant sent) {
     auto verified = VerifiedChunk::Verify(source, chunk, ChunkOf(bytes));
     // Chunks of an earlier version stay staged until they are replaced.
     if (!verified || this->newest->manifest->Id() != source.Id()) return;
     if (!this->notified[chunk]) {
       this->notified[chunk] = true;
-      if (this->on_chunk) this->on_chunk(this->newest->version, chunk, true);
+      const CallTimes times{.sent = sent, .answered = this->Now()};
+      if (this->on_chunk) this->on_chunk(this->newest->version, chunk, times);
     }
     this->HandleSpreadEvent(ChunkArrived{.from = "", .chunk = std::move(*verified)});
   }
@@ -330,7 +332,7 @@
     for (std::uint32_t i = 0; i < this->notified.size(); ++i) {
       if (this->notified[i] || !copy->Holds(i)) continue;
       this->notified[i] = true;
-      if (this->on_chunk) this->on_chunk(this->newest->version, i, false);
+      if (this->on_chunk) this->on_chunk(this->newest->version, i, {});
     }
   }
 
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -20,6 +20,7 @@
 class Metrics;
 class PeerTransport;
 class WeightsSource;
+struct CallTimes;
 
 struct WeightsCopierOptions {
   std::string peer;  // IP:PORT of this agent
@@ -44,9 +45,9 @@
 // All calls on the loop's thread.
 class WeightsCopier {
  public:
-  // `staged`: the chunk was read back from this agent's engine.
-  using ChunkListener =
-      std::function<void(std::uint64_t version, std::uint32_t chunk, bool staged)>;
+  // `read_back`: the call that read the chunk back from this agent's engine, if one did.
+  using ChunkListener = std::function<void(std::uint64_t version, std::uint32_t chunk,
+                                           const std::optional<CallTimes>& read_back)>;
 
   using NewestFoundListener = std::function<void(const std::string& model, std::uint64_t version)>;
 
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -40,6 +40,12 @@
   kUnknown,  // no response; the engine may have accepted
 };
 
+// When a call to the engine was sent and when its answer, or the lack of one, was handled.
+struct CallTimes {
+  Instant sent = {};
+  Instant answered = {};
+};
+
 // Each call invokes its callback exactly once, on the event loop's thread.
 class EngineControl {
  public:
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -59,17 +59,18 @@
 }
 
 void EngineRollout::OnChunkStaged(std::uint64_t of_version, std::uint32_t chunk, bool stored,
-                                  Instant now) {
+                                  CallTimes times) {
   this->calls -= (this->calls > 0 ? 1 : 0);
   if (of_version != this->version || chunk >= this->chunks.size()) return;
   this->chunks[chunk].state = stored ? ChunkState::kStaged : ChunkState::kHeld;
-  this->chunks[chunk].verified_at = now;
-  if (!stored) this->stage_retry_at = now + this->options.stage_retry;
+  this->chunks[chunk].verified_at = times.answered;
+  if (stored) this->chunks[chunk].correct_at = times.sent;
+  if (!stored) this->stage_retry_at = times.answered + this->options.stage_retry;
 }
 
 void EngineRollout::OnStagedChunkVerified(std::uint64_t of_version, std::uint32_t chunk,
-                                          bool intact, Instant now) {
-  this->OnChunkStaged(of_version, chunk, intact, now);
+                                          bool intact, CallTimes times) {
+  this->OnChunkStaged(of_version, chunk, intact, times);
   // The engine responded, so a corrupt chunk is staged again without delay.
   this->stage_retry_at = {};
 }
@@ -95,6 +96,16 @@
   for (Chunk& chunk : this->chunks) chunk.verified_at = {};
 }
 
+Instant EngineRollout::StagedCorrectAt(std::uint32_t chunk) const {
+  return chunk < this->chunks.size() ? this->chunks[chunk].correct_at : Instant();
+}
+
+Duration EngineRollout::OldestStagedAge(Instant now) const {
+  Duration oldest = Duration(0);
+  for (const Chunk& chunk : this->chunks) oldest = std::max(oldest, now - chunk.correct_at);
+  return oldest;
+}
+
 bool EngineRollout::AllRecentlyVerified(Instant now) const {
   return std::all_of(this->chunks.begin(), this->chunks.end(), [this, now](const Chunk& chunk) {
     return now - chunk.verified_at <= this->options.max_staged_age;
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -87,8 +87,9 @@
   // `asked`: time at which the state was requested.
   void OnEngineState(const EngineState& state, Instant asked);
   void OnEngineUnreachable();
-  void OnChunkStaged(std::uint64_t version, std::uint32_t chunk, bool stored, Instant now);
-  void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, bool intact, Instant now);
+  void OnChunkStaged(std::uint64_t version, std::uint32_t chunk, bool stored, CallTimes times);
+  void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, bool intact,
+                             CallTimes times);
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
   void OnUnmatchedAnswer();
@@ -105,6 +106,11 @@
   std::uint64_t Version() const { return this->version; }
   // Time scheduled for this engine's load; nullopt until all chunks have been staged.
   std::optional<Instant> ScheduledAt() const { return this->scheduled_at; }
+  // Time since the call was sent that last showed a staged chunk to be correct, of the chunk for
+  // which it is longest.
+  Duration OldestStagedAge(Instant now) const;
+  // When the call was sent that last showed the chunk to be correct.
+  Instant StagedCorrectAt(std::uint32_t chunk) const;
 
  private:
   enum class Step { kStaging, kWaiting, kVerifying, kSettling, kRequesting, kLoading };
@@ -113,6 +119,7 @@
   struct Chunk {
     ChunkState state = ChunkState::kMissing;
     Instant verified_at = {};  // when it was last staged or verified
+    Instant correct_at = {};   // when the call that showed this was sent
   };
 
   // Part of the time until the last load at which this engine's load is scheduled.
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -41,12 +41,13 @@
   void Execute(const RolloutAction& action, LoadRequestResult result) {
     if (const auto* staged_chunk = std::get_if<StageChunk>(&action)) {
       ++this->stage_count;
-      this->rollout.OnChunkStaged(this->version, staged_chunk->chunk, true, this->now);
+      this->rollout.OnChunkStaged(this->version, staged_chunk->chunk, true, this->AnsweredAtOnce());
     } else if (const auto* verified_chunk = std::get_if<VerifyStagedChunk>(&action)) {
       ++this->verify_count;
       const bool intact = verified_chunk->chunk != this->corrupt_chunk;
       if (!intact) this->corrupt_chunk = UINT32_MAX;
-      this->rollout.OnStagedChunkVerified(this->version, verified_chunk->chunk, intact, this->now);
+      this->rollout.OnStagedChunkVerified(this->version, verified_chunk->chunk, intact,
+                                          this->AnsweredAtOnce());
     } else {
       this->load_requests.push_back(std::get<SendLoadRequest>(action).request);
       this->requested_at = this->now;
@@ -55,6 +56,8 @@
     }
   }
 
+  CallTimes AnsweredAtOnce() const { return {.sent = this->now, .answered = this->now}; }
+
   Instant now = Instant(std::chrono::hours(1));
   std::uint64_t version = 0;
   std::uint64_t load_count = 0;
@@ -123,7 +126,8 @@
   for (int step = 0; step < 100; ++step, this->now += milliseconds(10)) {
     for (const RolloutAction& action : this->rollout.Advance(this->now)) {
       ++stage_calls;
-      this->rollout.OnChunkStaged(3, std::get<StageChunk>(action).chunk, false, this->now);
+      this->rollout.OnChunkStaged(3, std::get<StageChunk>(action).chunk, false,
+                                  this->AnsweredAtOnce());
     }
   }
   EXPECT_GE(stage_calls, 4);
@@ -141,7 +145,8 @@
     other.SetTarget("m", 2, 1, published, {.rank = rank, .engines = 10});
     other.OnChunkAvailable(0);
     other.Advance(published + seconds(3));
-    other.OnChunkStaged(2, 0, true, published + seconds(3));
+    const Instant staged = published + seconds(3);
+    other.OnChunkStaged(2, 0, true, {.sent = staged, .answered = staged});
     other.Advance(published + seconds(3));
     ASSERT_TRUE(other.ScheduledAt().has_value());
     load_times.push_back(*other.ScheduledAt() - published);
