Read staged chunks back once, however slow the engine is

Cause: while an agent read the last chunks back, the first ones became old enough to be read again, so it never found all of them verified at one moment.

Now a pass reads the chunks that were too old when it began, and if they are too old when the engine is ready, they are read once more and the load is requested. The engine stays out of service meanwhile, and the drain does not start again.

--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -30,6 +30,7 @@
 void EngineRollout::ReturnToStaging() {
   this->step = Step::kStaging;
   this->scheduled_at.reset();
+  this->verified_again = false;
 }
 
 void EngineRollout::OnChunkAvailable(std::uint32_t chunk) {
@@ -46,11 +47,8 @@
   this->engine = state;
   this->engine_state_asked = asked;
   if (restarted && this->step > Step::kWaiting) this->ReturnToStaging();
-  if (this->step == Step::kLoading && !state.busy) {
-    // The load has completed, or it never started.
-    if (state.weights_version < this->version) this->ReturnToStaging();
-    this->step = Step::kStaging;
-  }
+  // The load has completed, or it never started.
+  if (this->step == Step::kLoading && !state.busy) this->ReturnToStaging();
 }
 
 void EngineRollout::OnEngineUnreachable() {
@@ -133,12 +131,17 @@
   }
 }
 
-void EngineRollout::VerifyStagedChunks(Instant now, std::vector<RolloutAction>& actions) {
+void EngineRollout::BeginVerifying(Instant now) {
+  this->step = Step::kVerifying;
+  this->verify_before = now - this->options.max_unverified_age;
+}
+
+void EngineRollout::VerifyStagedChunks(std::vector<RolloutAction>& actions) {
   for (std::uint32_t i = 0; i < this->chunks.size(); ++i) {
     if (this->calls >= this->options.max_stage_calls) return;
     Chunk& chunk = this->chunks[i];
     if (chunk.state != ChunkState::kStaged) continue;
-    if (now - chunk.verified_at < this->options.max_unverified_age) continue;
+    if (chunk.verified_at > this->verify_before) continue;
     chunk.state = ChunkState::kVerifying;
     ++this->calls;
     actions.push_back(VerifyStagedChunk{.chunk = i});
@@ -176,26 +179,28 @@
   if (this->step == Step::kWaiting) {
     const bool due = has_no_weights || now >= *this->scheduled_at;
     if (!due || now < this->retry_at || this->engine->busy) return actions;
-    this->step = Step::kVerifying;
+    this->BeginVerifying(now);
   }
   if (this->step == Step::kVerifying) {
-    this->VerifyStagedChunks(now, actions);
+    this->VerifyStagedChunks(actions);
     if (!this->AllStaged()) return actions;
     this->step = Step::kSettling;
-    this->settle_until = now + (has_no_weights ? Duration(0) : this->options.settle);
+    const Duration settle = has_no_weights ? Duration(0) : this->options.settle;
+    if (!this->verified_again) this->settle_until = now + settle;
   }
-  if (this->step == Step::kSettling && !this->AllRecentlyVerified(now)) {
-    this->step = Step::kVerifying;
-    this->VerifyStagedChunks(now, actions);
+  if (this->step == Step::kSettling && !this->IsSettled(now)) return actions;
+  // Once only: reading all chunks back takes a slow engine longer than their age may be.
+  if (!this->verified_again && !this->AllRecentlyVerified(now)) {
+    this->verified_again = true;
+    this->BeginVerifying(now);
+    this->VerifyStagedChunks(actions);
     return actions;
   }
-  if (this->step == Step::kSettling && this->IsSettled(now)) {
-    this->step = Step::kRequesting;
-    actions.push_back(SendLoadRequest{.request = {.model = this->model,
-                                                  .version = this->version,
-                                                  .accepted_loads = this->engine->accepted_loads,
-                                                  .interrupt = this->position.may_interrupt}});
-  }
+  this->step = Step::kRequesting;
+  actions.push_back(SendLoadRequest{.request = {.model = this->model,
+                                                .version = this->version,
+                                                .accepted_loads = this->engine->accepted_loads,
+                                                .interrupt = this->position.may_interrupt}});
   return actions;
 }
 
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -24,8 +24,8 @@
   // before the load is requested.
   Duration max_unverified_age = std::chrono::milliseconds(1800);
   std::size_t max_stage_calls = 2;
-  // The load is requested only while every staged chunk was verified within this time. A process
-  // that was paused after verifying them verifies them again.
+  // If a chunk was staged or verified longer ago than this when the engine is ready to load, as
+  // after a pause of this process, chunks are verified once more.
   Duration max_staged_age = std::chrono::milliseconds(2900);
   // After the entry VMs were told that the engine accepts no more requests, time for requests in
   // flight to arrive.
@@ -98,7 +98,7 @@
   std::vector<RolloutAction> Advance(Instant now);
 
   // Whether the engine may receive requests.
-  bool Accepting() const { return this->step < Step::kSettling; }
+  bool Accepting() const { return this->step < Step::kSettling && !this->verified_again; }
   bool IsDone() const;
   // Whether a newer version may replace the wanted one: no load of it is in progress or about to be
   // requested.
@@ -126,7 +126,8 @@
   double ScheduledPart() const;
   bool AllStaged() const;
   void StageChunks(std::vector<RolloutAction>& actions);
-  void VerifyStagedChunks(Instant now, std::vector<RolloutAction>& actions);
+  void BeginVerifying(Instant now);
+  void VerifyStagedChunks(std::vector<RolloutAction>& actions);
   bool IsSettled(Instant now) const;
   bool AllRecentlyVerified(Instant now) const;
   void ReturnToStaging();
@@ -141,6 +142,8 @@
   std::optional<EngineState> engine = {};
   Instant engine_state_asked = {};
   Step step = Step::kStaging;
+  Instant verify_before = {};   // chunks verified earlier are due
+  bool verified_again = false;  // since the scheduled time
   std::optional<Instant> scheduled_at = {};
   Instant settle_until = {};
   Instant retry_at = {};
