Use new weights only when their chunks are known to have been correct

Cause: the agent took what it had heard for what is true. A chunk's age counted from when the answer was handled, not from when the engine read it, and up to the sending of the load request, not to its acceptance; 0.1 s was left for both. A request that was given up after 0.6 s was forgotten, though the engine might carry it out seconds later, with what is staged then.

Change: LoadEvidence judges a load by two moments that the agent knows: one before the acceptance (the request was sent, or a state was requested that did not show the load) and one after it (an answer showed the load). All chunks must have been correct throughout, or until at most 2.9 s before the later one; what the times of calls do not prove is proven by reading the chunks back after the load. Until then the engine is reported as not accepting. While a load request is unanswered the engine is out of service, and the request is sent again. Ages count from the call; chunks are read back if they are older than 0.8 s before the drain and 2.2 s after it, which leaves time for the request and its answer, so that usually no chunk needs to be read after the load. weights_doubtful and weights_proven tell.

Six new tests of EngineRolloutTest; with IsDoubtful() always false, as the code behaved before, those on unused weights fail (x86_64).

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -27,6 +27,21 @@
   return "unknown";
 }
 
+StageResult StageResultOf(const Result<void>& stored) {
+  if (stored) return StageResult::kStored;
+  return stored.error().kind == ErrorKind::kTimeout ? StageResult::kUnknown
+                                                    : StageResult::kNotStored;
+}
+
+ReadBackResult ReadBackResultOf(const Result<std::string>& bytes, const Digest& expected) {
+  if (!bytes) {
+    const bool missing = bytes.error().kind == ErrorKind::kNotFound;
+    return missing ? ReadBackResult::kCorrupt : ReadBackResult::kUnread;
+  }
+  return Sha256(AsBytes(bytes.value())) == expected ? ReadBackResult::kIntact
+                                                    : ReadBackResult::kCorrupt;
+}
+
 }  // namespace
 
 struct EngineLoader::Impl : GuardedCallbacks<EngineLoader::Impl> {
@@ -42,6 +57,7 @@
   Duration slowest_call = {};        // of those about chunks, since the last load request
   std::uint32_t calls_given_up = 0;  // likewise
   std::optional<Instant> last_load_request = {};
+  bool was_doubtful = false;
   std::function<void()> on_load_request_done = {};
 
   Impl(EventLoop& loop, Metrics& metrics, EngineControl& engine, const WeightsCopier& copier,
@@ -82,6 +98,18 @@
          {"oldest_piece_ms", ToMillis(this->rollout.OldestStagedAge(now))}});
   }
 
+  // Requests reach the engine again only when its weights are proven.
+  void LogDoubt() {
+    if (this->rollout.IsDoubtful() == this->was_doubtful) return;
+    this->was_doubtful = !this->was_doubtful;
+    Log(this->was_doubtful ? LogLevel::kWarn : LogLevel::kInfo,
+        this->was_doubtful ? "weights_doubtful" : "weights_proven",
+        {{"version", this->target.version},
+         {"orders", this->accepted_loads},
+         {"pieces", this->rollout.UnprovenChunks()},
+         {"unanswered", this->rollout.HasUnansweredRequest()}});
+  }
+
   void OnUnmatchedAnswer() {
     Log(LogLevel::kWarn, "engine_answer_unmatched", {{"version", this->target.version}});
     this->rollout.OnUnmatchedAnswer();
@@ -129,13 +157,15 @@
     for (const RolloutAction& action : this->rollout.Advance(this->loop.Now())) {
       std::visit([this](const auto& item) { this->Execute(item); }, action);
     }
+    this->LogDoubt();
   }
 
   void Execute(const StageChunk& action) {
     const std::uint64_t version = this->target.version;
     const WeightsCopy* copy = this->copier.Find(*this->target.manifest);
     if (copy == nullptr || !copy->Holds(action.chunk)) {
-      this->rollout.OnChunkStaged(version, action.chunk, false, this->TimesSince(this->loop.Now()));
+      this->rollout.OnChunkStaged(version, action.chunk, StageResult::kNotStored,
+                                  this->TimesSince(this->loop.Now()));
       return;
     }
     const auto done = [this, version, chunk = action.chunk,
@@ -147,7 +177,7 @@
         Log(LogLevel::kWarn, "stage_failed",
             {{"version", version}, {"piece", chunk}, {"reason", Describe(stored.error())}});
       }
-      this->rollout.OnChunkStaged(version, chunk, stored.has_value(), times);
+      this->rollout.OnChunkStaged(version, chunk, StageResultOf(stored), times);
       if (stored) this->Advance(this->position);
     };
     this->engine.Stage(this->target.model, action.chunk,
@@ -161,16 +191,15 @@
       const CallTimes times = this->TimesSince(sent);
       this->OnCallDone("read-back", chunk, times,
                        !bytes && bytes.error().kind == ErrorKind::kTimeout);
-      const bool intact =
-          bytes.has_value() && Sha256(AsBytes(bytes.value())) == source->DigestOf(chunk);
-      if (!intact) {
+      const ReadBackResult read_back = ReadBackResultOf(bytes, source->DigestOf(chunk));
+      if (read_back != ReadBackResult::kIntact) {
         Log(LogLevel::kWarn, "staged_piece_bad",
             {{"version", version},
              {"piece", chunk},
              {"reason", bytes ? std::string("digest") : Describe(bytes.error())},
              {"good_ms_ago", ToMillis(times.sent - this->rollout.StagedCorrectAt(chunk))}});
       }
-      this->rollout.OnStagedChunkVerified(version, chunk, intact, times);
+      this->rollout.OnStagedChunkVerified(version, chunk, read_back, times);
       this->Advance(this->position);
     };
     this->engine.ReadStaged(this->target.model, action.chunk, this->Guarded(done));
@@ -201,10 +230,15 @@
            {"took_ms", ToMillis(times.answered - times.sent)},
            {"oldest_piece_ms", ToMillis(this->rollout.OldestStagedAge(times.answered))}});
       this->rollout.OnLoadRequestResult(result, times.answered);
-      if (this->on_load_request_done) this->on_load_request_done();
+      this->OnRequestDone();
     };
     this->engine.RequestLoad(action.request, this->Guarded(done));
   }
+
+  void OnRequestDone() {
+    this->LogDoubt();
+    if (this->on_load_request_done) this->on_load_request_done();
+  }
 };
 
 EngineLoader::EngineLoader(EventLoop& loop, Metrics& metrics, EngineControl& engine,
@@ -224,13 +258,14 @@
   this->impl->AdoptNewestVersion();
   if (version != this->impl->rollout.Version()) return;
   this->impl->rollout.OnChunkAvailable(chunk);
-  if (read_back) this->impl->rollout.OnChunkStaged(version, chunk, true, *read_back);
+  if (read_back) this->impl->rollout.OnChunkFound(chunk, *read_back);
 }
 
 void EngineLoader::SetEngineState(const EngineState& state, Instant asked) {
   this->impl->running = state.running;
   this->impl->LogNewLoads(state);
-  this->impl->rollout.OnEngineState(state, asked);
+  this->impl->rollout.OnEngineState(state, this->impl->TimesSince(asked));
+  this->impl->LogDoubt();
 }
 
 void EngineLoader::SetEngineUnreachable() { this->impl->rollout.OnEngineUnreachable(); }
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -46,6 +46,19 @@
   Instant answered = {};
 };
 
+enum class StageResult {
+  kStored,
+  kNotStored,
+  kUnknown,  // no response; the engine may still store the chunk
+};
+
+// What a staged chunk turned out to be when it was read back.
+enum class ReadBackResult {
+  kIntact,
+  kCorrupt,  // missing or with other bytes
+  kUnread,   // no usable response
+};
+
 // Each call invokes its callback exactly once, on the event loop's thread.
 class EngineControl {
  public:
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -1,6 +1,7 @@
 #include "distribution/engine_rollout.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace savory {
 
@@ -12,6 +13,7 @@
   this->known_since = since;
   this->position = next;
   this->chunks.assign(chunk_count, Chunk());
+  this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnReplaced(); });
   this->ReturnToStaging();
 }
 
@@ -39,48 +41,105 @@
   if (found.state == ChunkState::kMissing) found.state = ChunkState::kHeld;
 }
 
-void EngineRollout::OnEngineState(const EngineState& state, Instant asked) {
+void EngineRollout::OnEngineState(const EngineState& state, CallTimes times) {
   // A state that was requested before the load was does not show the load.
-  if (this->step == Step::kLoading && asked <= this->result_received) return;
-  const bool restarted = this->engine && (this->engine->started_unix_ms != state.started_unix_ms ||
-                                          state.accepted_loads < this->engine->accepted_loads);
+  if (this->step == Step::kLoading && times.sent <= this->result_received) return;
+  const bool restarted =
+      this->last_state && (this->last_state->started_unix_ms != state.started_unix_ms ||
+                           state.accepted_loads < this->last_state->accepted_loads);
+  if (restarted) this->OnEngineRestarted();
+  if (!this->last_state) this->accounted_loads = state.accepted_loads;
   this->engine = state;
-  this->engine_state_asked = asked;
-  if (restarted && this->step > Step::kWaiting) this->ReturnToStaging();
+  this->last_state = state;
+  this->engine_state_asked = times.sent;
+  if (state.accepted_loads > this->accounted_loads) {
+    this->accounted_loads = state.accepted_loads;
+    this->unanswered_request = false;
+    this->loaded_version_known = false;
+    this->OnLoadAccepted(this->evidence_since_state, times.answered);
+  }
+  this->evidence_since_state = this->EvidenceSince(times.sent);
+  if (!state.busy) this->OnLoadedVersion(state.weights_version);
   // The load has completed, or it never started.
   if (this->step == Step::kLoading && !state.busy) this->ReturnToStaging();
 }
 
+void EngineRollout::OnEngineRestarted() {
+  // The calls in progress ended with the engine's connections, and chunks may have been lost.
+  this->accounted_loads = 0;
+  this->request_ended_with_engine = this->request_in_progress;
+  this->unanswered_request = false;
+  this->unproven_load.reset();
+  for (Chunk& chunk : this->chunks) chunk.staged.correct_at = {};
+  if (this->evidence_since_state) this->evidence_since_state->OnAnswersDoubted();
+  if (this->step > Step::kWaiting) this->ReturnToStaging();
+}
+
 void EngineRollout::OnEngineUnreachable() {
   this->engine.reset();
   if (this->step > Step::kWaiting) this->ReturnToStaging();
 }
 
-void EngineRollout::OnChunkStaged(std::uint64_t of_version, std::uint32_t chunk, bool stored,
+void EngineRollout::OnChunkStaged(std::uint64_t of_version, std::uint32_t chunk, StageResult result,
                                   CallTimes times) {
   this->calls -= (this->calls > 0 ? 1 : 0);
   if (of_version != this->version || chunk >= this->chunks.size()) return;
-  this->chunks[chunk].state = stored ? ChunkState::kStaged : ChunkState::kHeld;
-  this->chunks[chunk].verified_at = times.answered;
-  if (stored) this->chunks[chunk].correct_at = times.sent;
-  if (!stored) this->stage_retry_at = times.answered + this->options.stage_retry;
+  if (result == StageResult::kStored) return this->MarkStaged(chunk, times);
+  this->chunks[chunk].state = ChunkState::kHeld;
+  this->stage_retry_at = times.answered + this->options.stage_retry;
+}
+
+void EngineRollout::OnChunkFound(std::uint32_t chunk, CallTimes times) {
+  if (chunk >= this->chunks.size() || this->chunks[chunk].state != ChunkState::kHeld) return;
+  this->MarkStaged(chunk, times);
+}
+
+void EngineRollout::MarkStaged(std::uint32_t chunk, CallTimes times) {
+  this->chunks[chunk].state = ChunkState::kStaged;
+  this->chunks[chunk].staged.staged_by = times.answered;
+  this->chunks[chunk].staged.correct_at = times.sent;
 }
 
 void EngineRollout::OnStagedChunkVerified(std::uint64_t of_version, std::uint32_t chunk,
-                                          bool intact, CallTimes times) {
-  this->OnChunkStaged(of_version, chunk, intact, times);
+                                          ReadBackResult result, CallTimes times) {
+  this->calls -= (this->calls > 0 ? 1 : 0);
+  if (of_version != this->version || chunk >= this->chunks.size()) return;
+  Chunk& verified = this->chunks[chunk];
+  if (result == ReadBackResult::kUnread) {
+    const bool proves = this->unproven_load && this->unproven_load->NeedsReading(chunk);
+    verified.state = proves ? ChunkState::kStaged : ChunkState::kHeld;
+    this->proof_retry_at = times.answered + this->options.stage_retry;
+    this->stage_retry_at = times.answered + this->options.stage_retry;
+    return;
+  }
+  const bool intact = result == ReadBackResult::kIntact;
+  verified.state = intact ? ChunkState::kStaged : ChunkState::kHeld;
+  if (intact) verified.staged.correct_at = times.sent;
+  this->UpdateEvidence(
+      [=](LoadEvidence& evidence) { evidence.OnReadBack(chunk, times.sent, intact); });
+  this->CheckProof();
   // The engine responded, so a corrupt chunk is staged again without delay.
   this->stage_retry_at = {};
 }
 
 void EngineRollout::OnLoadRequestResult(LoadRequestResult result, Instant now) {
-  if (this->step != Step::kRequesting) return;
+  this->request_in_progress = false;
+  if (std::exchange(this->request_ended_with_engine, false)) return;
   this->result_received = now;
   switch (result) {
     case LoadRequestResult::kAccepted:
-    case LoadRequestResult::kAlreadyLoaded:
-    // Without a response, the engine's number of accepted loads shows later whether it accepted.
+      this->accounted_loads = this->requested_after + 1;
+      this->unanswered_request = false;
+      this->loaded_version_known = true;
+      this->OnLoadAccepted(this->evidence_since_request, now);
+      this->step = Step::kLoading;
+      return;
     case LoadRequestResult::kUnknown:
+      // The engine's number of accepted loads shows later whether it accepted.
+      this->unanswered_request = true;
+      this->step = Step::kLoading;
+      return;
+    case LoadRequestResult::kAlreadyLoaded:
       this->step = Step::kLoading;
       return;
     case LoadRequestResult::kRefused:
@@ -91,28 +150,67 @@
 }
 
 void EngineRollout::OnUnmatchedAnswer() {
-  for (Chunk& chunk : this->chunks) chunk.verified_at = {};
+  for (Chunk& chunk : this->chunks) chunk.staged.correct_at = {};
+  this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnAnswersDoubted(); });
+}
+
+std::uint32_t EngineRollout::UnprovenChunks() const {
+  return this->unproven_load ? this->unproven_load->UnprovenChunks() : 0;
+}
+
+LoadEvidence EngineRollout::EvidenceSince(Instant after) const {
+  std::vector<StagedChunk> staged;
+  staged.reserve(this->chunks.size());
+  for (const Chunk& chunk : this->chunks) staged.push_back(chunk.staged);
+  return {staged, after, this->options.evidence};
+}
+
+template <typename Update>
+void EngineRollout::UpdateEvidence(Update update) {
+  if (this->evidence_since_state) update(*this->evidence_since_state);
+  if (this->evidence_since_request) update(*this->evidence_since_request);
+  if (this->unproven_load) update(*this->unproven_load);
+}
+
+void EngineRollout::OnLoadAccepted(std::optional<LoadEvidence> evidence, Instant now) {
+  // Before the first version is known, nothing is known about the chunks either. Such a load was
+  // requested by an earlier run of this process, which verified them.
+  if (this->version == 0 || !evidence) return;
+  this->unproven_load = std::move(evidence);
+  this->unproven_load->OnAccepted(now);
+  this->CheckProof();
+}
+
+void EngineRollout::OnLoadedVersion(std::uint64_t loaded) {
+  if (!this->unproven_load || this->loaded_version_known || loaded == 0) return;
+  this->loaded_version_known = true;
+  if (loaded != this->version) this->unproven_load->OnReplaced();
+  this->CheckProof();
+}
+
+void EngineRollout::CheckProof() {
+  const bool proven = this->unproven_load && this->loaded_version_known;
+  if (proven && this->unproven_load->IsProven()) this->unproven_load.reset();
 }
 
 Instant EngineRollout::StagedCorrectAt(std::uint32_t chunk) const {
-  return chunk < this->chunks.size() ? this->chunks[chunk].correct_at : Instant();
+  return chunk < this->chunks.size() ? this->chunks[chunk].staged.correct_at : Instant();
 }
 
 Duration EngineRollout::OldestStagedAge(Instant now) const {
   Duration oldest = Duration(0);
-  for (const Chunk& chunk : this->chunks) oldest = std::max(oldest, now - chunk.correct_at);
+  for (const Chunk& chunk : this->chunks) oldest = std::max(oldest, now - chunk.staged.correct_at);
   return oldest;
 }
 
-bool EngineRollout::AllRecentlyVerified(Instant now) const {
-  return std::all_of(this->chunks.begin(), this->chunks.end(), [this, now](const Chunk& chunk) {
-    return now - chunk.verified_at <= this->options.max_staged_age;
-  });
-}
-
 bool EngineRollout::IsDone() const {
   return this->engine && !this->engine->busy && this->version > 0 &&
-         this->engine->weights_version >= this->version;
+         this->engine->weights_version >= this->version && !this->IsDoubtful();
+}
+
+bool EngineRollout::MayReplace() const {
+  const bool awaits_proof = this->unproven_load && this->unproven_load->CanBeProven();
+  return this->IsDone() || (this->step < Step::kVerifying && !awaits_proof);
 }
 
 bool EngineRollout::AllStaged() const {
@@ -126,31 +224,67 @@
     if (this->calls >= this->options.max_stage_calls) return;
     if (this->chunks[i].state != ChunkState::kHeld) continue;
     this->chunks[i].state = ChunkState::kStaging;
+    this->chunks[i].staged.staged_by = Instant::max();
     ++this->calls;
+    this->UpdateEvidence([i](LoadEvidence& evidence) { evidence.OnUpload(i); });
     actions.push_back(StageChunk{.chunk = i});
   }
 }
 
+template <typename Predicate>
+void EngineRollout::ReadBackChunks(Predicate is_due, std::vector<RolloutAction>& actions) {
+  for (std::uint32_t i = 0; i < this->chunks.size(); ++i) {
+    if (this->calls >= this->options.max_stage_calls) return;
+    if (this->chunks[i].state != ChunkState::kStaged || !is_due(i)) continue;
+    this->chunks[i].state = ChunkState::kVerifying;
+    ++this->calls;
+    actions.push_back(VerifyStagedChunk{.chunk = i});
+  }
+}
+
 void EngineRollout::BeginVerifying(Instant now) {
   this->step = Step::kVerifying;
   this->verify_before = now - this->options.max_unverified_age;
 }
 
 void EngineRollout::VerifyStagedChunks(std::vector<RolloutAction>& actions) {
-  for (std::uint32_t i = 0; i < this->chunks.size(); ++i) {
-    if (this->calls >= this->options.max_stage_calls) return;
-    Chunk& chunk = this->chunks[i];
-    if (chunk.state != ChunkState::kStaged) continue;
-    if (chunk.verified_at > this->verify_before) continue;
-    chunk.state = ChunkState::kVerifying;
-    ++this->calls;
-    actions.push_back(VerifyStagedChunk{.chunk = i});
+  const auto is_due = [this](std::uint32_t chunk) {
+    return this->chunks[chunk].staged.correct_at < this->verify_before;
+  };
+  this->ReadBackChunks(is_due, actions);
+}
+
+bool EngineRollout::ProveLoad(Instant now, std::vector<RolloutAction>& actions) {
+  if (!this->unproven_load) return false;
+  if (this->unproven_load->CanBeProven()) {
+    const auto is_due = [this](std::uint32_t chunk) {
+      return this->unproven_load->NeedsReading(chunk);
+    };
+    if (now >= this->proof_retry_at) this->ReadBackChunks(is_due, actions);
+    return true;
   }
+  // Weights of an older version are replaced by those of the wanted one.
+  return this->step == Step::kLoading || this->engine->busy ||
+         this->engine->weights_version >= this->version;
+}
+
+void EngineRollout::BeginRequest(Instant now) {
+  this->step = Step::kRequesting;
+  this->request_in_progress = true;
+  this->requested_after = this->engine->accepted_loads;
+  this->evidence_since_request = this->EvidenceSince(now);
+}
+
+EngineLoadRequest EngineRollout::MakeRequest() const {
+  return {.model = this->model,
+          .version = this->version,
+          .accepted_loads = this->engine->accepted_loads,
+          .interrupt = this->position.may_interrupt};
 }
 
 bool EngineRollout::IsSettled(Instant now) const {
   if (now < this->settle_until) return false;
-  if (this->engine->weights_version == 0) return true;
+  if (this->engine->weights_version == 0 || this->IsDoubtful()) return true;
   const bool queue_is_empty =
       this->engine_state_asked >= this->settle_until && this->engine->waiting == 0;
   if (!this->position.may_interrupt) {
@@ -163,10 +297,11 @@
 std::vector<RolloutAction> EngineRollout::Advance(Instant now) {
   std::vector<RolloutAction> actions;
   if (this->version == 0 || !this->engine || this->IsDone()) return actions;
-  if (this->step == Step::kRequesting || this->step == Step::kLoading) return actions;
+  if (this->request_in_progress || this->ProveLoad(now, actions)) return actions;
+  if (this->step == Step::kLoading) return actions;
   if (now >= this->stage_retry_at) this->StageChunks(actions);
   if (!this->AllStaged() && this->step < Step::kVerifying) return actions;
-  const bool has_no_weights = this->engine->weights_version == 0;
+  const bool out_of_service = this->engine->weights_version == 0 || this->IsDoubtful();
   if (this->step == Step::kStaging) {
     this->step = Step::kWaiting;
     if (!this->scheduled_at) {
@@ -177,7 +312,7 @@
     }
   }
   if (this->step == Step::kWaiting) {
-    const bool due = has_no_weights || now >= *this->scheduled_at;
+    const bool due = out_of_service || now >= *this->scheduled_at;
     if (!due || now < this->retry_at || this->engine->busy) return actions;
     this->BeginVerifying(now);
   }
@@ -185,22 +320,19 @@
     this->VerifyStagedChunks(actions);
     if (!this->AllStaged()) return actions;
     this->step = Step::kSettling;
-    const Duration settle = has_no_weights ? Duration(0) : this->options.settle;
+    const Duration settle = out_of_service ? Duration(0) : this->options.settle;
     if (!this->verified_again) this->settle_until = now + settle;
   }
   if (this->step == Step::kSettling && !this->IsSettled(now)) return actions;
   // Once only: reading all chunks back takes a slow engine longer than their age may be.
-  if (!this->verified_again && !this->AllRecentlyVerified(now)) {
+  if (!this->verified_again && this->OldestStagedAge(now) > this->options.max_staged_age) {
     this->verified_again = true;
     this->BeginVerifying(now);
     this->VerifyStagedChunks(actions);
     return actions;
   }
-  this->step = Step::kRequesting;
-  actions.push_back(SendLoadRequest{.request = {.model = this->model,
-                                                .version = this->version,
-                                                .accepted_loads = this->engine->accepted_loads,
-                                                .interrupt = this->position.may_interrupt}});
+  this->BeginRequest(now);
+  actions.push_back(SendLoadRequest{.request = this->MakeRequest()});
   return actions;
 }
 
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "distribution/engine_control.h"
+#include "distribution/load_evidence.h"
 
 namespace savory {
 
@@ -22,11 +23,13 @@
   Duration last_load_before = std::chrono::milliseconds(1200);
   // Staged chunks can become corrupt: those staged or verified longer ago than this are read back
   // before the load is requested.
-  Duration max_unverified_age = std::chrono::milliseconds(1800);
+  Duration max_unverified_age = std::chrono::milliseconds(800);
   std::size_t max_stage_calls = 2;
-  // If a chunk was staged or verified longer ago than this when the engine is ready to load, as
-  // after a pause of this process, chunks are verified once more.
-  Duration max_staged_age = std::chrono::milliseconds(2900);
+  // If a chunk was staged or verified longer ago than this when the engine is ready to load, chunks
+  // are verified once more. The rest of the time that the evidence allows is for the load request
+  // and its answer.
+  Duration max_staged_age = std::chrono::milliseconds(2200);
+  LoadEvidenceOptions evidence = {};
   // After the entry VMs were told that the engine accepts no more requests, time for requests in
   // flight to arrive.
   Duration settle = std::chrono::milliseconds(30);
@@ -70,6 +73,11 @@
 // and the deadline, because each is out of service until its running requests have ended. An engine
 // without weights loads at once. At most one load request is in progress. It carries the engine's
 // number of accepted loads, so that a repeated request cannot start a second load.
+//
+// The engine may load later than it is asked to, and chunks may become corrupt meanwhile. So it
+// receives requests again only when its load is known and its chunks are proven to have been
+// correct. While a load request is unanswered it receives none, and the request is sent again. If
+// the proof fails, it receives none until a newer version is loaded.
 class EngineRollout {
  public:
   explicit EngineRollout(EngineRolloutOptions options) : options(options) {}
@@ -84,11 +92,14 @@
   void SetPosition(const RolloutPosition& next) { this->position = next; }
   // A verified chunk of the wanted version is in memory.
   void OnChunkAvailable(std::uint32_t chunk);
-  // `asked`: time at which the state was requested.
-  void OnEngineState(const EngineState& state, Instant asked);
+  void OnEngineState(const EngineState& state, CallTimes times);
   void OnEngineUnreachable();
-  void OnChunkStaged(std::uint64_t version, std::uint32_t chunk, bool stored, CallTimes times);
-  void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, bool intact,
+  // An upload has ended.
+  void OnChunkStaged(std::uint64_t version, std::uint32_t chunk, StageResult result,
+                     CallTimes times);
+  // An earlier run of this process staged the chunk: it was read back intact.
+  void OnChunkFound(std::uint32_t chunk, CallTimes times);
+  void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, ReadBackResult result,
                              CallTimes times);
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
@@ -98,11 +109,18 @@
   std::vector<RolloutAction> Advance(Instant now);
 
   // Whether the engine may receive requests.
-  bool Accepting() const { return this->step < Step::kSettling && !this->verified_again; }
+  bool Accepting() const {
+    return this->step < Step::kSettling && !this->verified_again && !this->IsDoubtful();
+  }
+  // The engine's weights may be corrupt, or it may load any moment, as a request is unanswered.
+  bool IsDoubtful() const { return this->unanswered_request || this->unproven_load.has_value(); }
+  bool HasUnansweredRequest() const { return this->unanswered_request; }
+  // Chunks of the engine's load that are not known to have been correct; 0: none, or no such load.
+  std::uint32_t UnprovenChunks() const;
   bool IsDone() const;
   // Whether a newer version may replace the wanted one: no load of it is in progress or about to be
-  // requested.
-  bool MayReplace() const { return this->IsDone() || this->step < Step::kVerifying; }
+  // requested, and none waits for its proof.
+  bool MayReplace() const;
   std::uint64_t Version() const { return this->version; }
   // Time scheduled for this engine's load; nullopt until all chunks have been staged.
   std::optional<Instant> ScheduledAt() const { return this->scheduled_at; }
@@ -118,19 +136,37 @@
 
   struct Chunk {
     ChunkState state = ChunkState::kMissing;
-    Instant verified_at = {};  // when it was last staged or verified
-    Instant correct_at = {};   // when the call that showed this was sent
+    StagedChunk staged = {};
   };
 
+  void MarkStaged(std::uint32_t chunk, CallTimes times);
   // Part of the time until the last load at which this engine's load is scheduled.
   double ScheduledPart() const;
   bool AllStaged() const;
   void StageChunks(std::vector<RolloutAction>& actions);
+  // Of the staged chunks for which `is_due`.
+  template <typename Predicate>
+  void ReadBackChunks(Predicate is_due, std::vector<RolloutAction>& actions);
   void BeginVerifying(Instant now);
   void VerifyStagedChunks(std::vector<RolloutAction>& actions);
   bool IsSettled(Instant now) const;
-  bool AllRecentlyVerified(Instant now) const;
   void ReturnToStaging();
+  EngineLoadRequest MakeRequest() const;
+  void BeginRequest(Instant now);
+
+  // ---- the proof of the load ----
+
+  LoadEvidence EvidenceSince(Instant after) const;
+  // Calls `update` with all evidence that a call may add to.
+  template <typename Update>
+  void UpdateEvidence(Update update);
+  void OnEngineRestarted();
+  // The engine has accepted a load, as the evidence has it.
+  void OnLoadAccepted(std::optional<LoadEvidence> evidence, Instant now);
+  void OnLoadedVersion(std::uint64_t loaded);
+  void CheckProof();
+  // Whether the load still has to be proven or replaced. Adds the actions for it.
+  bool ProveLoad(Instant now, std::vector<RolloutAction>& actions);
 
   EngineRolloutOptions options;
   std::string model = {};
@@ -141,6 +177,20 @@
   std::size_t calls = 0;  // StageChunk and VerifyStagedChunk in progress
   std::optional<EngineState> engine = {};
   Instant engine_state_asked = {};
+  std::optional<EngineState> last_state = {};  // kept while the engine is unreachable
+  std::uint64_t accounted_loads = 0;           // accepted loads that have been dealt with
+  // For a load that began after the last state that did not show it was requested.
+  std::optional<LoadEvidence> evidence_since_state = {};
+  // For a load that began after the request in progress was sent.
+  std::optional<LoadEvidence> evidence_since_request = {};
+  // Of the engine's last load, until it is proven.
+  std::optional<LoadEvidence> unproven_load = {};
+  bool loaded_version_known = false;  // of that load; another one's evidence says nothing about it
+  std::uint64_t requested_after = 0;  // accepted loads when the last request was sent
+  bool request_in_progress = false;
+  bool request_ended_with_engine = false;  // the engine restarted while it was in progress
+  bool unanswered_request = false;         // was given up, and may still be carried out
+  Instant proof_retry_at = {};
   Step step = Step::kStaging;
   Instant verify_before = {};   // chunks verified earlier are due
   bool verified_again = false;  // since the scheduled time
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -27,7 +27,7 @@
                                  .busy = busy,
                                  .accepted_loads = this->load_count,
                                  .started_unix_ms = this->born},
-                                this->now);
+                                this->AnsweredAtOnce());
   }
 
   // Advances the time by `duration`. Staging and verification complete at once; load requests end
@@ -43,13 +43,15 @@
   void Execute(const RolloutAction& action, LoadRequestResult result) {
     if (const auto* staged_chunk = std::get_if<StageChunk>(&action)) {
       ++this->stage_count;
-      this->rollout.OnChunkStaged(this->version, staged_chunk->chunk, true, this->AnsweredAtOnce());
+      this->rollout.OnChunkStaged(this->version, staged_chunk->chunk, StageResult::kStored,
+                                  this->AnsweredAtOnce());
     } else if (const auto* verified_chunk = std::get_if<VerifyStagedChunk>(&action)) {
       ++this->verify_count;
       const bool intact = verified_chunk->chunk != this->corrupt_chunk;
       if (!intact) this->corrupt_chunk = UINT32_MAX;
-      this->rollout.OnStagedChunkVerified(this->version, verified_chunk->chunk, intact,
-                                          this->AnsweredAtOnce());
+      this->rollout.OnStagedChunkVerified(
+          this->version, verified_chunk->chunk,
+          intact ? ReadBackResult::kIntact : ReadBackResult::kCorrupt, this->AnsweredAtOnce());
     } else {
       this->load_requests.push_back(std::get<SendLoadRequest>(action).request);
       this->requested_at = this->now;
@@ -76,9 +78,10 @@
         const CallTimes times{.sent = calls.front().sent, .answered = this->now};
         const RolloutAction& action = calls.front().action;
         if (const auto* staged = std::get_if<StageChunk>(&action)) {
-          this->rollout.OnChunkStaged(this->version, staged->chunk, true, times);
+          this->rollout.OnChunkStaged(this->version, staged->chunk, StageResult::kStored, times);
         } else if (const auto* read = std::get_if<VerifyStagedChunk>(&action)) {
-          this->rollout.OnStagedChunkVerified(this->version, read->chunk, true, times);
+          this->rollout.OnStagedChunkVerified(this->version, read->chunk, ReadBackResult::kIntact,
+                                              times);
         } else {
           ++this->load_count;
           this->rollout.OnLoadRequestResult(LoadRequestResult::kAccepted, this->now);
@@ -159,7 +162,7 @@
   for (int step = 0; step < 100; ++step, this->now += milliseconds(10)) {
     for (const RolloutAction& action : this->rollout.Advance(this->now)) {
       ++stage_calls;
-      this->rollout.OnChunkStaged(3, std::get<StageChunk>(action).chunk, false,
+      this->rollout.OnChunkStaged(3, std::get<StageChunk>(action).chunk, StageResult::kNotStored,
                                   this->AnsweredAtOnce());
     }
   }
@@ -174,12 +177,12 @@
   std::vector<Duration> load_times;
   for (std::size_t rank = 0; rank < 10; ++rank) {
     EngineRollout other{{}};
-    other.OnEngineState({.weights_version = 1}, published);
+    other.OnEngineState({.weights_version = 1}, {.sent = published, .answered = published});
     other.SetTarget("m", 2, 1, published, {.rank = rank, .engines = 10});
     other.OnChunkAvailable(0);
     other.Advance(published + seconds(3));
     const Instant staged = published + seconds(3);
-    other.OnChunkStaged(2, 0, true, {.sent = staged, .answered = staged});
+    other.OnChunkStaged(2, 0, StageResult::kStored, {.sent = staged, .answered = staged});
     other.Advance(published + seconds(3));
     ASSERT_TRUE(other.ScheduledAt().has_value());
     load_times.push_back(*other.ScheduledAt() - published);
@@ -269,7 +272,8 @@
   this->ReportState(1);
   this->Run(milliseconds(50));
   ASSERT_EQ(this->load_requests.size(), 1u);
-  this->rollout.OnEngineState({.weights_version = 1, .started_unix_ms = this->born}, before);
+  this->rollout.OnEngineState({.weights_version = 1, .started_unix_ms = this->born},
+                              {.sent = before, .answered = this->now});
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
@@ -295,7 +299,8 @@
   std::uint32_t running = 12;
   const auto run = [&](int steps) {
     for (int i = 0; i < steps; ++i) {
-      this->rollout.OnEngineState({.running = running, .weights_version = 1}, this->now);
+      this->rollout.OnEngineState({.running = running, .weights_version = 1},
+                                  this->AnsweredAtOnce());
       this->Run(milliseconds(10));
     }
   };
@@ -314,12 +319,41 @@
   const Instant begin = this->now;
   this->Want(2, {.may_interrupt = true});
   while (this->load_requests.empty() && this->now < begin + seconds(5)) {
-    this->rollout.OnEngineState({.running = 9, .weights_version = 1}, this->now);
+    this->rollout.OnEngineState({.running = 9, .weights_version = 1}, this->AnsweredAtOnce());
     this->Run(milliseconds(10));
   }
   EXPECT_LE(this->requested_at - begin, milliseconds(1400));
 }
 
+// Guards against interrupting requests that must not run twice.
+TEST_F(EngineRolloutTest, NonResumableRequestsAreNotInterrupted) {
+  this->rollout.OnEngineState({.running = 9, .weights_version = 1}, this->AnsweredAtOnce());
+  this->Want(2);
+  this->Run(milliseconds(10));
+  this->rollout.OnEngineState(
+      {.running = 9, .weights_version = 1},
+      {.sent = this->now + milliseconds(50), .answered = this->now + milliseconds(50)});
+  this->Run(milliseconds(200));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  EXPECT_FALSE(this->load_requests[0].interrupt);
+}
+
+// Every call takes half a second, as at an overloaded engine. Guards against counting the age of a
+// chunk from the answer instead of from the call, and only up to the load request: chunks that had
+// been corrupt for 3.6 s were then loaded and used.
+TEST_F(EngineRolloutTest, SlowCallsCountTowardsTheAgeOfAChunk) {
+  this->ReportState(1);
+  this->Want(2, {}, 12);
+  ASSERT_TRUE(this->RunWithSlowCalls(milliseconds(500)).has_value());
+  this->now += milliseconds(10);
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+  const int verified_before = this->verify_count;
+  this->Run(milliseconds(100));
+  EXPECT_GT(this->verify_count, verified_before);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
 // As many chunks as a model has, read back slowly. Guards against reading them again and again
 // because the first ones are old by the time the last one has been read.
 TEST_F(EngineRolloutTest, SlowReadingOfManyChunksEnds) {
@@ -328,15 +362,94 @@
   EXPECT_TRUE(this->RunWithSlowCalls(milliseconds(120)).has_value());
 }
 
-// Guards against interrupting requests that must not run twice.
-TEST_F(EngineRolloutTest, NonResumableRequestsAreNotInterrupted) {
-  this->rollout.OnEngineState({.running = 9, .weights_version = 1}, this->now);
+// The agent gives the load request up, and the engine carries it out later. Guards against requests
+// at an engine that may load corrupt chunks any moment.
+TEST_F(EngineRolloutTest, UnansweredLoadRequestKeepsTheEngineOutOfService) {
+  this->ReportState(1);
   this->Want(2);
-  this->Run(milliseconds(10));
-  this->rollout.OnEngineState({.running = 9, .weights_version = 1}, this->now + milliseconds(50));
   this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
   ASSERT_EQ(this->load_requests.size(), 1u);
-  EXPECT_FALSE(this->load_requests[0].interrupt);
+  this->ReportState(1);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(500), LoadRequestResult::kUnknown);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->ReportState(1);
+  this->Run(milliseconds(500));
+  ASSERT_GE(this->load_requests.size(), 2u);
+  this->ReportState(2);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
+// The engine carries the load request out 4 s after it was sent, and chunks became corrupt
+// meanwhile. Guards against using the weights that it loaded.
+TEST_F(EngineRolloutTest, LateLoadOfCorruptChunksIsNotUsed) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->now += seconds(4);
+  this->corrupt_chunk = 1;
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(100));
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// As above, and no chunk became corrupt. Guards against loading whole weights a second time.
+TEST_F(EngineRolloutTest, LateLoadOfIntactChunksIsUsed) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  this->now += seconds(4);
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Run(milliseconds(100));
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
+// The load request is carried out after a newer version has begun to replace the staged chunks.
+// Guards against using a load of chunks of two versions.
+TEST_F(EngineRolloutTest, LateLoadOfAnOlderVersionIsNotUsed) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  this->ReportState(1);
+  this->Want(3);
+  this->Run(milliseconds(20), LoadRequestResult::kUnknown);
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// The agent stops hearing from the engine while its load request is in progress, and gives the
+// request up. Guards against forgetting that it may still be carried out.
+TEST_F(EngineRolloutTest, RequestGivenUpWhileTheEngineIsUnreachableIsRemembered) {
+  this->ReportState(1);
+  this->Want(2);
+  bool requested = false;
+  for (int step = 0; step < 100 && !requested; ++step, this->now += milliseconds(10)) {
+    this->ReportState(1);
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      requested = std::holds_alternative<SendLoadRequest>(action);
+      if (!requested) this->Execute(action, LoadRequestResult::kAccepted);
+    }
+  }
+  ASSERT_TRUE(requested);
+  this->rollout.OnEngineUnreachable();
+  this->rollout.OnLoadRequestResult(LoadRequestResult::kUnknown, this->now);
+  this->now += milliseconds(10);
+  this->ReportState(1);
+  EXPECT_FALSE(this->rollout.Accepting());
 }
 
 }  // namespace
