Mind uploads that were given up and may still be carried out

What callers could see: tokens made with a chunk of another version. Cause: an upload that an agent gave up after 0.6 s is carried out when the engine wakes; one of an older version then replaces a chunk that was staged after it and had been found correct, and one of the same bytes can repair a chunk after the load, so that a later reading proves nothing about the load.

Change: chunks remember when such an upload was given up. For 5 s after it one of an older version has to be read back after the load to be proven, and for one of the same bytes only what was known before the load counts. The same holds for uploads that were answered after the target changed: the order of calls on two connections is not known.

--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -12,7 +12,12 @@
   this->version = wanted_version;
   this->known_since = since;
   this->position = next;
-  this->chunks.assign(chunk_count, Chunk());
+  std::vector<Chunk> former = std::exchange(this->chunks, std::vector<Chunk>(chunk_count));
+  for (std::size_t i = 0; i < std::min(former.size(), this->chunks.size()); ++i) {
+    const StagedChunk& staged = former[i].staged;
+    this->chunks[i].staged.older_upload_given_up =
+        std::max(staged.upload_given_up, staged.older_upload_given_up);
+  }
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnReplaced(); });
   this->ReturnToStaging();
 }
@@ -70,7 +75,11 @@
   this->request_ended_with_engine = this->request_in_progress;
   this->unanswered_request = false;
   this->unproven_load.reset();
-  for (Chunk& chunk : this->chunks) chunk.staged.correct_at = {};
+  for (Chunk& chunk : this->chunks) {
+    chunk.staged.correct_at = {};
+    chunk.staged.upload_given_up = {};
+    chunk.staged.older_upload_given_up = {};
+  }
   if (this->evidence_since_state) this->evidence_since_state->OnAnswersDoubted();
   if (this->step > Step::kWaiting) this->ReturnToStaging();
 }
@@ -83,9 +92,16 @@
 void EngineRollout::OnChunkStaged(std::uint64_t of_version, std::uint32_t chunk, StageResult result,
                                   CallTimes times) {
   this->calls -= (this->calls > 0 ? 1 : 0);
-  if (of_version != this->version || chunk >= this->chunks.size()) return;
+  if (chunk >= this->chunks.size()) return;
+  Chunk& staged = this->chunks[chunk];
+  if (of_version != this->version) {
+    // Even if it was answered: the order of calls on two connections is not known.
+    staged.staged.older_upload_given_up = times.answered;
+    return;
+  }
+  if (result == StageResult::kUnknown) staged.staged.upload_given_up = times.answered;
   if (result == StageResult::kStored) return this->MarkStaged(chunk, times);
-  this->chunks[chunk].state = ChunkState::kHeld;
+  staged.state = ChunkState::kHeld;
   this->stage_retry_at = times.answered + this->options.stage_retry;
 }
 
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -452,5 +452,26 @@
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
+// An upload of the version before was given up and may still be carried out. Guards against
+// trusting a chunk that it may have replaced after the last reading.
+TEST_F(EngineRolloutTest, ChunkIsReadBackAfterTheLoadIfAnOlderUploadMayReplaceIt) {
+  this->ReportState(1);
+  this->Want(2);
+  for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+    this->rollout.OnChunkStaged(2, std::get<StageChunk>(action).chunk, StageResult::kUnknown,
+                                this->AnsweredAtOnce());
+  }
+  this->Want(3);
+  this->Run(milliseconds(400));
+  this->ReportState(1);
+  this->corrupt_chunk = 0;
+  this->Run(milliseconds(50));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(50));
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/distribution/load_evidence.cc
+++ b/src/distribution/load_evidence.cc
@@ -7,10 +7,16 @@
 LoadEvidence::LoadEvidence(std::span<const StagedChunk> staged, Instant after,
                            LoadEvidenceOptions options)
     : options(options) {
+  const auto is_pending = [&](Instant given_up) {
+    return given_up != Instant() && after < given_up + this->options.late_call_time;
+  };
   for (const StagedChunk& chunk : staged) {
     const bool was_staged = chunk.staged_by <= after;
+    const bool may_be_repaired = is_pending(chunk.upload_given_up);
     this->chunks.push_back(
-        {.correct_at = was_staged ? chunk.correct_at : Instant(), .closed = !was_staged});
+        {.correct_at = was_staged ? chunk.correct_at : Instant(),
+         .read_only = !may_be_repaired && is_pending(chunk.older_upload_given_up),
+         .closed = !was_staged || may_be_repaired});
   }
 }
 
@@ -38,7 +44,8 @@
 }
 
 bool LoadEvidence::IsProven(const Chunk& chunk) const {
-  return this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
+  if (chunk.correct_at >= this->accepted_by) return true;
+  return !chunk.read_only && this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
 }
 
 bool LoadEvidence::IsProven() const { return this->UnprovenChunks() == 0; }
--- a/src/distribution/load_evidence.h
+++ b/src/distribution/load_evidence.h
@@ -16,12 +16,18 @@
   Instant staged_by = Instant::max();
   // When the last call was sent that showed the chunk to be correct.
   Instant correct_at = {};
+  // When an upload was given up, which the engine may still carry out: of the same bytes, which
+  // could repair the chunk after the load, or of an older version, which replace it.
+  Instant upload_given_up = {};
+  Instant older_upload_given_up = {};
 };
 
 struct LoadEvidenceOptions {
   // Weights may be used if none of their chunks had been corrupt for longer than this when the
   // engine accepted the load. The platform allows 3 s; the rest is for clocks of different speeds.
   Duration max_corrupt_time = std::chrono::milliseconds(2900);
+  // An engine that answers has carried out the calls that were given up this long before.
+  Duration late_call_time = std::chrono::seconds(5);
 };
 
 // An engine loads what is staged when it accepts the load request. An agent does not see that
@@ -57,7 +63,8 @@
  private:
   struct Chunk {
     Instant correct_at = {};
-    bool closed = false;  // no later reading counts
+    bool read_only = false;  // only a reading after the load counts
+    bool closed = false;     // no later reading counts
   };
 
   bool IsProven(const Chunk& chunk) const;
