Load weights again that may have been loaded from corrupt chunks

What callers would see: an engine whose load could not be proven stayed out of service until a newer version was announced.

Change: the agent makes the engine give the weights up and loads them again with chunks that it has read back.

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -235,6 +235,22 @@
     this->engine.RequestLoad(action.request, this->Guarded(done));
   }
 
+  void Execute(const SendUnloadRequest& action) {
+    this->load_requests.Add();
+    Log(LogLevel::kWarn, "unload_ordered",
+        {{"version", action.request.version},
+         {"orders", action.request.accepted_loads},
+         {"pieces", this->rollout.UnprovenChunks()},
+         {"running", this->running}});
+    const auto done = [this, version = action.request.version](LoadRequestResult result) {
+      Log(LogLevel::kInfo, "unload_answered",
+          {{"version", version}, {"answer", LoadRequestResultName(result)}});
+      this->rollout.OnUnloadRequestResult(result, this->loop.Now());
+      this->OnRequestDone();
+    };
+    this->engine.RequestUnload(action.request, this->Guarded(done));
+  }
+
   void OnRequestDone() {
     this->LogDoubt();
     if (this->on_load_request_done) this->on_load_request_done();
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -77,6 +77,10 @@
   // Asks the engine to load the staged weights.
   virtual void RequestLoad(const EngineLoadRequest& request,
                            std::function<void(LoadRequestResult)> done) = 0;
+  // Asks the engine to give up its weights of `request.version`, so that it can load them again.
+  // Running requests are interrupted if `request.interrupt`.
+  virtual void RequestUnload(const EngineLoadRequest& request,
+                             std::function<void(LoadRequestResult)> done) = 0;
   // `listener` is called when the engine sent bytes that answer no call: if it repeated an answer,
   // recent calls may have got the answers of others.
   virtual void OnUnmatchedAnswer(std::function<void()> listener) = 0;
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -165,6 +165,13 @@
   }
 }
 
+void EngineRollout::OnUnloadRequestResult(LoadRequestResult result, Instant now) {
+  const bool refused =
+      result == LoadRequestResult::kRefused || result == LoadRequestResult::kAlreadyLoaded;
+  if (refused) this->unload_retry_at = now + this->options.unload_retry;
+  this->OnLoadRequestResult(refused ? LoadRequestResult::kRefused : result, now);
+}
+
 void EngineRollout::OnUnmatchedAnswer() {
   for (Chunk& chunk : this->chunks) chunk.staged.correct_at = {};
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnAnswersDoubted(); });
@@ -279,9 +286,17 @@
     if (now >= this->proof_retry_at) this->ReadBackChunks(is_due, actions);
     return true;
   }
+  if (this->step == Step::kLoading || this->engine->busy) return true;
   // Weights of an older version are replaced by those of the wanted one.
-  return this->step == Step::kLoading || this->engine->busy ||
-         this->engine->weights_version >= this->version;
+  if (this->engine->weights_version < this->version) return false;
+  if (now < this->unload_retry_at) return true;
+  EngineLoadRequest request = this->MakeRequest();
+  request.version = this->engine->weights_version;
+  request.interrupt = true;
+  this->BeginRequest(now);
+  this->evidence_since_request->OnReplaced();
+  actions.push_back(SendUnloadRequest{.request = request});
+  return true;
 }
 
 void EngineRollout::BeginRequest(Instant now) {
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -45,6 +45,8 @@
   // Delay before the next chunk is staged after one that the engine did not store. An engine that
   // went down is unavailable for longer than this.
   Duration stage_retry = std::chrono::milliseconds(250);
+  // Delay before weights that may be corrupt are unloaded, after the engine refused to.
+  Duration unload_retry = std::chrono::seconds(1);
 };
 
 // Position of this engine in the staggered rollout of a version.
@@ -67,7 +69,12 @@
 struct SendLoadRequest {
   EngineLoadRequest request;
 };
-using RolloutAction = std::variant<StageChunk, VerifyStagedChunk, SendLoadRequest>;
+// Makes the engine give up its weights, which may be corrupt, so that it can load them again.
+struct SendUnloadRequest {
+  EngineLoadRequest request;  // with the version to give up
+};
+using RolloutAction =
+    std::variant<StageChunk, VerifyStagedChunk, SendLoadRequest, SendUnloadRequest>;
 
 // Performs no I/O. Engines load a version at different times between the arrival of their chunks
 // and the deadline, because each is out of service until its running requests have ended. An engine
@@ -77,7 +84,7 @@
 // The engine may load later than it is asked to, and chunks may become corrupt meanwhile. So it
 // receives requests again only when its load is known and its chunks are proven to have been
 // correct. While a load request is unanswered it receives none, and the request is sent again. If
-// the proof fails, it receives none until a newer version is loaded.
+// the proof fails, the weights are unloaded and loaded again.
 class EngineRollout {
  public:
   explicit EngineRollout(EngineRolloutOptions options) : options(options) {}
@@ -102,6 +109,7 @@
   void OnStagedChunkVerified(std::uint64_t version, std::uint32_t chunk, ReadBackResult result,
                              CallTimes times);
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
+  void OnUnloadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
   void OnUnmatchedAnswer();
 
@@ -190,6 +198,7 @@
   bool request_in_progress = false;
   bool request_ended_with_engine = false;  // the engine restarted while it was in progress
   bool unanswered_request = false;         // was given up, and may still be carried out
+  Instant unload_retry_at = {};
   Instant proof_retry_at = {};
   Step step = Step::kStaging;
   Instant verify_before = {};   // chunks verified earlier are due
