--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -40,6 +40,25 @@
   kUnknown,  // no response; the engine may have accepted
 };
 
+// When a call to the engine was sent and when its answer, or the lack of one, was handled.
+struct CallTimes {
+  Instant sent = {};
+  Instant answered = {};
+};
+
+enum class StageResult {
+  kStored,
+  kNotStored,
+  kUnknown,  // no response; the engine may still store the chunk
+};
+
+// What a staged chunk turned out to be when it was read back.
+enum class ReadBackResult {
+  kIntact,
+  kCorrupt,  // missing or with other bytes
+  kUnread,   // no usable response
+};
+
 // Each call invokes its callback exactly once, on the event loop's thread.
 class EngineControl {
  public:
@@ -58,6 +77,10 @@
   // Asks the engine to load the staged weights.
   virtual void RequestLoad(const EngineLoadRequest& request,
                            std::function<void(LoadRequestResult)> done) = 0;
+  // Asks the engine to give up its weights of `request.version`, so that it can load them again.
+  // Running requests are interrupted if `request.interrupt`.
+  virtual void RequestUnload(const EngineLoadRequest& request,
+                             std::function<void(LoadRequestResult)> done) = 0;
   // `listener` is called when the engine sent bytes that answer no call: if it repeated an answer,
   // recent calls may have got the answers of others.
   virtual void OnUnmatchedAnswer(std::function<void()> listener) = 0;
