Test a load whose request is given up after a state showed it

What callers would see: an engine that stays out of service until the next version, while its agent sends it some 25 load requests a second.

Cause: OnLoadRequestResult(kUnknown) sets unanswered_request although the state has already counted the load, so no later count clears it.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -64,6 +64,30 @@
     }
   }
 
+  // As Run(), while the engine reports its state each 40 ms.
+  void RunWithStates(Duration duration, std::uint64_t loaded_version,
+                     LoadRequestResult result = LoadRequestResult::kAccepted) {
+    for (const Instant end = this->now + duration; this->now < end;) {
+      this->ReportState(loaded_version);
+      this->Run(milliseconds(40), result);
+    }
+  }
+
+  // Runs until a load request is in progress.
+  void RunUntilRequest() {
+    while (this->load_requests.empty()) {
+      this->ReportState(1);
+      for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+        if (const auto* load = std::get_if<SendLoadRequest>(&action)) {
+          this->load_requests.push_back(load->request);
+        } else {
+          this->Execute(action, LoadRequestResult::kAccepted);
+        }
+      }
+      this->now += milliseconds(10);
+    }
+  }
+
   // The engine answers each call about a chunk, and accepts the load, `delay` after it was sent,
   // until it has accepted one. Returns how long that took, or nullopt after 20 s.
   std::optional<Duration> RunWithSlowCalls(Duration delay) {
@@ -487,5 +511,21 @@
   EXPECT_EQ(this->unload_requests.size(), 1u);
 }
 
+// The engine begins the load, its answer is lost, and a state shows the load before the agent gives
+// the request up. Guards against waiting for that request for good.
+TEST_F(EngineRolloutTest, LoadSeenBeforeItsRequestIsGivenUpIsNotAwaited) {
+  this->ReportState(1);
+  this->Want(2);
+  this->RunUntilRequest();
+  this->load_count = 1;
+  this->now += milliseconds(40);
+  this->ReportState(1, true);
+  this->now += milliseconds(560);
+  this->rollout.OnLoadRequestResult(LoadRequestResult::kUnknown, this->now);
+  this->RunWithStates(seconds(5), 2, LoadRequestResult::kAlreadyLoaded);
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
 }  // namespace
 }  // namespace savory
