Test a late load that finds a chunk unread

What callers would see: an engine that stays out of service for good; newer versions are not adopted either.

Cause: a chunk that could not be read is kHeld, which ReadBackChunks() skips and the evidence does not close; ProveLoad() returns before StageChunks().

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -527,5 +527,32 @@
   EXPECT_EQ(this->load_requests.size(), 1u);
 }
 
+// The engine hangs while a chunk is read back, and carries the load out that was given up when it
+// wakes. Guards against an engine that stays out of service because that chunk is never read again.
+TEST_F(EngineRolloutTest, ChunkThatWasNotReadBeforeALateLoadIsReadAgain) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->now += seconds(1);
+  this->ReportState(1);
+  std::vector<RolloutAction> actions = this->rollout.Advance(this->now);
+  ASSERT_FALSE(actions.empty());
+  this->now += milliseconds(600);
+  for (const RolloutAction& action : actions) {
+    this->rollout.OnStagedChunkVerified(
+        2, std::get<VerifyStagedChunk>(action).chunk, ReadBackResult::kUnread,
+        {.sent = this->now - milliseconds(600), .answered = this->now});
+  }
+  this->rollout.OnEngineUnreachable();
+  this->now += seconds(2);
+  this->load_count = 1;
+  this->RunWithStates(seconds(5), 2);
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_TRUE(this->rollout.MayReplace());
+}
+
 }  // namespace
 }  // namespace savory
