Test an unload whose answer is lost

What callers would see: an engine without weights that is never loaded again, if its state names no whole version.

Cause: OnLoadedVersion() ignores version 0, so the load that the state shows stays of an unknown version; evidence that can be proven is never accepted, and ProveLoad() returns before a load is requested.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -554,5 +554,35 @@
   EXPECT_TRUE(this->rollout.MayReplace());
 }
 
+// The engine gives its weights up, and the answer is lost. Guards against an engine that stays out
+// of service because the load that the agent sees is not one of a whole version.
+TEST_F(EngineRolloutTest, UnansweredUnloadIsFollowedByALoad) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->now += seconds(4);
+  this->corrupt_chunk = 1;
+  this->load_count = 1;
+  this->ReportState(2);
+  bool unloaded = false;
+  for (int step = 0; step < 100 && !unloaded; ++step, this->now += milliseconds(10)) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      unloaded = std::holds_alternative<SendUnloadRequest>(action);
+      if (!unloaded) this->Execute(action, LoadRequestResult::kAccepted);
+    }
+    this->ReportState(2);
+  }
+  ASSERT_TRUE(unloaded);
+  this->now += milliseconds(600);
+  this->rollout.OnUnloadRequestResult(LoadRequestResult::kUnknown, this->now);
+  this->now += milliseconds(10);
+  this->load_count = 2;
+  this->RunWithStates(seconds(3), 0);
+  EXPECT_EQ(this->load_requests.size(), 2u);
+}
+
 }  // namespace
 }  // namespace savory
