Test loads that an earlier run of the agent requested

What callers would see: tokens from weights that are not proven, after an agent was killed while it kept its engine out of service.

Cause: the first state of a run counts all loads as dealt with, a load seen before the first version is known is not doubted, and evidence that was taken when no chunk was known is proven by having no chunks.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -584,5 +584,37 @@
   EXPECT_EQ(this->load_requests.size(), 2u);
 }
 
+// The agent's earlier run requested the load and ended before it was proven. Guards against using
+// a load of which this run knows nothing.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsProvenBeforeItIsUsed) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Want(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// The agent's earlier run requested the load, and the engine carries it out before this run knows
+// the wanted version. Guards against using a load of which this run knows nothing.
+TEST_F(EngineRolloutTest, LateLoadOfAnEarlierRunIsNotUsedUnproven) {
+  this->ReportState(1);
+  this->now += seconds(3);
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Want(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// As above, and this run learns the wanted version between two states. Guards against taking a load
+// for proven because no chunk was known when the last state before it was read.
+TEST_F(EngineRolloutTest, LoadWithoutKnownChunksIsNotProven) {
+  this->ReportState(1);
+  this->Want(2);
+  this->now += seconds(3);
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
