Test an upload that is in progress when the version changes

What callers would see: tokens made with a chunk of another version.

Cause: SetTarget() remembers uploads that were given up, not those in progress; their end is noted after the load was proven.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -616,5 +616,27 @@
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
+// An upload of the version before is in progress when the version changes, and is carried out after
+// the chunk was staged again. Guards against taking a load for proven while it may still come.
+TEST_F(EngineRolloutTest, ChunkIsReadBackAfterTheLoadIfAnOlderUploadIsInProgress) {
+  this->ReportState(0);
+  this->Want(2);
+  const Instant sent = this->now;
+  const std::vector<RolloutAction> uploads = this->rollout.Advance(this->now);
+  ASSERT_EQ(uploads.size(), 2u);
+  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[1]).chunk, StageResult::kStored,
+                              this->AnsweredAtOnce());
+  this->Want(3);
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  this->verify_count = 0;
+  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[0]).chunk, StageResult::kUnknown,
+                              {.sent = sent, .answered = sent + milliseconds(600)});
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(500));
+  EXPECT_GT(this->verify_count, 0);
+}
+
 }  // namespace
 }  // namespace savory
