Test an upload that was given up before a long hang

What callers would see: tokens made with a chunk of another version.

Cause: late_call_time counts from when the upload was given up, not from when the engine answers again.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -638,5 +638,25 @@
   EXPECT_GT(this->verify_count, 0);
 }
 
+// An upload of the version before was given up as the engine began to hang for 10 s. Guards against
+// counting the time in which it may be carried out from when it was given up, not from when the
+// engine answers again.
+TEST_F(EngineRolloutTest, UploadGivenUpBeforeALongHangMayStillBeCarriedOut) {
+  this->ReportState(0);
+  this->Want(2);
+  for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+    this->rollout.OnChunkStaged(2, std::get<StageChunk>(action).chunk, StageResult::kUnknown,
+                                this->AnsweredAtOnce());
+  }
+  this->rollout.OnEngineUnreachable();
+  this->Want(3);
+  this->now += seconds(10);
+  this->ReportState(0);
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
