Test an unmatched answer after a proven load

What callers would see: tokens made with a chunk that was missing.

Cause: the evidence is dropped as soon as it is complete, so an unmatched answer that comes after it doubts nothing.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -658,5 +658,18 @@
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
+// The engine answers an upload twice, so that the next upload seems to have ended, and the agent
+// learns it only after the load. Guards against trusting a load of a chunk that was missing.
+TEST_F(EngineRolloutTest, UnmatchedAnswerAfterALoadMakesTheLoadDoubtful) {
+  this->ReportState(0);
+  this->Want(2);
+  this->Run(milliseconds(50));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(2);
+  this->now += milliseconds(400);
+  this->rollout.OnUnmatchedAnswer();
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
