Test queued requests at a load that has to be proven afterwards

What callers would see: tokens from weights that are not proven: requests that are queued when the engine accepts the load start as soon as it is done, whatever the agent reports.

Cause: the load is requested 0.6 s after the engine was closed even if requests are queued and the chunks are too old to be proven by time.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -671,5 +671,41 @@
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
+// Requests are queued at a slow engine, which starts them as soon as the load is done. Guards
+// against tokens from weights that can be proven only after the load.
+TEST_F(EngineRolloutTest, QueueIsEmptyBeforeALoadThatNeedsProofAfterwards) {
+  struct Call {
+    Instant sent;
+    RolloutAction action;
+  };
+  std::deque<Call> calls;
+  std::uint32_t waiting = 3;
+  const Instant begin = this->now;
+  this->ReportState(1, false, waiting);
+  this->Want(2, {}, 12);
+  for (; this->load_requests.empty() && this->now < begin + seconds(30);
+       this->now += milliseconds(10)) {
+    waiting = this->now < begin + seconds(15) ? 3 : 0;
+    this->ReportState(1, false, waiting);
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      calls.push_back({.sent = this->now, .action = action});
+    }
+    for (; !calls.empty() && calls.front().sent + milliseconds(500) <= this->now;
+         calls.pop_front()) {
+      const CallTimes times{.sent = calls.front().sent, .answered = this->now};
+      const RolloutAction& action = calls.front().action;
+      if (const auto* staged = std::get_if<StageChunk>(&action)) {
+        this->rollout.OnChunkStaged(2, staged->chunk, StageResult::kStored, times);
+      } else if (const auto* read = std::get_if<VerifyStagedChunk>(&action)) {
+        this->rollout.OnStagedChunkVerified(2, read->chunk, ReadBackResult::kIntact, times);
+      } else {
+        this->load_requests.push_back(std::get<SendLoadRequest>(action).request);
+        EXPECT_TRUE(waiting == 0 || this->rollout.OldestStagedAge(this->now) <= milliseconds(2900));
+      }
+    }
+  }
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
 }  // namespace
 }  // namespace savory
