Test an engine whose chunks cannot be read after its drain

What callers would see: an engine that stays out of service with usable weights, as long as it answers states but no calls about chunks.

Cause: Accepting() is false during the second reading, which has no end.

Found by review; not fixed here.

--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -707,5 +707,38 @@
   EXPECT_EQ(this->load_requests.size(), 1u);
 }
 
+// The chunks cannot be read back any more once the engine has been drained for its load. Guards
+// against an engine that stays out of service although it still holds usable weights.
+TEST_F(EngineRolloutTest, EngineWhoseChunksCannotBeReadKeepsServing) {
+  this->ReportState(1, false, 0);
+  this->Want(2, {.may_interrupt = true});
+  const auto report = [this] {
+    this->rollout.OnEngineState({.running = 9, .weights_version = 1, .started_unix_ms = this->born},
+                                this->AnsweredAtOnce());
+  };
+  for (int step = 0; step < 100 && this->rollout.Accepting(); ++step) {
+    report();
+    this->Run(milliseconds(10));
+  }
+  ASSERT_FALSE(this->rollout.Accepting());
+  this->now += milliseconds(2300);
+  report();
+  const auto refuse = [this](const RolloutAction& action) {
+    if (const auto* staged = std::get_if<StageChunk>(&action)) {
+      this->rollout.OnChunkStaged(2, staged->chunk, StageResult::kUnknown, this->AnsweredAtOnce());
+    } else if (const auto* read = std::get_if<VerifyStagedChunk>(&action)) {
+      this->rollout.OnStagedChunkVerified(2, read->chunk, ReadBackResult::kUnread,
+                                          this->AnsweredAtOnce());
+    } else {
+      ADD_FAILURE() << "a load was requested";
+    }
+  };
+  for (int step = 0; step < 300; ++step, this->now += milliseconds(10)) {
+    report();
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) refuse(action);
+  }
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
