--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -112,7 +112,7 @@
 
   void OnUnmatchedAnswer() {
     Log(LogLevel::kWarn, "engine_answer_unmatched", {{"version", this->target.version}});
-    this->rollout.OnUnmatchedAnswer();
+    this->rollout.OnUnmatchedAnswer(this->loop.Now());
   }
 
   bool HasCompleteCopy(const VersionCopy& version) const {
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -15,8 +15,11 @@
   std::vector<Chunk> former = std::exchange(this->chunks, std::vector<Chunk>(chunk_count));
   for (std::size_t i = 0; i < std::min(former.size(), this->chunks.size()); ++i) {
     const StagedChunk& staged = former[i].staged;
-    this->chunks[i].staged.older_upload_given_up =
+    StagedChunk& next_staged = this->chunks[i].staged;
+    next_staged.older_upload_given_up =
         std::max(staged.upload_given_up, staged.older_upload_given_up);
+    next_staged.older_upload_in_progress =
+        staged.older_upload_in_progress || former[i].state == ChunkState::kStaging;
   }
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnReplaced(); });
   this->ReturnToStaging();
@@ -54,6 +57,7 @@
                            state.accepted_loads < this->last_state->accepted_loads);
   if (restarted) this->OnEngineRestarted();
   if (!this->last_state) this->accounted_loads = state.accepted_loads;
+  if (!this->engine) this->last_silence = times.answered;
   this->engine = state;
   this->last_state = state;
   this->engine_state_asked = times.sent;
@@ -75,10 +79,12 @@
   this->request_ended_with_engine = this->request_in_progress;
   this->unanswered_request = false;
   this->unproven_load.reset();
+  this->proven_load.reset();
   for (Chunk& chunk : this->chunks) {
     chunk.staged.correct_at = {};
     chunk.staged.upload_given_up = {};
     chunk.staged.older_upload_given_up = {};
+    chunk.staged.older_upload_in_progress = false;
   }
   if (this->evidence_since_state) this->evidence_since_state->OnAnswersDoubted();
   if (this->step > Step::kWaiting) this->ReturnToStaging();
@@ -97,9 +103,13 @@
   if (of_version != this->version) {
     // Even if it was answered: the order of calls on two connections is not known.
     staged.staged.older_upload_given_up = times.answered;
+    staged.staged.older_upload_in_progress = false;
     return;
   }
-  if (result == StageResult::kUnknown) staged.staged.upload_given_up = times.answered;
+  if (result == StageResult::kUnknown) {
+    staged.staged.upload_given_up = times.answered;
+    this->last_silence = times.answered;
+  }
   if (result == StageResult::kStored) return this->MarkStaged(chunk, times);
   staged.state = ChunkState::kHeld;
   this->stage_retry_at = times.answered + this->options.stage_retry;
@@ -126,11 +136,15 @@
     verified.state = proves ? ChunkState::kStaged : ChunkState::kHeld;
     this->proof_retry_at = times.answered + this->options.stage_retry;
     this->stage_retry_at = times.answered + this->options.stage_retry;
+    this->last_silence = times.answered;
+    // Without it, the engine serves on with its old weights.
+    if (this->verified_again && this->step == Step::kVerifying) this->ReturnToStaging();
     return;
   }
   const bool intact = result == ReadBackResult::kIntact;
   verified.state = intact ? ChunkState::kStaged : ChunkState::kHeld;
   if (intact) verified.staged.correct_at = times.sent;
+  if (intact) verified.staged.staged_by = std::min(verified.staged.staged_by, times.answered);
   this->UpdateEvidence(
       [=](LoadEvidence& evidence) { evidence.OnReadBack(chunk, times.sent, intact); });
   this->CheckProof();
@@ -144,7 +158,7 @@
   this->result_received = now;
   switch (result) {
     case LoadRequestResult::kAccepted:
-      this->accounted_loads = this->requested_after + 1;
+      this->accounted_loads = std::max(this->accounted_loads, this->requested_after + 1);
       this->unanswered_request = false;
       this->loaded_version_known = true;
       this->OnLoadAccepted(this->evidence_since_request, now);
@@ -152,7 +166,8 @@
       return;
     case LoadRequestResult::kUnknown:
       // The engine's number of accepted loads shows later whether it accepted.
-      this->unanswered_request = true;
+      this->unanswered_request = this->accounted_loads <= this->requested_after;
+      this->last_silence = now;
       this->step = Step::kLoading;
       return;
     case LoadRequestResult::kAlreadyLoaded:
@@ -172,8 +187,11 @@
   this->OnLoadRequestResult(refused ? LoadRequestResult::kRefused : result, now);
 }
 
-void EngineRollout::OnUnmatchedAnswer() {
+void EngineRollout::OnUnmatchedAnswer(Instant now) {
   for (Chunk& chunk : this->chunks) chunk.staged.correct_at = {};
+  const bool is_recent =
+      this->proven_load && now - this->proven_load->AcceptedBy() <= this->options.unmatched_time;
+  if (!this->unproven_load && is_recent) this->unproven_load = this->proven_load;
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnAnswersDoubted(); });
 }
 
@@ -184,7 +202,13 @@
 LoadEvidence EngineRollout::EvidenceSince(Instant after) const {
   std::vector<StagedChunk> staged;
   staged.reserve(this->chunks.size());
-  for (const Chunk& chunk : this->chunks) staged.push_back(chunk.staged);
+  for (const Chunk& chunk : this->chunks) {
+    StagedChunk& copy = staged.emplace_back(chunk.staged);
+    // A hung engine carries calls out when it answers again.
+    for (Instant* given_up : {&copy.upload_given_up, &copy.older_upload_given_up}) {
+      if (*given_up != Instant()) *given_up = std::max(*given_up, this->last_silence);
+    }
+  }
   return {staged, after, this->options.evidence};
 }
 
@@ -192,6 +216,7 @@
 void EngineRollout::UpdateEvidence(Update update) {
   if (this->evidence_since_state) update(*this->evidence_since_state);
   if (this->evidence_since_request) update(*this->evidence_since_request);
+  if (this->proven_load) update(*this->proven_load);
   if (this->unproven_load) update(*this->unproven_load);
 }
 
@@ -199,21 +224,24 @@
   // Before the first version is known, nothing is known about the chunks either. Such a load was
   // requested by an earlier run of this process, which verified them.
   if (this->version == 0 || !evidence) return;
+  this->proven_load.reset();
   this->unproven_load = std::move(evidence);
   this->unproven_load->OnAccepted(now);
   this->CheckProof();
 }
 
 void EngineRollout::OnLoadedVersion(std::uint64_t loaded) {
-  if (!this->unproven_load || this->loaded_version_known || loaded == 0) return;
+  if (!this->unproven_load || this->loaded_version_known) return;
   this->loaded_version_known = true;
   if (loaded != this->version) this->unproven_load->OnReplaced();
   this->CheckProof();
 }
 
 void EngineRollout::CheckProof() {
-  const bool proven = this->unproven_load && this->loaded_version_known;
-  if (proven && this->unproven_load->IsProven()) this->unproven_load.reset();
+  if (!this->unproven_load || !this->loaded_version_known) return;
+  if (this->unproven_load->IsProven()) {
+    this->proven_load = std::exchange(this->unproven_load, std::nullopt);
+  }
 }
 
 Instant EngineRollout::StagedCorrectAt(std::uint32_t chunk) const {
@@ -258,7 +286,8 @@
 void EngineRollout::ReadBackChunks(Predicate is_due, std::vector<RolloutAction>& actions) {
   for (std::uint32_t i = 0; i < this->chunks.size(); ++i) {
     if (this->calls >= this->options.max_stage_calls) return;
-    if (this->chunks[i].state != ChunkState::kStaged || !is_due(i)) continue;
+    const ChunkState state = this->chunks[i].state;
+    if ((state != ChunkState::kStaged && state != ChunkState::kHeld) || !is_due(i)) continue;
     this->chunks[i].state = ChunkState::kVerifying;
     ++this->calls;
     actions.push_back(VerifyStagedChunk{.chunk = i});
@@ -272,7 +301,8 @@
 
 void EngineRollout::VerifyStagedChunks(std::vector<RolloutAction>& actions) {
   const auto is_due = [this](std::uint32_t chunk) {
-    return this->chunks[chunk].staged.correct_at < this->verify_before;
+    const Chunk& staged = this->chunks[chunk];
+    return staged.state == ChunkState::kStaged && staged.staged.correct_at < this->verify_before;
   };
   this->ReadBackChunks(is_due, actions);
 }
@@ -355,8 +385,11 @@
     if (!this->verified_again) this->settle_until = now + settle;
   }
   if (this->step == Step::kSettling && !this->IsSettled(now)) return actions;
+  // Queued requests begin as soon as the load is done, before it can be proven by reading.
+  const bool needs_reading = this->OldestStagedAge(now) > this->options.max_staged_age;
+  if (this->verified_again && needs_reading && this->engine->waiting > 0) return actions;
   // Once only: reading all chunks back takes a slow engine longer than their age may be.
-  if (!this->verified_again && this->OldestStagedAge(now) > this->options.max_staged_age) {
+  if (!this->verified_again && needs_reading) {
     this->verified_again = true;
     this->BeginVerifying(now);
     this->VerifyStagedChunks(actions);
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -45,6 +45,8 @@
   // Delay before the next chunk is staged after one that the engine did not store. An engine that
   // went down is unavailable for longer than this.
   Duration stage_retry = std::chrono::milliseconds(250);
+  // An answer that belongs to no call makes a load doubtful that was accepted this long before.
+  Duration unmatched_time = std::chrono::seconds(1);
   // Delay before weights that may be corrupt are unloaded, after the engine refused to.
   Duration unload_retry = std::chrono::seconds(1);
 };
@@ -111,7 +113,7 @@
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
   void OnUnloadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
-  void OnUnmatchedAnswer();
+  void OnUnmatchedAnswer(Instant now);
 
   // Returns the actions that are due. Call after each event and several times a second.
   std::vector<RolloutAction> Advance(Instant now);
@@ -152,7 +154,7 @@
   double ScheduledPart() const;
   bool AllStaged() const;
   void StageChunks(std::vector<RolloutAction>& actions);
-  // Of the staged chunks for which `is_due`.
+  // Of the chunks in memory for which `is_due`.
   template <typename Predicate>
   void ReadBackChunks(Predicate is_due, std::vector<RolloutAction>& actions);
   void BeginVerifying(Instant now);
@@ -191,8 +193,9 @@
   std::optional<LoadEvidence> evidence_since_state = {};
   // For a load that began after the request in progress was sent.
   std::optional<LoadEvidence> evidence_since_request = {};
-  // Of the engine's last load, until it is proven.
+  // Of the engine's last load, until it is proven, and then.
   std::optional<LoadEvidence> unproven_load = {};
+  std::optional<LoadEvidence> proven_load = {};
   bool loaded_version_known = false;  // of that load; another one's evidence says nothing about it
   std::uint64_t requested_after = 0;  // accepted loads when the last request was sent
   bool request_in_progress = false;
@@ -200,6 +203,7 @@
   bool unanswered_request = false;         // was given up, and may still be carried out
   Instant unload_retry_at = {};
   Instant proof_retry_at = {};
+  Instant last_silence = {};  // a call was given up, or the engine answered again after that
   Step step = Step::kStaging;
   Instant verify_before = {};   // chunks verified earlier are due
   bool verified_again = false;  // since the scheduled time
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -165,7 +165,7 @@
     }
   }
   ASSERT_TRUE(this->load_requests.empty());
-  this->rollout.OnUnmatchedAnswer();
+  this->rollout.OnUnmatchedAnswer(this->now);
   this->corrupt_chunk = 1;
   this->Run(milliseconds(500));
   EXPECT_GE(this->verify_count, static_cast<int>(kChunks));
@@ -580,8 +580,13 @@
   this->rollout.OnUnloadRequestResult(LoadRequestResult::kUnknown, this->now);
   this->now += milliseconds(10);
   this->load_count = 2;
-  this->RunWithStates(seconds(3), 0);
+  for (int step = 0; step < 75 && this->load_requests.size() < 2; ++step) {
+    this->RunWithStates(milliseconds(40), 0);
+  }
+  ASSERT_EQ(this->load_requests.size(), 2u);
+  this->RunWithStates(milliseconds(400), 2);
   EXPECT_EQ(this->load_requests.size(), 2u);
+  EXPECT_TRUE(this->rollout.Accepting());
 }
 
 // The agent's earlier run requested the load and ended before it was proven. Guards against using
@@ -627,15 +632,17 @@
   this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[1]).chunk, StageResult::kStored,
                               this->AnsweredAtOnce());
   this->Want(3);
+  this->verify_count = 0;
+  this->corrupt_chunk = std::get<StageChunk>(uploads[0]).chunk;
   this->Run(milliseconds(100));
   ASSERT_EQ(this->load_requests.size(), 1u);
   this->ReportState(3);
-  this->verify_count = 0;
-  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[0]).chunk, StageResult::kUnknown,
-                              {.sent = sent, .answered = sent + milliseconds(600)});
   EXPECT_FALSE(this->rollout.Accepting());
-  this->Run(milliseconds(500));
+  this->Run(milliseconds(50));
   EXPECT_GT(this->verify_count, 0);
+  EXPECT_EQ(this->unload_requests.size(), 1u);
+  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[0]).chunk, StageResult::kUnknown,
+                              {.sent = sent, .answered = sent + milliseconds(600)});
 }
 
 // An upload of the version before was given up as the engine began to hang for 10 s. Guards against
@@ -652,10 +659,13 @@
   this->Want(3);
   this->now += seconds(10);
   this->ReportState(0);
+  this->corrupt_chunk = 0;
   this->Run(milliseconds(100));
   ASSERT_EQ(this->load_requests.size(), 1u);
   this->ReportState(3);
   EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(50));
+  EXPECT_EQ(this->unload_requests.size(), 1u);
 }
 
 // The engine answers an upload twice, so that the next upload seems to have ended, and the agent
@@ -667,7 +677,7 @@
   ASSERT_EQ(this->load_requests.size(), 1u);
   this->ReportState(2);
   this->now += milliseconds(400);
-  this->rollout.OnUnmatchedAnswer();
+  this->rollout.OnUnmatchedAnswer(this->now);
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
--- a/src/distribution/load_evidence.cc
+++ b/src/distribution/load_evidence.cc
@@ -15,7 +15,8 @@
     const bool may_be_repaired = is_pending(chunk.upload_given_up);
     this->chunks.push_back(
         {.correct_at = was_staged ? chunk.correct_at : Instant(),
-         .read_only = !may_be_repaired && is_pending(chunk.older_upload_given_up),
+         .read_only = !may_be_repaired &&
+                      (chunk.older_upload_in_progress || is_pending(chunk.older_upload_given_up)),
          .closed = !was_staged || may_be_repaired});
   }
 }
--- a/src/distribution/load_evidence.h
+++ b/src/distribution/load_evidence.h
@@ -20,6 +20,7 @@
   // could repair the chunk after the load, or of an older version, which replace it.
   Instant upload_given_up = {};
   Instant older_upload_given_up = {};
+  bool older_upload_in_progress = false;
 };
 
 struct LoadEvidenceOptions {
@@ -51,6 +52,7 @@
   void OnReplaced();
   // The load was accepted before `by`.
   void OnAccepted(Instant by) { this->accepted_by = by; }
+  Instant AcceptedBy() const { return this->accepted_by; }
 
   // All chunks were loaded correctly.
   bool IsProven() const;
