Let a restarted agent not trust a load that nobody has proven

Cause: what a run of the process had found out ended with it, and the next run took what it saw for proven.

Change: entries tell an agent in their greeting with which version it last said that its engine accepts requests (EntryHello.vouched_weights). A run that finds an engine that has loaded something reports it as not accepting until an entry vouches for that version; entries meanwhile go by the word before. A load that an engine begins without a request of this run is unknown, too.

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -107,7 +107,8 @@
         {{"version", this->target.version},
          {"orders", this->accepted_loads},
          {"pieces", this->rollout.UnprovenChunks()},
-         {"unanswered", this->rollout.HasUnansweredRequest()}});
+         {"unanswered", this->rollout.HasUnansweredRequest()},
+         {"earlier_run", this->rollout.HasUnknownLoad()}});
   }
 
   void OnUnmatchedAnswer() {
@@ -286,6 +287,11 @@
 
 void EngineLoader::SetEngineUnreachable() { this->impl->rollout.OnEngineUnreachable(); }
 void EngineLoader::Advance(const RolloutPosition& position) { this->impl->Advance(position); }
+void EngineLoader::SetVouched(std::uint64_t version) {
+  this->impl->rollout.OnVouched(version);
+  this->impl->LogDoubt();
+}
+bool EngineLoader::HasUnknownLoad() const { return this->impl->rollout.HasUnknownLoad(); }
 bool EngineLoader::Accepting() const { return this->impl->rollout.Accepting(); }
 
 }  // namespace savory
--- a/src/direct/engine_loader.h
+++ b/src/direct/engine_loader.h
@@ -35,12 +35,17 @@
   // `asked`: time at which the state was requested.
   void SetEngineState(const EngineState& state, Instant asked);
   void SetEngineUnreachable();
+  // An entry heard from an earlier run of this process that the engine accepts requests with
+  // `version`.
+  void SetVouched(std::uint64_t version);
   // Executes the actions that are due. Call when the position changes, after SetEngineState() and
   // several times a second.
   void Advance(const RolloutPosition& position);
 
   // Whether the engine may receive requests.
   bool Accepting() const;
+  // Whether the engine's weights are not proven, and nothing but their chunks can prove them.
+  bool HasUnknownLoad() const;
 
  private:
   struct Impl;
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -22,6 +22,7 @@
         staged.older_upload_in_progress || former[i].state == ChunkState::kStaging;
   }
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnReplaced(); });
+  if (this->HasUnknownLoad()) this->RestartUnknownEvidence();
   this->ReturnToStaging();
 }
 
@@ -56,19 +57,24 @@
       this->last_state && (this->last_state->started_unix_ms != state.started_unix_ms ||
                            state.accepted_loads < this->last_state->accepted_loads);
   if (restarted) this->OnEngineRestarted();
-  if (!this->last_state) this->accounted_loads = state.accepted_loads;
+  if (!this->last_state) {
+    this->accounted_loads = state.accepted_loads;
+    const bool has_loaded = state.accepted_loads > 0 && (state.busy || state.weights_version > 0);
+    if (has_loaded) this->OnUnknownLoad(times.answered);
+  }
   if (!this->engine) this->last_silence = times.answered;
   this->engine = state;
   this->last_state = state;
   this->engine_state_asked = times.sent;
   if (state.accepted_loads > this->accounted_loads) {
     this->accounted_loads = state.accepted_loads;
-    this->unanswered_request = false;
     this->loaded_version_known = false;
     this->OnLoadAccepted(this->evidence_since_state, times.answered);
+    this->unanswered_request = false;
   }
   this->evidence_since_state = this->EvidenceSince(times.sent);
   if (!state.busy) this->OnLoadedVersion(state.weights_version);
+  this->OnVouched(this->vouched_version);
   // The load has completed, or it never started.
   if (this->step == Step::kLoading && !state.busy) this->ReturnToStaging();
 }
@@ -118,6 +124,9 @@
 void EngineRollout::OnChunkFound(std::uint32_t chunk, CallTimes times) {
   if (chunk >= this->chunks.size() || this->chunks[chunk].state != ChunkState::kHeld) return;
   this->MarkStaged(chunk, times);
+  this->UpdateEvidence(
+      [&](LoadEvidence& evidence) { evidence.OnReadBack(chunk, times.sent, true); });
+  this->CheckProof();
 }
 
 void EngineRollout::MarkStaged(std::uint32_t chunk, CallTimes times) {
@@ -171,6 +180,7 @@
       this->step = Step::kLoading;
       return;
     case LoadRequestResult::kAlreadyLoaded:
+      this->retry_at = now + this->options.request_retry;
       this->step = Step::kLoading;
       return;
     case LoadRequestResult::kRefused:
@@ -193,6 +203,8 @@
       this->proven_load && now - this->proven_load->AcceptedBy() <= this->options.unmatched_time;
   if (!this->unproven_load && is_recent) this->unproven_load = this->proven_load;
   this->UpdateEvidence([](LoadEvidence& evidence) { evidence.OnAnswersDoubted(); });
+  // The last state may be a copy of an earlier one.
+  if (this->evidence_since_state) this->evidence_since_state->OnReplaced();
 }
 
 std::uint32_t EngineRollout::UnprovenChunks() const {
@@ -221,15 +233,46 @@
 }
 
 void EngineRollout::OnLoadAccepted(std::optional<LoadEvidence> evidence, Instant now) {
-  // Before the first version is known, nothing is known about the chunks either. Such a load was
-  // requested by an earlier run of this process, which verified them.
-  if (this->version == 0 || !evidence) return;
+  if (this->version == 0 || !evidence) return this->OnUnknownLoad(now);
+  // No state was read since the chunks are known.
+  const bool has_request = this->request_in_progress || this->unanswered_request;
+  if (evidence->ChunkCount() == 0 && has_request) evidence = this->evidence_since_request;
+  if (evidence->ChunkCount() != this->chunks.size()) {
+    evidence = this->EvidenceSince(now);
+    evidence->OnReplaced();
+  }
   this->proven_load.reset();
+  this->is_earlier_load = false;
   this->unproven_load = std::move(evidence);
   this->unproven_load->OnAccepted(now);
   this->CheckProof();
 }
 
+void EngineRollout::OnUnknownLoad(Instant now) {
+  this->proven_load.reset();
+  this->is_earlier_load = true;
+  this->loaded_version_known = true;
+  this->unproven_load = this->EvidenceSince(now);
+  this->unproven_load->OnReplaced();
+  this->unproven_load->OnAccepted(now);
+  this->RestartUnknownEvidence();
+}
+
+void EngineRollout::RestartUnknownEvidence() {
+  if (!this->engine || this->engine->weights_version != this->version) return;
+  const Instant accepted_by = this->unproven_load->AcceptedBy();
+  const std::vector<StagedChunk> staged(this->chunks.size(), StagedChunk{.staged_by = Instant()});
+  this->unproven_load = LoadEvidence(staged, accepted_by, this->options.evidence);
+  this->unproven_load->OnAccepted(accepted_by);
+}
+
+void EngineRollout::OnVouched(std::uint64_t vouched) {
+  this->vouched_version = std::max(this->vouched_version, vouched);
+  if (!this->HasUnknownLoad() || !this->engine || this->engine->busy) return;
+  if (this->vouched_version == 0 || this->vouched_version != this->engine->weights_version) return;
+  this->unproven_load.reset();
+}
+
 void EngineRollout::OnLoadedVersion(std::uint64_t loaded) {
   if (!this->unproven_load || this->loaded_version_known) return;
   this->loaded_version_known = true;
@@ -260,7 +303,9 @@
 }
 
 bool EngineRollout::MayReplace() const {
-  const bool awaits_proof = this->unproven_load && this->unproven_load->CanBeProven();
+  const bool are_held = std::ranges::none_of(
+      this->chunks, [](const Chunk& chunk) { return chunk.state == ChunkState::kMissing; });
+  const bool awaits_proof = are_held && this->unproven_load && this->unproven_load->CanBeProven();
   return this->IsDone() || (this->step < Step::kVerifying && !awaits_proof);
 }
 
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -114,6 +114,8 @@
   void OnUnloadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
   void OnUnmatchedAnswer(Instant now);
+  // An earlier run of this process had the engine accept requests with `version`.
+  void OnVouched(std::uint64_t version);
 
   // Returns the actions that are due. Call after each event and several times a second.
   std::vector<RolloutAction> Advance(Instant now);
@@ -124,6 +126,9 @@
   }
   // The engine's weights may be corrupt, or it may load any moment, as a request is unanswered.
   bool IsDoubtful() const { return this->unanswered_request || this->unproven_load.has_value(); }
+  // The load was requested by an earlier run of this process, which may have ended before it was
+  // proven.
+  bool HasUnknownLoad() const { return this->unproven_load && this->is_earlier_load; }
   bool HasUnansweredRequest() const { return this->unanswered_request; }
   // Chunks of the engine's load that are not known to have been correct; 0: none, or no such load.
   std::uint32_t UnprovenChunks() const;
@@ -174,6 +179,10 @@
   // The engine has accepted a load, as the evidence has it.
   void OnLoadAccepted(std::optional<LoadEvidence> evidence, Instant now);
   void OnLoadedVersion(std::uint64_t loaded);
+  // The engine has loaded, and nothing is known about the chunks.
+  void OnUnknownLoad(Instant now);
+  // Once the chunks of the loaded version are known, they can be read back.
+  void RestartUnknownEvidence();
   void CheckProof();
   // Whether the load still has to be proven or replaced. Adds the actions for it.
   bool ProveLoad(Instant now, std::vector<RolloutAction>& actions);
@@ -196,6 +205,8 @@
   // Of the engine's last load, until it is proven, and then.
   std::optional<LoadEvidence> unproven_load = {};
   std::optional<LoadEvidence> proven_load = {};
+  bool is_earlier_load = false;  // requested by an earlier run of this process
+  std::uint64_t vouched_version = 0;
   bool loaded_version_known = false;  // of that load; another one's evidence says nothing about it
   std::uint64_t requested_after = 0;  // accepted loads when the last request was sent
   bool request_in_progress = false;
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -598,6 +598,43 @@
   EXPECT_FALSE(this->rollout.Accepting());
 }
 
+// As above, and an entry heard that the load was proven. Guards against taking engines out of
+// service whenever their agents restart.
+TEST_F(EngineRolloutTest, VouchedLoadOfAnEarlierRunIsUsed) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->rollout.OnVouched(1);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->rollout.OnVouched(2);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
+// As above, and nobody heard that the load was proven. Guards against loading weights again that
+// the engine's staged chunks show to be whole.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsProvenByItsChunks) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Want(2);
+  this->now += milliseconds(10);
+  this->rollout.OnChunkFound(0, this->AnsweredAtOnce());
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(100));
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_TRUE(this->load_requests.empty());
+}
+
+// As above, and a chunk has become corrupt. Guards against using weights that may be corrupt.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsReplacedIfAChunkIsCorrupt) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Want(2);
+  this->now += milliseconds(10);
+  this->corrupt_chunk = 3;
+  this->Run(milliseconds(100));
+  EXPECT_FALSE(this->rollout.Accepting());
+  EXPECT_EQ(this->unload_requests.size(), 1u);
+}
+
 // The agent's earlier run requested the load, and the engine carries it out before this run knows
 // the wanted version. Guards against using a load of which this run knows nothing.
 TEST_F(EngineRolloutTest, LateLoadOfAnEarlierRunIsNotUsedUnproven) {
--- a/src/distribution/load_evidence.cc
+++ b/src/distribution/load_evidence.cc
@@ -49,7 +49,7 @@
   return !chunk.read_only && this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
 }
 
-bool LoadEvidence::IsProven() const { return this->UnprovenChunks() == 0; }
+bool LoadEvidence::IsProven() const { return !this->chunks.empty() && this->UnprovenChunks() == 0; }
 
 bool LoadEvidence::CanBeProven() const {
   return std::ranges::none_of(
--- a/src/distribution/load_evidence.h
+++ b/src/distribution/load_evidence.h
@@ -54,13 +54,14 @@
   void OnAccepted(Instant by) { this->accepted_by = by; }
   Instant AcceptedBy() const { return this->accepted_by; }
 
-  // All chunks were loaded correctly.
+  // All chunks were loaded correctly. False if no chunk is known.
   bool IsProven() const;
   // False if no further reading can prove it.
   bool CanBeProven() const;
   // Reading the chunk back again can contribute to the proof.
   bool NeedsReading(std::uint32_t chunk) const;
   std::uint32_t UnprovenChunks() const;
+  std::size_t ChunkCount() const { return this->chunks.size(); }
 
  private:
   struct Chunk {
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -99,6 +99,10 @@
       this->view.requests_resumable = hello.requests_resume();
       changed = true;
     }
+    if (hello.vouched_weights() > this->view.vouched_weights) {
+      this->view.vouched_weights = hello.vouched_weights();
+      changed = true;
+    }
     if (this->UpdateNewestWanted(hello)) changed = true;
     return this->UpdateWantedVersion(hello, now) || changed;
   }
--- a/src/fleet/agent_links.h
+++ b/src/fleet/agent_links.h
@@ -48,6 +48,9 @@
   std::uint64_t weights_version = 0;         // wanted; 0: unknown
   std::optional<Instant> wanted_since = {};  // earliest time that any entry reported
   VersionHistory history = {};               // the wanted version and those before it
+  // With which this agent's engine accepted requests, as entries heard from an earlier run of this
+  // process, or from this one.
+  std::uint64_t vouched_weights = 0;
   // No version was announced and no engine holds one: the newest one at the origin is wanted.
   bool newest_wanted = false;
   bool engines_without_weights = false;  // some engine has never held weights
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -20,6 +20,8 @@
     std::uint64_t digest = 0;  // of the agent list that the agent last reported
     // When this entry's list last changed or was last sent to the agent, whichever is later.
     Instant outdated_since = {};
+    // Version with which the engine accepted requests, in the last status; 0: it did not.
+    std::uint64_t vouched_weights = 0;
   };
 
   EventLoop& loop;
@@ -153,6 +155,10 @@
     hello.set_engines_lacking(target.engines_without_weights);
     hello.set_requests_resume(target.requests_resumable);
     hello.set_agents_digest(this->agents_digest);
+    const auto agent = this->agent_states.find(peer);
+    if (agent != this->agent_states.end()) {
+      hello.set_vouched_weights(agent->second.vouched_weights);
+    }
     return hello;
   }
 
@@ -252,6 +258,9 @@
     this->Advance();
     if (found == this->agent_states.end()) return;
     found->second.digest = status.agents_digest();
+    if (!status.unreachable()) {
+      found->second.vouched_weights = status.refusing() ? 0 : status.weights_version();
+    }
     this->SendListIfOutdated(from, found->second);
     if (!this->on_report) return;
     this->on_report(EngineReport{
