Let no record alone bring back an engine that its agent stopped

This is the same class of fault on the entries' side, found by reading: an agent says that its engine takes no requests, as a load is about to start or its weights are not proven to be correct, and then falls silent, for example because its machine stands still. 1.5 s after the last report, or 3.5 s after what another entry passed on, the entry went by the engine's record in the store, which names a version and vouches for nothing. So it sent requests to an engine that its agent had stopped. The same happened when the record expired meanwhile and came back, as the entry had forgotten the reports with it, and when another entry passed on what it had heard before: that may be 2.5 s older than its arrival.

Cause: the expiry of a word was taken for its withdrawal.

Change: AgentWords keeps the last refusal of each start of an engine, apart from the records. It ends with a later word of the agent that reaches its engine, directly or passed on. What is passed on counts as later when it names newer weights than the engine held before the refusal, or comes 3 s after it; so an engine is used at once when its load is passed on as done. A later start of the engine ends it, and 30 s without a word: far longer than machines stand still and agents take to restart, and the time after which entries ask an address again that did not answer (EntryPresenceOptions::unanswered_pause). Where no agent was heard, or its last word was that the engine takes requests, nothing changes. A new log line, engines_withheld, tells how many engines are kept out by this alone.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -116,6 +116,7 @@
   EntryDemandTracker demands;
   std::size_t sharing_entries = 1;
   std::size_t followed_engines = 0;  // as last logged
+  std::size_t withheld_engines = 0;  // as last logged
   Instant follow_logged_at = {};
   AsyncHttpServer callers;
   AsyncHttpServer ready_server;
@@ -485,6 +486,14 @@
     this->follow_logged_at = now;
   }
 
+  void LogWithheld() {
+    const std::size_t withheld = this->relay.RequestDispatcher().Withheld(this->loop.Now());
+    if (withheld == this->withheld_engines) return;
+    Log(LogLevel::kWarn, "engines_withheld",
+        {{"engines", withheld}, {"before", this->withheld_engines}});
+    this->withheld_engines = withheld;
+  }
+
   // ---- maintenance, stop, settings ----
 
   void RunMaintenance() {
@@ -495,6 +504,7 @@
                                                              : "not back after the store returned");
     }
     this->FollowEngines();
+    this->LogWithheld();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
--- a/src/fleet/entry_presence.cc
+++ b/src/fleet/entry_presence.cc
@@ -7,10 +7,6 @@
 namespace savory {
 namespace {
 
-// An engine that has not reported for this long is left out of statuses: its agent is gone, and the
-// platform's list tells more.
-constexpr Duration kAvailabilityLifetime = std::chrono::milliseconds(2500);
-
 // Period of the checks for silent entries.
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
 
@@ -261,7 +257,7 @@
   for (const std::string& peer : this->own_agents) {
     const auto found = this->agents.find(peer);
     if (found == this->agents.end() || !found->second.availability) continue;
-    if (now - found->second.reported_at > kAvailabilityLifetime) continue;
+    if (now - found->second.reported_at > kMaxPassedOnAge) continue;
     status.engines.push_back(*found->second.availability);
   }
   return status;
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -88,6 +88,7 @@
   if (id == this->id_at.end()) return;
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
+  this->words.AddReport(StartOf(state.upstream), report, this->WeightsOf(state), now);
   state.report = report;
   state.reported_at = now;
   if (report.reachable) this->UpdateLoad(state, report.load, now);
@@ -98,6 +99,7 @@
   if (id == this->id_at.end()) return;
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
+  this->words.AddPassedOn(StartOf(state.upstream), passed_on, this->WeightsOf(state), now);
   state.passed_on = passed_on;
   state.passed_on_at = now;
 }
@@ -156,10 +158,13 @@
   return next;
 }
 
+bool Dispatcher::HasReport(const UpstreamState& state, Instant now) const {
+  return state.reported_at && now - *state.reported_at < this->options.load_lifetime;
+}
+
 bool Dispatcher::IsLoading(const UpstreamState& state, Instant now) const {
-  const bool is_recent =
-      state.reported_at && now - *state.reported_at < this->options.load_lifetime;
-  return is_recent && !state.report->accepting && state.report->weights_version == 0;
+  return this->HasReport(state, now) && !state.report->accepting &&
+         state.report->weights_version == 0;
 }
 
 std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
@@ -303,8 +308,10 @@
     held = known.weights_version;
     return known.reachable && known.accepting;
   };
-  if (state.reported_at && now - *state.reported_at < this->options.load_lifetime) {
+  if (this->HasReport(state, now)) {
     if (!apply(*state.report)) return false;
+  } else if (this->words.IsRefusing(StartOf(state.upstream), now)) {
+    return false;
   } else if (state.passed_on && now - state.passed_on_at < this->options.availability_lifetime) {
     if (!apply(*state.passed_on)) return false;
   }
@@ -620,6 +627,21 @@
   return addresses;
 }
 
+std::size_t Dispatcher::Withheld(Instant now) const {
+  const auto is_withheld = [this, now](const auto& row) {
+    const UpstreamState& state = row.second;
+    const bool is_passed_on =
+        state.passed_on && now - state.passed_on_at < this->options.availability_lifetime;
+    return !state.upstream.draining && !this->HasReport(state, now) && !is_passed_on &&
+           this->words.IsRefusing(StartOf(state.upstream), now);
+  };
+  std::size_t withheld = 0;
+  for (const auto& [name, pool] : this->pools) {
+    withheld += static_cast<std::size_t>(std::count_if(pool.begin(), pool.end(), is_withheld));
+  }
+  return withheld;
+}
+
 std::size_t Dispatcher::Usable(std::string_view pool, Instant now) const {
   const auto found = this->pools.find(pool);
   if (found == this->pools.end()) return 0;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
 #include "relay/routing_index.h"
@@ -142,6 +143,9 @@
   // Number of requests to engine pools submitted so far, without retries.
   std::uint64_t EngineRequests() const { return this->engine_requests; }
   std::size_t Waiting() const { return this->waiting.size(); }
+  // Number of listed engines that only the last word of their agent, which is heard no more, keeps
+  // from receiving requests.
+  std::size_t Withheld(Instant now) const;
   // Number of upstreams of `pool` that may receive requests now.
   std::size_t Usable(std::string_view pool, Instant now) const;
   // Addresses of the engines whose load this entry must follow, sorted: see EngineWindow().
@@ -189,8 +193,11 @@
   // Whether new requests of this entry may go to the upstream: to a followed engine or any service.
   bool IsCandidate(const UpstreamState& state, const DispatchRequest& request) const;
   // Whether the upstream accepts requests at all. Depends only on data that all entries have, so
-  // that they all divide the slots of the same engines.
+  // that they all divide the slots of the same engines. The record of an engine says which weights
+  // it holds, but not that they may be used: it counts only while no agent refuses requests.
   bool IsServing(const UpstreamState& state, Instant now) const;
+  // Whether a report of the engine's agent is recent enough to count.
+  bool HasReport(const UpstreamState& state, Instant now) const;
   void UpdateShares(Instant now);
   void UpdatePoolShares(PoolUpstreams& pool, Instant now);
   // The engines among `serving` that this entry follows.
@@ -241,8 +248,9 @@
   TextMap<std::vector<WeightsRule>> weights = {};  // by pool
   std::unordered_map<AttemptNumber, Sent> sent = {};
   std::list<DispatchRequest> waiting = {};  // most urgent first
-  // Apart from `pools`, because what an upstream said outlives its record.
+  // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
+  AgentWords words = AgentWords();
 };
 
 }  // namespace savory
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -53,6 +53,13 @@
                                this->now);
   }
 
+  void PassOn(int number, std::uint64_t version, bool accepting = true) {
+    this->dispatcher.AddAvailability({.address = "10.0.0." + std::to_string(number) + ":80",
+                                      .accepting = accepting,
+                                      .weights_version = version},
+                                     this->now);
+  }
+
   DispatchRequest Chat() {
     return {.attempt = this->next_attempt++,
             .pool = "chat",
@@ -573,5 +580,123 @@
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
 }
 
+// An agent stops requests to its engine for a load; then both stand still and are heard no more.
+// Guards against the record alone bringing back an engine whose weights nobody vouches for.
+TEST_F(DispatcherTest, RecordAloneDoesNotBringBackAnEngineThatItsAgentStopped) {
+  this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  for (int step = 0; step < 40; ++step) {
+    this->now += milliseconds(100);
+    this->AddEngine(1, step < 20 ? 1 : 2);
+    EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u) << "after " << step << " steps";
+  }
+  this->Report(1, 0, 2);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+  this->now += seconds(20);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// The same, as another entry passes it on. Guards against a refusal that this entry did not hear
+// from the agent itself being forgotten.
+TEST_F(DispatcherTest, RecordAloneDoesNotBringBackAnEngineThatIsPassedOnAsStopped) {
+  this->AddEngine(1);
+  this->PassOn(1, 1, false);
+  this->now += seconds(4);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->PassOn(1, 1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// The machine of an engine and its agent stands still until the engine's record expires. Guards
+// against the record's return bringing back the engine although its agent stopped it.
+TEST_F(DispatcherTest, RefusalOfAnAgentOutlivesTheRecordOfItsEngine) {
+  const std::string id = this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  this->now += seconds(3);
+  this->dispatcher.RemoveUpstream(id);
+  this->now += seconds(1);
+  this->AddEngine(1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->Report(1, 0);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// Another entry passes on what it heard before the agent stopped the engine. Guards against taking
+// it for a later word because it arrived later.
+TEST_F(DispatcherTest, OlderWordThatIsPassedOnLaterEndsNoRefusal) {
+  this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  this->now += milliseconds(1600);
+  this->PassOn(1, 1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->now += seconds(2);
+  this->PassOn(1, 1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// An entry loses touch with the agent during a load and hears from another entry that it is done.
+// Guards against an engine that stays unused after its load.
+TEST_F(DispatcherTest, LoadThatIsPassedOnAsDoneEndsTheRefusalAtOnce) {
+  this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  this->Report(1, 0, 0, false);
+  this->now += milliseconds(1600);
+  this->PassOn(1, 2);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// An agent that stopped its engine is gone for good. Guards against losing the engine with it.
+TEST_F(DispatcherTest, EngineOfAnAgentThatIsGoneForGoodIsUsedAgain) {
+  this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  this->now += seconds(29);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->now += seconds(2);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// An engine whose agent stopped it starts again under its id. Guards against a refusal that counts
+// for a later start.
+TEST_F(DispatcherTest, RefusalEndsWithTheStartOfTheEngine) {
+  Upstream engine{.id = "engine-1",
+                  .pool = "chat",
+                  .address = "10.0.0.1:80",
+                  .slots = 16,
+                  .started_unix_ms = 1000,
+                  .weights_version = 1,
+                  .is_engine = true};
+  this->dispatcher.SetUpstream(engine);
+  this->Report(1, 0, 1, false);
+  this->now += seconds(4);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  engine.started_unix_ms = 2000;
+  this->dispatcher.SetUpstream(engine);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
+// An agent restarts while its engine does not answer it. Guards against a word of an agent that
+// knows nothing of the engine ending a refusal.
+TEST_F(DispatcherTest, AgentThatDoesNotReachItsEngineEndsNoRefusal) {
+  this->AddEngine(1);
+  this->Report(1, 0, 1, false);
+  this->dispatcher.AddReport({.address = "10.0.0.1:80", .reachable = false}, this->now);
+  this->now += seconds(4);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+}
+
+// An agent that takes requests is killed, or none was ever heard. Guards against engines lost
+// because nobody vouches for them.
+TEST_F(DispatcherTest, EngineOfASilentAgentThatDidNotStopItIsUsed) {
+  this->AddEngine(1);
+  this->AddEngine(2);
+  this->AddEngine(3);
+  this->Report(2, 0);
+  this->PassOn(3, 1);
+  for (int step = 0; step < 100; ++step) {
+    EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 3u) << "after " << step << " steps";
+    this->now += milliseconds(100);
+  }
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -41,6 +41,9 @@
   std::uint32_t followers = 0;  // entries that get load reports of this engine; 0: unknown
 };
 
+// What an agent said longer ago than this is not passed on to other entries: it is gone.
+inline constexpr Duration kMaxPassedOnAge = std::chrono::milliseconds(2500);
+
 // Whether an engine serves, as the entry that is in touch with its agent passes it on to the other
 // entries.
 struct EngineAvailability {
