Run overdue timers with the first input after a suspension

Timers are due by the boot-time clock, which counts the time in which a machine was suspended. The loop is woken for them by libuv, whose clock does not count it: after a suspension, a timer that had 0.9 s left ran 0.9 s after the machine was back (1 s at most), while all that arrived was handled as if nothing were due: expired leases and reports were read by the right clock, but ticks, deadlines and time-outs did not run.

Change: after each turn, the loop runs the timers that are due by its own clock. It costs one clock reading a turn.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -118,6 +118,12 @@
     this->Arm();
   }
 
+  // The system's timer does not count a suspension of the machine, which makes timers overdue.
+  void RunOverdueTimers() {
+    if (this->timers.empty() || this->timers.begin()->first > MonotonicClock::now()) return;
+    this->RunTimers();
+  }
+
   // Reads sockets whose wake-up was lost. Asking a socket costs two system calls, so this is not
   // done with every timer.
   void CheckWatched(Instant now) {
@@ -190,6 +196,7 @@
   while (!this->impl->stopping) {
     uv_run(&this->impl->loop, UV_RUN_ONCE);
     ++this->impl->wakeups;
+    this->impl->RunOverdueTimers();
   }
   this->impl->stopping = false;
 }
