Take a connection that is established too late for unreachable

When a process or its machine stands still, a connection that was established meanwhile is handled before the timer of its time-out runs. Then the request that waits for it is sent, with the time left that was computed before the stand-still, although the time-out had passed and its caller may be gone; and an agent's call to its engine begins late.

Change: the connection is given up, like one whose timer ran. Nothing was sent, so a request goes on to another upstream.

--- a/src/runtime/suspension_test.cc
+++ b/src/runtime/suspension_test.cc
@@ -6,9 +6,15 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
 #include <thread>
 
 #include "runtime/event_loop.h"
+#include "runtime/tcp_connection.h"
+#include "runtime/tcp_listener.h"
 
 namespace {
 
@@ -31,6 +37,22 @@
 
 constexpr std::int64_t kSuspensionSeconds = 4;
 
+struct Recorder : TcpHandler {
+  EventLoop* loop = nullptr;
+  bool connected = false;
+  std::optional<TcpEnd> end = {};
+
+  void OnConnected() override {
+    this->connected = true;
+    this->loop->Stop();
+  }
+  void OnBytes(std::span<const std::byte>) override {}
+  void OnEnd(TcpEnd how) override {
+    this->end = how;
+    this->loop->Stop();
+  }
+};
+
 // Guards against timers that run long after the machine was suspended, while what arrives is
 // handled as if they were not due.
 TEST(SuspensionTest, OverdueTimersRunWithTheFirstInputAfterIt) {
@@ -53,5 +75,25 @@
   EXPECT_TRUE(ran_in_time);
 }
 
+// Guards against a connection that is established long after its time, whose caller then sends what
+// nobody waits for any more.
+TEST(SuspensionTest, ConnectionThatIsEstablishedTooLateIsUnreachable) {
+  const std::string address = "127.0.0.1:26937";
+  EventLoop loop;
+  TcpListener listener(loop);
+  ASSERT_TRUE(listener.Listen(address, [](uv_stream_s*) {}));
+  Recorder recorder;
+  recorder.loop = &loop;
+  std::unique_ptr<TcpConnection> connection;
+  // Both the posted task and the new connection are ready in the same turn of the loop.
+  loop.After(Duration(0), [&] {
+    connection = std::make_unique<TcpConnection>(loop, address, recorder, TcpOptions{});
+    loop.Post([] { suspended_seconds += kSuspensionSeconds; });
+  });
+  loop.Run();
+  EXPECT_FALSE(recorder.connected);
+  EXPECT_EQ(recorder.end, TcpEnd::kUnreachable);
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -57,6 +57,7 @@
   bool owned = true;    // the TcpConnection exists
   bool end_when_sent = false;
   bool end_sent = false;  // the close of the sending side, which counts as an unacknowledged byte
+  Instant connect_deadline = {};
   std::string before_connect = {};  // written before the connection was established
 
   Impl(EventLoop& loop, TcpHandler& handler, const TcpOptions& options)
@@ -79,6 +80,7 @@
         uv_tcp_connect(&this->connect, &this->tcp, reinterpret_cast<const sockaddr*>(&*target),
                        on_connect) == 0;
     const Duration wait = started ? this->options.connect_timeout : Duration(0);
+    this->connect_deadline = this->loop.Now() + this->options.connect_timeout;
     this->connect_timer = this->loop.After(wait, [this] {
       this->connect_timer = 0;
       this->End(TcpEnd::kUnreachable);
@@ -91,6 +93,8 @@
       this->End(status == UV_ECONNREFUSED ? TcpEnd::kRefused : TcpEnd::kUnreachable);
       return;
     }
+    // After the process or its machine stood still, this may come before the timer runs.
+    if (this->loop.Now() >= this->connect_deadline) return this->End(TcpEnd::kUnreachable);
     this->Start();
     if (!this->before_connect.empty()) {
       const std::string bytes = std::exchange(this->before_connect, {});
