Take an answer that is read after its time for a timeout

When an agent or its machine stands still during a call to its engine, the answer is read before the timer of the call runs: a call that took seconds by the clock of the leases counted as a timely one, and what it said as true now. The same holds for calls to the store and to the origin.

Change: a buffered call that ends after its time-out by that clock is a timeout, as one that its timer ended. A load request that is answered so late has an unknown result, which its caller handles already.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -812,6 +812,34 @@
   EXPECT_EQ(answer->error().kind, ErrorKind::kMalformed);
 }
 
+// The process stands still while the answers to two calls arrive, so that the second one is read
+// long after its time. Guards against a late answer being taken for a timely one because it is read
+// before the call's timer runs.
+TEST_F(AsyncHttpTest, AnswerThatIsReadTooLateIsATimeout) {
+  const auto timeout = std::chrono::milliseconds(700);
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+  const auto delay = std::chrono::milliseconds(100);
+  RawPeer first(26929, {answer}, RawPeer::End::kStayOpen, {}, delay);
+  RawPeer second(26930, {answer}, RawPeer::End::kStayOpen, {}, delay);
+  std::vector<Result<BufferedAnswer>> results;
+  const auto done = [&](Result<BufferedAnswer> result) {
+    results.push_back(std::move(result));
+    if (results.size() == 2) return this->loop.Stop();
+    std::this_thread::sleep_for(timeout);
+  };
+  for (const char* address : {"127.0.0.1:26929", "127.0.0.1:26930"}) {
+    StartBufferedCall(this->loop, this->pool, this->CallTo(address, "/"), timeout, done);
+  }
+  // Both answers arrive meanwhile and are read in one turn of the loop.
+  this->loop.After(delay / 2, [delay] { std::this_thread::sleep_for(2 * delay); });
+  this->loop.Run();
+  ASSERT_EQ(results.size(), 2u);
+  ASSERT_TRUE(results[0].has_value());
+  EXPECT_EQ(results[0].value().body, "one");
+  ASSERT_FALSE(results[1].has_value());
+  EXPECT_EQ(results[1].error().kind, ErrorKind::kTimeout);
+}
+
 // A peer sends a second copy of an answer while the next call waits on the connection, and nothing
 // in the answers tells them apart. Guards against a mix-up that the caller does not learn of.
 TEST_F(AsyncHttpTest, LateSecondCopyOfAnAnswerIsReported) {
--- a/src/runtime/buffered_call.cc
+++ b/src/runtime/buffered_call.cc
@@ -19,11 +19,12 @@
 
   void Start(HttpConnectionPool& connections, HttpCallOptions options, Duration timeout) {
     this->self = this->shared_from_this();
+    this->deadline = this->loop.Now() + timeout;
     this->timer = this->loop.After(timeout, [weak = this->weak_from_this()] {
       const auto call = weak.lock();
       if (!call) return;
       call->timer = 0;
-      call->End(Error{.kind = ErrorKind::kTimeout, .detail = "no answer in time"});
+      call->End(TooLate());
     });
     this->call = connections.Start(std::move(options), *this);
   }
@@ -37,7 +38,11 @@
     }
     this->answer.body += bytes;
   }
-  void OnAnswerDone() override { this->End(std::move(this->answer)); }
+  // After the process or its machine stood still, answers are read before the timers run.
+  void OnAnswerDone() override {
+    if (this->loop.Now() >= this->deadline) return this->End(TooLate());
+    this->End(std::move(this->answer));
+  }
   void OnCallFailed(CallFailure failure) override {
     const bool sent = failure != CallFailure::kNotSent;
     this->End(Error{.kind = sent ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
@@ -45,6 +50,8 @@
   }
 
  private:
+  static Error TooLate() { return {.kind = ErrorKind::kTimeout, .detail = "no answer in time"}; }
+
   void End(Result<BufferedAnswer> result) {
     const auto keep = std::exchange(this->self, nullptr);
     if (this->timer != 0) this->loop.Cancel(this->timer);
@@ -57,6 +64,7 @@
   std::size_t max_answer_bytes;
   std::unique_ptr<HttpCall> call = {};
   EventLoop::TimerId timer = 0;
+  Instant deadline = {};
   BufferedAnswer answer = {};
   std::shared_ptr<BufferedCall> self = {};
 };
--- a/src/runtime/buffered_call.h
+++ b/src/runtime/buffered_call.h
@@ -23,7 +23,7 @@
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{16} * 1024 * 1024;
 
 // Calls `done` once. Errors: kUnavailable when there is no connection (the call was not sent),
-// kTimeout when there was no complete answer within `timeout` or the answer ended early (the call
+// kTimeout when no complete answer was read within `timeout` or the answer ended early (the call
 // may have been executed), kMalformed when the answer exceeds `max_answer_bytes`
 // (likewise).
 void StartBufferedCall(EventLoop& loop, HttpConnectionPool& connections, HttpCallOptions options,
