Count an engine's failures once its load is long past

An engine that loads new weights interrupts its requests, so failures do not count against it while its last report says that it takes none. That report had no age: an entry that lost touch with the agent during a load, as it does when the engine leaves its window, went on using the engine by what another entry passed on, and no failure there ever ejected it.

Change: an old report counts only as long as the agent's last word is that the engine takes no requests.

Result (x86_64): DispatcherTest.FailuresLongAfterALoadCount failed before; FailuresDuringALoadDoNotCount passed before and passes. relay_test passes (134 tests).

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -600,7 +600,9 @@
   UpstreamState& state = this->pools.find(known->second)->second.find(upstream)->second;
   if (state.own > 0) --state.own;
   // An engine that loads new weights aborts its requests; this does not count as a failure.
-  const bool loads = state.report && !state.report->accepting;
+  const bool loads = this->HasReport(state, now)
+                         ? !state.report->accepting
+                         : this->words.IsRefusing(StartOf(state.upstream), now);
   if (loads && result != AttemptResult::kServed) result = AttemptResult::kCancelled;
   const bool was_half_open = state.health.IsHalfOpen();
   const Instant until_before = state.health.EjectedUntil();
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -698,5 +698,40 @@
   }
 }
 
+// An entry loses touch with an agent during a load, learns from another entry that it is done and
+// uses the engine, which then fails. Guards against failures that never count because the last
+// report, from long ago, says that the engine is loading.
+TEST_F(DispatcherTest, FailuresLongAfterALoadCount) {
+  this->AddEngine(1);
+  this->Report(1, 0, 0, false);
+  this->now += seconds(10);
+  this->PassOn(1, 2);
+  for (int i = 0; i < 4; ++i) {
+    DispatchRequest request = this->Chat();
+    const AttemptNumber attempt = request.attempt;
+    ASSERT_EQ(this->Submit(std::move(request)), "engine-1");
+    const auto change = this->dispatcher.OnEnded(attempt, AttemptResult::kErrored, this->now);
+    if (change && change->ejected) return;
+  }
+  FAIL() << "the engine was not ejected";
+}
+
+// The same engine fails attempts while it loads. Guards against ejecting it for that, also when its
+// agent is not heard meanwhile.
+TEST_F(DispatcherTest, FailuresDuringALoadDoNotCount) {
+  this->AddEngine(1);
+  std::vector<AttemptNumber> attempts;
+  for (int i = 0; i < 4; ++i) {
+    DispatchRequest request = this->Chat();
+    attempts.push_back(request.attempt);
+    ASSERT_EQ(this->Submit(std::move(request)), "engine-1");
+  }
+  this->Report(1, 4, 0, false);
+  for (const AttemptNumber attempt : attempts) {
+    this->now += seconds(1);
+    EXPECT_FALSE(this->dispatcher.OnEnded(attempt, AttemptResult::kErrored, this->now));
+  }
+}
+
 }  // namespace
 }  // namespace savory
