Read what arrived during a stand-still before judging the others by it

After an entry or its machine stood still, all its periodic work is overdue. The first message that it read, or the first timer, set it going: the first of an agent's queued words was passed on to all entries as true now, although the next one in the queue took it back, and entries whose statuses lay unread were taken for gone (from 12 s on; for their part in the responsibility for agents from 2.2 s on). An entry that takes the others for gone uses their parts of the retry budget, too.

Change: when its timer is overdue by more than 0.5 s, EntryLinks first reads for 20 ms what has arrived, once.

--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -12,6 +12,14 @@
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
+namespace {
+
+// What is due for longer than this shows that the process or its machine stood still.
+constexpr Duration kStandStill = std::chrono::milliseconds(500);
+// What arrived meanwhile is read within this time.
+constexpr Duration kReadFirst = std::chrono::milliseconds(20);
+
+}  // namespace
 
 struct EntryLinks::Impl : GuardedCallbacks<EntryLinks::Impl> {
   struct Agent {
@@ -38,6 +46,7 @@
   bool left = false;
   EventLoop::TimerId timer = 0;
   Instant timer_due = {};
+  Instant read_until = {};  // after a stand-still
   ReportListener on_report = {};
   AvailabilityListener on_availability = {};
   EntriesListener on_entries_change = {};
@@ -59,17 +68,31 @@
 
   // Performs what is due and sets the timer for what is due next.
   void Advance() {
-    if (this->left) return;
+    if (this->left || this->MustReadFirst()) return;
     this->Execute(this->presence.Advance(this->loop.Now()));
-    const Instant due = this->presence.NextDue();
-    if (this->timer != 0 && this->timer_due <= due) return;
+    const Instant due = std::max(this->presence.NextDue(), this->loop.Now());
+    if (this->timer == 0 || this->timer_due > due) this->SetTimer(due);
+  }
+
+  void SetTimer(Instant due) {
     if (this->timer != 0) this->loop.Cancel(this->timer);
     this->timer_due = due;
-    this->timer =
-        this->loop.After(std::max(Duration(0), due - this->loop.Now()), this->Guarded([this] {
-          this->timer = 0;
-          this->Advance();
-        }));
+    this->timer = this->loop.After(due - this->loop.Now(), this->Guarded([this] {
+      this->timer = 0;
+      this->Advance();
+    }));
+  }
+
+  // After a stand-still, what others said meanwhile counts before their silence, and the last word
+  // of each before its earlier ones.
+  bool MustReadFirst() {
+    const Instant now = this->loop.Now();
+    const bool was_waiting = this->timer_due == this->read_until;
+    if (!was_waiting && now - this->timer_due > kStandStill) {
+      this->read_until = now + kReadFirst;
+      this->SetTimer(this->read_until);
+    }
+    return now < this->read_until;
   }
 
   void Execute(std::span<const PresenceAction> actions) {
