Read what arrived during a stand-still before an upstream counts as silent

After an entry or its machine stood still, the limits of the upstreams' silence are overdue, and their timers may run before the bytes that arrived meanwhile are read: the entry took its own stand-still for the silence of all its upstreams. It spent the retry budget on requests whose answers were waiting, and counted a failure against each upstream.

Change: a RestartableTimer that fires over 0.5 s late first waits 20 ms, once; what is read then sets or clears it.

--- a/src/runtime/restartable_timer.cc
+++ b/src/runtime/restartable_timer.cc
@@ -7,6 +7,14 @@
 #include "runtime/guarded.h"
 
 namespace savory {
+namespace {
+
+// A timer that fires this late shows that the process or its machine stood still.
+constexpr Duration kStandStill = std::chrono::milliseconds(500);
+// What arrived meanwhile is read within this time.
+constexpr Duration kReadFirst = std::chrono::milliseconds(20);
+
+}  // namespace
 
 struct RestartableTimer::Impl : GuardedCallbacks<RestartableTimer::Impl> {
   EventLoop& loop;
@@ -14,6 +22,7 @@
   std::optional<Instant> due = {};
   EventLoop::TimerId timer = 0;
   Instant timer_due = {};
+  bool has_read_first = false;  // since it was set
 
   Impl(EventLoop& loop, std::function<void()> callback)
       : loop(loop), callback(std::move(callback)) {}
@@ -29,7 +38,11 @@
   void OnTimer() {
     this->timer = 0;
     if (!this->due) return;
-    if (this->loop.Now() < *this->due) return this->Schedule();
+    const Instant now = this->loop.Now();
+    if (now - *this->due > kStandStill && !std::exchange(this->has_read_first, true)) {
+      this->due = now + kReadFirst;
+    }
+    if (now < *this->due) return this->Schedule();
     this->due.reset();
     this->callback();
   }
@@ -44,6 +57,7 @@
 
 void RestartableTimer::Set(Duration delay) {
   this->impl->due = this->impl->loop.Now() + delay;
+  this->impl->has_read_first = false;
   this->impl->Schedule();
 }
 
--- a/src/runtime/restartable_timer_test.cc
+++ b/src/runtime/restartable_timer_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <thread>
 
 #include "runtime/event_loop.h"
 
@@ -35,6 +36,24 @@
   EXPECT_EQ(this->fired, 1);
 }
 
+// The process stands still until long after the due time; what restarts the timer has arrived by
+// then and waits to be read. Guards against taking this process's own silence for that of another.
+TEST_F(RestartableTimerTest, InputOfAStandStillIsReadBeforeItFires) {
+  const auto stand_still = [] { std::this_thread::sleep_for(milliseconds(600)); };
+  RestartableTimer restarted(this->loop, [this] { ++this->fired; });
+  restarted.Set(milliseconds(30));
+  this->loop.After(Duration(0), [&] {
+    this->loop.Post([&restarted] { restarted.Set(std::chrono::seconds(10)); });
+    stand_still();
+  });
+  this->RunFor(milliseconds(700));
+  EXPECT_EQ(this->fired, 0);
+  restarted.Set(milliseconds(30));
+  this->loop.After(Duration(0), stand_still);
+  this->RunFor(milliseconds(700));
+  EXPECT_EQ(this->fired, 1);
+}
+
 // Guards against a due time that can only be moved later.
 TEST_F(RestartableTimerTest, DueTimeMovesEarlier) {
   RestartableTimer timer(this->loop, [this] { ++this->fired; });
