Keep an engine closed while a load request without a reply may be carried out

An answer could be made with weights that were being overwritten.

Cause: after a request without a reply the load controller took the first state without the load as proof that the engine would not load. It released the slot and opened the gate. A hung engine reads the request when it wakes, counts the deadline from then, and loads while it serves, perhaps beside a request for other weights.

Until then the gate is closed and no other weights are requested; the slot is kept while the lease is valid and the engine can be reached. A status 4xx is a refusal, not an unknown outcome. The agent logs `load_answered`.

--- a/src/distribution/distribution_driver.cc
+++ b/src/distribution/distribution_driver.cc
@@ -72,6 +72,22 @@
                        .takeover_origin_bytes = options.takeover_origin_bytes};
 }
 
+std::string_view LoadResponseName(LoadResponse response) {
+  switch (response) {
+    case LoadResponse::kAccepted:
+      return "accepted";
+    case LoadResponse::kStaleFence:
+      return "stale-fence";
+    case LoadResponse::kRefused:
+      return "refused";
+    case LoadResponse::kNotSent:
+      return "not-sent";
+    case LoadResponse::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 // Verifies chunks on worker threads.
 ChunkVerifier VerifyOn(Workers& workers) {
   return [&workers](std::shared_ptr<const Manifest> manifest, std::uint32_t chunk,
@@ -415,7 +431,9 @@
     this->counters.loads.Add();
     Log(LogLevel::kInfo, "load_ordered",
         {{"manifest", action.manifest.Hex()}, {"fence", action.fence}});
-    const auto done = [this](LoadResponse answer) {
+    const auto done = [this, sent = this->Now()](LoadResponse answer) {
+      Log(LogLevel::kInfo, "load_answered",
+          {{"answer", LoadResponseName(answer)}, {"took_ms", ToMillis(this->Now() - sent)}});
       this->HandleLoadEvent(LoadResponseReceived{.answer = answer});
     };
     this->engine.Load(action, this->Guarded(done));
@@ -425,7 +443,7 @@
     if (this->options.engine.empty() || now < this->next_engine_poll) return;
     const bool settled = this->ready && this->serving == this->wanted;
     const bool copying = this->load_controller.CurrentStep() == LoadController::Step::kWaiting &&
-                         this->spreader.IsActive();
+                         !this->load_controller.HasUnansweredRequest() && this->spreader.IsActive();
     this->next_engine_poll = now + (settled || copying ? kEnginePollIdle : kEnginePollActive);
     const auto done = [this](const std::optional<EngineReported>& state) {
       this->OnEngineState(state);
@@ -516,6 +534,8 @@
     if (waits_for_origin) status.detail = this->origin_error;
     if (this->load_controller.CurrentStep() == LoadController::Step::kDraining) {
       status.detail = "waits until no request runs at the engine";
+    } else if (this->load_controller.HasUnansweredRequest()) {
+      status.detail = "a load request without a reply may still be carried out";
     }
     return status;
   }
--- a/src/distribution/engine_client.cc
+++ b/src/distribution/engine_client.cc
@@ -55,6 +55,7 @@
   }
   if (answer.value().status == 202) return LoadResponse::kAccepted;
   if (answer.value().status == 409) return LoadResponse::kStaleFence;
+  if (answer.value().status / 100 == 4) return LoadResponse::kRefused;
   return LoadResponse::kUnknown;
 }
 
--- a/src/distribution/load_controller.cc
+++ b/src/distribution/load_controller.cc
@@ -29,19 +29,46 @@
 void LoadController::On(Instant now, const EngineReported& event) {
   this->engine = event;
   this->unreachable_since.reset();
-  if (this->step == Step::kLoading && event.asked >= this->response_received) this->FinishLoad(now);
+  if (event.asked < this->response_received) return;
+  if (this->unanswered) this->SettleUnanswered(now);
+  if (this->step == Step::kLoading && !this->unanswered) this->FinishLoad(now);
 }
 
 void LoadController::On(Instant now, const EngineUnreachable&) {
   this->engine.reset();
+  if (this->unanswered) this->unanswered->alive_since.reset();
   if (!this->unreachable_since) this->unreachable_since = now;
   const bool gone = now - *this->unreachable_since >= this->options.lease_ttl;
   if (this->step == Step::kLoading && gone) this->EndLoad(now, true);
 }
 
+LoadController::Settlement LoadController::ObserveUnanswered(Instant now) {
+  UnansweredRequest& request = *this->unanswered;
+  const EngineReported& report = *this->engine;
+  if (report.loading == request.manifest || report.loaded == request.manifest) {
+    return Settlement::kCarriedOut;
+  }
+  const bool restarted = request.incarnation != 0 && report.incarnation != 0 &&
+                         report.incarnation != request.incarnation;
+  if (restarted) return Settlement::kGone;
+  if (report.incarnation != 0) request.incarnation = report.incarnation;
+  const bool gap = now - request.last_report > this->options.max_report_gap;
+  if (!request.alive_since || gap) request.alive_since = now;
+  request.last_report = now;
+  const Duration latest_begin = request.deadline + this->options.lease_margin;
+  return now >= *request.alive_since + latest_begin ? Settlement::kGone : Settlement::kOpen;
+}
+
+void LoadController::SettleUnanswered(Instant now) {
+  const Settlement settlement = this->ObserveUnanswered(now);
+  if (settlement == Settlement::kOpen) return;
+  this->unanswered.reset();
+  if (settlement == Settlement::kGone && this->step == Step::kLoading) this->EndLoad(now, true);
+}
+
 void LoadController::FinishLoad(Instant now) {
   if (!this->engine->loading.IsZero()) return;
-  this->EndLoad(now, this->engine->loaded != this->requested_manifest);
+  this->EndLoad(now, this->engine->loaded != this->requested.manifest);
 }
 
 void LoadController::On(Instant now, const LeaseGranted& event) {
@@ -95,18 +122,45 @@
 void LoadController::On(Instant now, const LoadResponseReceived& event) {
   if (this->step != Step::kRequesting) return;
   this->response_received = now;
-  if (event.answer == LoadResponse::kAccepted || event.answer == LoadResponse::kUnknown) {
+  // A request that was not sent tells nothing about an earlier one.
+  const bool open = event.answer == LoadResponse::kUnknown ||
+                    (event.answer == LoadResponse::kNotSent && this->unanswered);
+  if (open) {
+    this->KeepUnanswered(now, event.answer == LoadResponse::kUnknown);
+    return;
+  }
+  // An answer holds for earlier requests as well: an engine that has accepted the weights or
+  // refused the fencing number does the same with them.
+  this->unanswered.reset();
+  if (event.answer == LoadResponse::kAccepted) {
     this->step = Step::kLoading;
     return;
   }
   this->EndLoad(now, true);
 }
 
+void LoadController::KeepUnanswered(Instant now, bool sent) {
+  this->step = Step::kLoading;
+  if (!this->unanswered) this->unanswered = UnansweredRequest{.manifest = this->requested.manifest};
+  UnansweredRequest& request = *this->unanswered;
+  if (request.fence != this->requested.fence) {
+    request.fence = this->requested.fence;
+    request.repeat_until = now + this->options.lease_ttl;
+  }
+  request.next_repetition = now + this->options.first_retry;
+  if (!sent) return;
+  request.deadline = std::max(request.deadline, this->requested.deadline);
+  request.incarnation = 0;
+  request.alive_since.reset();
+}
+
 void LoadController::On(Instant, const LoadTick& event) { this->idle = event.idle; }
 
 bool LoadController::NeedsLoad() const {
   const Digest& manifest = this->wanted.manifest;
   if (manifest.IsZero() || this->complete_manifest != manifest || !this->engine) return false;
+  // The engine may still carry out a request for other weights at the same time.
+  if (this->unanswered && this->unanswered->manifest != manifest) return false;
   // The engine may still execute a load that the agent's previous incarnation requested.
   return this->engine->loading.IsZero() && this->engine->loaded != manifest;
 }
@@ -134,6 +188,7 @@
     return;
   }
   if (this->step == Step::kDraining && this->idle) this->SendLoad(now);
+  if (this->step == Step::kLoading && this->unanswered) this->RepeatLoad(now);
   const bool overdue =
       this->step == Step::kLoading && now >= this->response_received + this->options.max_load_time;
   if (overdue) this->ReleaseLease();
@@ -154,13 +209,21 @@
       RenewSlot{.call = this->call.id, .lease = this->lease->name, .fence = this->lease->fence});
 }
 
+void LoadController::RepeatLoad(Instant now) {
+  const UnansweredRequest& request = *this->unanswered;
+  const bool due = now >= request.next_repetition && now < request.repeat_until;
+  if (due && this->engine && this->lease && request.manifest == this->wanted.manifest) {
+    this->SendLoad(now);
+  }
+}
+
 void LoadController::SendLoad(Instant now) {
   this->step = Step::kRequesting;
-  this->requested_manifest = this->wanted.manifest;
-  this->actions.push_back(StartLoad{.manifest = this->requested_manifest,
-                                    .fence = this->lease->fence,
-                                    .deadline = this->lease->usable_until - now,
-                                    .not_after = this->lease->usable_until});
+  this->requested = StartLoad{.manifest = this->wanted.manifest,
+                              .fence = this->lease->fence,
+                              .deadline = this->lease->usable_until - now,
+                              .not_after = this->lease->usable_until};
+  this->actions.push_back(this->requested);
 }
 
 void LoadController::ReleaseLease() {
--- a/src/distribution/load_controller.h
+++ b/src/distribution/load_controller.h
@@ -55,6 +55,7 @@
 enum class LoadResponse {
   kAccepted,
   kStaleFence,
+  kRefused,  // for another reason, such as a malformed request
   kNotSent,  // the lease had expired, or no connection could be made
   kUnknown,  // the reply was lost; the engine may have accepted
 };
@@ -107,12 +108,15 @@
   Duration max_retry = std::chrono::seconds(5);
   // The slot of a load that takes longer is released for other agents; the engine is still polled.
   Duration max_load_time = std::chrono::minutes(30);
+  // After a longer gap between two reports the engine may have been suspended in between.
+  Duration max_report_gap = std::chrono::seconds(3);
 };
 
 // Requests at most one load at a time: the next version waits until the engine has finished the
-// previous load. The lease is measured with the local monotonic clock from before the call that
-// acquired or renewed it, and checked before every step, so that a process that was paused does not
-// act on an expired lease.
+// previous load. A request without a reply may still be carried out: until it is settled, the
+// engine gets no new requests and the request is repeated under the same lease. The lease is
+// measured with the local monotonic clock from before the call that acquired or renewed it, and
+// checked before every step, so that a process that was paused does not act on an expired lease.
 class LoadController {
  public:
   enum class Step { kWaiting, kAcquiring, kDraining, kRequesting, kLoading };
@@ -126,8 +130,10 @@
   // Whether the engine must not receive new requests.
   bool BlocksServing() const {
     return this->step == Step::kDraining || this->step == Step::kRequesting ||
-           this->step == Step::kLoading;
+           this->step == Step::kLoading || this->unanswered.has_value();
   }
+  // Whether a load request without a reply may still be carried out.
+  bool HasUnansweredRequest() const { return this->unanswered.has_value(); }
 
  private:
   struct Lease {
@@ -142,6 +148,21 @@
     std::string lease = {};
   };
 
+  // A load request without a reply, with its repetitions. The engine counts the deadline from when
+  // it reads the request, which a hung engine does late. Therefore it counts here from when the
+  // engine has answered another call after the last repetition was given up.
+  struct UnansweredRequest {
+    Digest manifest = {};
+    std::uint64_t fence = 0;    // of the last repetition
+    Duration deadline = {};     // the longest one sent
+    Instant repeat_until = {};  // no repetition at or after it
+    Instant next_repetition = {};
+    std::uint64_t incarnation = 0;  // in the first report after the last repetition; 0: none yet
+    std::optional<Instant> alive_since = {};  // no longer gap between reports since then
+    Instant last_report = {};
+  };
+  enum class Settlement { kOpen, kCarriedOut, kGone };
+
   void On(Instant now, const LoadTargetChanged& event);
   void On(Instant now, const WeightsComplete& event);
   void On(Instant now, const EngineReported& event);
@@ -159,6 +180,11 @@
   void Acquire(Instant now);
   void Renew(Instant now);
   void SendLoad(Instant now);
+  void RepeatLoad(Instant now);
+  void KeepUnanswered(Instant now, bool sent);
+  // What `engine` shows of the unanswered request.
+  Settlement ObserveUnanswered(Instant now);
+  void SettleUnanswered(Instant now);
   void FinishLoad(Instant now);
   // Ends the load; `failed` delays the next one.
   void EndLoad(Instant now, bool failed);
@@ -177,7 +203,8 @@
   std::optional<Lease> lease = {};
   LeaseCall call = {};
   std::uint64_t next_call = 1;
-  Digest requested_manifest = {};
+  StartLoad requested = {};
+  std::optional<UnansweredRequest> unanswered = {};
   Instant response_received = {};
   Instant retry_at = {};
   Duration retry_delay = {};
--- a/src/distribution/load_controller_test.cc
+++ b/src/distribution/load_controller_test.cc
@@ -334,6 +334,212 @@
   EXPECT_FALSE(this->controller->BlocksServing());
 }
 
+// ---- load requests without a reply ----
+
+// Guards against an engine that gets new requests, or loses its slot to another one, while it may
+// still begin a load whose request was given up: a state without the load does not show that the
+// engine has read the request.
+TEST_F(LoadControllerTest, UnansweredRequestKeepsTheGateClosedAndTheSlot) {
+  this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->Advance(milliseconds(100));
+  this->Report();  // the request waits in the engine's socket
+  EXPECT_FALSE(this->Take<ReleaseSlot>());
+  EXPECT_TRUE(this->controller->BlocksServing());
+}
+
+// Guards against an engine that stays out of service until the deadline of an unanswered request,
+// although a repetition of the request shows at once what becomes of it.
+TEST_F(LoadControllerTest, UnansweredRequestIsRepeatedUnderTheSameLease) {
+  const StartLoad load = this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->Advance(seconds(1));
+  this->Report();
+  const auto repeated = this->Take<StartLoad>();
+  ASSERT_TRUE(repeated);
+  EXPECT_EQ(repeated->manifest, kNew);
+  EXPECT_EQ(repeated->fence, load.fence);
+  EXPECT_LE(this->now + repeated->deadline, repeated->not_after);
+  this->HandleEvent(LoadResponseReceived{.answer = this->engine.ReceiveLoad(*repeated, this->now)});
+  EXPECT_TRUE(this->controller->BlocksServing());
+  this->engine.Finish();
+  this->Advance(milliseconds(100));
+  this->Report();
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
+// Guards against overlooking that a request without a reply was carried out.
+TEST_F(LoadControllerTest, UnansweredRequestIsSettledByTheLoad) {
+  const StartLoad load = this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->engine.ReceiveLoad(load, this->now);
+  this->Report();
+  EXPECT_FALSE(this->Take<StartLoad>());
+  EXPECT_FALSE(this->Take<ReleaseSlot>());
+  EXPECT_TRUE(this->controller->BlocksServing());
+  this->engine.Finish();
+  this->Advance(milliseconds(100));
+  this->Report();
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
+// Guards against an engine that stays out of service, and a slot that stays taken, forever, because
+// no load request is ever answered.
+TEST_F(LoadControllerTest, UnansweredRequestEndsOnceItCanNoLongerTakeEffect) {
+  const Instant first = this->now;
+  const StartLoad load = this->RequestUnderLease(kNew);
+  Instant last_sent = first;
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  while (this->controller->BlocksServing() && this->now < first + seconds(60)) {
+    this->Advance(milliseconds(100));
+    this->Report();
+    if (const auto renewal = this->Take<RenewSlot>()) {
+      this->HandleEvent(LeaseRenewed{.call = renewal->call});
+    }
+    if (this->Take<StartLoad>()) {
+      last_sent = this->now;
+      this->Advance(seconds(3));
+      this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+    }
+  }
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_FALSE(this->controller->BlocksServing());
+  EXPECT_GT(this->now, last_sent + load.deadline);
+  EXPECT_LT(this->now, first + seconds(30));
+}
+
+// Guards against a deadline that is counted from the sending of the request: an engine that hung
+// reads the request when it wakes, and counts from then.
+TEST_F(LoadControllerTest, DeadlineOfAnUnansweredRequestCountsFromTheEnginesReturn) {
+  const StartLoad load = this->RequestUnderLease(kNew);
+  this->HandleEvent(LoadTargetChanged{.pool = "chat", .manifest = kNewer, .max_loading = 1});
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  for (int i = 0; i < 20; ++i) {
+    this->Advance(seconds(1));
+    this->HandleEvent(EngineUnreachable{});
+  }
+  const Instant returned = this->now;
+  this->Report();
+  EXPECT_TRUE(this->controller->BlocksServing());
+  while (this->now < returned + load.deadline) {
+    this->Advance(milliseconds(500));
+    this->Report();
+    EXPECT_TRUE(this->controller->BlocksServing());
+  }
+  for (int i = 0; i < 6; ++i) {
+    this->Advance(milliseconds(500));
+    this->Report();
+  }
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
+// Guards against counting time in which the engine was suspended: a gap without a report may be
+// one, and the clock of the engine may not have run.
+TEST_F(LoadControllerTest, GapBetweenReportsDoesNotCountTowardsTheDeadline) {
+  const StartLoad load = this->RequestUnderLease(kNew);
+  this->HandleEvent(LoadTargetChanged{.pool = "chat", .manifest = kNewer, .max_loading = 1});
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->Report();
+  this->Advance(load.deadline + seconds(10));
+  this->Report();
+  EXPECT_TRUE(this->controller->BlocksServing());
+}
+
+// Guards against a slot that an engine which hangs before it answers the request takes forever, and
+// against requests to that engine when it wakes and reads the load request.
+TEST_F(LoadControllerTest, HangingEngineReleasesTheSlotAndStaysClosed) {
+  const StartLoad load = this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  for (int i = 0; i <= 10; ++i) {
+    this->HandleEvent(EngineUnreachable{});
+    if (const auto renewal = this->Take<RenewSlot>()) {
+      this->HandleEvent(LeaseRenewed{.call = renewal->call});
+    }
+    this->Advance(seconds(1));
+  }
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  this->Report();
+  EXPECT_TRUE(this->controller->BlocksServing());
+  this->engine.ReceiveLoad(load, load.not_after - seconds(1));
+  this->Advance(milliseconds(100));
+  this->Report();
+  this->engine.Finish();
+  this->Advance(milliseconds(100));
+  this->Report();
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
+// Guards against an engine that stays out of service although the process that had the unanswered
+// request is gone.
+TEST_F(LoadControllerTest, RestartedEngineHasNoUnansweredRequest) {
+  this->RequestUnderLease(kNew);
+  this->HandleEvent(LoadTargetChanged{.pool = "chat", .manifest = kNewer, .max_loading = 1});
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->Advance(milliseconds(100));
+  this->Report();
+  EXPECT_TRUE(this->controller->BlocksServing());
+  this->Advance(milliseconds(100));
+  EngineReported restarted = this->engine.Report(this->now);
+  restarted.incarnation = 2;
+  this->HandleEvent(restarted);
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
+// Guards against taking an engine for another process because it restarted between the last report
+// before the request and the request itself.
+TEST_F(LoadControllerTest, RestartBeforeTheRequestDoesNotSettleIt) {
+  this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  EngineReported restarted = this->engine.Report(this->now);
+  restarted.incarnation = 2;
+  this->HandleEvent(restarted);
+  EXPECT_TRUE(this->controller->BlocksServing());
+}
+
+// Guards against a request for other weights while an unanswered one may still be carried out: an
+// engine that ignores fencing numbers would load both at the same time.
+TEST_F(LoadControllerTest, OtherWeightsWaitForTheUnansweredRequest) {
+  this->engine.checks_fence = false;
+  this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->SetCompleteTarget(kNewer);
+  for (int i = 0; i <= 12; ++i) {
+    this->Advance(seconds(1));
+    this->HandleEvent(EngineUnreachable{});
+  }
+  this->Report();
+  EXPECT_FALSE(this->Take<AcquireSlot>());
+  EXPECT_FALSE(this->Take<StartLoad>());
+}
+
+// Guards against a refusal of a repetition that is taken for the loss of the first request: without
+// a connection nothing is known of it.
+TEST_F(LoadControllerTest, RepetitionThatIsNotSentSettlesNothing) {
+  this->RequestUnderLease(kNew);
+  this->Advance(seconds(3));
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kUnknown});
+  this->Advance(seconds(1));
+  this->Report();
+  ASSERT_TRUE(this->Take<StartLoad>());
+  this->HandleEvent(LoadResponseReceived{.answer = LoadResponse::kNotSent});
+  this->Report();
+  EXPECT_FALSE(this->Take<ReleaseSlot>());
+  EXPECT_TRUE(this->controller->BlocksServing());
+}
+
 // Guards against a load request for incomplete weights, or while the engine is unreachable.
 TEST_F(LoadControllerTest, RequiresCompleteWeightsAndAReachableEngine) {
   this->HandleEvent(LoadTargetChanged{.pool = "chat", .manifest = kNew, .max_loading = 1});
