--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -113,7 +113,26 @@
 
   // ---- load orders ----
 
+  // Plays load requests that are read late: their callers may have given them up.
+  void SetFault(const httplib::Request& request, httplib::Response& response) {
+    const json body = ParseJsonBody(request, response);
+    if (body.is_discarded()) return;
+    const std::lock_guard lock(this->mutex);
+    this->late_loads = body.value("late_loads", this->late_loads);
+    this->late_load_ms = body.value("late_load_ms", this->late_load_ms);
+    ReplyJson(response, {{"late_loads", this->late_loads}, {"late_load_ms", this->late_load_ms}});
+  }
+
+  // Time until the next load request is read.
+  int TakeLateness() {
+    const std::lock_guard lock(this->mutex);
+    if (this->late_loads <= 0) return 0;
+    --this->late_loads;
+    return this->late_load_ms;
+  }
+
   void AcceptLoadOrder(const httplib::Request& request, httplib::Response& response) {
+    SleepMs(this->TakeLateness());
     const json body = ParseJsonBody(request, response);
     if (body.is_discarded()) return;
     const EngineOrder order = {.manifest = body.value("manifest", ""),
@@ -311,6 +330,8 @@
   std::uint64_t incarnation;
   json stats;
   std::string load_error;
+  int late_loads = 0;  // the next load requests, each of which is read late
+  int late_load_ms = 0;
   std::multimap<std::string, std::shared_ptr<Answer>> answers;
   std::map<std::string, std::uint64_t> runs;
 };
@@ -334,6 +355,8 @@
              [&self](const auto&, auto& response) { ReplyJson(response, self.Stats()); });
   server.Get("/admin/runs",
              [&self](const auto&, auto& response) { ReplyJson(response, self.Runs()); });
+  server.Post("/admin/fault",
+              [&self](const auto& request, auto& response) { self.SetFault(request, response); });
   server.Post("/admin/crash", [&self](const auto&, auto&) { self.Crash(); });
 }
 
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -23,7 +23,8 @@
   BatchOptions batch = {};
 };
 
-// Serves the engine's interface (docs/design.md, section 7).
+// Serves the engine's interface (docs/design.md, section 7). POST /admin/fault {late_loads: N,
+// late_load_ms: MS}: the next N load requests are read MS late, while other calls are answered.
 class Engine {
  public:
   // `preserved`: the state saved at the engine's last crash.
