Name in a load request the time after which the load must not begin

Cause: a load request carried only `deadline_ms`, which the engine counts from when it has read the request. Read late, the load begins after the lease that it was sent under, beside a load of the slot's next holder.

Change: the request names `not_after_unix_ms` as well; agent and engine share a machine. The load controller does not rely on it.

--- a/src/apps/late_load_test.cc
+++ b/src/apps/late_load_test.cc
@@ -19,7 +19,7 @@
 using std::chrono::seconds;
 
 constexpr int kBasePort = 12'700;
-constexpr std::uint64_t kWeightsBytes = 256 * 1024;
+constexpr std::uint64_t kWeightsBytes = std::uint64_t{256} * 1024;
 constexpr int kLateMs = 6'000;  // the agent gives a load request up after 3 s
 constexpr int kCallers = 4;
 constexpr Duration kStepTimeout = seconds(40);
@@ -123,6 +123,7 @@
 // load request that the agent had given up, after the version was taken back.
 TEST_F(LateLoadTest, RequestReadLateFindsTheGateClosed) {
   std::vector<std::jthread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) callers.emplace_back([this] { this->SendRequests(); });
   EXPECT_TRUE(this->Await([this] { return this->answered > 0; }));
   const nlohmann::json fault = {{"late_loads", 1}, {"late_load_ms", kLateMs}};
--- a/src/distribution/engine_client.cc
+++ b/src/distribution/engine_client.cc
@@ -36,14 +36,22 @@
   return state;
 }
 
+std::int64_t UnixMs() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 LoadResponse SendLoad(HttpClient& client, const StartLoad& request, const std::string& address) {
+  // Read first: a pause between the two clocks then makes the named time earlier, not later.
+  const std::int64_t unix_ms = UnixMs();
   const Instant now = MonotonicClock::now();
   if (now >= request.not_after) return LoadResponse::kNotSent;
   const std::string hex = request.manifest.Hex();
   const json body = {{"manifest", hex},
                      {"url", "http://" + address + "/weights/" + hex},
                      {"fence", request.fence},
-                     {"deadline_ms", ToMillis(request.not_after - now)}};
+                     {"deadline_ms", ToMillis(request.not_after - now)},
+                     {"not_after_unix_ms", unix_ms + ToMillis(request.not_after - now)}};
   const auto answer = client.Call({.method = "POST",
                                    .target = "/v1/load",
                                    .body = body.dump(),
--- a/src/distribution/load_controller.h
+++ b/src/distribution/load_controller.h
@@ -86,8 +86,8 @@
   std::string lease;
   std::uint64_t fence = 0;
 };
-// POST /v1/load; must not be sent at or after `not_after`. `deadline` is the time within which the
-// engine must begin the load.
+// POST /v1/load; must not be sent at or after `not_after`, nor begin then. `deadline` is the time
+// left until then, for engines that know no other limit.
 struct StartLoad {
   Digest manifest;
   std::uint64_t fence = 0;
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -31,6 +31,12 @@
   if (ms > 0) std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+// Times until which a load may begin; 0: not named.
+struct LoadLimits {
+  int deadline_ms = 0;  // counted from when the engine has read the order
+  std::uint64_t not_after_unix_ms = 0;
+};
+
 // A parsed generation request.
 struct Prompt {
   std::string text = {};
@@ -152,15 +158,23 @@
     }
     ReplyJson(response, json::object(), 202);
     if (decision == OrderDecision::kNothingToDo) return;
-    const int deadline_ms = body.value("deadline_ms", 0);
-    std::thread([this, source = source.value(), load, deadline_ms] {
-      this->Load(source, load, deadline_ms);
+    const LoadLimits limits = {
+        .deadline_ms = body.value("deadline_ms", 0),
+        .not_after_unix_ms = body.value("not_after_unix_ms", std::uint64_t{0})};
+    std::thread([this, source = source.value(), load, limits] {
+      this->Load(source, load, limits);
     }).detach();
   }
 
-  void Load(const WeightsSource& source, std::uint64_t load, int deadline_ms) {
+  bool IsExpired(const LoadLimits& limits) const {
+    const bool named = this->options.check_not_after && limits.not_after_unix_ms > 0;
+    if (named && UnixMs() >= limits.not_after_unix_ms) return true;
+    return limits.deadline_ms > 0 && this->options.order_delay_ms > limits.deadline_ms;
+  }
+
+  void Load(const WeightsSource& source, std::uint64_t load, const LoadLimits& limits) {
     SleepMs(this->options.order_delay_ms);
-    if (deadline_ms > 0 && this->options.order_delay_ms > deadline_ms) {
+    if (this->IsExpired(limits)) {
       this->Increment("orders_expired");
       return this->EndLoad(load, false);
     }
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -14,12 +14,13 @@
 
 struct EngineOptions {
   bool check_fence = true;
-  int load_ms = 0;         // added to each load, spread over its layers
-  int order_delay_ms = 0;  // time between accepting a load order and starting it
-  int first_part_ms = 0;   // time to the first part of an answer
-  int part_ms = 10;        // between parts, unless the request names a time
-  int restart_ms = 500;    // from a crash to the next start
-  std::string crash_word;  // prompts with this word crash the engine; empty: none
+  bool check_not_after = true;  // false: counts deadline_ms from when it has read a load request
+  int load_ms = 0;              // added to each load, spread over its layers
+  int order_delay_ms = 0;       // time between accepting a load order and starting it
+  int first_part_ms = 0;        // time to the first part of an answer
+  int part_ms = 10;             // between parts, unless the request names a time
+  int restart_ms = 500;         // from a crash to the next start
+  std::string crash_word = {};  // prompts with this word crash the engine; empty: none
   BatchOptions batch = {};
 };
 
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -12,6 +12,8 @@
   int load_lag_ms = 0;
   savory::standins::StandinOptions options("standin-engine", "inference engine for tests");
   options.Add("check-fence", settings.check_fence, "reject orders with an old fencing number");
+  options.Add("check-not-after", settings.check_not_after,
+              "begin no load after the not_after_unix_ms of its order");
   options.Add("load-ms", settings.load_ms, "time added to each load, in milliseconds");
   options.Add("order-delay-ms", settings.order_delay_ms,
               "time between accepting a load order and starting it; orders with a shorter "
