Decide a load request on the state of the engine after draining

Cause: the load controller judged the engine's state before it acquired the slot, and requested the load when the last request had ended, however much later. By then the engine may have stopped answering, so that a hung engine keeps the request for later, or may have these weights.

Evidence: LoadControllerTest.RequestIsDecidedOnTheStateAfterDraining failed on the commit before (x86_64).

Change: if the newest state calls for no load, draining ends and the slot is released.

--- a/src/distribution/load_controller.cc
+++ b/src/distribution/load_controller.cc
@@ -187,6 +187,11 @@
     this->EndLoad(now, true);
     return;
   }
+  // The engine may have changed while its requests ended.
+  if (this->step == Step::kDraining && !this->NeedsLoad()) {
+    this->EndLoad(now, false);
+    return;
+  }
   if (this->step == Step::kDraining && this->idle) this->SendLoad(now);
   if (this->step == Step::kLoading && this->unanswered) this->RepeatLoad(now);
   const bool overdue =
--- a/src/distribution/load_controller_test.cc
+++ b/src/distribution/load_controller_test.cc
@@ -334,6 +334,25 @@
   EXPECT_FALSE(this->controller->BlocksServing());
 }
 
+// Guards against a load request that was decided on an old state: to an engine that stopped
+// answering while its requests ended, or that has these weights by now.
+TEST_F(LoadControllerTest, RequestIsDecidedOnTheStateAfterDraining) {
+  this->SetCompleteTarget(kNew);
+  this->Grant();
+  this->HandleEvent(LoadTick{.idle = false});
+  this->HandleEvent(EngineUnreachable{});
+  this->HandleEvent(LoadTick{.idle = true});
+  EXPECT_FALSE(this->Take<StartLoad>());
+  EXPECT_TRUE(this->Take<ReleaseSlot>());
+  this->Report();
+  this->Grant();
+  this->engine.loaded = kNew;
+  this->Report();
+  this->HandleEvent(LoadTick{.idle = true});
+  EXPECT_FALSE(this->Take<StartLoad>());
+  EXPECT_FALSE(this->controller->BlocksServing());
+}
+
 // ---- load requests without a reply ----
 
 // Guards against an engine that gets new requests, or loses its slot to another one, while it may
