Count a pause of the agent against the time left of requests that waited for it

A request could run after its caller had been answered 'outcome unknown' or had left.

Cause: a start message names the time left when it was sent, and the gate counted it from when it handled the message. After a pause of the agent (its VM suspended, the process stopped) that is up to the length of the pause later.

Evidence: UpstreamGateTest.StartReadAfterAPauseMayBeAsOldAsThePause failed with the event in place and no effect (x86_64); PauseShortensOnlyStartsThatMayHaveWaited passed before and holds what must not change.

Change: the driver tells the gate of a gap of more than 1 s between two events, which come every 100 ms at least, and logs `gate_paused`. Starts handled within 250 ms after it have as much less time left; one without any is refused, which is certain ('not run').

--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -27,6 +27,9 @@
 // Without attempts a tick only expires records and probes the upstream. Fewer wake-ups keep the
 // process within its CPU budget for control work.
 constexpr Duration kIdleTickPeriod = std::chrono::milliseconds(100);
+// The gate handles an event at least once per kIdleTickPeriod; after a longer gap, the process was
+// paused.
+constexpr Duration kPauseThreshold = std::chrono::seconds(1);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 constexpr Duration kSubscriptionLifetime = std::chrono::seconds(15);
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
@@ -92,6 +95,7 @@
   bool engine_probing = false;
   bool idle_tick = false;  // the next tick was scheduled with kIdleTickPeriod
   EventLoop::TimerId tick = 0;
+  Instant last_fed = {};
 
   Impl(Node& node, GateDriverOptions given)
       : node(node),
@@ -106,6 +110,7 @@
 
   void Start();
   void Feed(const GateEvent& event);
+  void FeedPause(Duration length, Instant now);
   void ScheduleTick();
   void CountBytes(std::size_t bytes) const {
     if (this->on_bytes) this->on_bytes(bytes);
@@ -157,17 +162,28 @@
                   [this](const wire::Envelope& message, std::span<const std::byte>) {
                     this->OnSubscribe(message);
                   });
+  this->last_fed = this->node.loop.Now();
   this->ScheduleTick();
   this->node.loop.Every(kReportPeriod, [this] { this->Do(ReportLoad{}); });
 }
 
 void GateDriver::Impl::Feed(const GateEvent& event) {
-  for (const GateAction& action : this->gate.Handle(event, this->node.loop.Now())) {
+  const Instant now = this->node.loop.Now();
+  const Duration gap = now - std::exchange(this->last_fed, now);
+  if (gap > kPauseThreshold) this->FeedPause(gap, now);
+  for (const GateAction& action : this->gate.Handle(event, now)) {
     std::visit([this](const auto& typed) { this->Do(typed); }, action);
   }
   if (this->idle_tick && !this->gate.IsIdle()) this->ScheduleTick();
 }
 
+void GateDriver::Impl::FeedPause(Duration length, Instant now) {
+  Log(LogLevel::kWarn, "gate_paused", {{"for_ms", ToMillis(length)}});
+  for (const GateAction& action : this->gate.Handle(GatePaused{.length = length}, now)) {
+    std::visit([this](const auto& typed) { this->Do(typed); }, action);
+  }
+}
+
 void GateDriver::Impl::ScheduleTick() {
   this->node.loop.Cancel(this->tick);
   this->idle_tick = this->gate.IsIdle();
--- a/src/gate/gate_events.h
+++ b/src/gate/gate_events.h
@@ -41,6 +41,10 @@
   std::uint32_t next_part = 0;  // first part that the entry has not received
   bool bulk_lane = false;       // answer over the connection of the bulk lane
 };
+// This process did not run for `length` until now, so that messages handled soon may be as old.
+struct GatePaused {
+  Duration length = {};
+};
 // The upstream's status line and headers arrived. They become part 0.
 struct HeadReceived {
   AttemptKey id;
@@ -73,8 +77,8 @@
 struct GateTick {};
 
 using GateEvent =
-    std::variant<StartReceived, CancelReceived, QueryReceived, HeadReceived, BodyReceived,
-                 CallEnded, UpstreamProbed, ReadinessSet, DrainRequested, GateTick>;
+    std::variant<StartReceived, CancelReceived, QueryReceived, GatePaused, HeadReceived,
+                 BodyReceived, CallEnded, UpstreamProbed, ReadinessSet, DrainRequested, GateTick>;
 
 // ---- actions ----
 
--- a/src/gate/upstream_gate.cc
+++ b/src/gate/upstream_gate.cc
@@ -48,8 +48,9 @@
   }
   Record& record = this->records[event.id];
   record.start = event;
-  record.deadline = this->now + event.time_left;
-  const std::optional<ErrorKind> refusal = this->RefusalFor(event);
+  if (this->now < this->waiting_until) record.start.time_left -= this->pause;
+  record.deadline = this->now + record.start.time_left;
+  const std::optional<ErrorKind> refusal = this->RefusalFor(record.start);
   if (refusal.has_value() || !this->MakeRoomFor(event)) {
     this->End(event.id, record, wire::ATTEMPT_NOT_RUN, refusal.value_or(ErrorKind::kOverloaded));
     return;
@@ -154,6 +155,11 @@
                                   .bulk_lane = query.bulk_lane});
 }
 
+void UpstreamGate::On(const GatePaused& event) {
+  this->pause = event.length;
+  this->waiting_until = this->now + this->options.pause_settle_time;
+}
+
 void UpstreamGate::On(const HeadReceived& event) {
   const auto found = this->records.find(event.id);
   if (found == this->records.end() || found->second.state != State::kRunning) return;
--- a/src/gate/upstream_gate.h
+++ b/src/gate/upstream_gate.h
@@ -29,6 +29,8 @@
   // A non-idempotent call may run this long beyond its deadline, so that queries can return its
   // outcome.
   Duration max_overrun = std::chrono::seconds(30);
+  // Within it after a pause of this process, messages that waited meanwhile are handled.
+  Duration pause_settle_time = std::chrono::milliseconds(250);
 };
 
 // Sends each attempt to the upstream at most once, and only while the upstream serves the weights
@@ -69,6 +71,7 @@
   void On(const StartReceived& event);
   void On(const CancelReceived& event);
   void On(const QueryReceived& event);
+  void On(const GatePaused& event);
   void On(const HeadReceived& event);
   void On(const BodyReceived& event);
   void On(const CallEnded& event);
@@ -123,6 +126,8 @@
   // Used as the incarnation of plain services, which do not report one.
   std::uint64_t outages = 0;
   double mean_service_seconds = 0;
+  Duration pause = {};         // the last pause of this process
+  Instant waiting_until = {};  // a start that is handled before may have waited during `pause`
 
   // Valid during Handle().
   Instant now = {};
--- a/src/gate/upstream_gate_test.cc
+++ b/src/gate/upstream_gate_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <sstream>
 
 #include "base/golden_test_util.h"
@@ -237,5 +238,46 @@
   session.ExpectGolden("queue");
 }
 
+constexpr Duration kPause = std::chrono::seconds(8);
+
+std::vector<GateAction> StartAfterPause(Duration time_left, Duration after) {
+  UpstreamGate gate({.incarnation = kIncarnation, .engine = false});
+  Instant now = Instant(std::chrono::hours(1));
+  gate.Handle(GateTick{}, now);
+  now += kPause;
+  gate.Handle(GatePaused{.length = kPause}, now);
+  now += after;
+  return gate.Handle(
+      StartReceived{.id = {.entry_vm = "edge", .entry_incarnation = 1, .sequence = 1},
+                    .agent_incarnation = kIncarnation,
+                    .time_left = time_left},
+      now);
+}
+
+bool Calls(const std::vector<GateAction>& actions) {
+  return std::any_of(actions.begin(), actions.end(), [](const GateAction& action) {
+    return std::holds_alternative<CallUpstream>(action);
+  });
+}
+
+// Guards against a request that runs after its caller has left: a start that waited while the agent
+// was paused has less time left than it says.
+TEST(UpstreamGateTest, StartReadAfterAPauseMayBeAsOldAsThePause) {
+  const std::vector<GateAction> actions = StartAfterPause(std::chrono::seconds(5), {});
+  EXPECT_FALSE(Calls(actions));
+  const auto end = std::find_if(actions.begin(), actions.end(), [](const GateAction& action) {
+    return std::holds_alternative<SendEnd>(action);
+  });
+  ASSERT_NE(end, actions.end());
+  EXPECT_EQ(std::get<SendEnd>(*end).outcome, wire::ATTEMPT_NOT_RUN);
+  EXPECT_EQ(std::get<SendEnd>(*end).reason, ErrorKind::kDeadlineUnmeetable);
+}
+
+// Guards against refusing requests that have time left, or that came after the pause.
+TEST(UpstreamGateTest, PauseShortensOnlyStartsThatMayHaveWaited) {
+  EXPECT_TRUE(Calls(StartAfterPause(std::chrono::seconds(9), {})));
+  EXPECT_TRUE(Calls(StartAfterPause(std::chrono::seconds(5), std::chrono::seconds(1))));
+}
+
 }  // namespace
 }  // namespace savory
