The soak remembers since when each staged chunk has been bad

The soak could not see that: it kept one time of corruption for each upstream, which every new corruption overwrote and which excused any other chunk, missing ones and those of another version included.

Now it remembers for each chunk since when it has been bad, until it is staged correctly again, over restarts of the engine too. A load that is accepted with a chunk that has been bad for 3 s makes these weights bad until the version is loaded again; every request that begins on them is a violation, 'whole', which nothing excuses.

Against the check before: - A chunk that has been bad for long is no longer excused by a later corruption of itself or of another chunk. - Missing chunks and those of another version are never excused; before, any corruption of the upstream within 3 s excused them. That is stricter than the users' rule may mean, if a chunk of another version was put over a correct one within the 3 s. - Every request counts, not the load alone, and requests that still wait for the version before are judged by its load. - A bad load on which no request ever begins is no violation any more, as agents may refuse to use it and load again.

A staged chunk that is corrupted twice stays corrupt: the same byte was flipped back before, so that the chunk was correct again.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -131,8 +131,20 @@
   std::erase_if(this->requested_waits, [vm](const auto& row) { return row.first.first == vm; });
 }
 
-void Checker::OnStagedChunkCorrupted(std::string_view upstream, Instant now) {
-  this->corrupted_at[std::string(upstream)] = now;
+void Checker::OnStagedChunkCorrupted(std::string_view upstream, std::uint32_t chunk, Instant now) {
+  this->staged_chunks.OnCorrupted(upstream, chunk, now);
+}
+
+void Checker::OnStagedChunksLost(std::string_view upstream) {
+  this->staged_chunks.OnAllLost(upstream);
+}
+
+void Checker::OnStagedChunksKept(std::string_view upstream, std::string_view next) {
+  this->staged_chunks.OnReplaced(upstream, next);
+}
+
+void Checker::OnChunkStaged(std::string_view upstream, std::uint32_t chunk, std::uint64_t version) {
+  this->staged_chunks.OnStaged(upstream, chunk, version);
 }
 
 void Checker::OnRouteChanged(std::string_view route, std::uint64_t version, std::string_view pool,
@@ -453,6 +465,7 @@
 
 void Checker::OnRun(const ArrivedRequest& arrived, Instant now) {
   ++this->counts.runs;
+  this->CheckWholeWeights(arrived);
   Request* request = this->Find(arrived.attempt_id);
   if (request == nullptr) return;
   const SentRequest& sent = request->sent;
@@ -583,15 +596,20 @@
   }
 }
 
-void Checker::OnLoad(std::string_view upstream, std::uint64_t version, bool complete, Instant now) {
+void Checker::OnLoad(std::string_view upstream, std::uint64_t version, std::uint32_t chunks,
+                     bool complete, Instant now) {
   ++this->counts.loads;
-  const auto corrupted_at = this->corrupted_at.find(upstream);
-  const bool excused = corrupted_at != this->corrupted_at.end() &&
-                       now < corrupted_at->second + this->options.corruption_tolerance;
-  if (complete || excused) return;
-  this->AddViolation("whole-weights",
-                     std::string(upstream) + " loads version " + std::to_string(version) +
-                         " from staged chunks that are corrupt or of another version");
+  if (!this->staged_chunks.OnLoad(upstream, version, chunks, complete, now)) {
+    ++this->counts.bad_loads;
+  }
+}
+
+void Checker::CheckWholeWeights(const ArrivedRequest& arrived) {
+  const auto fault = this->staged_chunks.FindBadLoad(arrived.upstream, arrived.weights_version);
+  if (!fault) return;
+  this->AddViolation("whole", arrived.attempt_id + " began at " + arrived.upstream +
+                                  " on version " + std::to_string(arrived.weights_version) +
+                                  ", loaded with " + *fault);
 }
 
 std::pair<std::uint64_t, std::uint64_t> Checker::ServedSince(Instant since) const {
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -15,6 +15,7 @@
 #include "platform/testing/engine_standin.h"
 #include "soak/planned_work_rule.h"
 #include "soak/request_trace.h"
+#include "soak/staged_chunks_rule.h"
 
 namespace savory {
 
@@ -33,7 +34,8 @@
   Duration answer_tolerance = std::chrono::milliseconds(500);
   // The run of a request must end within this time after its caller disconnected.
   Duration cancel_tolerance = std::chrono::milliseconds(500);
-  // Loading a staged chunk that the run corrupted less than this long ago is no violation.
+  // Requests may run on weights with a staged chunk that turned bad less than this long before the
+  // load was accepted.
   Duration corruption_tolerance = std::chrono::milliseconds(3000);
   // After this time no request may begin on weights older than the published version.
   Duration weights_rollout_limit = std::chrono::seconds(8);
@@ -77,6 +79,7 @@
   std::uint64_t abandoned = 0;   // callers that disconnected or timed out
   std::uint64_t runs = 0;
   std::uint64_t loads = 0;
+  std::uint64_t bad_loads = 0;       // no request may begin on their weights
   std::uint64_t pipelined_lost = 0;  // behind an answer after which the connection was closed
 };
 
@@ -113,7 +116,10 @@
   void OnEntryPaused(std::string_view vm);
   // As OnEntryPaused(), but requests to wait only.
   void OnEntryCut(std::string_view vm);
-  void OnStagedChunkCorrupted(std::string_view upstream, Instant now);
+  void OnStagedChunkCorrupted(std::string_view upstream, std::uint32_t chunk, Instant now);
+  void OnStagedChunksLost(std::string_view upstream);
+  // The upstream has another id after a restart; what was staged is kept.
+  void OnStagedChunksKept(std::string_view upstream, std::string_view next);
 
   // ---- changes ----
   // From `version` of the rules on, requests of `route` belong to `pool`.
@@ -139,7 +145,12 @@
   // The upstream's answer to the request says something about the upstream.
   void OnNotice(const platform::ArrivedRequest& request, const platform::UpstreamNotice& notice,
                 Instant now);
-  void OnLoad(std::string_view upstream, std::uint64_t version, bool complete, Instant now);
+  // `version`: whose chunk the bytes are; 0 if they are correct for none.
+  void OnChunkStaged(std::string_view upstream, std::uint32_t chunk, std::uint64_t version);
+  // A load of `version`, which has `chunks` chunks, was accepted. `complete`: all of them are
+  // correct.
+  void OnLoad(std::string_view upstream, std::uint64_t version, std::uint32_t chunks, bool complete,
+              Instant now);
 
   // Records a violation; also used by the run for checks made outside this class.
   void AddViolation(std::string_view rule, const std::string& detail);
@@ -199,6 +210,7 @@
   void CheckCrashing(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckRoute(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckWeights(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
+  void CheckWholeWeights(const platform::ArrivedRequest& arrived);
   void Count(const platform::CallerAnswer& answer);
 
   CheckerOptions options;
@@ -241,7 +253,7 @@
   bool IsDisturbedByCrashing(const Request& request) const;
   // Whether it was sent while requests with a known crashing part came.
   bool IsBesideCrashing(const Request& request) const;
-  std::map<std::string, Instant, std::less<>> corrupted_at = {};
+  StagedChunksRule staged_chunks{this->options.corruption_tolerance};
   std::map<std::string, std::vector<RouteChange>, std::less<>> route_changes = {};
   std::map<std::uint64_t, Instant> weights_published_at = {};  // version -> publication time
   // (entry VM, route) -> newest route change seen in its requests, and when it was seen.
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::uint32_t kChunks = 8;
+
 class CheckerTest : public ::testing::Test {
  protected:
   void Send(const std::string& id, RequestKind kind, bool resumable = false) {
@@ -78,6 +80,24 @@
     this->checker.OnArrived(ArrivedAt(id, upstream), this->now);
   }
 
+  void StageAll(const std::string& upstream, std::uint64_t version) {
+    for (std::uint32_t chunk = 0; chunk < kChunks; ++chunk) {
+      this->checker.OnChunkStaged(upstream, chunk, version);
+    }
+  }
+
+  // A load for which some staged bytes are not correct.
+  void Load(const std::string& upstream, std::uint64_t version) {
+    this->checker.OnLoad(upstream, version, kChunks, false, this->now);
+  }
+
+  void RunOn(const std::string& id, const std::string& upstream, std::uint64_t version) {
+    this->Send(id, RequestKind::kIdempotent);
+    ArrivedRequest request = ArrivedAt(id, upstream);
+    request.weights_version = version;
+    this->Run(request);
+  }
+
   void ExpectOnly(const std::string& rule) {
     ASSERT_EQ(this->checker.Violations().size(), 1u);
     EXPECT_EQ(this->checker.Violations()[0].rule, rule);
@@ -451,12 +471,112 @@
   EXPECT_TRUE(this->checker.Violations().empty());
 }
 
-TEST_F(CheckerTest, FindsLoadOfCorruptChunksUnlessInjected) {
-  this->checker.OnStagedChunkCorrupted("u2", this->now);
-  this->checker.OnLoad("u2", 2, false, this->now);
+// Guards against requests on weights with a chunk that was bad for longer than is allowed.
+TEST_F(CheckerTest, FindsRequestOnChunksThatWereBadForLong) {
+  this->StageAll("u1", 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->now += milliseconds(2999);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->now += milliseconds(1);
+  this->Load("u1", 2);
+  this->RunOn("b", "u1", 2);
+  this->ExpectOnly("whole");
+}
+
+// Guards against a chunk that is excused by a later corruption, of itself or of another chunk.
+TEST_F(CheckerTest, LaterCorruptionExcusesNoChunkThatIsBadForLong) {
+  this->StageAll("u1", 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->now += seconds(3);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->checker.OnStagedChunkCorrupted("u1", 4, this->now);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  this->ExpectOnly("whole");
+}
+
+TEST_F(CheckerTest, ChunkIsBadUntilItIsStagedCorrectly) {
+  this->StageAll("u1", 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->now += seconds(2);
+  this->checker.OnChunkStaged("u1", 3, 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->now += seconds(2);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  EXPECT_TRUE(this->checker.Violations().empty());
+}
+
+// Guards against weights that are mixed from two versions, or lack a chunk.
+TEST_F(CheckerTest, MissingChunksAndOtherVersionsAreNeverExcused) {
+  this->StageAll("u1", 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->checker.OnChunkStaged("u1", 5, 1);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  this->ExpectOnly("whole");
+  this->Load("u2", 2);
+  this->RunOn("b", "u2", 2);
+  EXPECT_EQ(this->checker.Violations().size(), 2u);
+}
+
+// Guards against bytes that turned bad without a fault of the run.
+TEST_F(CheckerTest, FindsRequestOnChunksThatTurnedBadUnseen) {
+  this->StageAll("u1", 2);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  this->ExpectOnly("whole");
+}
+
+// An agent may refuse to use what its engine has loaded, and load again.
+TEST_F(CheckerTest, BadLoadIsNoViolationUnlessARequestBegins) {
+  this->Load("u1", 2);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  EXPECT_EQ(this->checker.Counts().bad_loads, 1u);
+  this->checker.OnLoad("u1", 2, kChunks, true, this->now);
+  this->RunOn("a", "u1", 2);
   EXPECT_TRUE(this->checker.Violations().empty());
-  this->checker.OnLoad("u1", 2, false, this->now);
-  this->ExpectOnly("whole-weights");
+}
+
+// Guards against a bad load of the next version that counts for requests on the current one.
+TEST_F(CheckerTest, RequestsThatWaitedBeginOnTheVersionBefore) {
+  this->checker.OnLoad("u1", 1, kChunks, true, this->now);
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 1);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->RunOn("b", "u1", 2);
+  this->ExpectOnly("whole");
+}
+
+// Guards against pauses, kills and slowness that excuse requests on bad weights.
+TEST_F(CheckerTest, DisturbanceExcusesNoRequestOnBadWeights) {
+  for (const char* component : {"entry-1", "store", "origin"}) {
+    this->checker.MarkDisturbed(component, this->now, seconds(60));
+  }
+  this->checker.MarkLinkDisturbed("u1", this->now, seconds(60));
+  this->checker.OnEntryPaused("entry-1");
+  this->Load("u1", 2);
+  this->RunOn("a", "u1", 2);
+  this->ExpectOnly("whole");
+}
+
+// Guards against a restart that makes the checker forget since when a chunk has been bad.
+TEST_F(CheckerTest, StagedChunksStayBadOverRestartsAndNotOverLossOfPower) {
+  this->StageAll("u1", 2);
+  this->checker.OnStagedChunkCorrupted("u1", 3, this->now);
+  this->now += seconds(3);
+  this->checker.OnStagedChunksKept("u1", "u1-2");
+  this->Load("u1-2", 2);
+  this->RunOn("a", "u1-2", 2);
+  this->ExpectOnly("whole");
+  this->checker.OnStagedChunksLost("u1-2");
+  this->StageAll("u1-2", 2);
+  this->checker.OnStagedChunkCorrupted("u1-2", 3, this->now);
+  this->Load("u1-2", 2);
+  this->RunOn("b", "u1-2", 2);
+  EXPECT_EQ(this->checker.Violations().size(), 1u);
 }
 
 TEST_F(CheckerTest, FindsRunOnOutdatedWeights) {
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -37,6 +37,7 @@
                                  {"left", result.counts.abandoned},
                                  {"runs", result.counts.runs},
                                  {"loads", result.counts.loads},
+                                 {"bad_loads", result.counts.bad_loads},
                                  {"served_at_end", result.served_at_end},
                                  {"pipelined_lost", result.counts.pipelined_lost},
                                  {"begun_answers_ended", result.notes.size()},
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -96,11 +96,19 @@
   return engine ? kEngineSlotsForLongAnswers : kPlainSlotsForLongAnswers;
 }
 
+std::uint64_t SoakUpstreams::VersionOf(std::uint32_t chunk, std::string_view bytes) const {
+  const Digest digest = Sha256(bytes);
+  std::uint64_t version = this->weights_version;
+  while (version > 0 && this->origin.ChunkDigest(version, chunk) != digest) --version;
+  return version;
+}
+
 void SoakUpstreams::StartUpstream(std::size_t index) {
   ManagedUpstream& managed = this->upstreams[index];
   const bool engine = this->layout.IsEngine(index);
   ++managed.starts;
   managed.leaving = false;
+  const std::string id_before = managed.record.id;
   managed.record = {.id = "u" + std::to_string(index) + "-" + std::to_string(managed.starts),
                     .pool = this->layout.PoolOf(index),
                     .address = this->layout.PublicAddress(index),
@@ -108,6 +116,7 @@
                     .slots = this->SlotsOf(engine),
                     .started_unix_ms = ToMillis(this->loop.Now().time_since_epoch()),
                     .is_engine = engine};
+  this->checker.OnStagedChunksKept(id_before, managed.record.id);
   managed.standin = std::make_unique<EngineStandin>(
       this->loop, *this,
       platform::EngineStandinOptions{.upstream = managed.record,
@@ -142,7 +151,9 @@
 void SoakUpstreams::LosePower(Duration downtime) {
   for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
     this->Crash(i, downtime);
-    if (!this->upstreams[i].standin) this->upstreams[i].staged.clear();
+    if (this->upstreams[i].standin) continue;
+    this->upstreams[i].staged.clear();
+    this->checker.OnStagedChunksLost(this->upstreams[i].record.id);
   }
 }
 
@@ -229,8 +240,9 @@
   if (!managed.standin || managed.standin->Staged().empty()) return;
   auto chunk = managed.standin->Staged().begin();
   std::advance(chunk, static_cast<std::ptrdiff_t>(seed % managed.standin->Staged().size()));
-  chunk->second[chunk->second.size() / 3] ^= 1;
-  this->checker.OnStagedChunkCorrupted(managed.record.id, this->loop.Now());
+  // Not undone by the next corruption.
+  ++chunk->second[chunk->second.size() / 3];
+  this->checker.OnStagedChunkCorrupted(managed.record.id, chunk->first, this->loop.Now());
 }
 
 void SoakUpstreams::SwitchRoutePool() {
@@ -307,8 +319,12 @@
                              const platform::UpstreamNotice& notice) {
   this->checker.OnNotice(request, notice, this->loop.Now());
 }
+void SoakUpstreams::OnChunkStaged(std::string_view upstream, std::uint32_t chunk,
+                                  std::string_view bytes) {
+  this->checker.OnChunkStaged(upstream, chunk, this->VersionOf(chunk, bytes));
+}
 void SoakUpstreams::OnLoad(std::string_view upstream, std::uint64_t version, bool complete) {
-  this->checker.OnLoad(upstream, version, complete, this->loop.Now());
+  this->checker.OnLoad(upstream, version, this->origin.ChunkCount(), complete, this->loop.Now());
 }
 
 }  // namespace savory
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -66,6 +66,8 @@
   void OnInterrupted(std::string_view attempt_id) override;
   void OnNotice(const platform::ArrivedRequest& request,
                 const platform::UpstreamNotice& notice) override;
+  void OnChunkStaged(std::string_view upstream, std::uint32_t chunk,
+                     std::string_view bytes) override;
   void OnLoad(std::string_view upstream, std::uint64_t version, bool complete) override;
 
  private:
@@ -79,6 +81,8 @@
   };
 
   std::uint32_t SlotsOf(bool engine) const;
+  // 0 if the bytes are a correct chunk of no version.
+  std::uint64_t VersionOf(std::uint32_t chunk, std::string_view bytes) const;
   void StartUpstream(std::size_t index);
   void DestroyUpstream(std::size_t index);
   void ServeOn(std::size_t index, Duration extra);
