Plan 8 of the soak: staged chunks turn bad beside loads in trouble

Plan 7 could not show that: it spoils one chunk of one engine, rarely beside a load, its weights have 8 chunks, and its engines answer their agents at once and never carry out what these gave up.

Plan 8 has 48 chunks, engines that carry out calls of agents that were given up, and new weights every 3 to 6 s. Its kinds: a fifth of the chunks of one or several engines turn bad at once; the same again and again until engines load; engines answer their agents in 20 to 500 ms a call; engines hang for 0.5 to 4 s; an engine hangs, or its agent is paused or killed, as the load request arrives or between staging and that, and a fifth of its chunks turn bad then; versions follow each other quickly. One seed in four mixes them with all older kinds.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 49> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 58> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -65,9 +65,18 @@
     {FaultKind::kUpstreamHangs, "upstream-hangs", 8},
     {FaultKind::kUpstreamBreaksOff, "upstream-breaks-off-all", 12},
     {FaultKind::kEnginesFallSilent, "engines-fall-silent", 12},
+    {FaultKind::kChunksCorrupted, "staged-pieces-spoilt", 12},
+    {FaultKind::kChunksCorruptedAtEngines, "staged-pieces-spoilt-at-engines", 10},
+    {FaultKind::kWeightsPublishedChunkCorrupted, "weights-named-pieces-spoilt", 14},
+    {FaultKind::kAgentCallsSlow, "agent-calls-slow", 16},
+    {FaultKind::kEngineHangs, "engine-hangs", 12},
+    {FaultKind::kWeightsPublishedEngineHangs, "weights-named-engine-hangs", 14},
+    {FaultKind::kWeightsPublishedAgentPaused, "weights-named-agent-paused", 12},
+    {FaultKind::kWeightsPublishedAgentKilled, "weights-named-agent-killed", 10},
+    {FaultKind::kVersionsQuickly, "versions-quickly", 8},
 }};
 
-// Of the plans without unplanned disruption of entry VMs, the store and links.
+// Of plan 7 without unplanned disruption of entry VMs, the store and links.
 constexpr std::array<FaultKind, 16> kPlannedWorkKinds = {FaultKind::kEntriesStoppedInTurn,
                                                          FaultKind::kEntryStopped,
                                                          FaultKind::kEntryReloaded,
@@ -84,6 +93,24 @@
                                                          FaultKind::kWeightsPublished,
                                                          FaultKind::kBurst,
                                                          FaultKind::kEnginesFallSilent};
+// Of plan 8 without disruption of entry VMs, the store and links.
+constexpr std::array<FaultKind, 17> kLoadKinds = {FaultKind::kChunksCorrupted,
+                                                  FaultKind::kChunksCorruptedAtEngines,
+                                                  FaultKind::kWeightsPublishedChunkCorrupted,
+                                                  FaultKind::kAgentCallsSlow,
+                                                  FaultKind::kEngineHangs,
+                                                  FaultKind::kWeightsPublishedEngineHangs,
+                                                  FaultKind::kWeightsPublishedAgentPaused,
+                                                  FaultKind::kWeightsPublishedAgentKilled,
+                                                  FaultKind::kVersionsQuickly,
+                                                  FaultKind::kStagedChunkCorrupted,
+                                                  FaultKind::kAgentKilled,
+                                                  FaultKind::kAgentPaused,
+                                                  FaultKind::kUpstreamCrashed,
+                                                  FaultKind::kUpstreamSlowsDown,
+                                                  FaultKind::kUpstreamSlow,
+                                                  FaultKind::kWeightsPublished,
+                                                  FaultKind::kBurst};
 // One seed in so many draws from all kinds instead.
 constexpr std::uint64_t kAllKindsEverySeeds = 4;
 
@@ -94,20 +121,21 @@
 constexpr std::size_t kFourthPlanKinds = 35;
 constexpr std::size_t kFifthPlanKinds = 37;
 constexpr std::size_t kSixthPlanKinds = 41;
+constexpr std::size_t kSeventhPlanKinds = 49;
 
-std::vector<FaultSpec> PlannedWorkSpecs() {
+std::vector<FaultSpec> SpecsOfKinds(std::span<const FaultKind> kinds) {
   std::vector<FaultSpec> specs;
   for (const FaultSpec& spec : kFaultSpecs) {
-    if (std::ranges::find(kPlannedWorkKinds, spec.kind) != kPlannedWorkKinds.end()) {
-      specs.push_back(spec);
-    }
+    if (std::ranges::find(kinds, spec.kind) != kinds.end()) specs.push_back(spec);
   }
   return specs;
 }
 
 std::span<const FaultSpec> SpecsOf(PlanVersion version, std::uint64_t seed) {
   const std::span<const FaultSpec> all = kFaultSpecs;
-  static const std::vector<FaultSpec> kPlannedWork = PlannedWorkSpecs();
+  static const std::vector<FaultSpec> kPlannedWork = SpecsOfKinds(kPlannedWorkKinds);
+  static const std::vector<FaultSpec> kLoads = SpecsOfKinds(kLoadKinds);
+  const bool all_kinds = seed % kAllKindsEverySeeds == 0;
   switch (version) {
     case PlanVersion::kFirst:
       return all.first(kFirstPlanKinds);
@@ -121,10 +149,12 @@
       return all.first(kFifthPlanKinds);
     case PlanVersion::kSixth:
       return all.first(kSixthPlanKinds);
+    case PlanVersion::kSeventh:
+      return all_kinds ? all.first(kSeventhPlanKinds) : kPlannedWork;
     case PlanVersion::kNewest:
       break;
   }
-  return seed % kAllKindsEverySeeds == 0 ? all : kPlannedWork;
+  return all_kinds ? all : kLoads;
 }
 
 // Mean time between the starts of two series.
@@ -139,6 +169,9 @@
 constexpr double kMaxDurationS = 4;
 // Time from the publication of weights to planned stops.
 constexpr double kMaxPublishedBeforeS = 8;
+// Time between two publications of weights in plan 8.
+constexpr double kMinPublicationGapS = 3;
+constexpr double kMaxPublicationGapS = 6;
 
 FaultKind DrawKind(Random& random, std::span<const FaultSpec> specs) {
   std::uint32_t total = 0;
@@ -151,6 +184,25 @@
   return FaultKind::kBurst;
 }
 
+void AddStopsInTurn(Random& random, double end, std::vector<Fault>& plan) {
+  const double stop_at = end * UniformUnit(random);
+  plan.push_back({.at = FromSeconds(stop_at),
+                  .kind = FaultKind::kEntriesStoppedInTurn,
+                  .target = UniformBelow(random, 1000),
+                  .duration = FromSeconds(kMaxDurationS * UniformUnit(random))});
+  // New weights become due while the entry VMs stop.
+  const double published_at = std::max(0.0, stop_at - kMaxPublishedBeforeS * UniformUnit(random));
+  plan.push_back({.at = FromSeconds(published_at), .kind = FaultKind::kWeightsPublished});
+}
+
+void AddPublications(Random& random, double end, std::vector<Fault>& plan) {
+  const double spread = kMaxPublicationGapS - kMinPublicationGapS;
+  for (double at = spread * UniformUnit(random); at < end;
+       at += kMinPublicationGapS + spread * UniformUnit(random)) {
+    plan.push_back({.at = FromSeconds(at), .kind = FaultKind::kWeightsPublished});
+  }
+}
+
 }  // namespace
 
 std::string_view FaultName(FaultKind kind) {
@@ -194,16 +246,10 @@
       series_at += 0.05 + UniformUnit(random);
     } while (UniformUnit(random) < kRepeatProbability && series_at < end);
   }
-  if (version == PlanVersion::kNewest && seed % kAllKindsEverySeeds != 0) {
-    const double stop_at = end * UniformUnit(random);
-    plan.push_back({.at = FromSeconds(stop_at),
-                    .kind = FaultKind::kEntriesStoppedInTurn,
-                    .target = UniformBelow(random, 1000),
-                    .duration = FromSeconds(kMaxDurationS * UniformUnit(random))});
-    // New weights become due while the entry VMs stop.
-    const double published_at = std::max(0.0, stop_at - kMaxPublishedBeforeS * UniformUnit(random));
-    plan.push_back({.at = FromSeconds(published_at), .kind = FaultKind::kWeightsPublished});
+  if (version == PlanVersion::kSeventh && seed % kAllKindsEverySeeds != 0) {
+    AddStopsInTurn(random, end, plan);
   }
+  if (version == PlanVersion::kNewest) AddPublications(random, end, plan);
   std::sort(plan.begin(), plan.end(),
             [](const Fault& left, const Fault& right) { return left.at < right.at; });
   return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -75,6 +75,17 @@
   kUpstreamHangs,        // as before; doesn't answer its agent either
   kUpstreamBreaksOff,    // all its answers at once
   kEnginesFallSilent,    // half of them, or all
+  // Since plan 8, whose weights have many chunks and whose engines carry out calls of agents that
+  // were given up. Those with published weights act beside the loads of these.
+  kChunksCorrupted,                 // a share of those staged at one engine
+  kChunksCorruptedAtEngines,        // the same at half of the engines, or at all
+  kWeightsPublishedChunkCorrupted,  // again and again, at all engines until they load
+  kAgentCallsSlow,                  // an engine, or each, answers its agent slowly
+  kEngineHangs,                     // answers nobody for a time
+  kWeightsPublishedEngineHangs,     // as the load request arrives, or before
+  kWeightsPublishedAgentPaused,     // the same
+  kWeightsPublishedAgentKilled,     // the same; its engine may hang, too
+  kVersionsQuickly,                 // versions of the weights, one soon after the other
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -95,12 +106,14 @@
   kFourth = 4,
   kFifth = 5,
   kSixth = 6,
-  kNewest = 7
+  kSeventh = 7,
+  kNewest = 8
 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
-// overlap; none starts in the last tenth of `length`. Since plan 7 most seeds inject planned work
-// and impaired upstreams only, and all entry VMs are stopped in turn beside new weights.
+// overlap; none starts in the last tenth of `length`. In plan 7 most seeds inject planned work and
+// impaired upstreams only, and all entry VMs are stopped in turn beside new weights. In plan 8 most
+// seeds impair staged chunks, engines and agents only, and new weights are published regularly.
 std::vector<Fault> MakeFaultPlan(std::uint64_t seed, Duration length,
                                  PlanVersion version = PlanVersion::kNewest);
 
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -39,6 +39,31 @@
   EXPECT_EQ(ToMillis(second[1].at), 1694);
   EXPECT_EQ(second.back().kind, FaultKind::kEntryPaused);
   EXPECT_EQ(ToMillis(second.back().duration), 3396);
+  const auto sixth = MakeFaultPlan(803, seconds(20), PlanVersion::kSixth);
+  ASSERT_EQ(sixth.size(), 11u);
+  EXPECT_EQ(sixth[2].kind, FaultKind::kWeightsPublishedEntryPaused);
+  EXPECT_EQ(sixth[2].duration, std::chrono::microseconds(3011486));
+  EXPECT_EQ(sixth.back().target, 598u);
+  const auto seventh = MakeFaultPlan(913, seconds(20), PlanVersion::kSeventh);
+  ASSERT_EQ(seventh.size(), 18u);
+  EXPECT_EQ(seventh[1].kind, FaultKind::kUpstreamCrashed);
+  EXPECT_EQ(seventh[1].at, std::chrono::microseconds(49469));
+  EXPECT_EQ(seventh.back().kind, FaultKind::kBurst);
+  EXPECT_EQ(seventh.back().duration, std::chrono::microseconds(2484903));
+  const auto all_kinds = MakeFaultPlan(936, seconds(20), PlanVersion::kSeventh);
+  ASSERT_EQ(all_kinds.size(), 15u);
+  EXPECT_EQ(all_kinds[2].kind, FaultKind::kCrashingRequest);
+  EXPECT_EQ(all_kinds[2].target, 399u);
+  EXPECT_EQ(all_kinds.back().kind, FaultKind::kVersionsInARow);
+  EXPECT_EQ(all_kinds.back().at, std::chrono::microseconds(15836089));
+}
+
+// Guards against runs without loads, which show nothing about the chunks that engines load.
+TEST(FaultPlan, EverySeedPublishesWeightsAgainAndAgain) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto plan = MakeFaultPlan(seed, seconds(20));
+    EXPECT_GE(std::ranges::count(plan, FaultKind::kWeightsPublished, &Fault::kind), 3) << seed;
+  }
 }
 
 // Guards against fault kinds that are never injected, and against plans without overlapping faults.
--- a/soak/soak_layout.h
+++ b/soak/soak_layout.h
@@ -21,6 +21,10 @@
   bool weights_announced = true;
   // Streams take seconds, and other requests too.
   bool long_answers = false;
+  std::uint32_t chunks = 8;  // of the weights
+  std::uint32_t chunk_bytes = 4096;
+  // Engines carry out calls of agents also if these have given them up.
+  bool engines_carry_out_left_calls = false;
   // Every stream may be resumed, so that engines may be told to interrupt them for new weights.
   bool all_streams_resumable = false;
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -64,11 +64,30 @@
 constexpr int kVersionsInARow = 4;
 constexpr Duration kVersionPeriod = milliseconds(700);
 
+constexpr std::uint32_t kChunksSincePlan8 = 48;
+constexpr std::uint32_t kChunkBytesSincePlan8 = 512;
+// Engines load published weights within this time.
+constexpr Duration kTimeOfLoads = seconds(8);
+// Chunks turn bad again and again until this long after the engine has accepted the load.
+constexpr Duration kCorruptAfterLoad = milliseconds(1000);
+constexpr Duration kMinCorruptionPeriod = milliseconds(150);
+constexpr double kCorruptionPeriodShare = 0.2;  // of the fault's duration: at most 0.8 s
+// From the staging of all chunks until something happens beside the load.
+constexpr Duration kMaxTimeBeforeLoad = milliseconds(2000);
+constexpr Duration kRecentPublication = milliseconds(2500);
+constexpr Duration kMinHang = milliseconds(500);
+constexpr Duration kLongestAgentCall = milliseconds(500);
+constexpr Duration kMinAgentCallsSlow = milliseconds(3000);
+constexpr int kVersionsQuickly = 3;
+constexpr double kQuickPeriodShare = 0.4;  // of the fault's duration: 0.1 to 1.6 s
+
+Duration Share(Duration duration, double share) { return FromSeconds(share * ToSeconds(duration)); }
+
+Duration HangOf(const Fault& fault) { return std::max(fault.duration, kMinHang); }
+
 Duration StopGap(const Fault& fault) { return kMinStopGap + fault.duration / 2; }
 
-Duration StartDelay(Duration fault_duration) {
-  return FromSeconds(kStartDelayShare * ToSeconds(fault_duration));
-}
+Duration StartDelay(Duration fault_duration) { return Share(fault_duration, kStartDelayShare); }
 
 class SoakRun {
  public:
@@ -110,14 +129,34 @@
     layout.long_answers = !sixth;
     layout.all_streams_resumable = !sixth && options.seed % 4 >= 2;
     layout.weights_announced = options.seed % 2 == 1;
+    if (options.plan == PlanVersion::kNewest) {
+      layout.chunks = kChunksSincePlan8;
+      layout.chunk_bytes = kChunkBytesSincePlan8;
+      layout.engines_carry_out_left_calls = true;
+    }
     return layout;
   }
 
+  static bool ActsAtLoad(FaultKind kind) {
+    return kind == FaultKind::kWeightsPublishedEngineHangs ||
+           kind == FaultKind::kWeightsPublishedAgentPaused ||
+           kind == FaultKind::kWeightsPublishedAgentKilled;
+  }
+
   Duration LengthOf(const Fault& fault) const {
     if (fault.kind == FaultKind::kEntriesStoppedInTurn) {
       return static_cast<int>(this->layout.entries) * StopGap(fault);
     }
     if (fault.kind == FaultKind::kEntrySqueezed) return fault.duration + kMinSqueeze;
+    if (fault.kind == FaultKind::kAgentCallsSlow) return fault.duration + kMinAgentCallsSlow;
+    if (fault.kind == FaultKind::kEngineHangs) return HangOf(fault);
+    if (fault.kind == FaultKind::kVersionsQuickly) {
+      return kVersionsQuickly * Share(fault.duration, kQuickPeriodShare);
+    }
+    if (fault.kind == FaultKind::kWeightsPublishedChunkCorrupted) {
+      return kTimeOfLoads + kCorruptAfterLoad;
+    }
+    if (ActsAtLoad(fault.kind)) return kTimeOfLoads + kMaxTimeBeforeLoad + HangOf(fault);
     const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
                                fault.kind == FaultKind::kWeightsPublishedEngineSlow;
     if (fault.kind == FaultKind::kVersionsInARow) return kVersionsInARow * kVersionPeriod;
@@ -279,6 +318,116 @@
     this->processes.Kill(entry_vm);
   }
 
+  // The engines that a fault hits: one, or with some targets half of them or all.
+  std::vector<std::size_t> EnginesOf(const Fault& fault, bool several) const {
+    const std::size_t first = fault.target % this->layout.engines;
+    if (!several) return {first};
+    const std::size_t step = 1 + fault.target % 2;
+    std::vector<std::size_t> engines;
+    for (std::size_t i = first % step; i < this->layout.engines; i += step) engines.push_back(i);
+    return engines;
+  }
+
+  void CorruptChunks(const Fault& fault, bool several) {
+    for (const std::size_t engine : this->EnginesOf(fault, several)) {
+      this->upstreams.CorruptStagedChunks(engine, fault.target);
+    }
+  }
+
+  // Corrupts chunks from when all of `version` are staged until its load or `end`.
+  void CorruptUntilLoad(std::size_t engine, std::uint64_t version, Duration period, Instant end) {
+    const Instant now = this->loop.Now();
+    if (now >= end || this->upstreams.NewestVersion() != version) return;
+    const bool staged = this->upstreams.HasStagedNewest(engine);
+    if (staged) this->upstreams.CorruptStagedChunks(engine, ++this->corruptions);
+    if (staged && this->upstreams.LastAcceptedVersion(engine) == version) {
+      end = std::min(end, now + kCorruptAfterLoad);
+    }
+    this->loop.After(staged ? period : kPollPeriod, [this, engine, version, period, end] {
+      this->CorruptUntilLoad(engine, version, period, end);
+    });
+  }
+
+  // Versions that follow each other too quickly replace each other before any engine loads them.
+  void PublishUnlessRecent() {
+    const Instant now = this->loop.Now();
+    if (now < this->last_publication + kRecentPublication) return;
+    this->last_publication = now;
+    this->upstreams.PublishWeights();
+  }
+
+  void PublishAndCorrupt(const Fault& fault) {
+    this->PublishUnlessRecent();
+    for (std::size_t i = 0; i < this->layout.engines; ++i) {
+      this->CorruptUntilLoad(i, this->upstreams.NewestVersion(),
+                             kMinCorruptionPeriod + Share(fault.duration, kCorruptionPeriodShare),
+                             this->loop.Now() + kTimeOfLoads);
+    }
+  }
+
+  void HangEngine(std::size_t engine, Duration duration) {
+    this->checker.MarkLinkDisturbed(this->upstreams.UpstreamId(engine), this->loop.Now(), duration);
+    this->upstreams.FallSilent(engine, duration, true);
+  }
+
+  // Runs `action` some time after all chunks of `version` are staged, if that is before `end`.
+  void AfterStaging(std::size_t engine, std::uint64_t version, Duration delay, Instant end,
+                    std::function<void()> action) {
+    if (this->loop.Now() >= end || this->upstreams.NewestVersion() != version) return;
+    if (this->upstreams.HasStagedNewest(engine)) {
+      this->loop.After(delay, std::move(action));
+      return;
+    }
+    this->loop.After(kPollPeriod, [this, engine, version, delay, end, action = std::move(action)] {
+      this->AfterStaging(engine, version, delay, end, action);
+    });
+  }
+
+  // Acts on one engine or its agent as the engine gets the load request for new weights or, with
+  // odd targets, between their staging and that.
+  void PublishAndActAtLoad(const Fault& fault) {
+    this->PublishUnlessRecent();
+    const std::size_t engine = fault.target % this->layout.engines;
+    const auto action = [this, engine, fault] { this->ActAtLoad(engine, fault); };
+    if (fault.target % 2 == 0) {
+      return this->upstreams.AtNextLoadRequest(engine, kTimeOfLoads, action);
+    }
+    const Duration delay = Share(kMaxTimeBeforeLoad, static_cast<double>(fault.target % 100) / 100);
+    this->AfterStaging(engine, this->upstreams.NewestVersion(), delay,
+                       this->loop.Now() + kTimeOfLoads, action);
+  }
+
+  void ActAtLoad(std::size_t engine, const Fault& fault) {
+    const std::string agent_vm = this->layout.AgentVm(engine);
+    this->upstreams.CorruptStagedChunks(engine, fault.target);
+    if (fault.kind == FaultKind::kWeightsPublishedAgentKilled) this->processes.Kill(agent_vm);
+    if (fault.kind == FaultKind::kWeightsPublishedAgentPaused) {
+      this->processes.Pause(agent_vm, fault.duration);
+    }
+    // Some agents restart while their engine still has their load request before it.
+    const bool hangs =
+        fault.kind == FaultKind::kWeightsPublishedEngineHangs ||
+        (fault.kind == FaultKind::kWeightsPublishedAgentKilled && fault.target % 4 == 0);
+    if (hangs) this->HangEngine(engine, HangOf(fault));
+  }
+
+  void PublishQuickly(int versions, Duration period) {
+    this->upstreams.PublishWeights();
+    if (versions == 1) return;
+    this->loop.After(period,
+                     [this, versions, period] { this->PublishQuickly(versions - 1, period); });
+  }
+
+  void SlowAgentCalls(const Fault& fault) {
+    const Duration longest =
+        Share(kLongestAgentCall, static_cast<double>(fault.target % 10 + 1) / 10);
+    for (const std::size_t engine : this->EnginesOf(fault, fault.target % 3 == 0)) {
+      this->upstreams.SlowAgentCalls(engine, longest, fault.target % 4 < 2);
+      this->RevertAfter(LengthOf(fault), "agent-calls " + std::to_string(engine),
+                        [this, engine] { this->upstreams.EndSlowAgentCalls(engine); });
+    }
+  }
+
   void PublishWeightsLate() {
     this->checker.MarkDisturbed("origin", this->loop.Now(), kOriginDelay);
     this->upstreams.PublishWeights(kOriginDelay);
@@ -362,6 +511,7 @@
       case FaultKind::kRouteChanged:
         return this->upstreams.SwitchRoutePool();
       case FaultKind::kWeightsPublished:
+        this->last_publication = now;
         return this->upstreams.PublishWeights();
       case FaultKind::kBurst:
         this->callers.SetRate(this->options.requests_per_second * kBurstFactor);
@@ -440,6 +590,22 @@
         return this->SilenceEngines(fault.target, fault.duration + kMinSilence);
       case FaultKind::kUpstreamBreaksOff:
         return this->upstreams.BreakOff(upstream);
+      case FaultKind::kChunksCorrupted:
+        return this->CorruptChunks(fault, false);
+      case FaultKind::kChunksCorruptedAtEngines:
+        return this->CorruptChunks(fault, true);
+      case FaultKind::kWeightsPublishedChunkCorrupted:
+        return this->PublishAndCorrupt(fault);
+      case FaultKind::kAgentCallsSlow:
+        return this->SlowAgentCalls(fault);
+      case FaultKind::kEngineHangs:
+        return this->HangEngine(engine, HangOf(fault));
+      case FaultKind::kWeightsPublishedEngineHangs:
+      case FaultKind::kWeightsPublishedAgentPaused:
+      case FaultKind::kWeightsPublishedAgentKilled:
+        return this->PublishAndActAtLoad(fault);
+      case FaultKind::kVersionsQuickly:
+        return this->PublishQuickly(kVersionsQuickly, Share(fault.duration, kQuickPeriodShare));
       case FaultKind::kWeightsPublishedEntryPaused:
         this->PauseEntry(entry_vm, fault.duration);
         return this->PublishWeightsLate();
@@ -462,6 +628,8 @@
   SoakResult result = {};
   std::map<std::string, int> fault_generations = {};
   int crashing_requests = 0;
+  std::uint64_t corruptions = 0;
+  Instant last_publication = {};
   Instant start_deadline = {};
   Instant evaluation_start = {};
 };
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -1,5 +1,8 @@
 #include "soak/soak_upstreams.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "platform/testing/record_writer.h"
 #include "runtime/event_loop.h"
 
@@ -25,6 +28,8 @@
 // Downtime of an upstream that a request has ended.
 constexpr Duration kCrashDowntime = milliseconds(1000);
 constexpr Duration kPollPeriod = milliseconds(50);
+constexpr std::uint32_t kCorruptEvery = 5;  // chunks that turn bad together
+constexpr Duration kMinAgentCall = milliseconds(20);
 
 }  // namespace
 
@@ -33,8 +38,11 @@
       checker(checker),
       layout(layout),
       store(loop, {.address = layout.StoreAddress()}),
-      origin(loop, {.address = layout.OriginAddress(), .corrupt_every = 13, .truncate_every = 17}) {
-}
+      origin(loop, {.address = layout.OriginAddress(),
+                    .chunks = layout.chunks,
+                    .chunk_bytes = layout.chunk_bytes,
+                    .corrupt_every = 13,
+                    .truncate_every = 17}) {}
 SoakUpstreams::~SoakUpstreams() = default;
 
 Result<void> SoakUpstreams::Start() {
@@ -119,10 +127,13 @@
   this->checker.OnStagedChunksKept(id_before, managed.record.id);
   managed.standin = std::make_unique<EngineStandin>(
       this->loop, *this,
-      platform::EngineStandinOptions{.upstream = managed.record,
-                                     .listen = this->layout.BackendAddress(index),
-                                     .origin = &this->origin,
-                                     .events = this->layout.StreamEvents()});
+      platform::EngineStandinOptions{
+          .upstream = managed.record,
+          .listen = this->layout.BackendAddress(index),
+          .origin = &this->origin,
+          .events = this->layout.StreamEvents(),
+          .carries_out_left_calls = this->layout.engines_carry_out_left_calls});
+  managed.accepted_version = 0;
   managed.standin->Staged() = std::move(managed.staged);
   managed.staged.clear();
   const auto listening = managed.standin->Listen();
@@ -153,6 +164,7 @@
     this->Crash(i, downtime);
     if (this->upstreams[i].standin) continue;
     this->upstreams[i].staged.clear();
+    this->upstreams[i].staged_versions.clear();
     this->checker.OnStagedChunksLost(this->upstreams[i].record.id);
   }
 }
@@ -240,9 +252,58 @@
   if (!managed.standin || managed.standin->Staged().empty()) return;
   auto chunk = managed.standin->Staged().begin();
   std::advance(chunk, static_cast<std::ptrdiff_t>(seed % managed.standin->Staged().size()));
-  // Not undone by the next corruption.
-  ++chunk->second[chunk->second.size() / 3];
-  this->checker.OnStagedChunkCorrupted(managed.record.id, chunk->first, this->loop.Now());
+  this->CorruptChunk(managed, chunk->first, chunk->second);
+}
+
+void SoakUpstreams::CorruptChunk(const ManagedUpstream& managed, std::uint32_t chunk,
+                                 std::string& bytes) {
+  ++bytes[bytes.size() / 3];  // not undone by the next corruption
+  this->checker.OnStagedChunkCorrupted(managed.record.id, chunk, this->loop.Now());
+}
+
+void SoakUpstreams::CorruptStagedChunks(std::size_t engine, std::uint64_t seed) {
+  const ManagedUpstream& managed = this->upstreams[engine];
+  if (!managed.standin) return;
+  for (auto& [chunk, bytes] : managed.standin->Staged()) {
+    if (chunk % kCorruptEvery == seed % kCorruptEvery) this->CorruptChunk(managed, chunk, bytes);
+  }
+}
+
+void SoakUpstreams::SlowAgentCalls(std::size_t engine, Duration longest, bool all_alike) {
+  if (!this->upstreams[engine].standin) return;
+  this->upstreams[engine].standin->SetAgentCallPacer([this, longest, all_alike](const auto&) {
+    const double variable = ToSeconds(longest - kMinAgentCall) * UniformUnit(this->random);
+    const Duration total = all_alike ? longest : kMinAgentCall + FromSeconds(variable);
+    const Duration until_done = FromSeconds(ToSeconds(total) * UniformUnit(this->random));
+    return platform::AgentCallPace{.until_done = until_done, .until_answered = total - until_done};
+  });
+}
+
+void SoakUpstreams::EndSlowAgentCalls(std::size_t engine) {
+  if (this->upstreams[engine].standin) this->upstreams[engine].standin->SetAgentCallPacer({});
+}
+
+void SoakUpstreams::AtNextLoadRequest(std::size_t engine, Duration time,
+                                      std::function<void()> action) {
+  this->upstreams[engine].at_load_request = std::move(action);
+  this->upstreams[engine].at_load_request_until = this->loop.Now() + time;
+}
+
+bool SoakUpstreams::HasStagedNewest(std::size_t engine) const {
+  const auto& versions = this->upstreams[engine].staged_versions;
+  return versions.size() == this->origin.ChunkCount() &&
+         std::ranges::all_of(
+             versions, [this](const auto& row) { return row.second == this->weights_version; });
+}
+
+std::uint64_t SoakUpstreams::LastAcceptedVersion(std::size_t engine) const {
+  return this->upstreams[engine].accepted_version;
+}
+
+SoakUpstreams::ManagedUpstream* SoakUpstreams::Find(std::string_view id) {
+  const auto found = std::ranges::find_if(
+      this->upstreams, [id](const ManagedUpstream& other) { return other.record.id == id; });
+  return found == this->upstreams.end() ? nullptr : &*found;
 }
 
 void SoakUpstreams::SwitchRoutePool() {
@@ -321,9 +382,18 @@
 }
 void SoakUpstreams::OnChunkStaged(std::string_view upstream, std::uint32_t chunk,
                                   std::string_view bytes) {
-  this->checker.OnChunkStaged(upstream, chunk, this->VersionOf(chunk, bytes));
+  const std::uint64_t version = this->VersionOf(chunk, bytes);
+  if (ManagedUpstream* managed = this->Find(upstream)) managed->staged_versions[chunk] = version;
+  this->checker.OnChunkStaged(upstream, chunk, version);
+}
+void SoakUpstreams::OnLoadRequested(std::string_view upstream) {
+  ManagedUpstream* managed = this->Find(upstream);
+  if (managed == nullptr) return;
+  const auto action = std::exchange(managed->at_load_request, nullptr);
+  if (action && this->loop.Now() < managed->at_load_request_until) action();
 }
 void SoakUpstreams::OnLoad(std::string_view upstream, std::uint64_t version, bool complete) {
+  if (ManagedUpstream* managed = this->Find(upstream)) managed->accepted_version = version;
   this->checker.OnLoad(upstream, version, this->origin.ChunkCount(), complete, this->loop.Now());
 }
 
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "platform/testing/engine_standin.h"
 #include "platform/testing/origin_standin.h"
 #include "platform/testing/store_standin.h"
@@ -52,6 +55,18 @@
   void FallSilent(std::size_t upstream, Duration duration, bool reports_too);
   void BreakOff(std::size_t upstream);
   void CorruptStagedChunk(std::size_t upstream, std::uint64_t seed);
+  // Every fifth one; `seed` selects the first.
+  void CorruptStagedChunks(std::size_t engine, std::uint64_t seed);
+  // Calls of the engine's agent take up to `longest`, or `longest` each.
+  void SlowAgentCalls(std::size_t engine, Duration longest, bool all_alike);
+  void EndSlowAgentCalls(std::size_t engine);
+  // Runs `action` as the next load request arrives at the engine, if that is within `time`.
+  void AtNextLoadRequest(std::size_t engine, Duration time, std::function<void()> action);
+  // Whether all chunks of the newest weights have been staged there.
+  bool HasStagedNewest(std::size_t engine) const;
+  // Of the last load that the engine accepted; 0: none.
+  std::uint64_t LastAcceptedVersion(std::size_t engine) const;
+  std::uint64_t NewestVersion() const { return this->weights_version; }
   void SwitchRoutePool();
   // The origin has the weights after `origin_delay`, unless newer ones are published before.
   void PublishWeights(Duration origin_delay = {});
@@ -68,6 +83,7 @@
                 const platform::UpstreamNotice& notice) override;
   void OnChunkStaged(std::string_view upstream, std::uint32_t chunk,
                      std::string_view bytes) override;
+  void OnLoadRequested(std::string_view upstream) override;
   void OnLoad(std::string_view upstream, std::uint64_t version, bool complete) override;
 
  private:
@@ -76,11 +92,17 @@
     std::unique_ptr<platform::EngineStandin> standin;  // null while the upstream is down
     std::unique_ptr<FaultProxy> link;
     platform::StagedChunks staged = {};  // kept while the upstream is down
+    std::map<std::uint32_t, std::uint64_t> staged_versions = {};
+    std::uint64_t accepted_version = 0;
+    std::function<void()> at_load_request = {};
+    Instant at_load_request_until = {};
     int starts = 0;
     bool leaving = false;  // until the replacement starts
   };
 
   std::uint32_t SlotsOf(bool engine) const;
+  ManagedUpstream* Find(std::string_view id);
+  void CorruptChunk(const ManagedUpstream& managed, std::uint32_t chunk, std::string& bytes);
   // 0 if the bytes are a correct chunk of no version.
   std::uint64_t VersionOf(std::uint32_t chunk, std::string_view bytes) const;
   void StartUpstream(std::size_t index);
@@ -103,6 +125,7 @@
   std::uint64_t config_version = 1;
   std::string moved_route_pool = "alpha";
   std::uint64_t weights_version = 1;
+  Random random{1};  // durations of agents' calls
 };
 
 }  // namespace savory
