--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -259,11 +259,12 @@
 }
 
 void EngineRollout::RestartUnknownEvidence() {
-  if (!this->engine || this->engine->weights_version != this->version) return;
+  const bool is_of_target = this->engine && this->engine->weights_version == this->version;
   const Instant accepted_by = this->unproven_load->AcceptedBy();
   const std::vector<StagedChunk> staged(this->chunks.size(), StagedChunk{.staged_by = Instant()});
   this->unproven_load = LoadEvidence(staged, accepted_by, this->options.evidence);
   this->unproven_load->OnAccepted(accepted_by);
+  if (!is_of_target) this->unproven_load->OnReplaced();
 }
 
 void EngineRollout::OnVouched(std::uint64_t vouched) {
@@ -305,7 +306,8 @@
 bool EngineRollout::MayReplace() const {
   const bool are_held = std::ranges::none_of(
       this->chunks, [](const Chunk& chunk) { return chunk.state == ChunkState::kMissing; });
-  const bool awaits_proof = are_held && this->unproven_load && this->unproven_load->CanBeProven();
+  const bool awaits_proof =
+      this->version > 0 && are_held && this->unproven_load && this->unproven_load->CanBeProven();
   return this->IsDone() || (this->step < Step::kVerifying && !awaits_proof);
 }
 
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -594,6 +594,7 @@
 TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsProvenBeforeItIsUsed) {
   this->load_count = 1;
   this->ReportState(2);
+  EXPECT_TRUE(this->rollout.MayReplace());
   this->Want(2);
   EXPECT_FALSE(this->rollout.Accepting());
 }
@@ -623,6 +624,19 @@
   EXPECT_TRUE(this->load_requests.empty());
 }
 
+// As above, and a newer version is wanted. Guards against an engine that waits for good for a proof
+// that its chunks cannot give any more.
+TEST_F(EngineRolloutTest, UnknownLoadOfAnOlderVersionIsReplaced) {
+  this->load_count = 1;
+  this->ReportState(0, true);
+  this->Want(3);
+  this->ReportState(2);
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
 // As above, and a chunk has become corrupt. Guards against using weights that may be corrupt.
 TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsReplacedIfAChunkIsCorrupt) {
   this->load_count = 1;
