Keep a stopping entry in touch with the agents until its end

What callers saw: nothing that can be told from the logs. An entry that stops took leave of the agents 2.8 s after SIGTERM and heard no more of them, while its last requests ran for seconds. It sent what was left, such as begun answers that go on elsewhere, by the records alone: to engines that load or whose weights are not proven.

Change: the entry takes leave of the other entries as before; the agents are asked on for statuses, but not for their load, so that they do not count the entry among those that share the engine.

--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -44,6 +44,7 @@
   EntryDemand demand = {};
   bool hello_scheduled = false;
   bool left = false;
+  std::vector<std::string> last_contacts = {};  // agents, after this entry has left
   EventLoop::TimerId timer = 0;
   Instant timer_due = {};
   Instant read_until = {};  // after a stand-still
@@ -242,6 +243,27 @@
     this->Send(peer, std::move(hello));
   }
 
+  // Takes leave of the other entries. The requests in progress still need to know which engines
+  // serve.
+  void Leave() {
+    if (std::exchange(this->left, true)) return;
+    for (const PresenceAction& action : this->presence.Leave(this->loop.Now())) {
+      if (const auto* agent = std::get_if<LeaveAgent>(&action)) {
+        this->last_contacts.push_back(agent->agent);
+      } else {
+        std::visit([this](const auto& item) { this->Execute(item); }, action);
+      }
+    }
+    this->KeepInTouch();
+  }
+
+  // Asks the agents for statuses without their load.
+  void KeepInTouch() {
+    for (const std::string& agent : this->last_contacts) this->Execute(GreetAgent{.agent = agent});
+    this->loop.After(this->options.presence.hello_period,
+                     this->Guarded([this] { this->KeepInTouch(); }));
+  }
+
   // ---- from agents ----
 
   void NotifyWantedSince(const std::string& agent, const wire::EngineStatus& status) {
@@ -258,7 +280,6 @@
   }
 
   void OnAgentStatus(const std::string& from, const wire::EngineStatus& status) {
-    if (this->left) return;
     this->reports.Add();
     this->NotifyWantedSince(from, status);
     if (status.found_version() > 0 && this->on_found_version) {
@@ -275,7 +296,7 @@
     this->Advance();
     if (found == this->agent_states.end()) return;
     found->second.digest = status.agents_digest();
-    this->SendListIfOutdated(from, found->second);
+    if (!this->left) this->SendListIfOutdated(from, found->second);
     if (!this->on_report) return;
     this->on_report(EngineReport{
         .address = engine,
@@ -365,12 +386,7 @@
   self.Advance();
 }
 
-void EntryLinks::Leave() {
-  Impl& self = *this->impl;
-  if (self.left) return;
-  self.Execute(self.presence.Leave(self.loop.Now()));
-  self.left = true;
-}
+void EntryLinks::Leave() { this->impl->Leave(); }
 
 void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
   this->impl->SetAgents(engines);
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -85,7 +85,8 @@
   // Called with the digest that another entry reports.
   void OnCrashesDigest(CrashesDigestListener listener);
   void Start();
-  // Takes leave of the other entries and the agents. Later messages are ignored.
+  // Takes leave of the other entries, whose later messages are ignored. The agents still report
+  // which engines serve, for the requests in progress.
   void Leave();
 
   void SetEngines(const std::vector<Upstream>& engines);
