Let a stopping entry ask for engines that it knew through others only

What callers saw: nothing that can be told from the logs.

In larger fleets there are other engines.

Result (x86_64): LeavingEntryTest.HearsOfEnginesThatOthersToldItOf failed before; fleet_test passes (34 tests), and so do the 13 tests of platform_test about stops, weights and lost power.

--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -1,6 +1,7 @@
 #include "fleet/entry_links.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/log.h"
 #include "base/metrics.h"
@@ -254,9 +255,20 @@
         std::visit([this](const auto& item) { this->Execute(item); }, action);
       }
     }
+    this->AddOtherAgents();
     this->KeepInTouch();
   }
 
+  // What the other entries passed on of further engines comes no more. In a large fleet there are
+  // enough engines without them.
+  void AddOtherAgents() {
+    const std::set<std::string> known(this->last_contacts.begin(), this->last_contacts.end());
+    for (const auto& [peer, agent] : this->agent_states) {
+      if (this->last_contacts.size() >= this->options.presence.initial_contacts) return;
+      if (!known.contains(peer)) this->last_contacts.push_back(peer);
+    }
+  }
+
   // Asks the agents for statuses without their load.
   void KeepInTouch() {
     for (const std::string& agent : this->last_contacts) this->Execute(GreetAgent{.agent = agent});
--- a/src/fleet/leaving_entry_test.cc
+++ b/src/fleet/leaving_entry_test.cc
@@ -58,5 +58,35 @@
   EXPECT_EQ(accepting, true);
 }
 
+// An entry knows of an engine only through other entries, which tell it no more once it has left.
+// Guards against never hearing of that engine again.
+TEST(LeavingEntryTest, HearsOfEnginesThatOthersToldItOf) {
+  EventLoop loop;
+  const auto run_for = [&loop](Duration time) {
+    loop.After(time, [&loop] { loop.Stop(); });
+    loop.Run();
+  };
+  Metrics metrics;
+  PeerTransport agent_transport(loop, metrics, {.listen = PeerAt(kAgent), .vm = kAgent});
+  AgentLinks agent(loop, agent_transport, metrics, {.region = "r", .agent_port = kPeerPort});
+  agent.Start();
+  PeerTransport entry_transport(loop, metrics, {.listen = PeerAt(kEntry), .vm = kEntry});
+  EntryLinks entry(loop, entry_transport, metrics,
+                   {.presence = {.self = PeerAt(kEntry), .responsible_entries = 0},
+                    .region = "r",
+                    .peer_port = kPeerPort});
+  int reports = 0;
+  entry.OnReport([&reports](const EngineReport&) { ++reports; });
+  const std::string engine = std::string(kAgent) + ":80";
+  entry.SetEngines({{.id = "e", .pool = "p", .address = engine, .is_engine = true}});
+  entry.Start();
+  agent.Report({.address = engine}, true);
+  run_for(milliseconds(300));
+  EXPECT_EQ(reports, 0);
+  entry.Leave();
+  run_for(milliseconds(300));
+  EXPECT_GT(reports, 0);
+}
+
 }  // namespace
 }  // namespace savory
