--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -1,6 +1,7 @@
 #include "fleet/entry_links.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/log.h"
 #include "base/metrics.h"
@@ -46,6 +47,7 @@
   EntryDemand demand = {};
   bool hello_scheduled = false;
   bool left = false;
+  std::vector<std::string> last_contacts = {};  // agents, after this entry has left
   EventLoop::TimerId timer = 0;
   Instant timer_due = {};
   Instant read_until = {};  // after a stand-still
@@ -248,6 +250,38 @@
     this->Send(peer, std::move(hello));
   }
 
+  // Takes leave of the other entries. The requests in progress still need to know which engines
+  // serve.
+  void Leave() {
+    if (std::exchange(this->left, true)) return;
+    for (const PresenceAction& action : this->presence.Leave(this->loop.Now())) {
+      if (const auto* agent = std::get_if<LeaveAgent>(&action)) {
+        this->last_contacts.push_back(agent->agent);
+      } else {
+        std::visit([this](const auto& item) { this->Execute(item); }, action);
+      }
+    }
+    this->AddOtherAgents();
+    this->KeepInTouch();
+  }
+
+  // What the other entries passed on of further engines comes no more. In a large fleet there are
+  // enough engines without them.
+  void AddOtherAgents() {
+    const std::set<std::string> known(this->last_contacts.begin(), this->last_contacts.end());
+    for (const auto& [peer, agent] : this->agent_states) {
+      if (this->last_contacts.size() >= this->options.presence.initial_contacts) return;
+      if (!known.contains(peer)) this->last_contacts.push_back(peer);
+    }
+  }
+
+  // Asks the agents for statuses without their load.
+  void KeepInTouch() {
+    for (const std::string& agent : this->last_contacts) this->Execute(GreetAgent{.agent = agent});
+    this->loop.After(this->options.presence.hello_period,
+                     this->Guarded([this] { this->KeepInTouch(); }));
+  }
+
   // ---- from agents ----
 
   void NotifyWantedSince(const std::string& agent, const wire::EngineStatus& status) {
@@ -264,7 +298,6 @@
   }
 
   void OnAgentStatus(const std::string& from, const wire::EngineStatus& status) {
-    if (this->left) return;
     this->reports.Add();
     this->NotifyWantedSince(from, status);
     if (status.found_version() > 0 && this->on_found_version) {
@@ -284,7 +317,7 @@
     if (!status.unreachable()) {
       found->second.vouched_weights = status.refusing() ? 0 : status.weights_version();
     }
-    this->SendListIfOutdated(from, found->second);
+    if (!this->left) this->SendListIfOutdated(from, found->second);
     if (!this->on_report) return;
     this->on_report(EngineReport{
         .address = engine,
@@ -374,12 +407,7 @@
   self.Advance();
 }
 
-void EntryLinks::Leave() {
-  Impl& self = *this->impl;
-  if (self.left) return;
-  self.Execute(self.presence.Leave(self.loop.Now()));
-  self.left = true;
-}
+void EntryLinks::Leave() { this->impl->Leave(); }
 
 void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
   this->impl->SetAgents(engines);
