Let a newer refusal of an agent count for the newest weights

What callers could see: requests at an engine whose weights are not proven. An older word of another entry, that the engine serves with the weights that the refusal is about, ended the refusal, as the version that the engine had held was remembered from the first refusal only. AgentWordsTest.NewerRefusalIsNotEndedByAnOlderWord... failed before and passes (x86_64).

--- a/src/relay/agent_words.cc
+++ b/src/relay/agent_words.cc
@@ -19,7 +19,10 @@
   if (known != this->refusals.end()) {
     // An older reading of the list names a start that has ended.
     if (start.started_unix_ms < known->second.started_unix_ms) return nullptr;
-    if (start.started_unix_ms == known->second.started_unix_ms) return &known->second;
+    if (start.started_unix_ms == known->second.started_unix_ms) {
+      known->second.held = std::max(known->second.held, held);
+      return &known->second;
+    }
     this->refusals.erase(known);
   }
   if (this->refusals.size() >= this->options.max_engines) this->ForgetOldest();
--- a/src/relay/agent_words_test.cc
+++ b/src/relay/agent_words_test.cc
@@ -64,5 +64,16 @@
   EXPECT_FALSE(words.IsRefusing(kStart, now));
 }
 
+// An agent refuses requests before a load, and again as the load is not proven. Guards against an
+// older word, passed on from between the two, that ends the second refusal.
+TEST(AgentWordsTest, NewerRefusalIsNotEndedByAnOlderWordOfTheSameWeights) {
+  AgentWords words;
+  const Instant now = Instant(seconds(1));
+  words.AddReport(kStart, Report(false), 1, now);
+  words.AddReport(kStart, Report(false), 2, now + seconds(1));
+  words.AddPassedOn(kStart, {.address = kAddress, .weights_version = 2}, 2, now + seconds(2));
+  EXPECT_TRUE(words.IsRefusing(kStart, now + seconds(2)));
+}
+
 }  // namespace
 }  // namespace savory
