Let a newer version replace one whose copy was dropped

Cause: calls are slow, so reading back lasts until the copy is dropped for newer ones; a chunk that is then found corrupt cannot be staged, and while chunks are verified no newer version is adopted. No log line said so.

Change: the agent gives the version up.

--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -165,7 +165,7 @@
     const std::uint64_t version = this->target.version;
     const WeightsCopy* copy = this->copier.Find(*this->target.manifest);
     if (copy == nullptr || !copy->Holds(action.chunk)) {
-      this->rollout.OnChunkStaged(version, action.chunk, StageResult::kNotStored,
+      this->rollout.OnChunkStaged(version, action.chunk, StageResult::kNoCopy,
                                   this->TimesSince(this->loop.Now()));
       return;
     }
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -49,6 +49,7 @@
 enum class StageResult {
   kStored,
   kNotStored,
+  kNoCopy,   // this process does not hold the chunk any more
   kUnknown,  // no response; the engine may still store the chunk
 };
 
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -117,6 +117,11 @@
     this->last_silence = times.answered;
   }
   if (result == StageResult::kStored) return this->MarkStaged(chunk, times);
+  if (result == StageResult::kNoCopy) {
+    // A newer version may replace this one, which can't be completed.
+    this->chunks[chunk].state = ChunkState::kMissing;
+    return this->ReturnToStaging();
+  }
   staged.state = ChunkState::kHeld;
   this->stage_retry_at = times.answered + this->options.stage_retry;
 }
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -273,6 +273,31 @@
   EXPECT_EQ(this->load_requests.size(), 1u);
 }
 
+// The copy of the version was dropped for a newer one, and a staged chunk is found corrupt. Guards
+// against an agent that tries to stage that chunk for good and adopts no newer version.
+TEST_F(EngineRolloutTest, VersionWithoutACopyCanBeReplaced) {
+  this->ReportState(1);
+  this->Want(2, {.rank = 1, .engines = 2});
+  this->Run(milliseconds(100));
+  this->now += seconds(6);
+  this->ReportState(1);
+  this->corrupt_chunk = 2;
+  std::optional<std::uint32_t> staged;
+  for (int step = 0; step < 10 && !staged; ++step, this->now += milliseconds(10)) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      if (const auto* stage = std::get_if<StageChunk>(&action)) {
+        staged = stage->chunk;
+      } else {
+        this->Execute(action, LoadRequestResult::kAccepted);
+      }
+    }
+  }
+  ASSERT_TRUE(staged.has_value());
+  EXPECT_FALSE(this->rollout.MayReplace());
+  this->rollout.OnChunkStaged(2, *staged, StageResult::kNoCopy, this->AnsweredAtOnce());
+  EXPECT_TRUE(this->rollout.MayReplace());
+}
+
 // Guards against a second load after a load request whose response was lost: the engine's number of
 // accepted loads shows whether it was accepted.
 TEST_F(EngineRolloutTest, LostLoadResponseIsResolvedFromEngineState) {
