Prove a load of an earlier run at once

Cause: agents waited for an entry to vouch before they read chunks back, though reading took 0.1 s. Now they read at once, and only the unload waits.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -40,9 +40,6 @@
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // Smaller corrections of the time since when a version is wanted come from message delays.
 constexpr Duration kMinLoggedCorrection = milliseconds(100);
-// Entries greet their agents every two seconds. If none of them vouches for the engine's weights
-// within this time of this process's start, their chunks are read back.
-constexpr Duration kVouchWait = milliseconds(2200);
 // The engine counts as unreachable after this many consecutive failed reads of its state.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -67,7 +64,6 @@
   int failed_reads = 0;
   bool polling = false;
   Instant next_poll = {};
-  std::optional<Instant> unknown_load_since = {};
   EngineReport last_report = {};
 
   Impl(EventLoop& loop, Metrics& metrics, DirectAgentSettings given, DirectAgentAdapter adapter)
@@ -196,22 +192,14 @@
            {"known_for_ms", this->WantedForMs(this->view)}});
     }
     this->loader.SetEngineState(state, asked);
-    this->copier.SetEngineVersion(this->MustCopyAgain() ? 0 : state.weights_version);
+    // The chunks prove a load that nobody vouches for, or it is repeated with them.
+    const bool copies_again = this->loader.HasUnknownLoad();
+    this->copier.SetEngineVersion(copies_again ? 0 : state.weights_version);
     this->copier.SetEngineRequests(state.running + state.waiting);
     this->AdvanceLoad();
     if (newly_reachable) this->Report(true);
   }
 
-  // Whether the chunks of the engine's version are needed to prove its load, or to repeat it.
-  bool MustCopyAgain() {
-    if (!this->loader.HasUnknownLoad()) {
-      this->unknown_load_since.reset();
-      return false;
-    }
-    if (!this->unknown_load_since) this->unknown_load_since = this->Now();
-    return this->Now() - *this->unknown_load_since > kVouchWait;
-  }
-
   // Reports to the entries: immediately if `urgent` or if the engine's reachability, its weights
   // version or whether it accepts requests changed; with the next periodic report otherwise.
   void Report(bool urgent) {
--- a/src/distribution/engine_rollout.cc
+++ b/src/distribution/engine_rollout.cc
@@ -371,7 +371,9 @@
   if (this->step == Step::kLoading || this->engine->busy) return true;
   // Weights of an older version are replaced by those of the wanted one.
   if (this->engine->weights_version < this->version) return false;
-  if (now < this->unload_retry_at) return true;
+  const bool may_be_vouched =
+      this->is_earlier_load && now - this->unproven_load->AcceptedBy() < this->options.vouch_wait;
+  if (may_be_vouched || now < this->unload_retry_at) return true;
   EngineLoadRequest request = this->MakeRequest();
   request.version = this->engine->weights_version;
   request.interrupt = true;
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -47,6 +47,9 @@
   Duration stage_retry = std::chrono::milliseconds(250);
   // An answer that belongs to no call makes a load doubtful that was accepted this long before.
   Duration unmatched_time = std::chrono::seconds(1);
+  // Entries greet their agents every two seconds: one of them may vouch for the weights that an
+  // earlier run of this process loaded.
+  Duration vouch_wait = std::chrono::milliseconds(2200);
   // Delay before weights that may be corrupt are unloaded, after the engine refused to.
   Duration unload_retry = std::chrono::seconds(1);
 };
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -671,6 +671,9 @@
   this->corrupt_chunk = 3;
   this->Run(milliseconds(100));
   EXPECT_FALSE(this->rollout.Accepting());
+  EXPECT_TRUE(this->unload_requests.empty());
+  this->Run(milliseconds(2200));
+  EXPECT_FALSE(this->rollout.Accepting());
   EXPECT_EQ(this->unload_requests.size(), 1u);
 }
 
