--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -121,6 +121,7 @@
     this->view = next;
     this->position = this->ComputePosition();
     this->copier.SetFleet(next);
+    this->loader.SetVouched(next.vouched_weights);
     this->AdvanceLoad();
   }
 
@@ -191,7 +192,9 @@
            {"known_for_ms", this->WantedForMs(this->view)}});
     }
     this->loader.SetEngineState(state, asked);
-    this->copier.SetEngineVersion(state.weights_version);
+    // The chunks prove a load that nobody vouches for, or it is repeated with them.
+    const bool copies_again = this->loader.HasUnknownLoad();
+    this->copier.SetEngineVersion(copies_again ? 0 : state.weights_version);
     this->copier.SetEngineRequests(state.running + state.waiting);
     this->AdvanceLoad();
     if (newly_reachable) this->Report(true);
--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -107,12 +107,13 @@
         {{"version", this->target.version},
          {"orders", this->accepted_loads},
          {"pieces", this->rollout.UnprovenChunks()},
-         {"unanswered", this->rollout.HasUnansweredRequest()}});
+         {"unanswered", this->rollout.HasUnansweredRequest()},
+         {"earlier_run", this->rollout.HasUnknownLoad()}});
   }
 
   void OnUnmatchedAnswer() {
     Log(LogLevel::kWarn, "engine_answer_unmatched", {{"version", this->target.version}});
-    this->rollout.OnUnmatchedAnswer();
+    this->rollout.OnUnmatchedAnswer(this->loop.Now());
   }
 
   bool HasCompleteCopy(const VersionCopy& version) const {
@@ -164,7 +165,7 @@
     const std::uint64_t version = this->target.version;
     const WeightsCopy* copy = this->copier.Find(*this->target.manifest);
     if (copy == nullptr || !copy->Holds(action.chunk)) {
-      this->rollout.OnChunkStaged(version, action.chunk, StageResult::kNotStored,
+      this->rollout.OnChunkStaged(version, action.chunk, StageResult::kNoCopy,
                                   this->TimesSince(this->loop.Now()));
       return;
     }
@@ -286,6 +287,11 @@
 
 void EngineLoader::SetEngineUnreachable() { this->impl->rollout.OnEngineUnreachable(); }
 void EngineLoader::Advance(const RolloutPosition& position) { this->impl->Advance(position); }
+void EngineLoader::SetVouched(std::uint64_t version) {
+  this->impl->rollout.OnVouched(version);
+  this->impl->LogDoubt();
+}
+bool EngineLoader::HasUnknownLoad() const { return this->impl->rollout.HasUnknownLoad(); }
 bool EngineLoader::Accepting() const { return this->impl->rollout.Accepting(); }
 
 }  // namespace savory
--- a/src/distribution/engine_rollout.h
+++ b/src/distribution/engine_rollout.h
@@ -45,6 +45,11 @@
   // Delay before the next chunk is staged after one that the engine did not store. An engine that
   // went down is unavailable for longer than this.
   Duration stage_retry = std::chrono::milliseconds(250);
+  // An answer that belongs to no call makes a load doubtful that was accepted this long before.
+  Duration unmatched_time = std::chrono::seconds(1);
+  // Entries greet their agents every two seconds: one of them may vouch for the weights that an
+  // earlier run of this process loaded.
+  Duration vouch_wait = std::chrono::milliseconds(2200);
   // Delay before weights that may be corrupt are unloaded, after the engine refused to.
   Duration unload_retry = std::chrono::seconds(1);
 };
@@ -111,7 +116,9 @@
   void OnLoadRequestResult(LoadRequestResult result, Instant now);
   void OnUnloadRequestResult(LoadRequestResult result, Instant now);
   // Some answers of the engine may belong to other calls: every staged chunk must be read back.
-  void OnUnmatchedAnswer();
+  void OnUnmatchedAnswer(Instant now);
+  // An earlier run of this process had the engine accept requests with `version`.
+  void OnVouched(std::uint64_t version);
 
   // Returns the actions that are due. Call after each event and several times a second.
   std::vector<RolloutAction> Advance(Instant now);
@@ -122,6 +129,9 @@
   }
   // The engine's weights may be corrupt, or it may load any moment, as a request is unanswered.
   bool IsDoubtful() const { return this->unanswered_request || this->unproven_load.has_value(); }
+  // The load was requested by an earlier run of this process, which may have ended before it was
+  // proven.
+  bool HasUnknownLoad() const { return this->unproven_load && this->is_earlier_load; }
   bool HasUnansweredRequest() const { return this->unanswered_request; }
   // Chunks of the engine's load that are not known to have been correct; 0: none, or no such load.
   std::uint32_t UnprovenChunks() const;
@@ -152,7 +162,7 @@
   double ScheduledPart() const;
   bool AllStaged() const;
   void StageChunks(std::vector<RolloutAction>& actions);
-  // Of the staged chunks for which `is_due`.
+  // Of the chunks in memory for which `is_due`.
   template <typename Predicate>
   void ReadBackChunks(Predicate is_due, std::vector<RolloutAction>& actions);
   void BeginVerifying(Instant now);
@@ -172,6 +182,10 @@
   // The engine has accepted a load, as the evidence has it.
   void OnLoadAccepted(std::optional<LoadEvidence> evidence, Instant now);
   void OnLoadedVersion(std::uint64_t loaded);
+  // The engine has loaded, and nothing is known about the chunks.
+  void OnUnknownLoad(Instant now);
+  // Once the chunks of the loaded version are known, they can be read back.
+  void RestartUnknownEvidence();
   void CheckProof();
   // Whether the load still has to be proven or replaced. Adds the actions for it.
   bool ProveLoad(Instant now, std::vector<RolloutAction>& actions);
@@ -191,8 +205,11 @@
   std::optional<LoadEvidence> evidence_since_state = {};
   // For a load that began after the request in progress was sent.
   std::optional<LoadEvidence> evidence_since_request = {};
-  // Of the engine's last load, until it is proven.
+  // Of the engine's last load, until it is proven, and then.
   std::optional<LoadEvidence> unproven_load = {};
+  std::optional<LoadEvidence> proven_load = {};
+  bool is_earlier_load = false;  // requested by an earlier run of this process
+  std::uint64_t vouched_version = 0;
   bool loaded_version_known = false;  // of that load; another one's evidence says nothing about it
   std::uint64_t requested_after = 0;  // accepted loads when the last request was sent
   bool request_in_progress = false;
@@ -200,6 +217,7 @@
   bool unanswered_request = false;         // was given up, and may still be carried out
   Instant unload_retry_at = {};
   Instant proof_retry_at = {};
+  Instant last_silence = {};  // a call was given up, or the engine answered again after that
   Step step = Step::kStaging;
   Instant verify_before = {};   // chunks verified earlier are due
   bool verified_again = false;  // since the scheduled time
--- a/src/distribution/engine_rollout_test.cc
+++ b/src/distribution/engine_rollout_test.cc
@@ -64,6 +64,30 @@
     }
   }
 
+  // As Run(), while the engine reports its state each 40 ms.
+  void RunWithStates(Duration duration, std::uint64_t loaded_version,
+                     LoadRequestResult result = LoadRequestResult::kAccepted) {
+    for (const Instant end = this->now + duration; this->now < end;) {
+      this->ReportState(loaded_version);
+      this->Run(milliseconds(40), result);
+    }
+  }
+
+  // Runs until a load request is in progress.
+  void RunUntilRequest() {
+    while (this->load_requests.empty()) {
+      this->ReportState(1);
+      for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+        if (const auto* load = std::get_if<SendLoadRequest>(&action)) {
+          this->load_requests.push_back(load->request);
+        } else {
+          this->Execute(action, LoadRequestResult::kAccepted);
+        }
+      }
+      this->now += milliseconds(10);
+    }
+  }
+
   // The engine answers each call about a chunk, and accepts the load, `delay` after it was sent,
   // until it has accepted one. Returns how long that took, or nullopt after 20 s.
   std::optional<Duration> RunWithSlowCalls(Duration delay) {
@@ -141,7 +165,7 @@
     }
   }
   ASSERT_TRUE(this->load_requests.empty());
-  this->rollout.OnUnmatchedAnswer();
+  this->rollout.OnUnmatchedAnswer(this->now);
   this->corrupt_chunk = 1;
   this->Run(milliseconds(500));
   EXPECT_GE(this->verify_count, static_cast<int>(kChunks));
@@ -249,6 +273,31 @@
   EXPECT_EQ(this->load_requests.size(), 1u);
 }
 
+// The copy of the version was dropped for a newer one, and a staged chunk is found corrupt. Guards
+// against an agent that tries to stage that chunk for good and adopts no newer version.
+TEST_F(EngineRolloutTest, VersionWithoutACopyCanBeReplaced) {
+  this->ReportState(1);
+  this->Want(2, {.rank = 1, .engines = 2});
+  this->Run(milliseconds(100));
+  this->now += seconds(6);
+  this->ReportState(1);
+  this->corrupt_chunk = 2;
+  std::optional<std::uint32_t> staged;
+  for (int step = 0; step < 10 && !staged; ++step, this->now += milliseconds(10)) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      if (const auto* stage = std::get_if<StageChunk>(&action)) {
+        staged = stage->chunk;
+      } else {
+        this->Execute(action, LoadRequestResult::kAccepted);
+      }
+    }
+  }
+  ASSERT_TRUE(staged.has_value());
+  EXPECT_FALSE(this->rollout.MayReplace());
+  this->rollout.OnChunkStaged(2, *staged, StageResult::kNoCopy, this->AnsweredAtOnce());
+  EXPECT_TRUE(this->rollout.MayReplace());
+}
+
 // Guards against a second load after a load request whose response was lost: the engine's number of
 // accepted loads shows whether it was accepted.
 TEST_F(EngineRolloutTest, LostLoadResponseIsResolvedFromEngineState) {
@@ -487,5 +536,298 @@
   EXPECT_EQ(this->unload_requests.size(), 1u);
 }
 
+// The engine begins the load, its answer is lost, and a state shows the load before the agent gives
+// the request up. Guards against waiting for that request for good.
+TEST_F(EngineRolloutTest, LoadSeenBeforeItsRequestIsGivenUpIsNotAwaited) {
+  this->ReportState(1);
+  this->Want(2);
+  this->RunUntilRequest();
+  this->load_count = 1;
+  this->now += milliseconds(40);
+  this->ReportState(1, true);
+  this->now += milliseconds(560);
+  this->rollout.OnLoadRequestResult(LoadRequestResult::kUnknown, this->now);
+  this->RunWithStates(seconds(5), 2, LoadRequestResult::kAlreadyLoaded);
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
+// The engine hangs while a chunk is read back, and carries the load out that was given up when it
+// wakes. Guards against an engine that stays out of service because that chunk is never read again.
+TEST_F(EngineRolloutTest, ChunkThatWasNotReadBeforeALateLoadIsReadAgain) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->now += seconds(1);
+  this->ReportState(1);
+  std::vector<RolloutAction> actions = this->rollout.Advance(this->now);
+  ASSERT_FALSE(actions.empty());
+  this->now += milliseconds(600);
+  for (const RolloutAction& action : actions) {
+    this->rollout.OnStagedChunkVerified(
+        2, std::get<VerifyStagedChunk>(action).chunk, ReadBackResult::kUnread,
+        {.sent = this->now - milliseconds(600), .answered = this->now});
+  }
+  this->rollout.OnEngineUnreachable();
+  this->now += seconds(2);
+  this->load_count = 1;
+  this->RunWithStates(seconds(5), 2);
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_TRUE(this->rollout.MayReplace());
+}
+
+// The engine gives its weights up, and the answer is lost. Guards against an engine that stays out
+// of service because the load that the agent sees is not one of a whole version.
+TEST_F(EngineRolloutTest, UnansweredUnloadIsFollowedByALoad) {
+  this->ReportState(1);
+  this->Want(2);
+  this->Run(milliseconds(200));
+  this->ReportState(1);
+  this->Run(milliseconds(50), LoadRequestResult::kUnknown);
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->now += seconds(4);
+  this->corrupt_chunk = 1;
+  this->load_count = 1;
+  this->ReportState(2);
+  bool unloaded = false;
+  for (int step = 0; step < 100 && !unloaded; ++step, this->now += milliseconds(10)) {
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      unloaded = std::holds_alternative<SendUnloadRequest>(action);
+      if (!unloaded) this->Execute(action, LoadRequestResult::kAccepted);
+    }
+    this->ReportState(2);
+  }
+  ASSERT_TRUE(unloaded);
+  this->now += milliseconds(600);
+  this->rollout.OnUnloadRequestResult(LoadRequestResult::kUnknown, this->now);
+  this->now += milliseconds(10);
+  this->load_count = 2;
+  for (int step = 0; step < 75 && this->load_requests.size() < 2; ++step) {
+    this->RunWithStates(milliseconds(40), 0);
+  }
+  ASSERT_EQ(this->load_requests.size(), 2u);
+  this->RunWithStates(milliseconds(400), 2);
+  EXPECT_EQ(this->load_requests.size(), 2u);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
+// The agent's earlier run requested the load and ended before it was proven. Guards against using
+// a load of which this run knows nothing.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsProvenBeforeItIsUsed) {
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_TRUE(this->rollout.MayReplace());
+  this->Want(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// As above, and an entry heard that the load was proven. Guards against taking engines out of
+// service whenever their agents restart.
+TEST_F(EngineRolloutTest, VouchedLoadOfAnEarlierRunIsUsed) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->rollout.OnVouched(1);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->rollout.OnVouched(2);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
+// As above, and nobody heard that the load was proven. Guards against loading weights again that
+// the engine's staged chunks show to be whole.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsProvenByItsChunks) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Want(2);
+  this->now += milliseconds(10);
+  this->rollout.OnChunkFound(0, this->AnsweredAtOnce());
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(100));
+  EXPECT_TRUE(this->rollout.Accepting());
+  EXPECT_TRUE(this->load_requests.empty());
+}
+
+// As above, and a newer version is wanted. Guards against an engine that waits for good for a proof
+// that its chunks cannot give any more.
+TEST_F(EngineRolloutTest, UnknownLoadOfAnOlderVersionIsReplaced) {
+  this->load_count = 1;
+  this->ReportState(0, true);
+  this->Want(3);
+  this->ReportState(2);
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
+// As above, and a chunk has become corrupt. Guards against using weights that may be corrupt.
+TEST_F(EngineRolloutTest, LoadOfAnEarlierRunIsReplacedIfAChunkIsCorrupt) {
+  this->load_count = 1;
+  this->ReportState(2);
+  this->Want(2);
+  this->now += milliseconds(10);
+  this->corrupt_chunk = 3;
+  this->Run(milliseconds(100));
+  EXPECT_FALSE(this->rollout.Accepting());
+  EXPECT_TRUE(this->unload_requests.empty());
+  this->Run(milliseconds(2200));
+  EXPECT_FALSE(this->rollout.Accepting());
+  EXPECT_EQ(this->unload_requests.size(), 1u);
+}
+
+// The agent's earlier run requested the load, and the engine carries it out before this run knows
+// the wanted version. Guards against using a load of which this run knows nothing.
+TEST_F(EngineRolloutTest, LateLoadOfAnEarlierRunIsNotUsedUnproven) {
+  this->ReportState(1);
+  this->now += seconds(3);
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Want(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// As above, and this run learns the wanted version between two states. Guards against taking a load
+// for proven because no chunk was known when the last state before it was read.
+TEST_F(EngineRolloutTest, LoadWithoutKnownChunksIsNotProven) {
+  this->ReportState(1);
+  this->Want(2);
+  this->now += seconds(3);
+  this->load_count = 1;
+  this->ReportState(2);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// An upload of the version before is in progress when the version changes, and is carried out after
+// the chunk was staged again. Guards against taking a load for proven while it may still come.
+TEST_F(EngineRolloutTest, ChunkIsReadBackAfterTheLoadIfAnOlderUploadIsInProgress) {
+  this->ReportState(0);
+  this->Want(2);
+  const Instant sent = this->now;
+  const std::vector<RolloutAction> uploads = this->rollout.Advance(this->now);
+  ASSERT_EQ(uploads.size(), 2u);
+  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[1]).chunk, StageResult::kStored,
+                              this->AnsweredAtOnce());
+  this->Want(3);
+  this->verify_count = 0;
+  this->corrupt_chunk = std::get<StageChunk>(uploads[0]).chunk;
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(50));
+  EXPECT_GT(this->verify_count, 0);
+  EXPECT_EQ(this->unload_requests.size(), 1u);
+  this->rollout.OnChunkStaged(2, std::get<StageChunk>(uploads[0]).chunk, StageResult::kUnknown,
+                              {.sent = sent, .answered = sent + milliseconds(600)});
+}
+
+// An upload of the version before was given up as the engine began to hang for 10 s. Guards against
+// counting the time in which it may be carried out from when it was given up, not from when the
+// engine answers again.
+TEST_F(EngineRolloutTest, UploadGivenUpBeforeALongHangMayStillBeCarriedOut) {
+  this->ReportState(0);
+  this->Want(2);
+  for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+    this->rollout.OnChunkStaged(2, std::get<StageChunk>(action).chunk, StageResult::kUnknown,
+                                this->AnsweredAtOnce());
+  }
+  this->rollout.OnEngineUnreachable();
+  this->Want(3);
+  this->now += seconds(10);
+  this->ReportState(0);
+  this->corrupt_chunk = 0;
+  this->Run(milliseconds(100));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(3);
+  EXPECT_FALSE(this->rollout.Accepting());
+  this->Run(milliseconds(50));
+  EXPECT_EQ(this->unload_requests.size(), 1u);
+}
+
+// The engine answers an upload twice, so that the next upload seems to have ended, and the agent
+// learns it only after the load. Guards against trusting a load of a chunk that was missing.
+TEST_F(EngineRolloutTest, UnmatchedAnswerAfterALoadMakesTheLoadDoubtful) {
+  this->ReportState(0);
+  this->Want(2);
+  this->Run(milliseconds(50));
+  ASSERT_EQ(this->load_requests.size(), 1u);
+  this->ReportState(2);
+  this->now += milliseconds(400);
+  this->rollout.OnUnmatchedAnswer(this->now);
+  EXPECT_FALSE(this->rollout.Accepting());
+}
+
+// Requests are queued at a slow engine, which starts them as soon as the load is done. Guards
+// against tokens from weights that can be proven only after the load.
+TEST_F(EngineRolloutTest, QueueIsEmptyBeforeALoadThatNeedsProofAfterwards) {
+  struct Call {
+    Instant sent;
+    RolloutAction action;
+  };
+  std::deque<Call> calls;
+  std::uint32_t waiting = 3;
+  const Instant begin = this->now;
+  this->ReportState(1, false, waiting);
+  this->Want(2, {}, 12);
+  for (; this->load_requests.empty() && this->now < begin + seconds(30);
+       this->now += milliseconds(10)) {
+    waiting = this->now < begin + seconds(15) ? 3 : 0;
+    this->ReportState(1, false, waiting);
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) {
+      calls.push_back({.sent = this->now, .action = action});
+    }
+    for (; !calls.empty() && calls.front().sent + milliseconds(500) <= this->now;
+         calls.pop_front()) {
+      const CallTimes times{.sent = calls.front().sent, .answered = this->now};
+      const RolloutAction& action = calls.front().action;
+      if (const auto* staged = std::get_if<StageChunk>(&action)) {
+        this->rollout.OnChunkStaged(2, staged->chunk, StageResult::kStored, times);
+      } else if (const auto* read = std::get_if<VerifyStagedChunk>(&action)) {
+        this->rollout.OnStagedChunkVerified(2, read->chunk, ReadBackResult::kIntact, times);
+      } else {
+        this->load_requests.push_back(std::get<SendLoadRequest>(action).request);
+        EXPECT_TRUE(waiting == 0 || this->rollout.OldestStagedAge(this->now) <= milliseconds(2900));
+      }
+    }
+  }
+  EXPECT_EQ(this->load_requests.size(), 1u);
+}
+
+// The chunks cannot be read back any more once the engine has been drained for its load. Guards
+// against an engine that stays out of service although it still holds usable weights.
+TEST_F(EngineRolloutTest, EngineWhoseChunksCannotBeReadKeepsServing) {
+  this->ReportState(1, false, 0);
+  this->Want(2, {.may_interrupt = true});
+  const auto report = [this] {
+    this->rollout.OnEngineState({.running = 9, .weights_version = 1, .started_unix_ms = this->born},
+                                this->AnsweredAtOnce());
+  };
+  for (int step = 0; step < 100 && this->rollout.Accepting(); ++step) {
+    report();
+    this->Run(milliseconds(10));
+  }
+  ASSERT_FALSE(this->rollout.Accepting());
+  this->now += milliseconds(2300);
+  report();
+  const auto refuse = [this](const RolloutAction& action) {
+    if (const auto* staged = std::get_if<StageChunk>(&action)) {
+      this->rollout.OnChunkStaged(2, staged->chunk, StageResult::kUnknown, this->AnsweredAtOnce());
+    } else if (const auto* read = std::get_if<VerifyStagedChunk>(&action)) {
+      this->rollout.OnStagedChunkVerified(2, read->chunk, ReadBackResult::kUnread,
+                                          this->AnsweredAtOnce());
+    } else {
+      ADD_FAILURE() << "a load was requested";
+    }
+  };
+  for (int step = 0; step < 300; ++step, this->now += milliseconds(10)) {
+    report();
+    for (const RolloutAction& action : this->rollout.Advance(this->now)) refuse(action);
+  }
+  EXPECT_TRUE(this->rollout.Accepting());
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/distribution/load_evidence.cc
+++ b/src/distribution/load_evidence.cc
@@ -15,7 +15,8 @@
     const bool may_be_repaired = is_pending(chunk.upload_given_up);
     this->chunks.push_back(
         {.correct_at = was_staged ? chunk.correct_at : Instant(),
-         .read_only = !may_be_repaired && is_pending(chunk.older_upload_given_up),
+         .read_only = !may_be_repaired &&
+                      (chunk.older_upload_in_progress || is_pending(chunk.older_upload_given_up)),
          .closed = !was_staged || may_be_repaired});
   }
 }
@@ -48,7 +49,7 @@
   return !chunk.read_only && this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
 }
 
-bool LoadEvidence::IsProven() const { return this->UnprovenChunks() == 0; }
+bool LoadEvidence::IsProven() const { return !this->chunks.empty() && this->UnprovenChunks() == 0; }
 
 bool LoadEvidence::CanBeProven() const {
   return std::ranges::none_of(
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -1,6 +1,7 @@
 #include "fleet/entry_links.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/log.h"
 #include "base/metrics.h"
@@ -12,6 +13,14 @@
 #include "wire/savoryrouter.pb.h"
 
 namespace savory {
+namespace {
+
+// What is due for longer than this shows that the process or its machine stood still.
+constexpr Duration kStandStill = std::chrono::milliseconds(500);
+// What arrived meanwhile is read within this time.
+constexpr Duration kReadFirst = std::chrono::milliseconds(20);
+
+}  // namespace
 
 struct EntryLinks::Impl : GuardedCallbacks<EntryLinks::Impl> {
   struct Agent {
@@ -20,6 +29,8 @@
     std::uint64_t digest = 0;  // of the agent list that the agent last reported
     // When this entry's list last changed or was last sent to the agent, whichever is later.
     Instant outdated_since = {};
+    // Version with which the engine accepted requests, in the last status; 0: it did not.
+    std::uint64_t vouched_weights = 0;
   };
 
   EventLoop& loop;
@@ -36,8 +47,10 @@
   EntryDemand demand = {};
   bool hello_scheduled = false;
   bool left = false;
+  std::vector<std::string> last_contacts = {};  // agents, after this entry has left
   EventLoop::TimerId timer = 0;
   Instant timer_due = {};
+  Instant read_until = {};  // after a stand-still
   ReportListener on_report = {};
   AvailabilityListener on_availability = {};
   EntriesListener on_entries_change = {};
@@ -59,17 +72,31 @@
 
   // Performs what is due and sets the timer for what is due next.
   void Advance() {
-    if (this->left) return;
+    if (this->left || this->MustReadFirst()) return;
     this->Execute(this->presence.Advance(this->loop.Now()));
-    const Instant due = this->presence.NextDue();
-    if (this->timer != 0 && this->timer_due <= due) return;
+    const Instant due = std::max(this->presence.NextDue(), this->loop.Now());
+    if (this->timer == 0 || this->timer_due > due) this->SetTimer(due);
+  }
+
+  void SetTimer(Instant due) {
     if (this->timer != 0) this->loop.Cancel(this->timer);
     this->timer_due = due;
-    this->timer =
-        this->loop.After(std::max(Duration(0), due - this->loop.Now()), this->Guarded([this] {
-          this->timer = 0;
-          this->Advance();
-        }));
+    this->timer = this->loop.After(due - this->loop.Now(), this->Guarded([this] {
+      this->timer = 0;
+      this->Advance();
+    }));
+  }
+
+  // After a stand-still, what others said meanwhile counts before their silence, and the last word
+  // of each before its earlier ones.
+  bool MustReadFirst() {
+    const Instant now = this->loop.Now();
+    const bool was_waiting = this->timer_due == this->read_until;
+    if (!was_waiting && now - this->timer_due > kStandStill) {
+      this->read_until = now + kReadFirst;
+      this->SetTimer(this->read_until);
+    }
+    return now < this->read_until;
   }
 
   void Execute(std::span<const PresenceAction> actions) {
@@ -153,6 +180,10 @@
     hello.set_engines_lacking(target.engines_without_weights);
     hello.set_requests_resume(target.requests_resumable);
     hello.set_agents_digest(this->agents_digest);
+    const auto agent = this->agent_states.find(peer);
+    if (agent != this->agent_states.end()) {
+      hello.set_vouched_weights(agent->second.vouched_weights);
+    }
     return hello;
   }
 
@@ -219,6 +250,38 @@
     this->Send(peer, std::move(hello));
   }
 
+  // Takes leave of the other entries. The requests in progress still need to know which engines
+  // serve.
+  void Leave() {
+    if (std::exchange(this->left, true)) return;
+    for (const PresenceAction& action : this->presence.Leave(this->loop.Now())) {
+      if (const auto* agent = std::get_if<LeaveAgent>(&action)) {
+        this->last_contacts.push_back(agent->agent);
+      } else {
+        std::visit([this](const auto& item) { this->Execute(item); }, action);
+      }
+    }
+    this->AddOtherAgents();
+    this->KeepInTouch();
+  }
+
+  // What the other entries passed on of further engines comes no more. In a large fleet there are
+  // enough engines without them.
+  void AddOtherAgents() {
+    const std::set<std::string> known(this->last_contacts.begin(), this->last_contacts.end());
+    for (const auto& [peer, agent] : this->agent_states) {
+      if (this->last_contacts.size() >= this->options.presence.initial_contacts) return;
+      if (!known.contains(peer)) this->last_contacts.push_back(peer);
+    }
+  }
+
+  // Asks the agents for statuses without their load.
+  void KeepInTouch() {
+    for (const std::string& agent : this->last_contacts) this->Execute(GreetAgent{.agent = agent});
+    this->loop.After(this->options.presence.hello_period,
+                     this->Guarded([this] { this->KeepInTouch(); }));
+  }
+
   // ---- from agents ----
 
   void NotifyWantedSince(const std::string& agent, const wire::EngineStatus& status) {
@@ -235,7 +298,6 @@
   }
 
   void OnAgentStatus(const std::string& from, const wire::EngineStatus& status) {
-    if (this->left) return;
     this->reports.Add();
     this->NotifyWantedSince(from, status);
     if (status.found_version() > 0 && this->on_found_version) {
@@ -252,7 +314,10 @@
     this->Advance();
     if (found == this->agent_states.end()) return;
     found->second.digest = status.agents_digest();
-    this->SendListIfOutdated(from, found->second);
+    if (!status.unreachable()) {
+      found->second.vouched_weights = status.refusing() ? 0 : status.weights_version();
+    }
+    if (!this->left) this->SendListIfOutdated(from, found->second);
     if (!this->on_report) return;
     this->on_report(EngineReport{
         .address = engine,
@@ -342,12 +407,7 @@
   self.Advance();
 }
 
-void EntryLinks::Leave() {
-  Impl& self = *this->impl;
-  if (self.left) return;
-  self.Execute(self.presence.Leave(self.loop.Now()));
-  self.left = true;
-}
+void EntryLinks::Leave() { this->impl->Leave(); }
 
 void EntryLinks::SetEngines(const std::vector<Upstream>& engines) {
   this->impl->SetAgents(engines);
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cerrno>
 #include <csignal>
+#include <map>
 #include <thread>
 
 #include "base/metrics.h"
@@ -255,6 +256,7 @@
   void Handle(const SharedExchange& exchange) {
     ++this->requests;
     const std::string& target = exchange->Head().target;
+    this->received_at[target] = exchange->ReceivedAt();
     if (target == "/stream" || target == "/broken") {
       exchange->BeginStream(200, {});
       exchange->SendPart("one ");
@@ -304,6 +306,7 @@
   }
 
   int requests = 0;
+  std::map<std::string, Instant> received_at = {};  // by target
   SharedExchange held = {};
   AsyncHttpServer server{
       loop, {}, [this](const SharedExchange& exchange) { this->Handle(exchange); }};
@@ -401,6 +404,29 @@
   EXPECT_NE(caller.answers.find("/third"), std::string::npos);
 }
 
+// Requests wait behind a long answer. Guards against counting their time from its end, so that
+// upstreams work on them after their callers have left.
+TEST_F(AsyncHttpServerTest, TimeOfAPipelinedRequestCountsFromItsArrival) {
+  const auto step = std::chrono::milliseconds(200);
+  PipeliningClient caller(this->loop);
+  caller.Send("/hold");
+  this->RunFor(step);
+  caller.Send("/second");
+  caller.Send("/third");
+  this->RunFor(2 * step);
+  caller.Send("/fourth");
+  this->RunFor(step);
+  const Instant released_at = this->loop.Now();
+  this->held->Answer(200, {}, "held");
+  this->RunFor(step / 2);
+  ASSERT_EQ(this->requests, 4);
+  EXPECT_GT(this->received_at["/second"], this->received_at["/hold"] + step / 2);
+  EXPECT_LT(this->received_at["/second"], released_at - 2 * step);
+  EXPECT_LT(this->received_at["/third"], released_at - 2 * step);
+  EXPECT_GT(this->received_at["/fourth"], this->received_at["/third"] + step);
+  EXPECT_LT(this->received_at["/fourth"], released_at - step / 2);
+}
+
 // The process is told to stop while a request waits behind another one. Guards against a request
 // that was read and is dropped without an answer.
 TEST_F(AsyncHttpServerTest, StoppingServerAnswersPipelinedRequests) {
@@ -812,6 +838,34 @@
   EXPECT_EQ(answer->error().kind, ErrorKind::kMalformed);
 }
 
+// The process stands still while the answers to two calls arrive, so that the second one is read
+// long after its time. Guards against a late answer being taken for a timely one because it is read
+// before the call's timer runs.
+TEST_F(AsyncHttpTest, AnswerThatIsReadTooLateIsATimeout) {
+  const auto timeout = std::chrono::milliseconds(700);
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+  const auto delay = std::chrono::milliseconds(100);
+  RawPeer first(26929, {answer}, RawPeer::End::kStayOpen, {}, delay);
+  RawPeer second(26930, {answer}, RawPeer::End::kStayOpen, {}, delay);
+  std::vector<Result<BufferedAnswer>> results;
+  const auto done = [&](Result<BufferedAnswer> result) {
+    results.push_back(std::move(result));
+    if (results.size() == 2) return this->loop.Stop();
+    std::this_thread::sleep_for(timeout);
+  };
+  for (const char* address : {"127.0.0.1:26929", "127.0.0.1:26930"}) {
+    StartBufferedCall(this->loop, this->pool, this->CallTo(address, "/"), timeout, done);
+  }
+  // Both answers arrive meanwhile and are read in one turn of the loop.
+  this->loop.After(delay / 2, [delay] { std::this_thread::sleep_for(2 * delay); });
+  this->loop.Run();
+  ASSERT_EQ(results.size(), 2u);
+  ASSERT_TRUE(results[0].has_value());
+  EXPECT_EQ(results[0].value().body, "one");
+  ASSERT_FALSE(results[1].has_value());
+  EXPECT_EQ(results[1].error().kind, ErrorKind::kTimeout);
+}
+
 // A peer sends a second copy of an answer while the next call waits on the connection, and nothing
 // in the answers tells them apart. Guards against a mix-up that the caller does not learn of.
 TEST_F(AsyncHttpTest, LateSecondCopyOfAnAnswerIsReported) {
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -31,6 +31,12 @@
   if (ms > 0) std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+// Times until which a load may begin; 0: not named.
+struct LoadLimits {
+  int deadline_ms = 0;  // counted from when the engine has read the order
+  std::uint64_t not_after_unix_ms = 0;
+};
+
 // A parsed generation request.
 struct Prompt {
   std::string text = {};
@@ -113,7 +119,26 @@
 
   // ---- load orders ----
 
+  // Plays load requests that are read late: their callers may have given them up.
+  void SetFault(const httplib::Request& request, httplib::Response& response) {
+    const json body = ParseJsonBody(request, response);
+    if (body.is_discarded()) return;
+    const std::lock_guard lock(this->mutex);
+    this->late_loads = body.value("late_loads", this->late_loads);
+    this->late_load_ms = body.value("late_load_ms", this->late_load_ms);
+    ReplyJson(response, {{"late_loads", this->late_loads}, {"late_load_ms", this->late_load_ms}});
+  }
+
+  // Time until the next load request is read.
+  int TakeLateness() {
+    const std::lock_guard lock(this->mutex);
+    if (this->late_loads <= 0) return 0;
+    --this->late_loads;
+    return this->late_load_ms;
+  }
+
   void AcceptLoadOrder(const httplib::Request& request, httplib::Response& response) {
+    SleepMs(this->TakeLateness());
     const json body = ParseJsonBody(request, response);
     if (body.is_discarded()) return;
     const EngineOrder order = {.manifest = body.value("manifest", ""),
@@ -133,15 +158,23 @@
     }
     ReplyJson(response, json::object(), 202);
     if (decision == OrderDecision::kNothingToDo) return;
-    const int deadline_ms = body.value("deadline_ms", 0);
-    std::thread([this, source = source.value(), load, deadline_ms] {
-      this->Load(source, load, deadline_ms);
+    const LoadLimits limits = {
+        .deadline_ms = body.value("deadline_ms", 0),
+        .not_after_unix_ms = body.value("not_after_unix_ms", std::uint64_t{0})};
+    std::thread([this, source = source.value(), load, limits] {
+      this->Load(source, load, limits);
     }).detach();
   }
 
-  void Load(const WeightsSource& source, std::uint64_t load, int deadline_ms) {
+  bool IsExpired(const LoadLimits& limits) const {
+    const bool named = this->options.check_not_after && limits.not_after_unix_ms > 0;
+    if (named && UnixMs() >= limits.not_after_unix_ms) return true;
+    return limits.deadline_ms > 0 && this->options.order_delay_ms > limits.deadline_ms;
+  }
+
+  void Load(const WeightsSource& source, std::uint64_t load, const LoadLimits& limits) {
     SleepMs(this->options.order_delay_ms);
-    if (deadline_ms > 0 && this->options.order_delay_ms > deadline_ms) {
+    if (this->IsExpired(limits)) {
       this->Increment("orders_expired");
       return this->EndLoad(load, false);
     }
@@ -311,6 +344,8 @@
   std::uint64_t incarnation;
   json stats;
   std::string load_error;
+  int late_loads = 0;  // the next load requests, each of which is read late
+  int late_load_ms = 0;
   std::multimap<std::string, std::shared_ptr<Answer>> answers;
   std::map<std::string, std::uint64_t> runs;
 };
@@ -334,6 +369,8 @@
              [&self](const auto&, auto& response) { ReplyJson(response, self.Stats()); });
   server.Get("/admin/runs",
              [&self](const auto&, auto& response) { ReplyJson(response, self.Runs()); });
+  server.Post("/admin/fault",
+              [&self](const auto& request, auto& response) { self.SetFault(request, response); });
   server.Post("/admin/crash", [&self](const auto&, auto&) { self.Crash(); });
 }
 
