--- a/src/distribution/load_evidence.cc
+++ b/src/distribution/load_evidence.cc
@@ -15,8 +15,8 @@
     const bool may_be_repaired = is_pending(chunk.upload_given_up);
     this->chunks.push_back(
         {.correct_at = was_staged ? chunk.correct_at : Instant(),
-         .read_only = !may_be_repaired &&
-                      (chunk.older_upload_in_progress || is_pending(chunk.older_upload_given_up)),
+         .needs_later_reading = !may_be_repaired && (chunk.older_upload_in_progress ||
+                                                     is_pending(chunk.older_upload_given_up)),
          .closed = !was_staged || may_be_repaired});
   }
 }
@@ -46,7 +46,8 @@
 
 bool LoadEvidence::IsProven(const Chunk& chunk) const {
   if (chunk.correct_at >= this->accepted_by) return true;
-  return !chunk.read_only && this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
+  return !chunk.needs_later_reading &&
+         this->accepted_by - chunk.correct_at <= this->options.max_corrupt_time;
 }
 
 bool LoadEvidence::IsProven() const { return !this->chunks.empty() && this->UnprovenChunks() == 0; }
--- a/src/distribution/load_evidence.h
+++ b/src/distribution/load_evidence.h
@@ -11,8 +11,7 @@
 
 // What calls have shown about one staged chunk.
 struct StagedChunk {
-  // When the answer to the upload was handled, or to the first call that read the chunk back. Max:
-  // not staged.
+  // When its upload was answered, or the call that found it staged. Instant::max(): not staged.
   Instant staged_by = Instant::max();
   // When the last call was sent that showed the chunk to be correct.
   Instant correct_at = {};
@@ -66,8 +65,8 @@
  private:
   struct Chunk {
     Instant correct_at = {};
-    bool read_only = false;  // only a reading after the load counts
-    bool closed = false;     // no later reading counts
+    bool needs_later_reading = false;  // only one after the load counts
+    bool closed = false;               // later readings tell nothing about the load
   };
 
   bool IsProven(const Chunk& chunk) const;
