--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -177,7 +177,7 @@
         route(route),
         account(std::move(account)),
         priority(priority),
-        arrived(this->exchange->ReadAt()) {
+        arrived(this->exchange->ReceivedAt()) {
     for (const std::string& id : this->metadata.prompt_parts) {
       this->suspect.parts.push_back(PromptPartDigest(id));
     }
@@ -189,10 +189,8 @@
   void Start() {
     this->pool = this->PickPool();
     const Instant now = this->relay.loop.Now();
-    // The caller's time runs also while the request waits behind another one on its connection.
-    const Instant received = this->exchange->ReceivedAt();
-    this->deadline = received + this->metadata.time_left.value_or(this->route.timeout);
-    this->timeout = std::min(this->deadline, received + this->route.timeout);
+    this->deadline = this->arrived + this->metadata.time_left.value_or(this->route.timeout);
+    this->timeout = std::min(this->deadline, this->arrived + this->route.timeout);
     this->last_event = this->metadata.last_event_id;
     this->is_caller_retry = this->relay.IsCallerRetry(this->route, this->metadata.time_left);
     this->relay.budget.OnRequest(this->pool, now);
--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <deque>
 #include <limits>
 #include <unordered_map>
 #include <utility>
@@ -25,14 +24,6 @@
 // may have sent its next request before it could learn of the close.
 constexpr Duration kReuseTime = std::chrono::milliseconds(500);
 
-// Bytes of pipelined requests that are read within this time count as read at once.
-constexpr Duration kSameInput = std::chrono::milliseconds(50);
-
-struct Input {
-  Instant arrived;
-  std::string bytes = {};
-};
-
 struct LocalAnswer {
   int status;
   std::string_view body;
@@ -58,7 +49,6 @@
   HttpHead head;
   std::string body;
   Instant received_at;
-  Instant read_at;
   std::function<void()> on_disconnected = {};
   std::function<void()> on_flushed = {};
   bool begun = false;
@@ -99,11 +89,11 @@
   void OnBytes(std::span<const std::byte> bytes) override {
     if (this->closing) return this->Discard(bytes.size());
     if (this->exchange != nullptr || this->resuming) {
-      this->AddPipelined(bytes);
+      this->pipelined.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+      if (this->pipelined.size() > kMaxPipelinedBytes) this->tcp.PauseReading();
       return;
     }
-    this->input_arrived = this->server.loop.Now();
-    if (this->phase == Phase::kIdle) this->BeginRequest(this->input_arrived);
+    if (this->phase == Phase::kIdle) this->Enter(Phase::kHead);
     this->parser.Feed(bytes);
     this->Advance();
   }
@@ -266,22 +256,6 @@
     this->phase_since = now;
   }
 
-  void AddPipelined(std::span<const std::byte> bytes) {
-    const Instant now = this->server.loop.Now();
-    const bool is_same =
-        !this->pipelined.empty() && now - this->pipelined.back().arrived < kSameInput;
-    if (!is_same) this->pipelined.push_back({.arrived = now});
-    this->pipelined.back().bytes.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
-    this->pipelined_bytes += bytes.size();
-    if (this->pipelined_bytes > kMaxPipelinedBytes) this->tcp.PauseReading();
-  }
-
-  // Its first bytes may have arrived while the request before it was answered.
-  void BeginRequest(Instant arrived) {
-    this->Enter(Phase::kHead);
-    this->request_arrived = arrived;
-  }
-
   void Enter(Phase next) {
     this->phase = next;
     this->phase_since = this->server.loop.Now();
@@ -301,24 +275,13 @@
   void ResumePipelined() {
     this->resuming = false;
     if (this->exchange != nullptr || this->closing || this->ended) return;
-    const bool has_begun = this->parser.IsDone() || this->parser.HasInput();
-    const bool is_next = !has_begun && !this->pipelined.empty();
-    this->BeginRequest(is_next ? this->pipelined.front().arrived : this->input_arrived);
-    while (this->NeedsInput() && !this->pipelined.empty()) {
-      const Input next = std::move(this->pipelined.front());
-      this->pipelined.pop_front();
-      this->pipelined_bytes -= next.bytes.size();
-      this->input_arrived = next.arrived;
-      this->parser.Feed(std::as_bytes(std::span(next.bytes)));
-    }
-    if (this->pipelined_bytes <= kMaxPipelinedBytes) this->tcp.ResumeReading();
+    this->Enter(Phase::kHead);
+    const std::string bytes = std::exchange(this->pipelined, {});
+    this->tcp.ResumeReading();
+    this->parser.Feed(std::as_bytes(std::span(bytes)));
     this->Advance();
   }
 
-  bool NeedsInput() const {
-    return !this->parser.IsDone() && this->parser.Failure() == HttpParseFailure::kNone;
-  }
-
   void Advance() {
     if (this->parser.Failure() != HttpParseFailure::kNone) {
       const LocalAnswer answer = AnswerToParseFailure(this->parser.Failure());
@@ -342,8 +305,7 @@
         HttpExchange::Impl{.connection = this,
                            .head = this->parser.Head(),
                            .body = std::exchange(this->body, {}),
-                           .received_at = std::min(this->phase_since, this->request_arrived),
-                           .read_at = this->phase_since});
+                           .received_at = this->phase_since});
     this->exchange = std::make_shared<HttpExchange>(std::move(state));
     const SharedExchange started = this->exchange;
     this->server.handler(started);
@@ -413,10 +375,7 @@
   Instant phase_since;
   SharedExchange exchange = {};
   std::string body = {};
-  Instant input_arrived = {};    // of the bytes that the parser got last
-  Instant request_arrived = {};  // of the first bytes of the request
-  std::deque<Input> pipelined = {};
-  std::size_t pipelined_bytes = 0;
+  std::string pipelined = {};
   bool resuming = false;  // ResumePipelined() follows; bytes that arrive before come after its own
   bool refusing = false;
   bool close_announced = false;  // to the caller, in an answer
@@ -438,7 +397,6 @@
 const HttpHead& HttpExchange::Head() const { return this->impl->head; }
 const std::string& HttpExchange::Body() const { return this->impl->body; }
 Instant HttpExchange::ReceivedAt() const { return this->impl->received_at; }
-Instant HttpExchange::ReadAt() const { return this->impl->read_at; }
 bool HttpExchange::IsOver() const { return this->impl->connection == nullptr; }
 bool HttpExchange::HasBegun() const { return this->impl->begun; }
 
--- a/src/runtime/http_exchange.h
+++ b/src/runtime/http_exchange.h
@@ -27,9 +27,6 @@
   const std::string& Body() const;
   // When the first byte of the request arrived.
   Instant ReceivedAt() const;
-  // When it was read: later for a request that waited for the answer to the one before it on the
-  // connection.
-  Instant ReadAt() const;
   // Whether the caller has disconnected, or the answer is complete or aborted.
   bool IsOver() const;
 
