Give two new tests addresses of their own

Cause: RecordSyncTest takes the ports of 127.0.0.1 from 26960 up, among them those of the two tests, and ran at the same time. They listen on loopback addresses that no other test uses.

--- a/src/distribution/engine_client_test.cc
+++ b/src/distribution/engine_client_test.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kEngine[] = "127.0.0.1:26961";
+constexpr char kEngine[] = "127.84.0.2:26961";
 
 std::int64_t UnixMs() {
   return std::chrono::duration_cast<milliseconds>(
--- a/standins/engine_test.cc
+++ b/standins/engine_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kHost[] = "127.0.0.1";
+constexpr char kHost[] = "127.84.0.1";
 constexpr int kPort = 26962;
 constexpr char kNobody[] = "http://127.0.0.1:1/weights/";  // the load fails if it begins
 constexpr int kLateMs = 300;
