Ask one view what may go where: homes, evacuations, cold upstreams

Callers whose route or account is bound to regions were served anywhere, an emptied data centre went on getting requests, and nothing bounded what a cold engine gets from all entries together.

`Placement` holds the three rules without I/O; the dispatcher asks it for each upstream and attempt, so retries and resumed streams are covered. Bound requests reach engines of their homes outside the entry's window, a request that is barred everywhere is refused at once, and slots of evacuated data centres are not divided. Entries keep own parts of a cold engine's bound, as slots are divided.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -18,6 +18,7 @@
     ErrorAnswer{Kind::kOverloaded, "overloaded", 503, Outcome::kRefusedByLimit},
     ErrorAnswer{Kind::kDeadlineUnmeetable, "deadline-unmeetable", 503, Outcome::kRefusedByLimit},
     ErrorAnswer{Kind::kNoUpstream, "no-upstream", 503, Outcome::kNotRun},
+    ErrorAnswer{Kind::kOutsideHomes, "outside-homes", 503, Outcome::kNotRun},
     ErrorAnswer{Kind::kDraining, "draining", 503, Outcome::kNotRun},
     ErrorAnswer{Kind::kClaimUnavailable, "claim-unavailable", 503, Outcome::kNotRun},
     ErrorAnswer{Kind::kClaimShardFull, "claim-shard-full", 503, Outcome::kNotRun},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -24,6 +24,7 @@
   kOverloaded,
   kDeadlineUnmeetable,
   kNoUpstream,
+  kOutsideHomes,
   kDraining,
   kClaimUnavailable,
   kClaimShardFull,
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -89,11 +89,14 @@
   return {.max_deferral = std::max(Duration(0), settings.upstream_drain - kDrainReserve)};
 }
 
-RelayOptions MakeRelayOptions(const DirectEntrySettings& settings) {
-  return RelayOptions{
-      .dispatcher = {.data_centre = settings.process.data_centre, .entry = settings.process.peer},
-      .budget = settings.retry_budget,
-      .crashes = {.registry = {.self = settings.process.peer}}};
+RelayOptions MakeRelayOptions(const DirectEntrySettings& settings, Instant now) {
+  PlacementOptions placement{.regions = settings.process.regions, .cold = settings.cold};
+  placement.cold.started = now;
+  return RelayOptions{.dispatcher = {.data_centre = settings.process.data_centre,
+                                     .placement = std::move(placement),
+                                     .entry = settings.process.peer},
+                      .budget = settings.retry_budget,
+                      .crashes = {.registry = {.self = settings.process.peer}}};
 }
 
 }  // namespace
@@ -149,7 +152,7 @@
         process_load(loop, metrics, this->peers),
         connections(loop, metrics, {}),
         relay(loop, this->connections, adapter.requests, metrics, this->random,
-              MakeRelayOptions(this->settings)),
+              MakeRelayOptions(this->settings, loop.Now())),
         links(loop, this->peers, metrics, MakeLinkOptions(this->settings)),
         operator_records(
             loop, this->peers, adapter.store, metrics, this->random,
@@ -182,12 +185,38 @@
         if (!newest || found->version > newest->version) newest = std::move(*found);
       } else if (const auto* wanted = std::get_if<WeightsWanted>(&decoded.value())) {
         this->OnWeightsWanted(*wanted);
+      } else if (const auto* evacuation = std::get_if<Evacuation>(&decoded.value())) {
+        this->OnEvacuation(*evacuation);
       }
     }
     this->operator_records_listed = true;
     if (newest) this->ApplyRules(std::move(*newest));
   }
 
+  void OnEvacuation(const Evacuation& evacuation) {
+    Placement& places = this->relay.RequestDispatcher().Places();
+    if (places.IsEvacuated(evacuation.data_centre) == evacuation.evacuated) return;
+    this->relay.RequestDispatcher().SetEvacuated(evacuation.data_centre, evacuation.evacuated,
+                                                 this->loop.Now());
+    const bool known = !places.RegionOf(evacuation.data_centre).empty();
+    Log(known ? LogLevel::kInfo : LogLevel::kError,
+        evacuation.evacuated ? "data_centre_evacuated" : "data_centre_returned",
+        {{"data_centre", evacuation.data_centre},
+         {"known", known},
+         {"evacuated", places.Evacuated().size()}});
+    this->metrics.GaugeFor("savory_data_centres_evacuated")
+        .Set(static_cast<double>(places.Evacuated().size()));
+  }
+
+  // An unknown region in the rules has no upstreams. That is more likely a mistake.
+  void LogUnknownHomes() {
+    for (const std::string& region : this->rules->HomeRegionNames()) {
+      if (this->relay.RequestDispatcher().Places().IsKnownRegion(region)) continue;
+      Log(LogLevel::kError, "home_region_unknown",
+          {{"region", region}, {"rules", this->rules->Version()}});
+    }
+  }
+
   // Agents that heard of a version earlier than this entry know better when it was announced, and
   // of versions that were followed by another one before this entry read the store.
   void OnWantedSince(const std::string& model, const VersionTime& wanted) {
@@ -223,7 +252,11 @@
     if (!this->rules) this->first_rules_at = this->loop.Now();
     this->start_timeline.Mark(StartStep::kRules, this->loop.Now());
     this->rules = std::make_shared<const RoutingIndex>(std::move(found));
-    this->relay.SetRules(this->rules);
+    for (const std::string& pool : this->relay.SetRules(this->rules)) {
+      Log(LogLevel::kError, "cold_rule_rejected",
+          {{"pool", pool}, {"rules", this->rules->Version()}, {"reason", "negative"}});
+    }
+    this->LogUnknownHomes();
     const CallerLimits& limits = this->rules->Rules().limits;
     this->callers.SetOptions({.limits = {.max_header_bytes = limits.max_header_bytes,
                                          .max_body_bytes = limits.max_body_bytes},
@@ -381,6 +414,8 @@
     }
     this->start_timeline.Mark(StartStep::kUpstreams, this->loop.Now());
     this->relay.RequestDispatcher().SetUpstream(upstream);
+    this->relay.RequestDispatcher().SetCold(upstream.id, upstream.warmup_remaining,
+                                            this->loop.Now());
     this->relay.Crashes().OnUpstreamListed({.id = upstream.id,
                                             .address = upstream.address,
                                             .started_unix_ms = upstream.started_unix_ms});
--- a/src/direct/entry_settings.cc
+++ b/src/direct/entry_settings.cc
@@ -43,6 +43,9 @@
   settings.retry_budget.ratio = retry_budget.Number("ratio", kRatio, settings.retry_budget.ratio);
   settings.retry_budget.slack = retry_budget.Number("slack", kCount, settings.retry_budget.slack);
   settings.retry_budget.window = FromSeconds(retry_budget.Number("window_s", kSeconds, 10));
+  SettingsReader cold = reader.Section("cold_requests");
+  settings.cold.overrun = cold.Number("overrun", kRatio, 0);
+  settings.cold.slack = cold.Number("slack", kCount, 0);
   settings.weights_deadline =
       std::chrono::milliseconds(reader.Integer("weights_deadline_ms", kMillis, 8000));
   settings.upstream_drain =
--- a/src/direct/entry_settings.h
+++ b/src/direct/entry_settings.h
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "base/time.h"
+#include "placement/cold_limits.h"
 #include "relay/pool_retry_budget.h"
 
 namespace savory {
@@ -38,6 +39,7 @@
   Duration weights_deadline = std::chrono::seconds(8);
   // An upstream that leaves serves on for this long after its record was removed or says so.
   Duration upstream_drain = std::chrono::milliseconds(2000);
+  ColdLimitOptions cold = {};
   // Time from SIGTERM until the platform kills the process.
   Duration stop_grace = std::chrono::seconds(8);
 };
--- /dev/null
+++ b/src/placement/cold_limits.h
@@ -0,0 +1,80 @@
+// Bounds the requests to upstreams that are cold, summed over all entries.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace savory {
+
+struct ColdLimitOptions {
+  // A cold upstream may get, in any second and from all entries together, this multiple of the rate
+  // that its pool tolerates and `slack` more. 0: no limits.
+  double overrun = 0;
+  double slack = 0;
+  // The entries divide the tolerated rate itself. The rest of the bound covers entries that divide
+  // the slots by other demands. The window is longer than a second, as requests sent within more
+  // than a second may arrive within one.
+  Duration window = std::chrono::milliseconds(1100);
+  // A process sends nothing to cold upstreams within `window` of its start: it does not know what
+  // its predecessor sent.
+  Instant started = {};
+};
+
+// What the operators' pool table says of cold upstreams.
+struct ColdRule {
+  Duration after_start = {};       // an upstream that starts is cold for so long
+  double requests_per_second = 0;  // that a cold upstream tolerates; 0: any number
+};
+
+// This entry's part of an upstream, as the entries divide the slots.
+struct ColdShare {
+  double fraction = 0;      // of the upstream's slots; 0: none
+  std::size_t entries = 1;  // live entries that may send to it, this one included
+};
+
+// Performs no I/O. Each entry keeps its own part of the bound, so that no message is needed at the
+// moment of the decision.
+class ColdLimits {
+ public:
+  explicit ColdLimits(ColdLimitOptions options = {}) : options(options) {}
+
+  // A negative rate or time is a mistake: the pool keeps the rule that it has. Returns these pools.
+  std::vector<std::string> SetRules(std::map<std::string, ColdRule, std::less<>> by_pool);
+  // The upstream said that it stays cold for `remaining`. A shorter time than known replaces it.
+  void SetCold(std::string_view upstream, std::string_view pool, Duration remaining, Instant now);
+  // The upstream may have become cold without having said so yet: it counts as cold as after a
+  // start.
+  void AssumeCold(std::string_view upstream, std::string_view pool, Instant now);
+  void Forget(std::string_view upstream);
+  // Upstreams whose time is up are warm. Call now and then.
+  void Expire(Instant now);
+
+  bool IsCold(std::string_view upstream, Instant now) const;
+  // Whether this entry may send one more request to the upstream now.
+  bool MaySend(std::string_view upstream, const ColdShare& share, Instant now) const;
+  void OnSent(std::string_view upstream, Instant now);
+  std::size_t Size() const { return this->cold.size(); }
+
+ private:
+  struct Cold {
+    std::string pool = {};
+    Instant until = {};
+    std::deque<Instant> sent = {};  // within the window
+  };
+
+  // Number of requests that this entry may send within the window.
+  std::size_t Allowance(const Cold& cold, const ColdShare& share) const;
+  const ColdRule* RuleOf(std::string_view pool) const;
+
+  ColdLimitOptions options;
+  std::map<std::string, ColdRule, std::less<>> rules = {};  // by pool
+  std::map<std::string, Cold, std::less<>> cold = {};       // by upstream id
+};
+
+}  // namespace savory
--- /dev/null
+++ b/src/placement/cold_limits_test.cc
@@ -0,0 +1,142 @@
+#include "placement/cold_limits.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace savory {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kPerSecond = 26;
+constexpr double kOverrun = 1.5;
+constexpr double kSlack = 5;
+constexpr double kBound = kPerSecond * kOverrun + kSlack;
+
+ColdLimits MakeLimits(Instant started = {}) {
+  ColdLimits limits({.overrun = kOverrun, .slack = kSlack, .started = started});
+  limits.SetRules({{"chat", {.after_start = seconds(3), .requests_per_second = kPerSecond}},
+                   {"ledger", {.after_start = seconds(3)}}});
+  return limits;
+}
+
+class ColdLimitsTest : public ::testing::Test {
+ protected:
+  // Sends as many requests as are allowed now.
+  int SendAll(ColdLimits& limits, const ColdShare& share) {
+    int sent = 0;
+    while (sent < 1000 && limits.MaySend("e", share, this->now)) {
+      limits.OnSent("e", this->now);
+      ++sent;
+    }
+    return sent;
+  }
+  Instant now = Instant(std::chrono::hours(1));
+};
+
+TEST_F(ColdLimitsTest, WarmUpstreamsAndPoolsWithoutALimitAreFree) {
+  ColdLimits limits = MakeLimits();
+  EXPECT_EQ(this->SendAll(limits, {}), 1000);
+  limits.SetCold("e", "ledger", seconds(3), this->now);
+  EXPECT_EQ(this->SendAll(limits, {}), 1000);
+}
+
+TEST_F(ColdLimitsTest, WithoutSettingsNothingIsLimited) {
+  ColdLimits limits;
+  limits.SetRules({{"chat", {.after_start = seconds(3), .requests_per_second = kPerSecond}}});
+  limits.SetCold("e", "chat", seconds(3), this->now);
+  EXPECT_EQ(this->SendAll(limits, {}), 1000);
+}
+
+// What the bound allows is used: a sole owner gets the tolerated rate, second after second.
+TEST_F(ColdLimitsTest, SoleOwnerUsesTheToleratedRate) {
+  ColdLimits limits = MakeLimits();
+  limits.SetCold("e", "chat", seconds(30), this->now);
+  const Instant begin = this->now;
+  int sent = 0;
+  for (; this->now < begin + seconds(12); this->now += milliseconds(10)) {
+    sent += this->SendAll(limits, {.fraction = 1});
+  }
+  EXPECT_GE(sent, static_cast<int>(kPerSecond * 10));
+}
+
+TEST_F(ColdLimitsTest, EndsWithItsTimeOrTheUpstreamsWord) {
+  ColdLimits limits = MakeLimits();
+  limits.SetCold("e", "chat", seconds(3), this->now);
+  EXPECT_TRUE(limits.IsCold("e", this->now + milliseconds(2900)));
+  EXPECT_FALSE(limits.IsCold("e", this->now + milliseconds(3100)));
+  limits.SetCold("e", "chat", Duration(0), this->now);
+  EXPECT_FALSE(limits.IsCold("e", this->now));
+  limits.AssumeCold("e", "chat", this->now);
+  EXPECT_TRUE(limits.IsCold("e", this->now + milliseconds(2900)));
+  limits.Expire(this->now + seconds(4));
+  EXPECT_EQ(limits.Size(), 0u);
+}
+
+// Guards against a mistake in the rules that lifts the limit.
+TEST_F(ColdLimitsTest, NegativeRateKeepsTheRuleThatStood) {
+  ColdLimits limits = MakeLimits();
+  limits.SetCold("e", "chat", seconds(30), this->now);
+  const auto mistaken =
+      limits.SetRules({{"chat", {.after_start = seconds(3), .requests_per_second = -1}}});
+  EXPECT_EQ(mistaken, std::vector<std::string>{"chat"});
+  EXPECT_EQ(this->SendAll(limits, {.fraction = 1}), static_cast<int>(kPerSecond));
+}
+
+// The list of upstreams may be read before the rules.
+TEST_F(ColdLimitsTest, RulesMayComeAfterTheUpstream) {
+  ColdLimits limits({.overrun = kOverrun, .slack = kSlack});
+  limits.SetCold("e", "chat", seconds(30), this->now);
+  limits.SetRules({{"chat", {.after_start = seconds(3), .requests_per_second = kPerSecond}}});
+  EXPECT_EQ(this->SendAll(limits, {.fraction = 1}), static_cast<int>(kPerSecond));
+}
+
+// Guards against an entry that restarts and gives its part a second time.
+TEST_F(ColdLimitsTest, RestartedEntryWaitsForTheWindow) {
+  ColdLimits limits = MakeLimits(this->now);
+  limits.SetCold("e", "chat", seconds(3), this->now);
+  EXPECT_EQ(this->SendAll(limits, {.fraction = 1}), 0);
+  this->now += milliseconds(1200);
+  EXPECT_EQ(this->SendAll(limits, {.fraction = 1}), static_cast<int>(kPerSecond));
+}
+
+// Pattern: an upstream comes back cold while all entries look for free slots, and some entries have
+// just started, think that they are alone or divide the slots by other demands than the rest.
+// Guards against more requests in any second, over all entries, than the bound allows.
+RC_GTEST_PROP(ColdLimitsProperty, SumOverAllEntriesStaysUnderTheBound, ()) {
+  const auto count = *rc::gen::inRange<std::size_t>(1, 40);
+  const double skew = 1 + *rc::gen::inRange(0, 30) / 100.0;  // shares of other views overlap
+  const bool one_restarts = *rc::gen::arbitrary<bool>();
+  const Instant begin = Instant(std::chrono::hours(1));
+  std::vector<ColdLimits> entries(count, MakeLimits());
+  std::vector<Instant> arrivals;
+  const auto owners = std::min<std::size_t>(count, *rc::gen::inRange<std::size_t>(1, 4));
+  for (ColdLimits& limits : entries) limits.SetCold("e", "chat", seconds(3), begin);
+  for (Instant now = begin; now < begin + milliseconds(2900); now += milliseconds(7)) {
+    if (one_restarts && now - begin > seconds(1) && now - begin < milliseconds(1008)) {
+      entries.back() = MakeLimits(now);
+      entries.back().SetCold("e", "chat", seconds(3), now);
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+      ColdShare share{.entries = count};
+      if (i < owners) share.fraction = std::min(1.0, skew / static_cast<double>(owners));
+      for (int tries = 0; tries < 5 && entries[i].MaySend("e", share, now); ++tries) {
+        entries[i].OnSent("e", now);
+        arrivals.push_back(now + Duration(*rc::gen::inRange(0, 100'000)));
+      }
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end());
+  for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+    while (arrivals[last] - arrivals[first] >= seconds(1)) ++first;
+    RC_ASSERT(static_cast<double>(last - first + 1) <= kBound);
+  }
+}
+
+}  // namespace
+}  // namespace savory
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -8,6 +8,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "placement/home_regions.h"
 
 namespace savory {
 
@@ -47,6 +48,7 @@
   // it holds them it is avoided no more.
   std::vector<EngineTry> tries = {};
   bool only_former = false;  // no attempts are left: it is sent only to engines where it has run
+  HomeRegions homes = {};    // the regions that it may be sent to
 };
 
 struct SendTo {
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -21,9 +21,42 @@
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
-    : options(std::move(options)), random(random) {}
+    : options(std::move(options)), random(random), placement(this->options.placement) {}
 
-void Dispatcher::SetRules(SharedRouting given) { this->rules = std::move(given); }
+std::vector<std::string> Dispatcher::SetRules(SharedRouting given) {
+  this->rules = std::move(given);
+  std::map<std::string, ColdRule, std::less<>> cold;
+  for (const PoolRule& pool : this->rules->Rules().pools) cold.emplace(pool.name, pool.cold);
+  return this->placement.Cold().SetRules(std::move(cold));
+}
+
+void Dispatcher::SetCold(std::string_view upstream, Duration remaining, Instant now) {
+  const auto known = this->pool_of.find(upstream);
+  if (known != this->pool_of.end()) {
+    this->placement.Cold().SetCold(upstream, known->second, remaining, now);
+  }
+}
+
+void Dispatcher::SetEvacuated(const std::string& data_centre, bool evacuated, Instant now) {
+  if (!this->placement.SetEvacuated(data_centre, evacuated)) return;
+  this->shares_due = {};
+  if (evacuated) return;
+  for (const auto& [name, pool] : this->pools) {
+    for (const auto& [id, state] : pool) {
+      if (state.upstream.data_centre == data_centre)
+        this->placement.Cold().AssumeCold(id, name, now);
+    }
+  }
+}
+
+ColdShare Dispatcher::ColdShareOf(const UpstreamState& state) const {
+  const std::size_t entries = std::max<std::size_t>(1, this->entries.size());
+  if (!state.upstream.is_engine) {
+    return {.fraction = 1.0 / static_cast<double>(entries), .entries = entries};
+  }
+  return {.fraction = static_cast<double>(state.share) / std::max(1u, state.upstream.slots),
+          .entries = entries};
+}
 
 void Dispatcher::SetUpstream(const Upstream& upstream) {
   const auto known = this->pool_of.find(upstream.id);
@@ -57,6 +90,7 @@
       pool->second.erase(state);
     }
   }
+  this->placement.Cold().Forget(id);
   this->pool_of.erase(known);
 }
 
@@ -200,6 +234,7 @@
 void Dispatcher::UpdateShares(Instant now) {
   if (now < this->shares_due) return;
   this->shares_due = now + this->options.shares_period;
+  this->placement.Cold().Expire(now);
   for (auto& [name, pool] : this->pools) this->UpdatePoolShares(pool, now);
 }
 
@@ -208,6 +243,7 @@
   for (auto& [id, state] : pool) {
     state.share = 0;
     state.followed = false;
+    state.followed_for_homes = false;
     if (state.upstream.is_engine && this->IsServing(state, now)) serving.push_back(&state);
   }
   std::sort(serving.begin(), serving.end(), [](const UpstreamState* a, const UpstreamState* b) {
@@ -224,6 +260,7 @@
   for (std::size_t i = 0; i < serving.size(); ++i) serving[i]->share = shares[i];
   const IndexRange window = this->ChooseWindow(serving, slots, demands, now);
   for (std::size_t i = window.first; i < window.last; ++i) serving[i]->followed = true;
+  this->FollowHomes(serving);
   for (auto& [id, state] : pool) {
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
@@ -232,6 +269,22 @@
   }
 }
 
+void Dispatcher::FollowHomes(std::span<UpstreamState* const> serving) const {
+  if (!this->rules || this->entries.size() <= 1) return;
+  for (const std::string& region : this->rules->HomeRegionNames()) {
+    std::vector<UpstreamState*> engines;
+    for (UpstreamState* state : serving) {
+      if (this->placement.RegionOf(state->upstream.data_centre) == region) engines.push_back(state);
+    }
+    // Entries begin at different engines, so that they do not all follow the same ones.
+    const std::size_t first = this->own_entry * engines.size() / this->entries.size();
+    const std::size_t count = std::min(this->options.home_engines, engines.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      engines[(first + i) % engines.size()]->followed_for_homes = true;
+    }
+  }
+}
+
 // The window is widened until half of `min_followed_engines` accept requests of this entry, which
 // may be cut off from engines that serve the other entries, or may not use them for what they said.
 IndexRange Dispatcher::ChooseWindow(std::span<UpstreamState* const> serving,
@@ -293,16 +346,22 @@
 bool Dispatcher::MayUse(const UpstreamState& state, const DispatchRequest& request,
                         Instant now) const {
   if (this->IsAvoided(state, request)) return false;
+  if (this->placement.Check(state.upstream.data_centre, request.homes) != PlacementBar::kNone) {
+    return false;
+  }
   return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now) &&
-         this->notices.MayUse(StartOf(state.upstream), now);
+         this->notices.MayUse(StartOf(state.upstream), now) &&
+         this->placement.Cold().MaySend(state.upstream.id, this->ColdShareOf(state), now);
 }
 
 bool Dispatcher::IsCandidate(const UpstreamState& state, const DispatchRequest& request) const {
-  return !state.upstream.is_engine || state.followed || request.rerun;
+  return !state.upstream.is_engine || state.followed || request.rerun ||
+         (request.homes.IsBound() && state.followed_for_homes);
 }
 
 bool Dispatcher::IsServing(const UpstreamState& state, Instant now) const {
   if (state.upstream.draining) return false;
+  if (this->placement.IsEvacuated(state.upstream.data_centre)) return false;
   std::uint64_t held = state.upstream.weights_version;
   const auto apply = [&held](const auto& known) {
     held = known.weights_version;
@@ -408,7 +467,11 @@
 bool Dispatcher::Fits(const Candidate& candidate, const DispatchRequest& request,
                       Instant now) const {
   if (candidate.state == nullptr) return false;
-  const bool is_allowed = this->HasOwnSlot(*candidate.state) || candidate.state->borrowable > 0;
+  // A request with homes may find no share of this entry there: one at a time queues at each
+  // engine.
+  const bool queues_at_home = request.homes.IsBound() && candidate.state->own == 0;
+  const bool is_allowed =
+      this->HasOwnSlot(*candidate.state) || candidate.state->borrowable > 0 || queues_at_home;
   if (candidate.state->upstream.is_engine && !request.rerun && !is_allowed) return false;
   const double slots = std::max(1u, candidate.state->upstream.slots);
   if (!candidate.state->upstream.is_engine) return candidate.load < slots * (1 + kPlainQueueRatio);
@@ -445,6 +508,7 @@
   if (!this->HasOwnSlot(state) && state.borrowable > 0) --state.borrowable;
   ++state.own;
   ++state.sent_since;
+  this->placement.Cold().OnSent(upstream.id, now);
   state.own_prefill_tokens += request.prompt_tokens;
   state.health.OnStarted();
   this->sent[request.attempt] = {.upstream = upstream.id,
@@ -488,11 +552,22 @@
 bool Dispatcher::IsHopeless(const DispatchRequest& request, const Candidate& best,
                             Instant now) const {
   // A rerun waits for an upstream that is not in the list yet: otherwise its answer is lost.
-  if (best.state != nullptr || request.rerun) return false;
+  if (best.state != nullptr || request.answer_begun) return false;
+  if (this->IsBarredEverywhere(request)) return true;
+  if (request.rerun) return false;
   const std::optional<Instant> end = this->EndOfWaits(request.pool, request.avoided, now);
   return end && *end > this->WaitLimit(request);
 }
 
+bool Dispatcher::IsBarredEverywhere(const DispatchRequest& request) const {
+  const auto found = this->pools.find(request.pool);
+  if (found == this->pools.end() || found->second.empty()) return false;
+  return std::ranges::all_of(found->second, [&](const auto& row) {
+    return this->placement.Check(row.second.upstream.data_centre, request.homes) !=
+           PlacementBar::kNone;
+  });
+}
+
 Duration Dispatcher::RetryAfter(std::string_view pool, Instant caller_deadline, Instant now) {
   const Duration least = this->options.min_retry_after;
   const Duration spread = this->options.max_retry_after - least;
@@ -522,6 +597,9 @@
       .usable = best.usable,
       .predicted = best.forecast.first_event,
       .load = best.load};
+  if (request.homes.IsBound() && this->IsBarredEverywhere(request)) {
+    refusal.kind = ErrorKind::kOutsideHomes;
+  }
   if (const auto pool = this->pools.find(request.pool); pool != this->pools.end()) {
     for (const auto& [id, state] : pool->second) {
       refusal.share += state.share;
@@ -622,7 +700,7 @@
   std::vector<std::string> addresses;
   for (const auto& [name, pool] : this->pools) {
     for (const auto& [id, state] : pool) {
-      if (state.followed) addresses.push_back(state.upstream.address);
+      if (state.followed || state.followed_for_homes) addresses.push_back(state.upstream.address);
     }
   }
   std::sort(addresses.begin(), addresses.end());
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "placement/placement.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
@@ -25,7 +26,8 @@
 
 struct DispatcherOptions {
   std::string data_centre;  // of this entry
-  std::string entry = {};   // identity of this entry, as known to all entries
+  PlacementOptions placement = {};
+  std::string entry = {};  // identity of this entry, as known to all entries
   // Added to the predicted time of an upstream in another data centre, for the round trip and for
   // the load on the shared link.
   Duration remote_penalty = std::chrono::milliseconds(15);
@@ -59,6 +61,9 @@
   std::size_t sample_size = 3;
   // An entry follows the load of at least this many engines and sends requests only to those.
   std::size_t min_followed_engines = 16;
+  // Where routes or accounts are bound to home regions, an entry also follows this many engines of
+  // each home region, for their requests only.
+  std::size_t home_engines = 6;
   // What other entries say of an engine's availability is ignored when it is older than this.
   Duration availability_lifetime = std::chrono::milliseconds(3500);
   // In addition to its share of an engine's slots, an entry may have this fraction of the share
@@ -99,7 +104,8 @@
   // `random` must outlive the dispatcher.
   Dispatcher(DispatcherOptions options, Random& random);
 
-  void SetRules(SharedRouting rules);
+  // Returns the pools whose limit for cold upstreams is malformed and stays as it was.
+  std::vector<std::string> SetRules(SharedRouting rules);
   // Sets the live entries, this one included, that send to the same upstreams.
   void SetEntries(std::vector<EntryDemand> all);
   void SetUpstream(const Upstream& upstream);
@@ -112,6 +118,11 @@
   // return whether this was not known before. The upstream need not be in the list.
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
+  Placement& Places() { return this->placement; }
+  // The upstream, which need not be in the list, said that it is cold for `remaining`.
+  void SetCold(std::string_view upstream, Duration remaining, Instant now);
+  // See Placement::SetEvacuated. Upstreams that are back count as cold.
+  void SetEvacuated(const std::string& data_centre, bool evacuated, Instant now);
   void SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules);
   // Whether this start of the upstream is listed and not known to be leaving.
   bool IsExpectedToStay(const UpstreamStart& start, Instant now) const;
@@ -155,12 +166,13 @@
   struct UpstreamState {
     Upstream upstream;
     UpstreamHealth health = UpstreamHealth();
-    std::uint32_t own = 0;         // attempts of this entry
-    bool followed = false;         // an engine that this entry sends to, see EngineWindow()
-    std::uint32_t share = 0;       // slots that belong to this entry
-    std::uint32_t confirmed = 0;   // those that may be used, see ConfirmShare()
-    Instant share_grew_at = {};    // when `share` first exceeded `confirmed`; epoch: it does not
-    std::uint32_t borrowable = 0;  // other entries' slots it may use, see UpdateBorrowable()
+    std::uint32_t own = 0;            // attempts of this entry
+    bool followed = false;            // an engine that this entry sends to, see EngineWindow()
+    bool followed_for_homes = false;  // see FollowHomes()
+    std::uint32_t share = 0;          // slots that belong to this entry
+    std::uint32_t confirmed = 0;      // those that may be used, see ConfirmShare()
+    Instant share_grew_at = {};       // when `share` first exceeded `confirmed`; epoch: it does not
+    std::uint32_t borrowable = 0;     // other entries' slots it may use, see UpdateBorrowable()
     Instant borrowable_at = {};
     double own_prefill_tokens = 0;  // prompt tokens of own attempts without a first event
     std::optional<EngineReport> report = {};
@@ -204,6 +216,12 @@
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
                           std::span<const std::uint32_t> slots, std::span<const double> demands,
                           Instant now) const;
+  ColdShare ColdShareOf(const UpstreamState& state) const;
+  // Requests with homes go to engines of these regions, which the entry's window need not contain.
+  void FollowHomes(std::span<UpstreamState* const> serving) const;
+  // Whether there are upstreams in `pool`, but none that the request may be sent to wherever there
+  // is room.
+  bool IsBarredEverywhere(const DispatchRequest& request) const;
   // Requests of a slot's previous owner may still be running. So a gained slot is used only once a
   // newer report has counted them, or after a time without a report.
   void ConfirmShare(UpstreamState& state, Instant now) const;
@@ -250,6 +268,7 @@
   std::list<DispatchRequest> waiting = {};  // most urgent first
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
+  Placement placement;
   AgentWords words = AgentWords();
 };
 
--- a/src/relay/record_codec.h
+++ b/src/relay/record_codec.h
@@ -22,16 +22,23 @@
   std::string id;
 };
 
+// Operators want nothing sent to the upstreams of a data centre, or took that back.
+struct Evacuation {
+  std::string data_centre;
+  bool evacuated = false;
+};
+
 struct OtherRecord {};
 
 using DecodedRecord =
-    std::variant<RoutingRules, WeightsWanted, Upstream, UpstreamGone, OtherRecord>;
+    std::variant<RoutingRules, WeightsWanted, Evacuation, Upstream, UpstreamGone, OtherRecord>;
 
 class RecordCodec {
  public:
   virtual ~RecordCodec() = default;
 
-  // Key prefix of the records that operators write: the routing rules and the wanted weights.
+  // Key prefix of the records that operators write: the routing rules, the wanted weights and
+  // the data centres that are evacuated.
   virtual std::string OperatorPrefix() const = 0;
   // Key prefix of the list of upstreams.
   virtual std::string UpstreamPrefix() const = 0;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -55,6 +55,18 @@
   return end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
 }
 
+// Of a refusal of the dispatcher.
+std::string_view ReasonOf(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kNoUpstream:
+      return "no upstream";
+    case ErrorKind::kOutsideHomes:
+      return "no upstream in a home region";
+    default:
+      return "overloaded";
+  }
+}
+
 AttemptResult ResultOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotSent:
@@ -169,14 +181,15 @@
 class RelayedRequest : public HttpCallHandler, public GuardedCallbacks<RelayedRequest> {
  public:
   RelayedRequest(Relay::Impl& relay, SharedExchange exchange, CallerMetadata metadata,
-                 SharedRouting rules, const RouteRule& route, std::string account, int priority)
+                 SharedRouting rules, const RouteRule& route, const AccountRule* account)
       : relay(relay),
         exchange(std::move(exchange)),
         metadata(std::move(metadata)),
         rules(std::move(rules)),
         route(route),
-        account(std::move(account)),
-        priority(priority),
+        account(account == nullptr ? std::string() : account->name),
+        priority(account != nullptr && account->priority >= 0 ? account->priority : route.priority),
+        homes(account == nullptr ? route.homes : route.homes.And(account->homes)),
         arrived(this->exchange->ReceivedAt()) {
     for (const std::string& id : this->metadata.prompt_parts) {
       this->suspect.parts.push_back(PromptPartDigest(id));
@@ -489,23 +502,23 @@
   }
 
   DispatchRequest MakeDispatchRequest(bool rerun) const {
-    DispatchRequest request{
-        .attempt = this->attempt,
-        .pool = this->pool,
-        .arrived = this->arrived,
-        .target = this->route.target_latency,
-        .deadline = this->timeout,
-        .caller_deadline = this->deadline,
-        .priority = this->priority,
-        .prompt_tokens = this->metadata.prompt_tokens,
-        .answer_tokens = this->metadata.answer_tokens,
-        .is_caller_retry = this->is_caller_retry,
-        .rerun = rerun,
-        .answer_begun = this->history.delivered,
-        .may_probe = MayRerun(this->history),
-        .avoided = this->avoided,
-        .tries = this->tries,
-        .only_former = this->history.may_have_run >= this->history.max_attempts};
+    DispatchRequest request{.attempt = this->attempt,
+                            .pool = this->pool,
+                            .arrived = this->arrived,
+                            .target = this->route.target_latency,
+                            .deadline = this->timeout,
+                            .caller_deadline = this->deadline,
+                            .priority = this->priority,
+                            .prompt_tokens = this->metadata.prompt_tokens,
+                            .answer_tokens = this->metadata.answer_tokens,
+                            .is_caller_retry = this->is_caller_retry,
+                            .rerun = rerun,
+                            .answer_begun = this->history.delivered,
+                            .may_probe = MayRerun(this->history),
+                            .avoided = this->avoided,
+                            .tries = this->tries,
+                            .only_former = this->history.may_have_run >= this->history.max_attempts,
+                            .homes = this->homes};
     if (this->route.kind == RequestKind::kStream) request.max_pause = this->route.max_pause;
     return request;
   }
@@ -524,9 +537,7 @@
     } else if (this->history.may_have_run > 0) {
       this->AnswerLocally(502, "no upstream left", {});
     } else {
-      this->AnswerLocally(503,
-                          refusal.kind == ErrorKind::kNoUpstream ? "no upstream" : "overloaded",
-                          refusal.retry_after);
+      this->AnswerLocally(503, ReasonOf(refusal.kind), refusal.retry_after);
     }
   }
 
@@ -1060,6 +1071,7 @@
   const RouteRule& route;
   std::string account;
   int priority;
+  HomeRegions homes;
   Instant arrived;
   Instant deadline = {};  // the caller's
   Instant timeout = {};   // the earlier of `deadline` and the route's timeout
@@ -1152,6 +1164,7 @@
       {"status", status},
       {"attempts", this->attempts},
       {"upstream", refusal ? refusal->best : this->target.upstream},
+      {"homes", this->homes.Text()},
       {"usable", refusal ? static_cast<std::int64_t>(refusal->usable) : -1},
       {"share", refusal ? static_cast<std::int64_t>(refusal->share) : -1},
       {"confirmed", refusal ? static_cast<std::int64_t>(refusal->confirmed) : -1},
@@ -1239,6 +1252,9 @@
   const auto count = [this](const std::string& notice) {
     this->metrics.CounterFor("savory_upstream_notices_total", "notice=\"" + notice + "\"").Add();
   };
+  if (answer.cold_for) {
+    this->dispatcher.SetCold(sent.upstream, *answer.cold_for, now);
+  }
   if (answer.leaving && this->dispatcher.AddLeaving(start, now)) {
     count("leaving");
     Log(LogLevel::kInfo, "upstream_leaving",
@@ -1308,18 +1324,15 @@
   if (account == nullptr && self.rules->NeedsApiKey(*route)) {
     return refuse(401, "unknown API key", {});
   }
-  const bool has_priority = account != nullptr && account->priority >= 0;
-  const auto request =
-      std::make_shared<RelayedRequest>(self, exchange, std::move(metadata), self.rules, *route,
-                                       account == nullptr ? std::string() : account->name,
-                                       has_priority ? account->priority : route->priority);
+  const auto request = std::make_shared<RelayedRequest>(self, exchange, std::move(metadata),
+                                                        self.rules, *route, account);
   self.requests.emplace(request.get(), request);
   request->Start();
 }
 
-void Relay::SetRules(SharedRouting rules) {
-  this->impl->dispatcher.SetRules(rules);
-  this->impl->rules = std::move(rules);
+std::vector<std::string> Relay::SetRules(SharedRouting rules) {
+  this->impl->rules = rules;
+  return this->impl->dispatcher.SetRules(std::move(rules));
 }
 
 Dispatcher& Relay::RequestDispatcher() { return this->impl->dispatcher; }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -64,7 +64,8 @@
   // Handles one request of a caller.
   void Serve(const SharedExchange& exchange);
 
-  void SetRules(SharedRouting rules);
+  // As Dispatcher::SetRules.
+  std::vector<std::string> SetRules(SharedRouting rules);
   Dispatcher& RequestDispatcher();
   PoolRetryBudget& Budget();
   CrashGuard& Crashes();
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -47,6 +47,8 @@
   std::optional<UpstreamLoad> load = {};
   // The upstream is about to shut down and wants no further requests.
   bool leaving = false;
+  // The upstream is cold for this time.
+  std::optional<Duration> cold_for = {};
   // The upstream refused the request and wants no others for this time.
   std::optional<Duration> no_requests_for = {};
 };
--- a/src/relay/routing_index.cc
+++ b/src/relay/routing_index.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace savory {
 namespace {
@@ -13,6 +14,17 @@
   return key;
 }
 
+std::vector<std::string> HomeRegionsOf(const RoutingRules& rules) {
+  std::set<std::string> names;
+  for (const RouteRule& route : rules.routes) {
+    names.insert(route.homes.Regions().begin(), route.homes.Regions().end());
+  }
+  for (const AccountRule& account : rules.accounts) {
+    names.insert(account.homes.Regions().begin(), account.homes.Regions().end());
+  }
+  return {names.begin(), names.end()};
+}
+
 }  // namespace
 
 RoutingIndex::RoutingIndex(RoutingRules given) : rules(std::move(given)) {
@@ -23,6 +35,7 @@
   for (const AccountRule& account : this->rules.accounts) {
     for (const std::string& key : account.api_keys) this->accounts.emplace(key, &account);
   }
+  this->home_regions = HomeRegionsOf(this->rules);
 }
 
 const RouteRule* RoutingIndex::FindRoute(std::string_view host, std::string_view target) const {
--- a/src/relay/routing_index.h
+++ b/src/relay/routing_index.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "relay/routing_rules.h"
 
@@ -37,6 +39,8 @@
   bool AllRoutesResumable(std::string_view pool) const;
   // Returns the account that owns `api_key`, or nullptr.
   const AccountRule* FindAccount(std::string_view api_key) const;
+  // Regions that are a home of some route or account, sorted.
+  std::span<const std::string> HomeRegionNames() const { return this->home_regions; }
   bool NeedsApiKey(const RouteRule& route) const {
     return !route.auth_exempt && !this->rules.accounts.empty();
   }
@@ -46,6 +50,7 @@
   TextMap<TextMap<const RouteRule*>> routes = {};  // host -> prefix -> route
   TextMap<const PoolRule*> pools = {};
   TextMap<const AccountRule*> accounts = {};  // by API key
+  std::vector<std::string> home_regions = {};
 };
 
 using SharedRouting = std::shared_ptr<const RoutingIndex>;
--- a/src/relay/routing_rules.h
+++ b/src/relay/routing_rules.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "placement/cold_limits.h"
+#include "placement/home_regions.h"
 
 namespace savory {
 
@@ -36,6 +38,7 @@
   int priority = 5;                                   // 0 is the most urgent
   bool auth_exempt = false;                           // requests need no API key
   bool resumable = false;  // streams: another upstream may resume after the last event
+  HomeRegions homes = {};  // where its requests may be served
 };
 
 // Speed of a pool's engines, as their operators publish it.
@@ -58,6 +61,7 @@
   std::uint32_t max_connections = 64;      // of each upstream, over all callers
   std::optional<EngineRates> engine = {};  // empty: the pool is a plain service
   std::vector<std::string> models = {};    // models that its engines run
+  ColdRule cold = {};
 };
 
 // Server from which model weights are downloaded.
@@ -70,7 +74,8 @@
 struct AccountRule {
   std::string name;
   std::vector<std::string> api_keys = {};
-  int priority = -1;  // overrides the route's priority; -1: none
+  int priority = -1;       // overrides the route's priority; -1: none
+  HomeRegions homes = {};  // where its requests may be served; binds beside those of the route
 };
 
 // Limits on what a caller may send.
