Give followers of a cold upstream parts of its bound, and restarted entries half

After a loss of all power callers were refused while engines were cold: entries without a share of an engine's slots could send nothing, as their part was divided among all entries, and nobody sent for 1.1 s after a start.

--- a/src/placement/cold_limits.cc
+++ b/src/placement/cold_limits.cc
@@ -77,12 +77,15 @@
   if (this->cold.empty()) return true;
   const auto found = this->cold.find(upstream);
   if (found == this->cold.end() || now >= found->second.until) return true;
-  if (now < this->options.started + this->options.window) return false;
+  const Duration running = now - this->options.started;
+  if (running < this->options.quiet_time) return false;
   const std::deque<Instant>& sent = found->second.sent;
   const Instant begin = now - this->options.window;
   const auto recent =
       std::count_if(sent.begin(), sent.end(), [&](Instant at) { return at > begin; });
-  return static_cast<std::size_t>(recent) < this->Allowance(found->second, share);
+  std::size_t allowance = this->Allowance(found->second, share);
+  if (running < this->options.window) allowance /= 2;
+  return static_cast<std::size_t>(recent) < allowance;
 }
 
 void ColdLimits::OnSent(std::string_view upstream, Instant now) {
--- a/src/placement/cold_limits.h
+++ b/src/placement/cold_limits.h
@@ -21,9 +21,11 @@
   // the slots by other demands. The window is longer than a second, as requests sent within more
   // than a second may arrive within one.
   Duration window = std::chrono::milliseconds(1100);
-  // A process sends nothing to cold upstreams within `window` of its start: it does not know what
-  // its predecessor sent.
+  // A process does not know what its predecessor sent, nor at first how many others there are. So
+  // it sends nothing to cold upstreams within `quiet_time` of its start, and half of its part until
+  // the end of the window.
   Instant started = {};
+  Duration quiet_time = std::chrono::milliseconds(600);
 };
 
 // What the operators' pool table says of cold upstreams.
@@ -35,7 +37,7 @@
 // This entry's part of an upstream, as the entries divide the slots.
 struct ColdShare {
   double fraction = 0;      // of the upstream's slots; 0: none
-  std::size_t entries = 1;  // live entries that may send to it, this one included
+  std::size_t entries = 1;  // that may send to it, this one included
 };
 
 // Performs no I/O. Each entry keeps its own part of the bound, so that no message is needed at the
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -49,8 +49,11 @@
   }
 }
 
-ColdShare Dispatcher::ColdShareOf(const UpstreamState& state) const {
-  const std::size_t entries = std::max<std::size_t>(1, this->entries.size());
+ColdShare Dispatcher::ColdShareOf(const UpstreamState& state, Instant now) const {
+  // Only entries that follow an engine send to it.
+  const bool counted = this->HasReport(state, now) && state.report->followers > 0;
+  const std::size_t entries =
+      std::max<std::size_t>(1, counted ? state.report->followers : this->entries.size());
   if (!state.upstream.is_engine) {
     return {.fraction = 1.0 / static_cast<double>(entries), .entries = entries};
   }
@@ -351,7 +354,7 @@
   }
   return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now) &&
          this->notices.MayUse(StartOf(state.upstream), now) &&
-         this->placement.Cold().MaySend(state.upstream.id, this->ColdShareOf(state), now);
+         this->placement.Cold().MaySend(state.upstream.id, this->ColdShareOf(state, now), now);
 }
 
 bool Dispatcher::IsCandidate(const UpstreamState& state, const DispatchRequest& request) const {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -216,7 +216,7 @@
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
                           std::span<const std::uint32_t> slots, std::span<const double> demands,
                           Instant now) const;
-  ColdShare ColdShareOf(const UpstreamState& state) const;
+  ColdShare ColdShareOf(const UpstreamState& state, Instant now) const;
   // Requests with homes go to engines of these regions, which the entry's window need not contain.
   void FollowHomes(std::span<UpstreamState* const> serving) const;
   // Whether there are upstreams in `pool`, but none that the request may be sent to wherever there
