--- a/src/direct/entry_settings.cc
+++ b/src/direct/entry_settings.cc
@@ -10,6 +10,7 @@
 constexpr Range kMillis = {.low = 0, .high = 3'600'000};
 constexpr Range kRatio = {.low = 0, .high = 10};
 constexpr Range kCount = {.low = 0, .high = 1e9};
+constexpr std::uint64_t kBytesPerMegabyte = std::uint64_t{1024} * 1024;
 
 }  // namespace
 
@@ -46,6 +47,10 @@
   SettingsReader cold = reader.Section("cold_requests");
   settings.cold.overrun = cold.Number("overrun", kRatio, 0);
   settings.cold.slack = cold.Number("slack", kCount, 0);
+  SettingsReader machine = reader.Section("machine");
+  settings.memory_bytes =
+      static_cast<std::uint64_t>(machine.Integer("memory_mb", kCount, 0)) * kBytesPerMegabyte;
+  settings.max_files = static_cast<std::size_t>(machine.Integer("max_files", kCount, 0));
   settings.weights_deadline =
       std::chrono::milliseconds(reader.Integer("weights_deadline_ms", kMillis, 8000));
   settings.upstream_drain =
--- a/src/direct/entry_settings.h
+++ b/src/direct/entry_settings.h
@@ -40,6 +40,10 @@
   // An upstream that leaves serves on for this long after its record was removed or says so.
   Duration upstream_drain = std::chrono::milliseconds(2000);
   ColdLimitOptions cold = {};
+  // Limits of the machine for this process; 0: not known, and callers' input is not bounded as a
+  // whole.
+  std::uint64_t memory_bytes = 0;
+  std::size_t max_files = 0;  // open descriptors
   // Time from SIGTERM until the platform kills the process.
   Duration stop_grace = std::chrono::seconds(8);
 };
