Take an answer whose status is not one of HTTP for no answer

Cause: the response parser and the HTTP library of the product's own path take any three digits for a status. An answer with 000 to 099 was waited out as interim, one with 600 to 999 was forwarded. Change: a status outside 100 to 599 makes an answer malformed, on both paths.

--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -5,6 +5,8 @@
 
 #include <set>
 
+#include "runtime/http_head.h"
+
 namespace savory {
 namespace {
 
@@ -75,7 +77,7 @@
   }
   if (stream.on_head) {
     request.response_handler = [&stream](const httplib::Response& response) {
-      return stream.on_head(HeadOf(response));
+      return IsHttpStatus(response.status) && stream.on_head(HeadOf(response));
     };
   }
   if (stream.on_part) {
@@ -85,11 +87,12 @@
     };
   }
   const httplib::Result result = client.send(request);
-  if (result) {
+  if (result && IsHttpStatus(result->status)) {
     HttpAnswer answer = HeadOf(*result);
     answer.body = result->body;
     return answer;
   }
+  if (result) return Error{.kind = ErrorKind::kTimeout, .detail = "status outside 100 to 599"};
   const std::string reason = httplib::to_string(result.error());
   if (result.error() == httplib::Error::Connection ||
       result.error() == httplib::Error::ConnectionTimeout) {
--- a/src/runtime/http_head.cc
+++ b/src/runtime/http_head.cc
@@ -67,6 +67,8 @@
 
 }  // namespace
 
+bool IsHttpStatus(int status) { return status >= 100 && status <= 599; }
+
 bool EqualsIgnoreCase(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) ==
--- a/src/runtime/http_head.h
+++ b/src/runtime/http_head.h
@@ -25,6 +25,9 @@
   bool keep_alive = false;             // the connection may be used again after the message
 };
 
+// Whether `status` is one of HTTP, 100 to 599. An answer with another one is no answer.
+bool IsHttpStatus(int status);
+
 // Compares header names or tokens.
 bool EqualsIgnoreCase(std::string_view left, std::string_view right);
 
--- a/src/runtime/http_parser.cc
+++ b/src/runtime/http_parser.cc
@@ -31,7 +31,11 @@
     this->head.method.assign(method.data(), method.size());
     this->head.target.assign(target.data(), target.size());
   }
-  void on_response_impl(int code, string_view reason, int, error_code&) override {
+  void on_response_impl(int code, string_view reason, int, error_code& error) override {
+    if (!IsHttpStatus(code)) {
+      error = http::error::bad_status;
+      return;
+    }
     this->head.status = code;
     this->head.reason.assign(reason.data(), reason.size());
   }
