Bound what all callers' connections hold together

Cause: a body was held until it was whole, input behind a request up to 256 KB, and answers that nobody read without a bound, for each connection on its own. Descriptors were not bounded at all. A refused body kept its memory while its connection closed. Change: InputBudget, without I/O, names the connections that are given up so that all of them stay within a quarter of the machine's memory and half of its descriptors; AsyncHttpServer tells it what each one holds and ends those. Bodies that the relay refuses by the head are dropped as they arrive. The next request of a connection waits while over 64 KB of the answers before are unsent.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -13,6 +13,7 @@
 #include "direct/copy_policy.h"
 #include "direct/engine_loader.h"
 #include "direct/manifest_exchange.h"
+#include "direct/tool_server.h"
 #include "direct/weights_copier.h"
 #include "distribution/engine_control.h"
 #include "fleet/agent_links.h"
@@ -88,7 +89,7 @@
                 .assumed_age = this->settings.weights_deadline - kUnknownAgeGrace}),
         loader(loop, metrics, adapter.engine, this->copier,
                {.deadline = this->settings.weights_deadline}),
-        metrics_server(loop, {}, [this](const SharedExchange& exchange) {
+        metrics_server(loop, ToolServerOptions(), [this](const SharedExchange& exchange) {
           const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
           exchange->Answer(200, fields, this->metrics.Render());
         }) {}
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -16,6 +16,7 @@
 #include "direct/copy_policy.h"
 #include "direct/crash_exchange.h"
 #include "direct/start_timeline.h"
+#include "direct/tool_server.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
 #include "fleet/entry_links.h"
@@ -28,6 +29,7 @@
 #include "runtime/async_http_server.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
+#include "runtime/input_budget.h"
 #include "runtime/peer_transport.h"
 #include "runtime/process_load.h"
 #include "runtime/unfinished_connection.h"
@@ -74,6 +76,23 @@
 // signal.
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
 
+// Part of the machine's memory for answers that may still be replaced by another upstream's.
+constexpr std::uint64_t kBufferedAnswerParts = 5;
+InputBudgetOptions MakeInputBudget(const DirectEntrySettings& settings,
+                                   const CallerLimits& limits) {
+  return BudgetOfMachine(settings.memory_bytes, settings.max_files,
+                         limits.max_header_bytes + limits.max_body_bytes);
+}
+
+AsyncHttpServerOptions MakeCallerOptions(const DirectEntrySettings& settings,
+                                         const CallerLimits& limits) {
+  return {.limits = {.max_header_bytes = limits.max_header_bytes,
+                     .max_body_bytes = limits.max_body_bytes},
+          .header_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout,
+          .budget = MakeInputBudget(settings, limits)};
+}
+
 EntryLinksOptions MakeLinkOptions(const DirectEntrySettings& settings) {
   EntryLinksOptions options{.presence = {.self = settings.process.peer},
                             .region = settings.process.region,
@@ -92,11 +111,16 @@
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings, Instant now) {
   PlacementOptions placement{.regions = settings.process.regions, .cold = settings.cold};
   placement.cold.started = now;
-  return RelayOptions{.dispatcher = {.data_centre = settings.process.data_centre,
-                                     .placement = std::move(placement),
-                                     .entry = settings.process.peer},
-                      .budget = settings.retry_budget,
-                      .crashes = {.registry = {.self = settings.process.peer}}};
+  RelayOptions options{.dispatcher = {.data_centre = settings.process.data_centre,
+                                      .placement = std::move(placement),
+                                      .entry = settings.process.peer},
+                       .budget = settings.retry_budget,
+                       .crashes = {.registry = {.self = settings.process.peer}}};
+  if (settings.memory_bytes > 0) {
+    options.max_buffered_answers = std::min<std::size_t>(
+        options.max_buffered_answers, settings.memory_bytes / kBufferedAnswerParts);
+  }
+  return options;
 }
 
 }  // namespace
@@ -164,12 +188,16 @@
         upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
                  .data_centre = this->settings.process.data_centre}),
-        callers(loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
-        ready_server(loop, {},
+        callers(loop, {.budget = MakeInputBudget(this->settings, {})},
+                [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
+        ready_server(loop, ToolServerOptions(),
                      [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
-        metrics_server(loop, {},
+        metrics_server(loop, ToolServerOptions(),
                        [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }),
-        start_timeline(loop.Now()) {}
+        start_timeline(loop.Now()) {
+    this->callers.SetBodyCheck(
+        [this](const HttpHead& head) { return !this->relay.RefusesByHead(head); });
+  }
 
   // ---- records ----
 
@@ -257,11 +285,7 @@
           {{"pool", pool}, {"rules", this->rules->Version()}, {"reason", "negative"}});
     }
     this->LogUnknownHomes();
-    const CallerLimits& limits = this->rules->Rules().limits;
-    this->callers.SetOptions({.limits = {.max_header_bytes = limits.max_header_bytes,
-                                         .max_body_bytes = limits.max_body_bytes},
-                              .header_timeout = limits.header_timeout,
-                              .idle_timeout = limits.idle_timeout});
+    this->callers.SetOptions(MakeCallerOptions(this->settings, this->rules->Rules().limits));
     this->links.SetOrigin(this->rules->Rules().origin);
     this->UpdateEngines();
   }
@@ -540,11 +564,19 @@
     }
     this->FollowEngines();
     this->LogWithheld();
+    this->CountCallers();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
   }
 
+  void CountCallers() {
+    this->metrics.GaugeFor("savory_caller_held_bytes")
+        .Set(static_cast<double>(this->callers.HeldBytes()));
+    this->metrics.GaugeFor("savory_callers_given_up")
+        .Set(static_cast<double>(this->callers.GivenUp()));
+  }
+
   // How long each part of the start took. -1: not reached yet.
   void LogStart() const {
     const auto millis = [](std::optional<Duration> time) { return time ? ToMillis(*time) : -1; };
@@ -627,6 +659,11 @@
     this->settings.weights_deadline = next.weights_deadline;
     this->settings.stop_grace = next.stop_grace;
     this->settings.upstream_drain = next.upstream_drain;
+    this->settings.memory_bytes = next.memory_bytes;
+    this->settings.max_files = next.max_files;
+    if (this->rules) {
+      this->callers.SetOptions(MakeCallerOptions(this->settings, this->rules->Rules().limits));
+    }
     this->upstreams.SetOptions(MakeListOptions(this->settings));
     this->ApplyWantedVersions();
   }
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -1316,6 +1316,7 @@
     if (self.on_end && status >= kMinServerErrorStatus) self.on_end(false);
     self.AnswerLocally(*exchange, status, metadata.attempt_id, reason, retry_after);
   };
+  // As RefusesByHead().
   if (self.stopping) return refuse(503, "stopping", Duration(0));
   if (!self.rules) return refuse(503, "no rules known", self.options.unconfigured_retry_after);
   const RouteRule* route = self.rules->FindRoute(FieldValue(head.fields, "Host"), head.target);
@@ -1330,6 +1331,15 @@
   request->Start();
 }
 
+bool Relay::RefusesByHead(const HttpHead& head) const {
+  const Impl& self = *this->impl;
+  if (self.stopping || !self.rules) return true;
+  const RouteRule* route = self.rules->FindRoute(FieldValue(head.fields, "Host"), head.target);
+  if (route == nullptr) return true;
+  return self.rules->NeedsApiKey(*route) &&
+         self.rules->FindAccount(self.codec.DecodeRequest(head).api_key) == nullptr;
+}
+
 std::vector<std::string> Relay::SetRules(SharedRouting rules) {
   this->impl->rules = rules;
   return this->impl->dispatcher.SetRules(std::move(rules));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -63,6 +63,8 @@
 
   // Handles one request of a caller.
   void Serve(const SharedExchange& exchange);
+  // Whether Serve() would answer a request with this head without its body.
+  bool RefusesByHead(const HttpHead& head) const;
 
   // As Dispatcher::SetRules.
   std::vector<std::string> SetRules(SharedRouting rules);
--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -20,6 +20,11 @@
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
 // Reading pauses when the buffered input of pipelined requests exceeds this size.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{256} * 1024;
+// The next request of a connection waits while more of the answers before it is unsent.
+constexpr std::size_t kMaxUnsentBeforeNext = std::size_t{64} * 1024;
+// Of a connection without input.
+constexpr std::size_t kConnectionBytes = 2048;
+constexpr char kRoomRetryAfterSeconds[] = "1";
 // A connection that is idle for less is not closed by a stop: a caller that uses connections again
 // may have sent its next request before it could learn of the close.
 constexpr Duration kReuseTime = std::chrono::milliseconds(500);
@@ -61,16 +66,25 @@
   EventLoop& loop;
   AsyncHttpServerOptions options;
   Handler handler;
+  InputBudget budget;  // outlives the connections
   std::unique_ptr<TcpListener> listener = {};
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>> connections = {};
   std::vector<std::unique_ptr<CallerConnection>> removed = {};  // destroyed later
   std::optional<Instant> draining_since = {};
   Duration linger = {};
+  BodyCheck body_check = {};
+  std::uint64_t given_up = 0;
+  bool room_scheduled = false;
 
   Impl(EventLoop& loop, AsyncHttpServerOptions options, Handler handler)
-      : loop(loop), options(options), handler(std::move(handler)) {}
+      : loop(loop), options(options), handler(std::move(handler)), budget(options.budget) {}
 
+  void Accept(uv_stream_s* listener);
   void Sweep();
+  // Gives up connections until the budget is kept.
+  void MakeRoom();
+  void ScheduleRoom();
+  void LogGivenUp(HolderPhase phase, std::string_view reason);
   void Remove(CallerConnection* connection);
 };
 
@@ -84,18 +98,24 @@
 
   ~CallerConnection() override {
     if (!this->ended) this->KeepAnswer();
+    this->server.budget.Remove(this);
   }
 
   void OnBytes(std::span<const std::byte> bytes) override {
     if (this->closing) return this->Discard(bytes.size());
+    if (this->exchange == nullptr && !this->resuming &&
+        this->tcp.UnsentBytes() > kMaxUnsentBeforeNext) {
+      this->ResumeLater();
+    }
     if (this->exchange != nullptr || this->resuming) {
-      this->pipelined.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
-      if (this->pipelined.size() > kMaxPipelinedBytes) this->tcp.PauseReading();
-      return;
+      this->KeepPipelined(bytes);
+    } else {
+      if (this->phase == Phase::kIdle) this->Enter(Phase::kHead);
+      this->parser.Feed(bytes);
+      this->Advance();
     }
-    if (this->phase == Phase::kIdle) this->Enter(Phase::kHead);
-    this->parser.Feed(bytes);
-    this->Advance();
+    this->CountHeld();
+    this->server.MakeRoom();
   }
 
   void OnEnd(TcpEnd) override {
@@ -105,6 +125,8 @@
   }
 
   void OnFlushed() override {
+    this->CountHeld();
+    if (std::exchange(this->waits_for_flush, false)) this->ScheduleResume();
     if (this->closing) this->tcp.CloseWhenSent();
     if (this->exchange == nullptr) return;
     const auto callback = std::exchange(StateOf(*this->exchange).on_flushed, nullptr);
@@ -135,6 +157,7 @@
     AppendResponseHead(head, status, all);
     const std::string_view pieces[] = {head, body};
     this->tcp.Write(pieces);
+    this->CountHeld();
   }
 
   void SendChunk(std::string_view bytes) {
@@ -144,6 +167,7 @@
     const std::string_view pieces[] = {
         {size.data(), static_cast<std::size_t>(length)}, bytes, "\r\n"};
     this->tcp.Write(pieces);
+    this->CountHeld();
   }
 
   void SendLastChunk() {
@@ -161,16 +185,13 @@
       this->CloseGracefully();
       return;
     }
+    this->served = true;
     this->Enter(Phase::kIdle);
     this->parser.Next();
-    // Deferred, so that the handler of this request returns before the next one starts.
     if (this->parser.IsDone() || this->parser.HasInput() || !this->pipelined.empty()) {
-      this->resuming = true;
-      const auto resume = [connection = this, weak = std::weak_ptr(this->alive)] {
-        if (!weak.expired()) connection->ResumePipelined();
-      };
-      this->server.loop.After(Duration(0), resume);
+      this->ResumeLater();
     }
+    this->CountHeld();
   }
 
   void AbortExchange() {
@@ -203,6 +224,60 @@
     return this->tcp.UnsentBytes() > 0 || this->tcp.UnacknowledgedBytes() > 0;
   }
 
+  // Makes room for others by what this connection holds.
+  void GiveUp(std::string_view reason) {
+    const HolderPhase given = this->HeldPhase();
+    this->server.LogGivenUp(given, reason);
+    switch (given) {
+      case HolderPhase::kUnfinished:
+        this->Refuse(503, "too many unfinished requests\n");
+        break;
+      case HolderPhase::kPipelining:
+        this->refusing = true;
+        FreeBytes(this->pipelined);
+        this->parser.DropInput();
+        this->tcp.ResumeReading();
+        break;
+      case HolderPhase::kUnread:
+      case HolderPhase::kStalled:
+        this->ended = true;
+        this->tcp.Reset();
+        this->DropExchange();
+        this->server.Remove(this);
+        break;
+      default:
+        this->EndNow();
+    }
+    this->CountHeld();
+  }
+
+  // Closes at once; what was sent still arrives.
+  void EndNow() {
+    if (this->ended) return;
+    if (this->refusing) {
+      this->tcp.DiscardInput();
+    } else {
+      this->KeepAnswer();
+    }
+    this->ended = true;
+    this->tcp.Close();
+    this->DropExchange();
+    this->server.Remove(this);
+  }
+
+  // Tells the budget what this connection holds.
+  void CountHeld() {
+    if (this->ended) return this->server.budget.Remove(this);
+    const HolderPhase now = this->HeldPhase();
+    if (now != this->held_phase) this->held_since = this->server.loop.Now();
+    this->held_phase = now;
+    std::size_t bytes = kConnectionBytes + this->parser.HeldBytes() + this->body.capacity() +
+                        this->pipelined.capacity() + this->tcp.UnsentBytes();
+    if (this->exchange != nullptr) bytes += StateOf(*this->exchange).body.capacity();
+    this->server.budget.Set(this, {.phase = now, .bytes = bytes, .since = this->held_since});
+    if (this->server.budget.IsOver()) this->server.ScheduleRoom();
+  }
+
   // Applies the timeout of the current phase.
   void CheckTimeouts(Instant now) {
     if (this->ended || this->exchange != nullptr) return;
@@ -238,6 +313,47 @@
     return this->tcp.UnsentBytes() + this->tcp.UnacknowledgedBytes();
   }
 
+  HolderPhase HeldPhase() const {
+    const std::size_t unsent = this->tcp.UnsentBytes();
+    if (this->closing) {
+      return unsent > 0 && !this->refusing ? HolderPhase::kUnread : HolderPhase::kClosing;
+    }
+    if (this->exchange != nullptr) {
+      const bool more = !this->pipelined.empty() || this->parser.HasInput();
+      if (this->refusing) return HolderPhase::kLastAnswer;
+      if (more) return HolderPhase::kPipelining;
+      return unsent > kMaxUnsentBeforeNext ? HolderPhase::kStalled : HolderPhase::kAnswering;
+    }
+    if (this->phase == Phase::kHead || this->phase == Phase::kBody) return HolderPhase::kUnfinished;
+    if (unsent > 0) return HolderPhase::kUnread;
+    if (this->resuming) return HolderPhase::kUnfinished;
+    return this->served ? HolderPhase::kIdle : HolderPhase::kFresh;
+  }
+
+  // Input that arrives before its turn.
+  void KeepPipelined(std::span<const std::byte> bytes) {
+    if (this->refusing) return;
+    this->pipelined.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    if (this->pipelined.size() > kMaxPipelinedBytes || this->server.budget.IsScarce()) {
+      this->tcp.PauseReading();
+    }
+  }
+
+  // The next request follows when the caller has read enough of the answers before.
+  void ResumeLater() {
+    this->resuming = true;
+    this->waits_for_flush = this->tcp.UnsentBytes() > kMaxUnsentBeforeNext;
+    if (!this->waits_for_flush) this->ScheduleResume();
+  }
+
+  // Deferred, so that the handler of a request returns before the next one starts.
+  void ScheduleResume() {
+    const auto resume = [connection = this, weak = std::weak_ptr(this->alive)] {
+      if (!weak.expired()) connection->ResumePipelined();
+    };
+    this->server.loop.After(Duration(0), resume);
+  }
+
   // A request that has arrived, or that may still follow an answer on its way, would be dropped.
   void CloseIdle() {
     if (this->resuming || this->BytesLeft() > 0) return;
@@ -280,6 +396,7 @@
     this->tcp.ResumeReading();
     this->parser.Feed(std::as_bytes(std::span(bytes)));
     this->Advance();
+    this->CountHeld();
   }
 
   void Advance() {
@@ -288,11 +405,12 @@
       this->Refuse(answer.status, answer.body);
       return;
     }
-    if (this->parser.HasHead()) this->body += this->parser.TakeBody();
+    if (this->parser.HasHead()) this->TakeBody();
     if (this->parser.IsDone()) {
       this->StartExchange();
     } else if (this->parser.HasHead() && this->phase == Phase::kHead) {
       this->Enter(Phase::kBody);
+      this->CheckBody();
       if (EqualsIgnoreCase(FieldValue(this->parser.Head().fields, "Expect"), "100-continue")) {
         const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
         this->tcp.Write({&interim, 1});
@@ -300,7 +418,27 @@
     }
   }
 
+  void TakeBody() {
+    std::string bytes = this->parser.TakeBody();
+    if (this->drops_body) return;
+    if (this->body.empty()) {
+      this->body = std::move(bytes);
+    } else {
+      this->body += bytes;
+    }
+  }
+
+  // What the head tells already is judged before the body is kept.
+  void CheckBody() {
+    const AsyncHttpServer::BodyCheck& check = this->server.body_check;
+    this->drops_body = check && !check(this->parser.Head());
+    if (this->drops_body) FreeBytes(this->body);
+  }
+
   void StartExchange() {
+    if (std::exchange(this->drops_body, false) && this->server.body_check(this->parser.Head())) {
+      return this->Refuse(503, "rules changed\n");  // the request would go on without its body
+    }
     auto state = std::make_unique<HttpExchange::Impl>(
         HttpExchange::Impl{.connection = this,
                            .head = this->parser.Head(),
@@ -338,7 +476,11 @@
   // Answers a request that was not read completely, and closes the connection.
   void Refuse(int status, std::string_view body) {
     this->refusing = true;
-    const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
+    FreeBytes(this->body);
+    FreeBytes(this->pipelined);
+    this->parser.DropInput();
+    std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
+    if (status == 503) fields.push_back({.name = "Retry-After", .value = kRoomRetryAfterSeconds});
     this->SendHead(status, fields, "Content-Length:" + std::to_string(body.size()), body);
     this->CloseGracefully();
   }
@@ -349,6 +491,7 @@
     this->phase_since = this->server.loop.Now();
     this->tcp.CloseWhenSent();
     this->tcp.ResumeReading();
+    this->CountHeld();
   }
 
   // Unread input would make the end of the connection reset it, and an answer on its way is lost
@@ -377,6 +520,9 @@
   std::string body = {};
   std::string pipelined = {};
   bool resuming = false;  // ResumePipelined() follows; bytes that arrive before come after its own
+  bool waits_for_flush = false;  // then ResumePipelined() follows
+  bool drops_body = false;
+  bool served = false;  // a request before
   bool refusing = false;
   bool close_announced = false;  // to the caller, in an answer
   bool closing = false;
@@ -385,6 +531,8 @@
   std::size_t bytes_left = std::numeric_limits<std::size_t>::max();
   std::size_t discarded_bytes = 0;  // that arrived while the connection was closing
   bool ended = false;
+  HolderPhase held_phase = HolderPhase::kFresh;
+  Instant held_since = {};
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   TcpConnection tcp;
 };
@@ -446,6 +594,7 @@
 void AsyncHttpServer::Impl::Remove(CallerConnection* connection) {
   const auto found = this->connections.find(connection);
   if (found == this->connections.end()) return;
+  this->budget.Remove(connection);
   // Destroyed later: this code runs inside a callback of the connection.
   this->removed.push_back(std::move(found->second));
   this->connections.erase(found);
@@ -461,6 +610,48 @@
   all.reserve(this->connections.size());
   for (const auto& [connection, owner] : this->connections) all.push_back(connection);
   for (CallerConnection* connection : all) connection->CheckTimeouts(now);
+  this->MakeRoom();
+}
+
+void AsyncHttpServer::Impl::Accept(uv_stream_s* listener) {
+  auto owner = std::make_unique<CallerConnection>(*this, listener);
+  CallerConnection* const connection = owner.get();
+  this->connections.emplace(connection, std::move(owner));
+  if (this->budget.IsFull()) {
+    if (const auto next = this->budget.NextForConnection()) {
+      auto* const given = static_cast<CallerConnection*>(const_cast<void*>(*next));
+      given->GiveUp("connections");
+      given->EndNow();
+    } else {
+      this->LogGivenUp(HolderPhase::kFresh, "connections");
+      return connection->EndNow();
+    }
+  }
+  connection->CountHeld();
+}
+
+void AsyncHttpServer::Impl::MakeRoom() {
+  while (const auto next = this->budget.NextForBytes()) {
+    static_cast<CallerConnection*>(const_cast<void*>(*next))->GiveUp("memory");
+  }
+}
+
+void AsyncHttpServer::Impl::ScheduleRoom() {
+  if (std::exchange(this->room_scheduled, true)) return;
+  this->loop.After(Duration(0), [weak = this->weak_from_this()] {
+    const auto strong = weak.lock();
+    if (!strong) return;
+    strong->room_scheduled = false;
+    strong->MakeRoom();
+  });
+}
+
+void AsyncHttpServer::Impl::LogGivenUp(HolderPhase phase, std::string_view reason) {
+  ++this->given_up;
+  LogSampled("caller_given_up", {{"reason", reason},
+                                 {"phase", HolderPhaseName(phase)},
+                                 {"held_bytes", this->budget.HeldBytes()},
+                                 {"connections", this->connections.size()}});
 }
 
 AsyncHttpServer::AsyncHttpServer(EventLoop& loop, AsyncHttpServerOptions options, Handler handler)
@@ -475,18 +666,17 @@
 Result<void> AsyncHttpServer::Listen(const std::string& address) {
   Impl& self = *this->impl;
   self.listener = std::make_unique<TcpListener>(self.loop);
-  return self.listener->Listen(address, [&self](uv_stream_s* listener) {
-    auto connection = std::make_unique<CallerConnection>(self, listener);
-    CallerConnection* const key = connection.get();
-    self.connections.emplace(key, std::move(connection));
-  });
+  return self.listener->Listen(address, [&self](uv_stream_s* listener) { self.Accept(listener); });
 }
 
 void AsyncHttpServer::SetOptions(const AsyncHttpServerOptions& options) {
   this->impl->options = options;
+  this->impl->budget.SetOptions(options.budget);
   for (const auto& [connection, owner] : this->impl->connections) connection->ApplyLimits();
 }
 
+void AsyncHttpServer::SetBodyCheck(BodyCheck check) { this->impl->body_check = std::move(check); }
+
 void AsyncHttpServer::StartDraining(Duration linger) {
   this->impl->draining_since = this->impl->loop.Now();
   this->impl->linger = linger;
@@ -494,6 +684,9 @@
 
 std::size_t AsyncHttpServer::Connections() const { return this->impl->connections.size(); }
 
+std::uint64_t AsyncHttpServer::HeldBytes() const { return this->impl->budget.HeldBytes(); }
+std::uint64_t AsyncHttpServer::GivenUp() const { return this->impl->given_up; }
+
 std::size_t AsyncHttpServer::BusyConnections() const {
   return static_cast<std::size_t>(
       std::count_if(this->impl->connections.begin(), this->impl->connections.end(),
--- a/src/runtime/async_http_server.h
+++ b/src/runtime/async_http_server.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "runtime/http_exchange.h"
 #include "runtime/http_parser.h"
+#include "runtime/input_budget.h"
 
 namespace savory {
 
@@ -26,6 +27,9 @@
   Duration idle_timeout = std::chrono::seconds(60);
   // A caller that leaves sent bytes unacknowledged for this long is treated as disconnected.
   Duration user_timeout = std::chrono::seconds(10);
+  // Of all connections together. Callers beyond it that are not done sending are answered 503 and
+  // closed, so are those that don't read.
+  InputBudgetOptions budget = {};
 };
 
 // Serves one request at a time on each connection. The server itself answers requests that violate
@@ -40,12 +44,20 @@
   // Errors: kUnavailable when `address` (IP:PORT) is malformed or in use.
   Result<void> Listen(const std::string& address);
   void SetOptions(const AsyncHttpServerOptions& options);
+  // `check` tells by the head of a request whether its body is needed. A body that is not needed is
+  // read and dropped, and the handler gets the request without it.
+  using BodyCheck = std::function<bool(const HttpHead& head)>;
+  void SetBodyCheck(BodyCheck check);
 
   // Answers carry "Connection: close" from now on. Idle connections stay open for `linger`, so that
   // a request that is already on its way still arrives, and are closed then.
   void StartDraining(Duration linger);
 
   std::size_t Connections() const;
+  // Memory that the connections hold for input and unsent answers.
+  std::uint64_t HeldBytes() const;
+  // Connections that were given up or turned away to stay within the budget.
+  std::uint64_t GivenUp() const;
   // Connections with a request that was read in part or not answered in full, or with an answer
   // that the operating system has not accepted yet. A planned stop waits until there are none.
   std::size_t BusyConnections() const;
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -576,6 +576,109 @@
   EXPECT_EQ(refused.status, 413);
 }
 
+// ---- callers that hold too much together ----
+
+constexpr char kTenBytes[] = "Content-Length: 10\r\n";
+
+// A body that the handler refuses by its head is not kept, and its connection serves on.
+TEST_F(AsyncHttpServerTest, BodyThatIsNotNeededIsDropped) {
+  this->server.SetBodyCheck([](const HttpHead& head) { return head.target != "/unknown"; });
+  SlowCaller caller("/unknown", kTenBytes);
+  this->RunFor(std::chrono::milliseconds(20));
+  caller.Send("0123456789GET /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 3\r\n\r\n");
+  this->RunFor(std::chrono::milliseconds(20));
+  caller.Send("abc");
+  this->RunFor(std::chrono::milliseconds(20));
+  caller.Read(4096);
+  EXPECT_EQ(this->requests, 2);
+  EXPECT_EQ(caller.received.find("0123456789"), std::string::npos) << caller.received;
+  EXPECT_TRUE(caller.received.ends_with("echo abc")) << caller.received;
+}
+
+// The rules change while a body arrives that was not needed by the old ones. Guards against a
+// request that is served without its body.
+TEST_F(AsyncHttpServerTest, RequestWhoseBodyWasDroppedIsNotServed) {
+  bool needed = false;
+  this->server.SetBodyCheck([&needed](const HttpHead&) { return needed; });
+  SlowCaller caller("/echo", kTenBytes);
+  this->RunFor(std::chrono::milliseconds(20));
+  needed = true;
+  caller.Send("0123456789");
+  this->RunFor(std::chrono::milliseconds(20));
+  caller.Read(4096);
+  EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 503")) << caller.received;
+  EXPECT_NE(caller.received.find("Retry-After"), std::string::npos);
+  EXPECT_EQ(this->requests, 0);
+}
+
+// Unfinished requests take all connections: the oldest is told that it has not run, and a later
+// caller is served.
+TEST_F(AsyncHttpServerTest, OldestUnfinishedRequestMakesRoomForALaterCaller) {
+  this->server.SetOptions({.budget = {.max_connections = 2}});
+  SlowCaller first("/echo", kTenBytes);
+  this->RunFor(std::chrono::milliseconds(20));
+  SlowCaller second("/echo", kTenBytes);
+  this->RunFor(std::chrono::milliseconds(20));
+  SlowCaller later("/echo");
+  this->RunFor(std::chrono::milliseconds(20));
+  for (SlowCaller* caller : {&first, &second, &later}) caller->Read(4096);
+  EXPECT_TRUE(first.received.starts_with("HTTP/1.1 503")) << first.received;
+  EXPECT_TRUE(second.received.empty()) << second.received;
+  EXPECT_TRUE(later.received.starts_with("HTTP/1.1 200")) << later.received;
+  EXPECT_EQ(this->server.GivenUp(), 1u);
+  EXPECT_EQ(this->server.Connections(), 2u);
+}
+
+// All connections wait for whole requests. None of them is lost for one more caller.
+TEST_F(AsyncHttpServerTest, WholeRequestsAreNotGivenUp) {
+  this->server.SetOptions({.budget = {.max_connections = 1}});
+  SlowCaller waiting("/hold");
+  this->RunFor(std::chrono::milliseconds(20));
+  SlowCaller more("/echo");
+  this->RunFor(std::chrono::milliseconds(20));
+  more.Read(4096);
+  EXPECT_TRUE(more.ended || more.reset);
+  EXPECT_TRUE(more.received.empty()) << more.received;
+  this->held->Answer(200, {}, "held");
+  this->RunFor(std::chrono::milliseconds(20));
+  waiting.Read(4096);
+  EXPECT_TRUE(waiting.received.ends_with("held")) << waiting.received;
+}
+
+// Input behind a request is given up for memory: the request keeps its whole answer, and its caller
+// learns that nothing follows.
+TEST_F(AsyncHttpServerTest, RequestKeepsItsAnswerWhenTheInputBehindItIsGivenUp) {
+  this->server.SetOptions({.budget = {.max_bytes = 50'000}});
+  SlowCaller caller("/hold");
+  this->RunFor(std::chrono::milliseconds(20));
+  caller.Send("POST /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 200000\r\n\r\n" +
+              std::string(100'000, 'x'));
+  this->RunFor(std::chrono::milliseconds(50));
+  EXPECT_LT(this->server.HeldBytes(), 50'000u);
+  this->held->Answer(200, {}, "held");
+  this->RunFor(std::chrono::milliseconds(50));
+  caller.Read(4096);
+  EXPECT_NE(caller.received.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(caller.received.ends_with("held")) << caller.received;
+  EXPECT_TRUE(caller.ended);
+  EXPECT_EQ(this->requests, 1);
+}
+
+// Guards against answers that pile up for a caller that sends requests and doesn't read.
+TEST_F(AsyncHttpServerTest, NextRequestWaitsUntilTheAnswersBeforeItAreRead) {
+  SlowCaller caller("/huge");
+  caller.Send("GET /echo HTTP/1.1\r\nHost: test\r\n\r\n");
+  this->RunFor(std::chrono::milliseconds(100));
+  EXPECT_EQ(this->requests, 1);
+  for (int i = 0; i < 200 && this->requests < 2; ++i) {
+    caller.Read(kHugeBytes);
+    this->RunFor(std::chrono::milliseconds(10));
+  }
+  this->RunFor(std::chrono::milliseconds(50));
+  caller.Read(kHugeBytes);
+  EXPECT_TRUE(caller.received.ends_with("echo ")) << caller.received.size();
+}
+
 // Guards against request smuggling: a request with two framings must not be parsed one way here and
 // another way by the upstream.
 TEST_F(AsyncHttpServerTest, ContradictoryFramingIsRefused) {
--- a/src/runtime/http_parser.cc
+++ b/src/runtime/http_parser.cc
@@ -88,12 +88,13 @@
   virtual void SkipBody() = 0;
   virtual HttpHead& Head() = 0;
   virtual std::string& Body() = 0;
+  virtual std::size_t HeldBytes() const = 0;
 };
 
 template <bool kIsRequest>
 class MessageOf : public Message {
  public:
-  explicit MessageOf(const HttpLimits& limits) {
+  explicit MessageOf(const HttpLimits& limits) : max_header_bytes(limits.max_header_bytes) {
     this->parser.header_limit(limits.max_header_bytes);
     this->parser.body_limit(limits.max_body_bytes);
     this->parser.eager(true);
@@ -113,8 +114,13 @@
   void SkipBody() override { this->parser.skip(true); }
   HttpHead& Head() override { return this->parser.head; }
   std::string& Body() override { return this->parser.body; }
+  std::size_t HeldBytes() const override {
+    return this->parser.body.capacity() + this->parser.head.fields.capacity() * sizeof(HttpField) +
+           (this->max_header_bytes - this->parser.field_bytes_left);
+  }
 
  private:
+  std::size_t max_header_bytes;
   MessageParser<kIsRequest> parser;
 };
 
@@ -167,11 +173,17 @@
       this->input.assign(bytes.substr(taken));
     } else {
       this->input += bytes;
-      if (!this->message->IsDone()) this->input.erase(0, this->Parse(this->input));
+      if (!this->message->IsDone()) this->TakeParsed();
     }
     this->LimitUnparsed();
   }
 
+  // Parses the input and frees its memory once nothing of it is left.
+  void TakeParsed() {
+    this->input.erase(0, this->Parse(this->input));
+    if (this->input.empty()) FreeBytes(this->input);
+  }
+
   // Beast limits neither the line before a chunk, with its extensions, nor the trailer, and needs
   // each of them as a whole.
   void LimitUnparsed() {
@@ -209,6 +221,17 @@
 HttpParseFailure HttpParser::Failure() const { return this->impl->failure; }
 void HttpParser::SkipBody() { this->impl->message->SkipBody(); }
 
+void FreeBytes(std::string& bytes) { std::string().swap(bytes); }
+
+std::size_t HttpParser::HeldBytes() const {
+  return this->impl->input.capacity() + this->impl->message->HeldBytes();
+}
+
+void HttpParser::DropInput() {
+  FreeBytes(this->impl->input);
+  FreeBytes(this->impl->message->Body());
+}
+
 bool HttpParser::HasInput() const {
   return !this->impl->input.empty() ||
          (!this->impl->message->IsDone() && this->impl->message->GotSome());
@@ -224,7 +247,7 @@
   assert(self.message->IsDone());
   self.Begin();
   if (skip_body) self.message->SkipBody();
-  if (!self.input.empty()) self.input.erase(0, self.Parse(self.input));
+  if (!self.input.empty()) self.TakeParsed();
   self.LimitUnparsed();
 }
 
--- a/src/runtime/http_parser.h
+++ b/src/runtime/http_parser.h
@@ -26,6 +26,9 @@
   std::uint64_t max_body_bytes = 8 * 1024 * 1024;
 };
 
+// Empties `bytes` and frees their memory, which an assignment keeps.
+void FreeBytes(std::string& bytes);
+
 // Parses the messages of one direction of a connection, one after another. Bytes after the end of a
 // message are kept for the next one.
 class HttpParser {
@@ -49,6 +52,11 @@
   // The response has no body regardless of its head, as in answers to HEAD.
   void SkipBody();
 
+  // Memory of the message that has arrived and of the bytes behind it, with room to grow.
+  std::size_t HeldBytes() const;
+  // Frees the body and all input. The message can't be completed any more.
+  void DropInput();
+
   // Whether bytes of an unfinished message, or bytes after a finished one, have arrived.
   bool HasInput() const;
   // For the next message, or this one if none of its bytes has arrived.
--- a/src/runtime/tcp_connection.cc
+++ b/src/runtime/tcp_connection.cc
@@ -311,6 +311,8 @@
   }
 }
 
+void TcpConnection::Close() { this->impl->Close(); }
+
 void TcpConnection::Reset() {
   Impl& self = *this->impl;
   if (self.closing) return;
--- a/src/runtime/tcp_connection.h
+++ b/src/runtime/tcp_connection.h
@@ -80,6 +80,9 @@
   // Reads and drops what has arrived, so that destroying the connection does not reset it: a reset
   // takes sent bytes that the peer has not got yet with it.
   void DiscardInput();
+  // Closes at once and frees the descriptor; no handler call follows. Sent bytes still arrive
+  // unless input is unread.
+  void Close();
   // Closes with a reset, so that the peer cannot take the bytes received so far for a complete
   // message.
   void Reset();
