Order records by the store's era, and hold what is known when it comes back from an older copy

Cause: a higher revision won always, so a store that came back from an older copy, where revisions go back and are given out again, was not followed, or its old records would have counted as news. Change: the era is decoded at the platform's edge and carried in updates and between entries. EraHold keeps what a mirror knows for ten seconds where the first listing of an era contradicts it; changes that are newer for sure count at once. Refusals are written again, once, with new leases.

--- a/src/direct/crash_archive.h
+++ b/src/direct/crash_archive.h
@@ -2,6 +2,7 @@
 // once.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,10 +18,13 @@
 struct CrashCause;
 
 struct CrashArchiveOptions {
-  Duration lifetime = std::chrono::minutes(10);  // of a refusal; also the store's longest lease
+  Duration lifetime = std::chrono::minutes(10);     // of a refusal; also the store's longest lease
+  Duration min_lifetime = std::chrono::seconds(5);  // a refusal that ends sooner isn't written
   Duration min_retry_delay = std::chrono::milliseconds(500);
   Duration max_retry_delay = std::chrono::seconds(5);
   int max_writes = 8;  // attempts for one request; the store may be away for longer
+  // The last refusals that this process wrote are written again when the store lost them.
+  std::size_t max_kept = 256;
 };
 
 // All calls on the loop's thread.
@@ -37,6 +41,9 @@
   // Writes what is known of one cause, in place of what was written of it before. The store forgets
   // it after `lifetime`.
   void Save(const CrashCause& cause, std::span<const CrashRecord> records);
+  // The store has come back from an older copy, in this era. Writes again, once, what this process
+  // wrote in earlier ones: it may be gone, and its lifetime may have ended.
+  void OnEra(std::uint64_t era);
 
  private:
   struct Impl;
--- a/src/direct/crash_exchange.h
+++ b/src/direct/crash_exchange.h
@@ -19,6 +19,8 @@
 
   // Call once, before the links start.
   void Start();
+  // See CrashArchive::OnEra().
+  void OnStoreEra(std::uint64_t era) { this->archive.OnEra(era); }
 
  private:
   PeerTransport& peers;
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -641,6 +641,8 @@
   void RegisterListeners() {
     this->operator_records.OnChange(
         [this](std::span<const Record> changed) { this->OnOperatorRecords(changed); });
+    this->operator_records.OnEra(
+        [this](std::uint64_t era) { this->crash_exchange.OnStoreEra(era); });
     this->upstream_records.OnChange(
         [this](std::span<const Record> changed) { this->OnUpstreamRecords(changed); });
     this->relay.OnRequestEnd(
--- a/src/records/record_store.h
+++ b/src/records/record_store.h
@@ -13,7 +13,7 @@
 
 // Each call invokes its callback exactly once, on the event loop's thread. Errors: kUnavailable
 // (the store refuses the call or cannot be reached), kTimeout, kNotFound (Watch: the store no
-// longer has the history after `after`), kMalformed.
+// longer has the history after `after`), kMalformed. An update names the era of its answer.
 class RecordStore {
  public:
   using Callback = std::function<void(Result<RecordUpdate>)>;
@@ -25,9 +25,10 @@
   virtual void Watch(const std::string& prefix, std::uint64_t after, Duration wait,
                      Callback done) = 0;
   // Writes a record that the store removes after `lifetime`. Errors: as above; kTimeout means that
-  // it may have been written.
+  // it may have been written. The result is the era of the store that wrote it: the
+  // store loses the record if it comes back, in a later era, from an older copy.
   virtual void Put(const std::string& key, const std::string& value, Duration lifetime,
-                   std::function<void(Result<void>)> done) = 0;
+                   std::function<void(Result<std::uint64_t>)> done) = 0;
 };
 
 }  // namespace savory
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "records/era_hold.h"
 #include "records/outage_detector.h"
 #include "records/record_store.h"
 #include "records/watcher_selection.h"
@@ -27,6 +28,9 @@
 // A watch whose connection went silent is given up and made again within this time.
 constexpr Duration kLongestLostCall = std::chrono::milliseconds(3000);
 
+// From so many peers a process asks for what it lacks of an era that was lost, for each new one.
+constexpr int kMaxHeldPulls = 3;
+
 // What a peer says of the store's answers to it.
 struct PeerAnswers {
   std::uint32_t answering_for_ms = 0;  // 0: it does not know
@@ -52,9 +56,15 @@
   Counter& store_errors;
   Counter& store_probes;
   Counter& peer_pulls;
+  Gauge& era_gauge;
+  Gauge& kept_gauge;
   WatcherSelection selection;
   RecordMirror mirror = {};
+  EraHold hold;
   Listener listener = {};
+  EraListener era_listener = {};
+  std::uint64_t heard_era = 0;  // the newest that the store or a peer named
+  int held_pulls = 0;           // since that era was heard of or begun
   std::vector<std::string> peers = {};
   bool listed = false;  // List() succeeded; Watch() continues from the mirror's revision
   bool watching = true;
@@ -87,13 +97,29 @@
         store_errors(metrics.CounterFor("savory_store_errors_total", this->Label())),
         store_probes(metrics.CounterFor("savory_store_probes_total", this->Label())),
         peer_pulls(metrics.CounterFor("savory_record_pulls_total", this->Label())),
-        selection({.prefix = this->options.prefix, .peer = this->options.peer}) {}
+        era_gauge(metrics.GaugeFor("savory_store_era", this->Label())),
+        kept_gauge(metrics.GaugeFor("savory_records_kept", this->Label())),
+        selection({.prefix = this->options.prefix, .peer = this->options.peer}),
+        hold(this->mirror, this->options.era_hold_time) {}
 
   std::string Label() const { return "prefix=\"" + this->options.prefix + "\""; }
 
   // Returns whether any record changed.
-  bool Apply(const RecordUpdate& update, std::string_view source) {
-    const std::vector<Record> changed = this->mirror.Apply(update);
+  bool ApplyAnswer(RecordUpdate update) {
+    const std::uint64_t era = update.era;
+    const std::uint64_t before = this->mirror.Position().era;
+    if (era < before) {
+      Log(LogLevel::kInfo, "store_answer_outdated",
+          {{"prefix", this->options.prefix}, {"era", era}, {"current_era", before}});
+      return false;
+    }
+    this->HearEra(era, "store");
+    const bool changed = this->Report(this->hold.ApplyAnswer(std::move(update), this->loop.Now()));
+    if (this->mirror.Position().era > before) this->OnEraBegun();
+    return changed;
+  }
+
+  bool Report(const std::vector<Record>& changed, std::string_view source = "store") {
     if (changed.empty()) return false;
     Log(LogLevel::kInfo, "records_changed",
         {{"prefix", this->options.prefix},
@@ -104,13 +130,63 @@
     return true;
   }
 
+  // ---- eras of the store ----
+
+  void HearEra(std::uint64_t era, std::string_view source) {
+    if (era <= this->heard_era) return;
+    Log(LogLevel::kWarn, "store_era",
+        {{"prefix", this->options.prefix},
+         {"era", era},
+         {"before", this->heard_era},
+         {"source", source}});
+    this->heard_era = era;
+    this->held_pulls = 0;
+    this->era_gauge.Set(static_cast<double>(era));
+    if (this->era_listener) this->era_listener(era);
+  }
+
+  void OnEraBegun() {
+    this->held_pulls = 0;
+    this->kept_gauge.Set(static_cast<double>(this->hold.Kept()));
+    Log(LogLevel::kWarn, "store_copy_listed",
+        {{"prefix", this->options.prefix},
+         {"era", this->mirror.Position().era},
+         {"as_of", this->mirror.AsOf()},
+         {"as_of_before", this->hold.Before().revision},
+         {"kept", this->hold.Kept()}});
+    this->Offer();
+    this->loop.After(this->options.era_hold_time, this->Guarded([this] { this->Settle(); }));
+  }
+
+  void Settle() {
+    if (!this->hold.IsActive()) return;
+    const std::vector<Record> changed = this->hold.Settle(this->loop.Now());
+    if (this->hold.IsActive()) return;  // a newer era has begun meanwhile
+    this->kept_gauge.Set(0);
+    Log(LogLevel::kInfo, "store_copy_settled",
+        {{"prefix", this->options.prefix},
+         {"era", this->mirror.Position().era},
+         {"changed", changed.size()}});
+    this->Report(changed);
+  }
+
+  // Whether the store must be asked for all records.
+  bool MustList() const { return !this->listed || this->heard_era > this->mirror.Position().era; }
+
+  // What peers know of an era that was lost may be newer than what this process knows.
+  void PullHeld(const std::string& peer) {
+    if (this->held_pulls >= kMaxHeldPulls) return;
+    ++this->held_pulls;
+    this->Pull(peer, this->hold.IsActive() ? this->hold.Before() : this->mirror.Position());
+  }
+
   // ---- the store ----
 
   void Read() {
     // The first read always goes to the store.
     const Instant now = this->loop.Now();
     const bool should_watch =
-        !this->listed || now < this->own_watch_until || this->selection.ShouldWatch(now);
+        this->MustList() || now < this->own_watch_until || this->selection.ShouldWatch(now);
     if (should_watch != this->watching) {
       this->watching = should_watch;
       Log(LogLevel::kInfo, should_watch ? "store_watched" : "store_left_to_watchers",
@@ -130,7 +206,7 @@
     if (!should_watch) return this->Probe();
     this->store_calls.Add();
     auto done = this->Guarded([this](Result<RecordUpdate> update) { this->OnRead(update); });
-    if (this->listed) {
+    if (!this->MustList()) {
       // After an error the first watch is short. A long one would return only with the next change,
       // so the store's recovery would be noticed late and changes missed during the outage would
       // count as made after it.
@@ -162,7 +238,7 @@
       const Instant now = this->loop.Now();
       this->AddAnswers({.since = now, .last = now, .asked_since = *this->asked_since}, "store");
       this->asked_since.reset();
-      if (this->Apply(update.value(), "store")) this->Offer();
+      if (this->ApplyAnswer(std::move(update.value()))) this->Offer();
     } else {
       this->store_errors.Add();
       this->OnAskedInVain();
@@ -182,6 +258,7 @@
       return;
     }
     const Instant now = this->loop.Now();
+    const bool asked_for_list = update.value().full;
     // One lost call says nothing of the store: the next one was answered at once.
     const bool one_lost =
         this->last_contact && this->failures <= 1 && this->ContactAge() < kLongestLostCall;
@@ -192,15 +269,17 @@
     this->AddAnswers({.since = since, .last = now, .asked_since = asked}, "store");
     this->asked_since = now;  // the next call follows at once
     this->retry_delay = this->options.min_retry_delay;
-    this->listed = true;
-    const std::uint64_t before = this->mirror.AsOf();
-    const bool changed = this->Apply(update.value(), "store");
-    if (changed) this->Announce(before);
-    this->ScheduleRead(this->options.watch_pause);
+    this->listed = this->listed || update.value().full;
+    const RecordPosition before = this->mirror.Position();
+    const bool changed = this->ApplyAnswer(std::move(update.value()));
+    if (changed && before.era == this->mirror.Position().era) this->Announce(before);
+    // A listing of an era before the one that was heard of came late.
+    const bool listed_in_vain = asked_for_list && this->MustList();
+    this->ScheduleRead(listed_in_vain ? this->options.max_retry_delay : this->options.watch_pause);
   }
 
   // Watchers push changes. Substitutes, of which there may be many, only offer them.
-  void Announce(std::uint64_t before) {
+  void Announce(RecordPosition before) {
     if (this->selection.IsSelected()) return this->PushAll(before);
     this->Offer();
   }
@@ -304,6 +383,8 @@
       offer.set_contact_ms(contact_ms);
       offer.set_reachable_for_ms(this->AnsweringForMs());
       offer.set_unanswered_ms(this->UnansweredMs());
+      offer.set_era(this->mirror.Position().era);
+      offer.set_unsettled(this->hold.IsUnsettled());
       this->transport.Send(this->peers[(first + i) % this->peers.size()], Lane::kControl,
                            std::move(message));
     }
@@ -317,71 +398,81 @@
                                 .contact_ms = offer.contact_ms(),
                                 .unanswered_ms = offer.unanswered_ms()});
     if (offer.reachable_for_ms() > 0) this->watchers_heard = this->loop.Now();
-    const std::uint64_t as_of = this->mirror.AsOf();
-    if (offer.as_of() < as_of) {
+    const RecordPosition as_of = this->mirror.Position();
+    const RecordPosition offered{.era = offer.era(), .revision = offer.as_of()};
+    this->HearEra(offered.era, from);
+    if (offer.unsettled() && offered.era >= as_of.era) {
+      if (offered.era > as_of.era || this->hold.IsActive()) this->PullHeld(from);
+      if (offered.era > as_of.era) return;  // the store is listed, or a settled peer offers later
+    }
+    if (offered < as_of) {
       // A peer that has read nothing yet gets everything without having to ask.
-      if (offer.as_of() == 0) this->Push(from, 0);
+      if (offered == RecordPosition()) this->Push(from, {});
       return;
     }
-    if (offer.as_of() == as_of) {
+    if (offered == as_of) {
       this->behind_since.reset();
       return;
     }
     const Instant now = this->loop.Now();
     if (!this->behind_since) this->behind_since = now;
-    this->ScheduleBehindCheck(offer.as_of());
-    const bool in_grace = as_of != 0 && now - *this->behind_since < this->options.behind_grace;
+    this->ScheduleBehindCheck(offered);
+    const bool in_grace =
+        as_of != RecordPosition() && now - *this->behind_since < this->options.behind_grace;
     if (now < this->next_pull) return;
-    if (in_grace) return this->PullLater(from, offer.as_of());
+    if (in_grace) return this->PullLater(from, offered);
     this->PullNow(from);
   }
 
   // Pulls at the end of the grace unless the change has arrived by then. The next offer may come
   // much later, as processes that do not watch offer to one peer at a time.
-  void PullLater(const std::string& peer, std::uint64_t wanted) {
+  void PullLater(const std::string& peer, RecordPosition wanted) {
     if (std::exchange(this->pull_scheduled, true)) return;
     this->loop.After(this->options.behind_grace, this->Guarded([this, peer, wanted] {
       this->pull_scheduled = false;
-      if (this->mirror.AsOf() < wanted) this->PullNow(peer);
+      if (this->mirror.Position() < wanted) this->PullNow(peer);
     }));
   }
 
-  void ScheduleBehindCheck(std::uint64_t wanted) {
+  void ScheduleBehindCheck(RecordPosition wanted) {
     if (this->watching || std::exchange(this->behind_check_scheduled, true)) return;
     this->loop.After(this->options.max_behind, this->Guarded([this, wanted] {
       this->behind_check_scheduled = false;
-      if (this->mirror.AsOf() >= wanted) return;
+      if (this->mirror.Position() >= wanted) return;
       Log(LogLevel::kInfo, "peers_not_heard",
-          {{"prefix", this->options.prefix}, {"as_of", this->mirror.AsOf()}, {"wanted", wanted}});
+          {{"prefix", this->options.prefix},
+           {"as_of", this->mirror.AsOf()},
+           {"wanted", wanted.revision}});
       this->own_watch_until = this->loop.Now() + this->options.own_watch_time;
     }));
   }
 
   void PullNow(const std::string& peer) {
     this->next_pull = this->loop.Now() + this->options.behind_grace;
-    this->Pull(peer);
+    this->Pull(peer, this->mirror.Position());
   }
 
-  void Pull(const std::string& peer) {
+  void Pull(const std::string& peer, RecordPosition after) {
     this->peer_pulls.Add();
     wire::Envelope message;
     message.mutable_records_pull()->set_prefix(this->options.prefix);
-    message.mutable_records_pull()->set_after(this->mirror.AsOf());
+    message.mutable_records_pull()->set_after(after.revision);
+    message.mutable_records_pull()->set_after_era(after.era);
     this->transport.Send(peer, Lane::kControl, std::move(message));
   }
 
   // A change may be large, and all entries get it over the links that requests use too. A process
   // that gets no push, as its watcher has failed, learns of the change from an offer.
-  void PushAll(std::uint64_t after) {
+  void PushAll(RecordPosition after) {
     const Instant now = this->loop.Now();
     for (const std::string& peer : this->peers) {
       if (this->selection.ForwardsTo(peer, now)) this->Push(peer, after);
     }
   }
 
-  void Push(const std::string& to, std::uint64_t after) {
-    if (this->mirror.AsOf() == 0) return;
-    const RecordUpdate update = this->mirror.ChangesAfter(after);
+  void Push(const std::string& to, RecordPosition after) {
+    if (this->mirror.Position() == RecordPosition()) return;
+    const RecordUpdate update = this->hold.ChangesAfter(after);
     const bool just_answered = this->HasContact() && this->ContactAge() < kJustAnswered;
     const bool is_long = BytesOf(update) > this->options.max_control_bytes;
     const Lane lane = is_long ? Lane::kBulk : Lane::kControl;
@@ -400,12 +491,16 @@
         row.set_value(record.value);
         row.set_revision(record.revision);
         row.set_removed(record.removed);
+        row.set_era(record.era);
         bytes += record.key.size() + record.value.size();
       }
       push.set_last(next == update.records.size());
       push.set_as_of(update.as_of);
       push.set_whole(update.full);
       push.set_after(update.after);
+      push.set_era(update.era);
+      push.set_after_era(update.after_era);
+      push.set_unsettled(update.unsettled);
       push.set_reachable_for_ms(just_answered ? this->AnsweringForMs() : 0);
       push.set_unanswered_ms(just_answered ? this->UnansweredMs() : 0);
       this->transport.Send(to, lane, std::move(message));
@@ -429,20 +524,35 @@
       this->partial_update.records.push_back({.key = row.key(),
                                               .value = row.value(),
                                               .revision = row.revision(),
-                                              .removed = row.removed()});
+                                              .removed = row.removed(),
+                                              .era = row.era()});
     }
     if (!push.last()) return;
     RecordUpdate update = std::exchange(this->partial_update, {});
     update.as_of = push.as_of();
     update.full = push.whole();
     update.after = push.after();
+    update.era = push.era();
+    update.after_era = push.after_era();
+    update.unsettled = push.unsettled();
     this->AddPeerAnswers(
         from, {.answering_for_ms = push.reachable_for_ms(), .unanswered_ms = push.unanswered_ms()});
-    if (update.as_of <= this->mirror.AsOf()) return;
-    this->behind_since.reset();
-    this->Apply(update, "peer");
+    this->HearEra(update.era, from);
+    // Two processes that hold back their listings may know different changes of the lost era.
+    const bool held = update.unsettled && this->hold.IsActive();
+    if (update.AsOf() <= this->mirror.Position() && !held) return;
+    const bool era_must_be_listed = update.unsettled && update.era > this->mirror.Position().era;
+    if (!era_must_be_listed) this->behind_since.reset();
+    this->Report(this->hold.ApplyPeerUpdate(update), "peer");
+    if (!this->hold.IsActive()) this->kept_gauge.Set(0);
+    if (update.AsOf() <= this->mirror.Position() || era_must_be_listed) return;
+    if (update.unsettled) {
+      // The peer began the era later and cannot tell what changed before.
+      this->own_watch_until = this->loop.Now() + this->options.own_watch_time;
+      return;
+    }
     // The mirror is still behind, so an earlier push was lost.
-    if (update.as_of > this->mirror.AsOf()) this->Pull(from);
+    this->Pull(from, this->mirror.Position());
   }
 
   void Subscribe() {
@@ -450,11 +560,12 @@
                               this->Guarded([this](const auto& message, auto) {
                                 this->OnOffer(message.from_peer(), message.records_offer());
                               }));
-    this->transport.Subscribe(wire::Envelope::kRecordsPull,
-                              this->Guarded([this](const auto& message, auto) {
-                                if (message.records_pull().prefix() != this->options.prefix) return;
-                                this->Push(message.from_peer(), message.records_pull().after());
-                              }));
+    this->transport.Subscribe(
+        wire::Envelope::kRecordsPull, this->Guarded([this](const auto& message, auto) {
+          if (message.records_pull().prefix() != this->options.prefix) return;
+          const wire::RecordsPull& pull = message.records_pull();
+          this->Push(message.from_peer(), {.era = pull.after_era(), .revision = pull.after()});
+        }));
     this->transport.Subscribe(wire::Envelope::kRecordsPush,
                               this->Guarded([this](const auto& message, auto) {
                                 this->OnPush(message.from_peer(), message.records_push());
@@ -476,6 +587,8 @@
 
 void RecordSync::OnChange(Listener listener) { this->impl->listener = std::move(listener); }
 
+void RecordSync::OnEra(EraListener listener) { this->impl->era_listener = std::move(listener); }
+
 void RecordSync::Start() {
   Impl& self = *this->impl;
   self.retry_delay = self.options.min_retry_delay;
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -45,6 +45,9 @@
   // the store itself for `own_watch_time`. By then a silent connection has been replaced.
   Duration max_behind = std::chrono::milliseconds(600);
   Duration own_watch_time = std::chrono::seconds(10);
+  // When the store comes back from an older copy, what this process knows is kept for so long where
+  // the copy contradicts it. Those who wrote the lost changes write them again within that time.
+  Duration era_hold_time = std::chrono::seconds(10);
   // Longer updates go over the connection for bulk. Most go over the one that offers take too: if
   // that one is silent, the peer hears no offers, either, and watches the store itself.
   std::size_t max_control_bytes = std::size_t{64} * 1024;
@@ -56,12 +59,16 @@
   // Called with the records that changed.
   using Listener = std::function<void(std::span<const Record> changed)>;
 
+  // Called with the store's era when it has come back from an older copy.
+  using EraListener = std::function<void(std::uint64_t era)>;
+
   // The references must outlive the object.
   RecordSync(EventLoop& loop, PeerTransport& peers, RecordStore& store, Metrics& metrics,
              Random& random, RecordSyncOptions options);
   ~RecordSync();
 
   void OnChange(Listener listener);
+  void OnEra(EraListener listener);
   void Start();
   // Sets the addresses of the other processes that mirror the same records.
   void SetPeers(std::vector<std::string> peers);
--- a/src/records/record_sync_test.cc
+++ b/src/records/record_sync_test.cc
@@ -94,7 +94,7 @@
   }
 
   void Put(const std::string&, const std::string&, Duration,
-           std::function<void(Result<void>)>) override {
+           std::function<void(Result<std::uint64_t>)>) override {
     ADD_FAILURE() << "mirrors do not write";
   }
 
--- a/src/runtime/buffered_call.cc
+++ b/src/runtime/buffered_call.cc
@@ -29,7 +29,10 @@
     this->call = connections.Start(std::move(options), *this);
   }
 
-  void OnAnswerHead(const HttpHead& head) override { this->answer.status = head.status; }
+  void OnAnswerHead(const HttpHead& head) override {
+    this->answer.status = head.status;
+    this->answer.fields = head.fields;
+  }
   void OnAnswerBody(std::string_view bytes) override {
     if (this->answer.body.size() + bytes.size() > this->max_answer_bytes) {
       return this->End(Error{.kind = ErrorKind::kMalformed,
--- a/src/runtime/buffered_call.h
+++ b/src/runtime/buffered_call.h
@@ -4,10 +4,12 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "base/time.h"
 #include "runtime/http_call.h"
+#include "runtime/http_head.h"
 
 namespace savory {
 
@@ -16,6 +18,7 @@
 
 struct BufferedAnswer {
   int status = 0;
+  std::vector<HttpField> fields = {};  // of the head
   std::string body = {};
 };
 
