Keep room for the most urgent callers where priorities compete for a pool

Cause: a request took whatever room there was when it came. Urgent requests are long, so they fitted last and were refused first, and each entry decided by itself. Change: src/admission holds a level for each pool, from what callers of each priority ask for and lack at all entries (EntryStatus.pools). It limits the load under which less urgent requests may take an engine, with a floor of four in ten; the rate that divides the slots counts what the level admits; a new request waits behind a more urgent one. Pools with one priority are served as before.

--- a/src/apps/experiment_load.cc
+++ b/src/apps/experiment_load.cc
@@ -74,11 +74,9 @@
     const double earned = Ratio(row.earned_value, row.offered_value);
     lowest = std::min(lowest, earned);
     highest = std::max(highest, earned);
-    classes[row.name] = {{"requests", row.requests},
-                         {"in_time", row.in_time},
-                         {"late", row.late},
-                         {"refused", row.refused},
-                         {"worth", earned}};
+    classes[row.name] = {{"requests", row.requests}, {"in_time", row.in_time},
+                         {"late", row.late},         {"refused_first", row.refused_first},
+                         {"refused", row.refused},   {"worth", earned}};
   }
   line["worth"] = outcome.ValueRatio();
   line["requests"] = all.requests;
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <variant>
 
+#include "admission/admission_log.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/process_start.h"
@@ -489,10 +490,12 @@
 
   void UpdateDemand() {
     const Instant now = this->loop.Now();
-    const double rate =
-        this->demands.UpdateOwnRate(this->relay.RequestDispatcher().EngineRequests(), now);
+    Dispatcher& dispatcher = this->relay.RequestDispatcher();
+    this->demands.UpdateOwnRate(dispatcher.EngineRequests(), now);
+    this->demands.SetOwnPools(dispatcher.Room().Own(), dispatcher.Room().AdmittedFraction());
+    LogAdmission(dispatcher.Room().TakeChanges(), this->metrics);
     const bool due = this->demands.TakeReportDue(this->links.StatusPeriod(), now);
-    this->links.SetDemand(this->settings.process.data_centre, rate, due);
+    this->links.SetDemand(this->demands.Own(), due);
     this->UpdateEngineShares();
   }
 
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "fleet/agent_list.h"
+#include "fleet/demand_codec.h"
 #include "fleet/version_messages.h"
 #include "runtime/event_loop.h"
 #include "runtime/guarded.h"
@@ -122,6 +123,7 @@
     wire::EntryStatus& status = *message.mutable_entry_status();
     status.set_data_centre(this->demand.data_centre);
     status.set_requests_per_second(this->demand.requests_per_second);
+    WritePools(this->demand.pools, status);
     status.set_period_ms(static_cast<std::uint32_t>(ToMillis(action.status.period)));
     status.set_leaving(action.status.leaving);
     if (this->crashes_digest) status.set_crashes_digest(this->crashes_digest());
@@ -352,7 +354,8 @@
     if (this->on_demand) {
       this->on_demand({.entry = from,
                        .data_centre = status.data_centre(),
-                       .requests_per_second = status.requests_per_second()},
+                       .requests_per_second = status.requests_per_second(),
+                       .pools = ReadPools(status)},
                       report.period);
     }
     if (!this->on_availability) return;
@@ -445,10 +448,9 @@
 
 Duration EntryLinks::StatusPeriod() const { return this->impl->presence.StatusPeriod(); }
 
-void EntryLinks::SetDemand(const std::string& data_centre, double requests_per_second,
-                           bool changed) {
+void EntryLinks::SetDemand(EntryDemand demand, bool changed) {
   Impl& self = *this->impl;
-  self.demand = {.data_centre = data_centre, .requests_per_second = requests_per_second};
+  self.demand = std::move(demand);
   if (!changed) return;
   self.presence.OnDemandChange(self.loop.Now());
   self.Advance();
--- a/src/fleet/entry_links.h
+++ b/src/fleet/entry_links.h
@@ -100,7 +100,7 @@
   // Period at which other entries learn the demand.
   Duration StatusPeriod() const;
   // Sets the demand that the other entries learn: now if `changed`, and periodically.
-  void SetDemand(const std::string& data_centre, double requests_per_second, bool changed);
+  void SetDemand(EntryDemand demand, bool changed);
 
  private:
   struct Impl;
--- a/src/loadmodel/fleet_model.cc
+++ b/src/loadmodel/fleet_model.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 #include <map>
+#include <numeric>
 #include <queue>
 #include <unordered_map>
 
@@ -25,6 +26,8 @@
 // A request that has less than this fraction of its class's `time_left` left counts as a caller's
 // retry.
 constexpr double kCallerRetryTimeFraction = 0.82;
+// Repeats of a caller that does not wait as told.
+constexpr int kRepeatsAtOnce = 2;
 constexpr const char* kPool = "engines";
 // Part of a request's value that does not depend on its size.
 constexpr double kFixedValueFraction = 0.3;
@@ -44,6 +47,7 @@
   std::uint32_t events = 1;
   double value = 0;  // of an answer in time
   bool retried = false;
+  int repeats = 0;  // that it sends at once after a refusal
 };
 
 constexpr std::size_t kNoEngine = SIZE_MAX;
@@ -183,10 +187,10 @@
 
   void PublishDemand(std::size_t number) {
     Entry& entry = this->entries[number];
-    const double rate = entry.demands.UpdateOwnRate(entry.dispatcher->EngineRequests(), this->now);
-    const EntryDemand demand{.entry = entry.id,
-                             .data_centre = std::to_string(entry.region),
-                             .requests_per_second = rate};
+    entry.demands.UpdateOwnRate(entry.dispatcher->EngineRequests(), this->now);
+    const Admission& room = entry.dispatcher->Room();
+    entry.demands.SetOwnPools(room.Own(), room.AdmittedFraction());
+    const EntryDemand demand = entry.demands.Own();
     if (entry.demands.TakeReportDue(kDemandPeriod, this->now)) {
       ++this->outcome.demand_reports;
       this->After(this->options.remote_delay, [this, demand] {
@@ -322,14 +326,30 @@
     }
   }
 
-  double LoadFactor() const {
+  double LoadFactor(std::uint32_t region, const RequestClass& request_class) const {
     double factor = 1;
     for (const LoadStep& step : this->options.steps) {
+      if (!step.of_class.empty() && step.of_class != request_class.name) continue;
+      if (step.region >= 0 && static_cast<std::uint32_t>(step.region) != region) continue;
       if (this->now >= this->start + step.at) factor = step.factor;
     }
     return factor;
   }
 
+  // Shares of the classes in the requests of `region`, and their sum relative to that without
+  // steps.
+  std::pair<std::vector<double>, double> ClassShares(std::uint32_t region) const {
+    std::vector<double> shares;
+    double all = 0;
+    double stepped = 0;
+    for (const RequestClass& row : this->options.classes) {
+      shares.push_back(row.share * this->LoadFactor(region, row));
+      all += row.share;
+      stepped += shares.back();
+    }
+    return {std::move(shares), stepped / all};
+  }
+
   // Requests per second that the callers of `region` send there.
   double RateOf(std::uint32_t region) const {
     double shifted = 0;
@@ -341,7 +361,7 @@
     double rate = regions[region].requests_per_second;
     if (region == 0) rate -= moved;
     if (region + 1 == regions.size()) rate += moved;
-    return rate * this->LoadFactor();
+    return rate * this->ClassShares(region).second;
   }
 
   void ScheduleNextCaller(std::uint32_t region) {
@@ -355,13 +375,10 @@
   }
 
   void AddCaller(std::uint32_t region) {
-    double total = 0;
-    for (const RequestClass& row : this->options.classes) total += row.share;
-    double draw = UniformUnit(this->random) * total;
+    const std::vector<double> shares = this->ClassShares(region).first;
+    double draw = UniformUnit(this->random) * std::accumulate(shares.begin(), shares.end(), 0.0);
     std::size_t index = 0;
-    while (index + 1 < this->options.classes.size() && draw >= this->options.classes[index].share) {
-      draw -= this->options.classes[index++].share;
-    }
+    while (index + 1 < shares.size() && draw >= shares[index]) draw -= shares[index++];
     const RequestClass& request_class = this->options.classes[index];
     Caller caller{.class_index = index, .region = region, .first_sent = this->now};
     const double prompt =
@@ -382,6 +399,9 @@
     ++row.requests;
     row.offered_value += caller.value;
     this->offered_value[this->WindowOf(caller)] += caller.value;
+    if (this->options.repeating > 0 && UniformUnit(this->random) < this->options.repeating) {
+      caller.repeats = kRepeatsAtOnce;
+    }
     const std::uint64_t id = this->next_caller++;
     this->callers.emplace(id, caller);
     this->Send(id);
@@ -425,7 +445,7 @@
         .arrived = attempt.arrived,
         .target = request_class.target,
         .deadline = deadline,
-        .priority = 1,
+        .priority = request_class.priority,
         .prompt_tokens = caller.prompt_tokens,
         .max_pause = request_class.max_pause,
         .is_caller_retry = ToSeconds(deadline - this->now) <
@@ -475,6 +495,13 @@
     const std::uint64_t id = this->attempts.at(number).caller;
     this->attempts.erase(number);
     Caller& caller = this->callers.at(id);
+    if (!caller.retried) ++this->outcome.classes[caller.class_index].refused_first;
+    if (caller.repeats > 0) {
+      --caller.repeats;
+      caller.retried = true;
+      this->After(std::chrono::milliseconds(1), [this, id] { this->Send(id); });
+      return;
+    }
     if (std::exchange(caller.retried, true)) {
       ++this->outcome.classes[caller.class_index].refused;
       this->callers.erase(id);
--- a/src/loadmodel/fleet_model.h
+++ b/src/loadmodel/fleet_model.h
@@ -28,6 +28,7 @@
   Duration target = std::chrono::milliseconds(400);
   Duration max_pause = std::chrono::milliseconds(400);
   Duration time_left = std::chrono::seconds(6);  // until the caller gives up, from its first send
+  int priority = 1;                              // 0 is the most urgent
 };
 
 struct RegionModel {
@@ -41,6 +42,8 @@
 struct LoadStep {
   Duration at = {};
   double factor = 1;
+  std::string of_class = {};  // only requests of this class; empty: all
+  int region = -1;            // only those of this region; below 0: all
 };
 
 // From `at` on, this share of the first region's callers sends to the last region.
@@ -84,6 +87,7 @@
   std::vector<EngineOutage> outages = {};
   std::vector<EngineWait> waits = {};
   std::vector<RolloutModel> rollouts = {};
+  double repeating = 0;      // share of the callers that repeat a refused request at once, twice
   Duration join_at = {};     // when the first engine joins
   Duration join_every = {};  // time between two joins
   DispatcherOptions dispatcher = {};
@@ -110,7 +114,8 @@
   std::uint64_t in_time = 0;
   std::uint64_t late = 0;
   std::uint64_t refused = 0;  // the caller's retry was refused too
-  double offered_value = 0;   // if all answers were in time
+  std::uint64_t refused_first = 0;
+  double offered_value = 0;  // if all answers were in time
   double earned_value = 0;
 };
 
--- a/src/loadmodel/fleet_model_test.cc
+++ b/src/loadmodel/fleet_model_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <iostream>
+#include <vector>
 
 #include "loadmodel/load_patterns.h"
 
@@ -115,6 +116,45 @@
   EXPECT_GE(MeanValueRatio("shift", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
+struct UrgencyOutcome {
+  double value_ratio = 0;
+  std::vector<double> classes = {};  // served part of each, most urgent first
+};
+
+// With `compete` unset all callers have one priority, so nothing is taken from any of them.
+UrgencyOutcome RunUrgency(std::string_view pattern, bool compete) {
+  UrgencyOutcome mean{.classes = {0, 0, 0}};
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetModelOptions options = *FindLoadPattern(pattern, "medium", seed);
+    for (RequestClass& row : options.classes) row.priority = compete ? row.priority : 1;
+    const FleetOutcome outcome = RunFleetModel(options);
+    mean.value_ratio += outcome.ValueRatio() / kSeeds;
+    for (std::size_t i = 0; i < mean.classes.size(); ++i) {
+      const ClassOutcome& row = outcome.classes[i];
+      const double refused = static_cast<double>(row.refused) / static_cast<double>(row.requests);
+      mean.classes[i] += (1 - refused) / kSeeds;
+    }
+  }
+  std::cout << pattern << ", priorities compete " << compete << ": value ratio " << mean.value_ratio
+            << ", served " << mean.classes[0] << ' ' << mean.classes[1] << ' ' << mean.classes[2]
+            << '\n';
+  return mean;
+}
+
+// A burst of the least urgent kind, bursts of each kind in turn, one region with double demand, and
+// callers that repeat at once. Guards against less urgent requests, which fit first, in the places
+// of more urgent ones, and against a kind that is starved.
+TEST(FleetModelTest, UrgentRequestsGoBeforeLessUrgentOnes) {
+  for (const char* pattern : {"low-burst", "turns", "double", "repeats"}) {
+    const UrgencyOutcome before = RunUrgency(pattern, false);
+    const UrgencyOutcome after = RunUrgency(pattern, true);
+    EXPECT_GT(after.value_ratio, before.value_ratio + 0.01) << pattern;
+    EXPECT_GT(after.classes[0], before.classes[0] + 0.05) << pattern;
+    EXPECT_GT(after.classes[0], after.classes[2]) << pattern;
+    EXPECT_GT(after.classes[2], 0.45) << pattern;
+  }
+}
+
 // Guards against a listed pattern that cannot be run, and against a run of an unknown name.
 TEST(LoadPatternsTest, EveryListedPatternIsFound) {
   for (const LoadPattern& pattern : LoadPatterns()) {
--- a/src/loadmodel/load_patterns.cc
+++ b/src/loadmodel/load_patterns.cc
@@ -16,6 +16,12 @@
     LoadPattern{"loss", "one engine in six is offline for 4.5 s"},
     LoadPattern{"waits", "in a burst, half of the engines want no requests for 2 s"},
     LoadPattern{"return", "engines rejoin one by one after a power outage, under the full load"},
+    LoadPattern{"low-burst",
+                "2.5 times the requests of the least urgent kind for 4 s, in a busy hour"},
+    LoadPattern{"turns", "bursts of each kind in turn, 2 s each, in a busy hour"},
+    LoadPattern{"double", "one region's callers send twice as much for 5 s, in a busy hour"},
+    LoadPattern{"repeats",
+                "a burst in which a third of the callers repeat refused requests at once"},
     LoadPattern{"shift", "half of the callers of the first region move to the last one for 4 s"},
 };
 
@@ -132,6 +138,18 @@
           .remote_delay = milliseconds(1)};
 }
 
+// The longest answers are the most urgent ones and worth the most; the least urgent kind may be
+// answered later.
+void SetUrgency(FleetModelOptions& options) {
+  int priority = 0;
+  for (RequestClass& row : options.classes) row.priority = priority++;
+  options.classes.front().value = 3.6;
+  options.classes.front().late_value = 0.36;
+  options.classes.back().value = 0.55;
+  options.classes.back().late_value = 0.2;
+  options.classes.back().target = milliseconds(800);
+}
+
 std::optional<FleetModelOptions> FleetOfSize(std::string_view size, std::uint64_t seed) {
   if (size == "small") return SmallFleet(seed);
   if (size == "medium") return MediumFleet(seed);
@@ -163,6 +181,30 @@
     std::uint32_t joining = 0;
     for (const RegionModel& region : options.regions) joining += region.joining;
     options.join_every = milliseconds(1300) / joining;
+  } else if (name == "low-burst") {
+    SetUrgency(options);
+    options.steps = {{.at = {}, .factor = 1.15},
+                     {.at = seconds(4), .factor = 2.5, .of_class = "note"},
+                     {.at = seconds(8), .factor = 1.15}};
+  } else if (name == "turns") {
+    SetUrgency(options);
+    options.steps = {{.at = {}, .factor = 1.1}};
+    Duration at = seconds(3);
+    for (const RequestClass& row : options.classes) {
+      options.steps.push_back({.at = at, .factor = 2.2, .of_class = row.name});
+      at += seconds(2);
+      options.steps.push_back({.at = at, .factor = 1.1, .of_class = row.name});
+    }
+  } else if (name == "double") {
+    SetUrgency(options);
+    const int last = static_cast<int>(options.regions.size()) - 1;
+    options.steps = {{.at = {}, .factor = 1.05},
+                     {.at = seconds(4), .factor = 2.1, .region = last},
+                     {.at = seconds(9), .factor = 1.05}};
+  } else if (name == "repeats") {
+    SetUrgency(options);
+    options.steps = {{.at = seconds(4), .factor = 1.7}, {.at = seconds(8), .factor = 1}};
+    options.repeating = 0.33;
   } else if (name == "shift") {
     options.shifts = {{.at = seconds(5), .share = 0.5}, {.at = seconds(9), .share = 0}};
   } else {
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -47,8 +47,9 @@
   // An engine interrupts what runs there to load new weights, and refuses requests meanwhile. Once
   // it holds them it is avoided no more.
   std::vector<EngineTry> tries = {};
-  bool only_former = false;  // no attempts are left: it is sent only to engines where it has run
-  HomeRegions homes = {};    // the regions that it may be sent to
+  bool only_former = false;   // no attempts are left: it is sent only to engines where it has run
+  HomeRegions homes = {};     // the regions that it may be sent to
+  bool within_floor = false;  // set by Dispatcher: see Admission::OnAsked()
 };
 
 struct SendTo {
@@ -77,6 +78,7 @@
   Duration predicted = {};  // until the first event there
   double load = 0;          // requests there
   Duration report_age = {};
+  bool limited = false;  // room was kept for more urgent requests
 };
 
 // An attempt without a first event that must not begin at its upstream any more, because the
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -21,7 +21,10 @@
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
-    : options(std::move(options)), random(random), placement(this->options.placement) {}
+    : options(std::move(options)),
+      random(random),
+      placement(this->options.placement),
+      admission(this->options.room) {}
 
 std::vector<std::string> Dispatcher::SetRules(SharedRouting given) {
   this->rules = std::move(given);
@@ -235,6 +238,7 @@
   if (now < this->shares_due) return;
   this->shares_due = now + this->options.shares_period;
   this->placement.Cold().Expire(now);
+  this->UpdateAdmission(now);
   for (auto& [name, pool] : this->pools) this->UpdatePoolShares(pool, now);
 }
 
@@ -481,6 +485,10 @@
       now + candidate.forecast.first_event < rule->deadline - this->options.outdated_reserve;
   if (!begins_in_time) return false;
   if (request.rerun) return candidate.load < slots * 1.5;
+  if (!request.within_floor &&
+      !this->admission.MayTake(request.pool, request.priority, candidate.load / slots)) {
+    return false;
+  }
   const Duration left = request.deadline - now;
   if (request.is_caller_retry) {
     return candidate.load < slots * this->options.caller_retry_load_fraction &&
@@ -608,6 +616,9 @@
       refusal.borrowable += state.borrowable;
     }
   }
+  if (this->IsFirstAttempt(request)) this->admission.OnRefused(request.pool, request.priority);
+  refusal.limited = !request.within_floor && !request.rerun &&
+                    this->admission.IsLimited(request.pool, request.priority);
   if (best.state != nullptr) {
     refusal.best = best.state->upstream.id;
     refusal.report_age = LoadAge(*best.state, now);
@@ -615,11 +626,39 @@
   return DispatchVerdict{.attempt = request.attempt, .decision = std::move(refusal)};
 }
 
+bool Dispatcher::IsFirstAttempt(const DispatchRequest& request) const {
+  const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
+  return pool != nullptr && pool->engine && !request.rerun && !request.is_caller_retry &&
+         request.avoided.empty();
+}
+
+bool Dispatcher::YieldsToWaiting(const DispatchRequest& request) const {
+  if (request.rerun || !this->admission.HasSeveralClasses(request.pool)) return false;
+  return std::ranges::any_of(this->waiting, [&](const DispatchRequest& other) {
+    return other.pool == request.pool && other.priority < request.priority;
+  });
+}
+
+void Dispatcher::UpdateAdmission(Instant now) {
+  std::vector<const PoolDemands*> others;
+  for (const EntryDemand& entry : this->entries) {
+    if (entry.entry != this->options.entry) others.push_back(&entry.pools);
+  }
+  this->admission.Update(others, now);
+}
+
 DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
   Candidate best;
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   if (pool != nullptr && pool->engine && request.avoided.empty()) ++this->engine_requests;
-  if (auto placed = this->TryPlace(request, now, best)) return *placed;
+  if (this->IsFirstAttempt(request)) {
+    request.within_floor = this->admission.OnAsked(request.pool, request.priority);
+  }
+  if (this->YieldsToWaiting(request)) {
+    best = this->PickBest(request, now);
+  } else if (auto placed = this->TryPlace(request, now, best)) {
+    return *placed;
+  }
   if (request.rerun) request.arrived = now;  // it waits from the end of the last attempt
   if (now >= this->WaitLimit(request) || this->IsHopeless(request, best, now)) {
     return this->Refuse(request, best, now);
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/admission.h"
 #include "base/random.h"
 #include "placement/placement.h"
 #include "relay/agent_words.h"
@@ -69,6 +70,7 @@
   // In addition to its share of an engine's slots, an entry may have this fraction of the share
   // queued there.
   double share_overcommit = 0.25;
+  PoolRoomOptions room = {};  // of priorities that compete for a pool
   // Of the slots that a report shows as free, this many are reserved for the entries that own them.
   // The rest is divided among the other entries.
   double borrow_reserve_slots = 2;
@@ -119,6 +121,7 @@
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   Placement& Places() { return this->placement; }
+  Admission& Room() { return this->admission; }
   // The upstream, which need not be in the list, said that it is cold for `remaining`.
   void SetCold(std::string_view upstream, Duration remaining, Instant now);
   // See Placement::SetEvacuated. Upstreams that are back count as cold.
@@ -249,6 +252,12 @@
   // upstreams asked for a wait.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
                                     Instant now) const;
+  // Whether a more urgent request waits for the same pool.
+  bool YieldsToWaiting(const DispatchRequest& request) const;
+  // Lets admission compare what this entry and the others report.
+  void UpdateAdmission(Instant now);
+  // Whether the request is a first attempt at an engine pool.
+  bool IsFirstAttempt(const DispatchRequest& request) const;
   // Whether it is known that the request cannot be sent within the time that it may wait here.
   bool IsHopeless(const DispatchRequest& request, const Candidate& best, Instant now) const;
   void UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now);
@@ -269,6 +278,7 @@
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
   Placement placement;
+  Admission admission;
   AgentWords words = AgentWords();
 };
 
--- a/src/relay/entry_demand_tracker.h
+++ b/src/relay/entry_demand_tracker.h
@@ -36,6 +36,10 @@
   // `requests`: number of requests that arrived at this entry since its start. Returns the rate
   // to report to the other entries. Call every `update_period`.
   double UpdateOwnRate(std::uint64_t requests, Instant now);
+  // Sets what the callers of this entry ask for and lack, and the part of the rate that counts for
+  // its share of the slots.
+  void SetOwnPools(PoolDemands pools, double counted_fraction);
+  const EntryDemand& Own() const { return this->own; }
   // Whether the own rate must be reported now: it has changed, or `period` has passed since the
   // last report. If so, it counts as reported.
   bool TakeReportDue(Duration period, Instant now);
@@ -61,7 +65,9 @@
   EntryDemand own;
   std::uint64_t last_request_count = 0;
   Instant rate_updated_at = {};
+  double rate = 0;  // of all requests
   double reported_rate = 0;
+  PoolDemands reported_pools = {};
   Instant reported_at = {};
   std::map<std::string, Report> others = {};  // by entry identity
   std::vector<std::string> live_entries = {};
--- a/src/relay/entry_demand_tracker_test.cc
+++ b/src/relay/entry_demand_tracker_test.cc
@@ -110,5 +110,28 @@
   EXPECT_EQ(this->ActiveCount(), 3u);
 }
 
+// The entry is cut off from most others: they keep their shares, but what their callers lacked
+// before says nothing of now.
+TEST_F(EntryDemandTrackerTest, ReportsThatStopNoLongerTellWhatCallersLack) {
+  EntryDemand demand{.entry = "b", .data_centre = "dc", .requests_per_second = 10};
+  demand.pools = {{.pool = "engines"}};
+  demand.pools.front().classes[0] = {.asked = 10, .lacked = 5};
+  this->tracker.OnDemandReport(demand, seconds(1), this->now);
+  EXPECT_EQ(this->tracker.ActiveDemands(this->now).back().pools, demand.pools);
+  this->now += seconds(5);
+  ASSERT_EQ(this->ActiveCount(), 2u);
+  EXPECT_TRUE(this->tracker.ActiveDemands(this->now).back().pools.empty());
+}
+
+// A burst of urgent requests that are refused: the other entries learn of it at once.
+TEST_F(EntryDemandTrackerTest, LackIsReportedAtOnce) {
+  EXPECT_TRUE(this->tracker.TakeReportDue(seconds(1), this->now));
+  EXPECT_FALSE(this->tracker.TakeReportDue(seconds(1), this->now));
+  PoolDemands pools = {{.pool = "engines"}};
+  pools.front().classes[0] = {.asked = 40, .lacked = 10};
+  this->tracker.SetOwnPools(pools, 1);
+  EXPECT_TRUE(this->tracker.TakeReportDue(seconds(1), this->now));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -531,6 +531,12 @@
   void Apply(const RefuseRequest& refusal) {
     if (this->silent_attempt) return this->ReturnToSilent("no-other");
     this->refusal = refusal;
+    if (refusal.limited) {
+      this->relay.metrics
+          .CounterFor("savory_refused_for_more_urgent_total",
+                      "priority=\"" + std::to_string(PriorityClass(this->priority)) + "\"")
+          .Add();
+    }
     if (this->history.delivered) {
       this->Finish("broken-off", 0);
       this->exchange->Abort();
@@ -1169,6 +1175,7 @@
       {"share", refusal ? static_cast<std::int64_t>(refusal->share) : -1},
       {"confirmed", refusal ? static_cast<std::int64_t>(refusal->confirmed) : -1},
       {"own", refusal ? static_cast<std::int64_t>(refusal->own) : -1},
+      {"limited", refusal != nullptr && refusal->limited},
       {"borrowable", refusal ? static_cast<std::int64_t>(refusal->borrowable) : -1},
       {"weights", this->target.weights_version},
       {"load", refusal ? refusal->load : this->target.load},
--- a/src/relay/slot_shares.h
+++ b/src/relay/slot_shares.h
@@ -6,13 +6,16 @@
 #include <string>
 #include <vector>
 
+#include "admission/class_demand.h"
+
 namespace savory {
 
 // Request rate of one entry that sends to the same upstreams.
 struct EntryDemand {
   std::string entry = {};  // identity, as known to all processes
   std::string data_centre = {};
-  double requests_per_second = 0;
+  double requests_per_second = 0;  // that count for its share of the slots
+  PoolDemands pools = {};          // what its callers ask for and lack
 
   bool operator==(const EntryDemand&) const = default;
 };
