Go back to an interrupted version of the weights while the origin is away, and read it once after that

Cause: with two versions 2 s apart and the origin away from 0.5 s after the second, agents left the older copy (22 of 48 chunks) for a version that nobody could send. After the outage chunks counted as overdue since before it, and several ranks read each of them. Change: a copy that was left incomplete is kept, and resumed when the newer one shows no new chunk for 0.8 s. The first chunk after a second without any starts the expected times of the origin's reads anew.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -85,7 +85,8 @@
                 .region = this->settings.process.region,
                 .link_bytes_per_second = this->settings.link_bytes_per_second,
                 .region_bytes_per_second = this->settings.region_bytes_per_second,
-                .assumed_age = this->settings.weights_deadline - kUnknownAgeGrace}),
+                .assumed_age = this->settings.weights_deadline - kUnknownAgeGrace,
+                .deadline = this->settings.weights_deadline}),
         loader(loop, metrics, adapter.engine, this->copier,
                {.deadline = this->settings.weights_deadline}),
         metrics_server(loop, {}, [this](const SharedExchange& exchange) {
--- a/src/direct/copy_policy.cc
+++ b/src/direct/copy_policy.cc
@@ -15,6 +15,14 @@
 // Limits how long the newer version, which has its own deadline, is postponed.
 constexpr Duration kMaxFinishTime = std::chrono::milliseconds(1500);
 
+// The first chunk of a version appears within half a second of its start, others sooner after it.
+constexpr Duration kOriginSilence = std::chrono::milliseconds(800);
+// Below this part, the other agents hold too little as well.
+constexpr double kMinResumedFraction = 0.25;
+// The rest of a copy, its load, and the turns of the other engines need this long.
+constexpr Duration kMinTimeToResume = std::chrono::seconds(3);
+constexpr Duration kMaxResumedTime = std::chrono::milliseconds(3500);
+
 bool IsEngineOutdated(const CopyContext& context) {
   return context.engine_version && *context.engine_version < context.wanted;
 }
@@ -39,6 +47,20 @@
          kNearlyCompleteFraction * static_cast<double>(copy.chunks);
 }
 
+bool ShouldResumeOlder(const InterruptedCopy& copy) {
+  if (!copy.engine_lacks_it || copy.held >= copy.chunks) return false;
+  if (copy.newer_reachable >= copy.newer_chunks || copy.newer_silent_for < kOriginSilence) {
+    return false;
+  }
+  return copy.time_left >= kMinTimeToResume &&
+         static_cast<double>(copy.held) >= kMinResumedFraction * static_cast<double>(copy.chunks);
+}
+
+bool ShouldGoOnWithResumed(const ResumedCopy& copy) {
+  return copy.held < copy.chunks && copy.silent_for < kOriginSilence &&
+         copy.resumed_for < kMaxResumedTime;
+}
+
 Duration OriginDelay(const CopyContext& context) {
   // An engine without weights is usually new and has no staged chunks: do not wait for them.
   const bool may_be_staged = MayBeStagedAtEngine(context) && context.engine_version != 0u;
--- a/src/direct/copy_policy.h
+++ b/src/direct/copy_policy.h
@@ -55,4 +55,29 @@
 // are without either version for seconds when two are announced in quick succession.
 bool ShouldFinishBeforeNewer(const CopyProgress& copy);
 
+// State of an incomplete copy that was left for a newer version.
+struct InterruptedCopy {
+  std::size_t held = 0;  // chunks of the older version in memory
+  std::size_t chunks = 0;
+  bool engine_lacks_it = false;     // the engine holds a version before it
+  std::size_t newer_reachable = 0;  // chunks of the newer version, held here or by a neighbour
+  std::size_t newer_chunks = 0;
+  Duration newer_silent_for = {};  // since the newer copy began or its last chunk appeared
+  Duration time_left = {};         // until engines without the older version get no requests
+};
+
+// Whether to go back to the older version: the origin sends nothing of the newer one, and agents
+// hold chunks of the older one that they can exchange without the origin.
+bool ShouldResumeOlder(const InterruptedCopy& copy);
+
+struct ResumedCopy {
+  std::size_t held = 0;
+  std::size_t chunks = 0;
+  Duration silent_for = {};  // since it was resumed or its last chunk appeared
+  Duration resumed_for = {};
+};
+
+// Whether a copy that was resumed goes on before the newer version is tried again.
+bool ShouldGoOnWithResumed(const ResumedCopy& copy);
+
 }  // namespace savory
--- a/src/direct/copy_policy_test.cc
+++ b/src/direct/copy_policy_test.cc
@@ -76,5 +76,52 @@
                                         .newer_known_for = std::chrono::milliseconds(1500)}));
 }
 
+constexpr InterruptedCopy kInterrupted{.held = 22,
+                                       .chunks = 48,
+                                       .engine_lacks_it = true,
+                                       .newer_chunks = 48,
+                                       .newer_silent_for = std::chrono::milliseconds(900),
+                                       .time_left = std::chrono::seconds(6)};
+
+// Two versions are announced 2 s apart and the origin fails 0.5 s after the second, as on scale-1
+// of berthslot-ph-grown: agents with 22 of 48 chunks waited 6 s for a version that the origin could
+// not send, while all chunks of the older one were in the fleet.
+TEST(CopyPolicyTest, OlderVersionIsResumedWhileTheOriginSendsNothingOfTheNewerOne) {
+  EXPECT_TRUE(ShouldResumeOlder(kInterrupted));
+  InterruptedCopy some_sent = kInterrupted;
+  some_sent.newer_reachable = 6;
+  EXPECT_TRUE(ShouldResumeOlder(some_sent));
+}
+
+// Guards against going back to an older version that delays the newer one for nothing.
+TEST(CopyPolicyTest, OlderVersionIsNotResumedInVain) {
+  InterruptedCopy copy = kInterrupted;
+  copy.newer_silent_for = std::chrono::milliseconds(300);
+  EXPECT_FALSE(ShouldResumeOlder(copy));
+  copy = kInterrupted;
+  copy.newer_reachable = 48;
+  EXPECT_FALSE(ShouldResumeOlder(copy));
+  copy = kInterrupted;
+  copy.time_left = std::chrono::seconds(2);
+  EXPECT_FALSE(ShouldResumeOlder(copy));
+  copy = kInterrupted;
+  copy.engine_lacks_it = false;
+  EXPECT_FALSE(ShouldResumeOlder(copy));
+  copy = kInterrupted;
+  copy.held = 5;
+  EXPECT_FALSE(ShouldResumeOlder(copy));
+}
+
+// Guards against an agent that stays with an older version whose chunks nobody sends.
+TEST(CopyPolicyTest, ResumedCopyEndsWhenItIsCompleteOrStalls) {
+  ResumedCopy copy{.held = 30, .chunks = 48, .resumed_for = std::chrono::seconds(1)};
+  EXPECT_TRUE(ShouldGoOnWithResumed(copy));
+  copy.silent_for = std::chrono::seconds(1);
+  EXPECT_FALSE(ShouldGoOnWithResumed(copy));
+  EXPECT_FALSE(ShouldGoOnWithResumed({.held = 48, .chunks = 48}));
+  EXPECT_FALSE(ShouldGoOnWithResumed(
+      {.held = 30, .chunks = 48, .resumed_for = std::chrono::milliseconds(3500)}));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -53,6 +53,7 @@
   VersionCopy target = {};  // the version that `rollout` loads onto the engine
   RolloutPosition position = {};
   std::uint32_t running = 0;
+  std::uint64_t loaded_version = 0;  // as the engine's last state has it
   std::uint64_t accepted_loads = 0;  // as the engine's last state has it
   Duration slowest_call = {};        // of those about chunks, since the last load request
   std::uint32_t calls_given_up = 0;  // likewise
@@ -122,12 +123,18 @@
     return copy != nullptr && copy->IsComplete();
   }
 
+  // The copier has left the target for an older version that the engine does not hold yet.
+  bool MayGoBackTo(const VersionCopy& older) const {
+    return !this->HasCompleteCopy(this->target) && this->loaded_version < older.version;
+  }
+
   // Makes the copier's newest version the target of the rollout if there is no rollout yet, the
   // rollout is done, the newer copy is complete, or the older copy is incomplete and thus abandoned
   // by the copier. Does nothing while a load is in progress or about to be requested.
   void AdoptNewestVersion() {
     const std::optional<VersionCopy>& newest = this->copier.Newest();
-    if (!newest || newest->version <= this->rollout.Version()) return;
+    if (!newest || newest->version == this->rollout.Version()) return;
+    if (newest->version < this->rollout.Version() && !this->MayGoBackTo(*newest)) return;
     if (!this->rollout.MayReplace()) return;
     const bool adopt = this->rollout.Version() == 0 || this->rollout.IsDone() ||
                        this->HasCompleteCopy(*newest) || !this->HasCompleteCopy(this->target);
@@ -280,6 +287,7 @@
 
 void EngineLoader::SetEngineState(const EngineState& state, Instant asked) {
   this->impl->running = state.running;
+  this->impl->loaded_version = state.weights_version;
   this->impl->LogNewLoads(state);
   this->impl->rollout.OnEngineState(state, this->impl->TimesSince(asked));
   this->impl->LogDoubt();
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -69,6 +69,7 @@
   EngineControl& engine;
   WeightsCopierOptions options;
   Counter& origin_bytes;
+  Counter& copies_resumed;
   ChunkStore store{0};
   SpreadTransport link;
   std::unique_ptr<ChunkSpreader> spreader = {};  // created once the origin's region is known
@@ -85,9 +86,14 @@
   bool finding_newest = false;               // the origin is asked for its newest version
   ManifestExchange manifests;
   std::optional<VersionCopy> newest = {};
-  std::optional<VersionCopy> pending = {};  // postponed while `newest` should finish first
-  Instant pending_since = {};               // when the manifest of `pending` arrived
-  std::vector<bool> notified = {};          // chunks of `newest` that the listener was notified of
+  std::optional<VersionCopy> pending = {};      // postponed while `newest` should finish first
+  Instant pending_since = {};                   // when the manifest of `pending` arrived
+  std::optional<VersionCopy> interrupted = {};  // left incomplete for `newest`
+  std::optional<Instant> resumed_at = {};       // `newest` was resumed; `pending` is newer
+  std::uint32_t resumed_held = 0;
+  std::size_t reachable_chunks = 0;  // of `newest`, and when the last one appeared
+  Instant last_appeared = {};
+  std::vector<bool> notified = {};  // chunks of `newest` that the listener was notified of
   std::deque<std::uint32_t> to_read_back = {};
   std::size_t read_back_calls = 0;
   Instant next_progress_log = {};
@@ -100,6 +106,7 @@
         engine(engine),
         options(std::move(given)),
         origin_bytes(metrics.CounterFor("savory_origin_bytes_total")),
+        copies_resumed(metrics.CounterFor("savory_copies_resumed_total")),
         link(peers, metrics, this->store, VerifyOnCallingThread()),
         manifests(loop, peers, origin,
                   {.peer = this->options.peer, .region = this->options.region}) {}
@@ -239,12 +246,66 @@
                                  .newer_known_for = this->Now() - this->pending_since})) {
       return;
     }
+    if (this->GoesOnWithResumed(copy)) return;
+    const bool is_left = copy != nullptr && !copy->IsComplete() && !this->resumed_at;
+    this->interrupted = is_left ? this->newest : std::nullopt;
+    this->resumed_at.reset();
     const VersionCopy started = *std::exchange(this->pending, {});
     this->search_version = 0;
     this->StartCopy(started.model, started.version, started.manifest);
     this->FollowWantedVersion();
   }
 
+  void WatchAppearance() {
+    const std::size_t reachable = this->spreader ? this->spreader->Reachable() : 0;
+    if (reachable > this->reachable_chunks) this->last_appeared = this->Now();
+    this->reachable_chunks = reachable;
+  }
+
+  bool GoesOnWithResumed(const WeightsCopy* copy) {
+    if (!this->resumed_at || copy == nullptr) return false;
+    if (copy->held > this->resumed_held) this->last_appeared = this->Now();
+    this->resumed_held = copy->held;
+    return ShouldGoOnWithResumed({.held = copy->held,
+                                  .chunks = copy->chunks.size(),
+                                  .silent_for = this->Now() - this->last_appeared,
+                                  .resumed_for = this->Now() - *this->resumed_at});
+  }
+
+  // Goes back to the version that was left for `newest` if the origin sends nothing of that.
+  void ResumeInterrupted() {
+    if (!this->interrupted || this->pending || !this->newest) return;
+    const WeightsCopy* older = this->store.Find(this->interrupted->manifest->Id());
+    if (older == nullptr) return this->interrupted.reset();
+    this->WatchAppearance();
+    const Instant deadline = this->interrupted->wanted_since + this->options.deadline;
+    const InterruptedCopy state{
+        .held = older->held,
+        .chunks = older->chunks.size(),
+        .engine_lacks_it =
+            this->engine_version && *this->engine_version < this->interrupted->version,
+        .newer_reachable = this->reachable_chunks,
+        .newer_chunks = this->newest->manifest->ChunkCount(),
+        .newer_silent_for = this->Now() - this->last_appeared,
+        .time_left = deadline - this->Now()};
+    if (!ShouldResumeOlder(state)) return;
+    const VersionCopy resumed = *std::exchange(this->interrupted, {});
+    Log(LogLevel::kInfo, "copy_resumed",
+        {{"version", resumed.version},
+         {"held", state.held},
+         {"of", state.chunks},
+         {"instead_of", this->newest->version},
+         {"silent_ms", ToMillis(state.newer_silent_for)},
+         {"time_left_ms", ToMillis(state.time_left)}});
+    this->copies_resumed.Add();
+    this->pending = this->newest;
+    this->pending_since = this->Now();
+    this->search_version = this->newest->version;
+    this->resumed_at = this->Now();
+    this->resumed_held = state.held;
+    this->StartCopy(resumed.model, resumed.version, resumed.manifest);
+  }
+
   void StartCopy(const std::string& model, std::uint64_t version,
                  std::shared_ptr<const Manifest> manifest) {
     const CopyContext context = this->MakeCopyContext(version);
@@ -255,6 +316,8 @@
                                .manifest = std::move(manifest)};
     const std::uint32_t chunk_count = this->newest->manifest->ChunkCount();
     this->notified.assign(chunk_count, false);
+    this->reachable_chunks = 0;
+    this->last_appeared = this->Now();
     this->store.SetWanted(this->newest->manifest);
     this->to_read_back.clear();
     Log(LogLevel::kInfo, "copy_started",
@@ -473,6 +536,7 @@
 
 void WeightsCopier::Tick() {
   this->impl->StartNext();
+  this->impl->ResumeInterrupted();
   if (this->IsActive() || this->impl->last_link_state.state != LinkState::kFree) {
     this->impl->WatchLink();
   }
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -32,6 +32,8 @@
   std::size_t seeding_agents = 4;
   // A version whose announcement time is unknown is treated as announced this long ago.
   Duration assumed_age = {};
+  // From the announcement of a version until engines with older weights get no requests.
+  Duration deadline = std::chrono::seconds(8);
 };
 
 // A version that this agent copies or has copied.
--- a/src/distribution/chunk_spreader.cc
+++ b/src/distribution/chunk_spreader.cc
@@ -52,6 +52,9 @@
 constexpr std::size_t kCandidatesPerLevel = 16;
 constexpr std::size_t kRarityLevels = 22;  // number of holders among at most 20 neighbours
 constexpr int kMismatchesBeforeStop = 2;
+// The origin was away if no chunk appeared for this long; owners of chunks that fail alone do not
+// keep the chunks of the others away.
+constexpr Duration kOriginSilence = seconds(1);
 constexpr int kProbesBeforeRetry = 5;
 
 struct Pending {
@@ -108,6 +111,7 @@
   Instant started = {};
   OriginReadOrder read_order;
   Instant last_progress = {};
+  Instant last_appeared = {};
   Instant next_scan = {};
   Instant next_takeover_scan = {};
   Instant inherited_ready = {};
@@ -351,7 +355,10 @@
     if (neighbour.holds[chunk]) return;
     neighbour.holds[chunk] = true;
     ++neighbour.held;
-    if (this->availability[chunk]++ == 0 && !this->Copy().Holds(chunk)) this->last_progress = now;
+    if (this->availability[chunk]++ == 0 && !this->Copy().Holds(chunk)) {
+      this->OnChunkAppeared(now);
+      this->last_progress = now;
+    }
     this->next_scan = {};
   }
 
@@ -371,6 +378,7 @@
     this->availability.assign(this->manifest->ChunkCount(), 0);
     this->complete = this->Copy().IsComplete();
     this->started = now + event.origin_delay;
+    this->last_appeared = this->started;
     // Read failures of an earlier version no longer apply: the manifest has come from the origin
     // since.
     this->origin_failures = 0;
@@ -417,6 +425,7 @@
   }
 
   void OnChunkStored(Instant now, std::uint32_t chunk, bool by_takeover) {
+    if (this->availability[chunk] == 0) this->OnChunkAppeared(now);
     if (!by_takeover) this->last_progress = now;
     this->unannounced.push_back(chunk);
     this->ServeAwaited(chunk);
@@ -427,6 +436,18 @@
     this->actions.push_back(CopyComplete{});
   }
 
+  // After an outage of the origin, all chunks would count as overdue, and several agents would read
+  // each of them at once.
+  void OnChunkAppeared(Instant now) {
+    const Duration silence = now - std::exchange(this->last_appeared, std::max(now, this->started));
+    if (!this->read_order.KnowsRate() || silence < kOriginSilence) return;
+    this->origin_failures = 0;
+    // The agents of the origin's region have chunks to copy again.
+    this->remote_failures = 0;
+    this->origin_ready = std::min(this->origin_ready, std::max(now, this->hold_until));
+    this->OrderReads(now);
+  }
+
   void AnnounceNewChunks() {
     if (this->IsNarrow()) this->unannounced.clear();
     if (this->unannounced.empty()) return;
--- a/src/distribution/chunk_spreader_test.cc
+++ b/src/distribution/chunk_spreader_test.cc
@@ -208,6 +208,32 @@
   }
 }
 
+// A fleet of 66 agents in two regions, and the origin goes away for 6 s as the copy begins, as on
+// scale-1 of berthslot-ph-grown. Guards against chunks that count as overdue since the outage, so
+// that several agents read each of them and the copy takes twice as long.
+TEST(ChunkSpreader, CopyAfterAnOutageTakesAsLongAsOneWithoutIt) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    HarnessOptions options = FleetWithSlowLinks(0);
+    options.seed = seed;
+    SpreadHarness baseline(options);
+    baseline.StartAll();
+    ASSERT_TRUE(baseline.RunUntilComplete(seconds(60)));
+    options.spread.max_backoff = std::chrono::milliseconds(500);
+    SpreadHarness harness(options);
+    harness.origin_down = true;
+    harness.StartAll();
+    harness.Run(seconds(6), [] { return false; });
+    harness.origin_down = false;
+    const double recovered_at = harness.Seconds();
+    ASSERT_TRUE(harness.RunUntilComplete(seconds(60)));
+    const double copy_seconds = harness.Seconds() - recovered_at;
+    std::printf("seconds %.2f, without outage %.2f, copies %.2f\n", copy_seconds,
+                baseline.Seconds(), harness.OriginCopies());
+    EXPECT_LE(copy_seconds, baseline.Seconds() + 1);
+    EXPECT_LE(harness.OriginCopies(), 1.25);
+  }
+}
+
 // The origin is down for some seconds when a version is published for two regions. Guards against
 // agents that all read it when it is back: its link then carries several copies, and every engine
 // waits for the last one.
--- a/src/distribution/chunk_store.cc
+++ b/src/distribution/chunk_store.cc
@@ -77,8 +77,13 @@
                                      [](const WeightsCopy& copy) { return copy.IsComplete(); });
   const auto kept = complete != this->copies.end() ? complete : this->copies.begin() + 1;
   std::rotate(this->copies.begin() + 1, kept, kept + 1);
-  this->copies.resize(2);
-  if (this->limit_bytes > 0 && this->Bytes() > this->limit_bytes) this->copies.resize(1);
+  // The last one that was left incomplete may be resumed.
+  const bool may_resume =
+      this->copies.size() > 2 && this->copies[1].IsComplete() && this->copies[2].held > 0;
+  this->copies.resize(may_resume ? 3 : 2);
+  while (this->limit_bytes > 0 && this->copies.size() > 1 && this->Bytes() > this->limit_bytes) {
+    this->copies.pop_back();
+  }
 }
 
 std::string ChunkBits(const WeightsCopy& copy) {
--- a/src/distribution/chunk_store.h
+++ b/src/distribution/chunk_store.h
@@ -26,11 +26,12 @@
   }
 };
 
-// Keeps at most two versions: the wanted one and the most recent other one, where a complete
-// version is preferred to an incomplete one.
+// Keeps at most three versions: the wanted one, the most recent other one, where a complete version
+// is preferred to an incomplete one, and beside a complete one the last one that was left
+// incomplete.
 class ChunkStore {
  public:
-  // `limit_bytes` bounds the total size of both versions; 0: no bound. The wanted version is always
+  // `limit_bytes` bounds the total size of all versions; 0: no bound. The wanted version is always
   // kept.
   explicit ChunkStore(std::uint64_t limit_bytes) : limit_bytes(limit_bytes) {}
 
--- a/src/distribution/manifest_test.cc
+++ b/src/distribution/manifest_test.cc
@@ -100,6 +100,32 @@
   EXPECT_TRUE(store.Find(one->Id())->IsComplete());
 }
 
+// A second version follows before the copy of the first is complete, and the origin fails. Guards
+// against dropping the chunks of the first one for the complete version that engines hold.
+TEST(ChunkStore, KeepsACopyThatMayBeResumed) {
+  const std::string first = "aaaabbbb";
+  const std::string second = "ccccdddd";
+  ChunkStore store(0);
+  const auto one = std::make_shared<const Manifest>(Describe(first, 4));
+  const auto two = std::make_shared<const Manifest>(Describe(second, 4));
+  const auto three = std::make_shared<const Manifest>(Describe("eeeeffff", 4));
+  store.SetWanted(one);
+  PutAll(store, *one, first);
+  store.SetWanted(two);
+  const auto bytes = std::as_bytes(std::span(second).first(4));
+  const auto chunk = VerifiedChunk::Verify(
+      *two, 0, std::make_shared<const std::vector<std::byte>>(bytes.begin(), bytes.end()));
+  ASSERT_TRUE(chunk.has_value());
+  ASSERT_TRUE(store.Put(*chunk));
+  store.SetWanted(three);
+  ASSERT_NE(store.Find(two->Id()), nullptr);
+  EXPECT_EQ(store.Find(two->Id())->held, 1u);
+  EXPECT_NE(store.Find(one->Id()), nullptr);
+  store.SetWanted(two);
+  EXPECT_EQ(store.Find(two->Id())->held, 1u);
+  EXPECT_EQ(store.Find(three->Id()), nullptr);
+}
+
 // Guards against exceeding the memory limit, and against dropping the wanted version because of it.
 TEST(ChunkStore, DropsThePreviousVersionAboveTheLimit) {
   const std::string first = "aaaabbbb";
