--- a/src/direct/manifest_exchange.cc
+++ b/src/direct/manifest_exchange.cc
@@ -40,7 +40,8 @@
   std::string model = {};
   std::uint64_t version = 0;     // 0: the newest one
   std::string search_name = {};  // empty: none
-  Instant search_started = {};
+  Instant next_fallback = {};
+  Duration fallback_pause = {};
   std::size_t requests_sent = 0;
   bool reading_origin = false;
   Done done = {};
@@ -53,7 +54,8 @@
     this->model = wanted_model;
     this->version = wanted_version;
     this->search_name = WeightsNameOf(wanted_model, wanted_version);
-    this->search_started = this->loop.Now();
+    this->next_fallback = this->loop.Now() + this->options.origin_fallback_delay;
+    this->fallback_pause = this->options.origin_retry_delay;
     this->reading_origin = false;
     this->done = std::move(when_found);
     const auto found = this->known.find(this->search_name);
@@ -84,11 +86,11 @@
     const std::vector<std::string> readers = this->Readers();
     const bool is_reader = readers.empty() || std::find(readers.begin(), readers.end(),
                                                         this->options.peer) != readers.end();
-    if (is_reader ||
-        this->loop.Now() - this->search_started > this->options.origin_fallback_delay) {
-      this->ReadOrigin();
-      return;
+    if (is_reader) {
+      if (this->reading_origin) return this->ScheduleStep(this->options.request_period);
+      return this->ReadOrigin(true);
     }
+    if (this->loop.Now() > this->next_fallback) this->ReadOrigin(false);
     if (this->version > 0) this->Pull(readers[this->requests_sent++ % readers.size()]);
     this->ScheduleStep(this->options.request_period);
   }
@@ -105,9 +107,22 @@
     }));
   }
 
-  void ReadOrigin() {
+  // Agents that are no readers ask these meanwhile, and the origin less and less often: when it
+  // returns from an outage, its link would carry a list for each of them before any chunk.
+  void PostponeFallback() {
+    if (this->version > 0) {
+      this->fallback_pause = std::min(this->fallback_pause * 2, this->options.max_fallback_pause);
+    }
+    const std::uint64_t score = RendezvousScore(this->search_name, this->options.peer);
+    const double jitter = 0.5 + static_cast<double>(score % 1000) / 1000;
+    this->next_fallback = this->loop.Now() + FromSeconds(ToSeconds(this->fallback_pause) * jitter);
+  }
+
+  // `then_step`: goes on with Step() if the read fails.
+  void ReadOrigin(bool then_step) {
     if (std::exchange(this->reading_origin, true)) return;
-    const auto on_list = [this, expected = this->search_name](const Result<ChunkList>& list) {
+    const auto on_list = [this, then_step,
+                          expected = this->search_name](const Result<ChunkList>& list) {
       this->reading_origin = false;
       if (expected != this->search_name) return;
       if (list && (this->version > 0 || list.value().version > 0)) {
@@ -117,7 +132,8 @@
       Log(LogLevel::kWarn, "piece_list_failed",
           {{"weights", this->search_name},
            {"reason", list ? "the list names no version" : Describe(list.error())}});
-      this->ScheduleStep(this->options.origin_retry_delay);
+      this->PostponeFallback();
+      if (then_step) this->ScheduleStep(this->options.origin_retry_delay);
     };
     this->origin.ReadChunkList(this->model, this->version, this->Guarded(on_list));
   }
--- a/src/direct/manifest_exchange.h
+++ b/src/direct/manifest_exchange.h
@@ -27,6 +27,8 @@
   // An agent that gets no manifest from the readers within this time reads from the origin itself.
   Duration origin_fallback_delay = std::chrono::milliseconds(700);
   Duration origin_retry_delay = std::chrono::milliseconds(300);
+  // Longest mean pause between such reads of the origin.
+  Duration max_fallback_pause = std::chrono::seconds(2);
 };
 
 // All calls on the loop's thread.
