--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 58> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 59> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -74,6 +74,7 @@
     {FaultKind::kWeightsPublishedAgentPaused, "weights-named-agent-paused", 12},
     {FaultKind::kWeightsPublishedAgentKilled, "weights-named-agent-killed", 10},
     {FaultKind::kVersionsQuickly, "versions-quickly", 8},
+    {FaultKind::kStoreFromOlderCopy, "store-from-older-copy", 30},
 }};
 
 // Of plan 7 without unplanned disruption of entry VMs, the store and links.
@@ -111,6 +112,13 @@
                                                   FaultKind::kUpstreamSlow,
                                                   FaultKind::kWeightsPublished,
                                                   FaultKind::kBurst};
+// Of plan 9: what changes records and their readers.
+constexpr std::array<FaultKind, 14> kOlderCopyKinds = {
+    FaultKind::kStoreFromOlderCopy, FaultKind::kStoreResetting,      FaultKind::kHistoryCompacted,
+    FaultKind::kEntryCutFromStore,  FaultKind::kEntryStoreLinkReset, FaultKind::kEntryKilled,
+    FaultKind::kEntryPaused,        FaultKind::kWatchersKilled,      FaultKind::kUpstreamLeft,
+    FaultKind::kUpstreamDrained,    FaultKind::kUpstreamCrashed,     FaultKind::kRouteChanged,
+    FaultKind::kWeightsPublished,   FaultKind::kCrashingRequest};
 // One seed in so many draws from all kinds instead.
 constexpr std::uint64_t kAllKindsEverySeeds = 4;
 
@@ -122,6 +130,7 @@
 constexpr std::size_t kFifthPlanKinds = 37;
 constexpr std::size_t kSixthPlanKinds = 41;
 constexpr std::size_t kSeventhPlanKinds = 49;
+constexpr std::size_t kEighthPlanKinds = 58;
 
 std::vector<FaultSpec> SpecsOfKinds(std::span<const FaultKind> kinds) {
   std::vector<FaultSpec> specs;
@@ -135,6 +144,7 @@
   const std::span<const FaultSpec> all = kFaultSpecs;
   static const std::vector<FaultSpec> kPlannedWork = SpecsOfKinds(kPlannedWorkKinds);
   static const std::vector<FaultSpec> kLoads = SpecsOfKinds(kLoadKinds);
+  static const std::vector<FaultSpec> kOlderCopies = SpecsOfKinds(kOlderCopyKinds);
   const bool all_kinds = seed % kAllKindsEverySeeds == 0;
   switch (version) {
     case PlanVersion::kFirst:
@@ -151,10 +161,12 @@
       return all.first(kSixthPlanKinds);
     case PlanVersion::kSeventh:
       return all_kinds ? all.first(kSeventhPlanKinds) : kPlannedWork;
+    case PlanVersion::kEighth:
+      return all_kinds ? all.first(kEighthPlanKinds) : kLoads;
     case PlanVersion::kNewest:
       break;
   }
-  return all_kinds ? all : kLoads;
+  return all_kinds ? all : kOlderCopies;
 }
 
 // Mean time between the starts of two series.
@@ -249,7 +261,7 @@
   if (version == PlanVersion::kSeventh && seed % kAllKindsEverySeeds != 0) {
     AddStopsInTurn(random, end, plan);
   }
-  if (version == PlanVersion::kNewest) AddPublications(random, end, plan);
+  if (version >= PlanVersion::kEighth) AddPublications(random, end, plan);
   std::sort(plan.begin(), plan.end(),
             [](const Fault& left, const Fault& right) { return left.at < right.at; });
   return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -86,6 +86,8 @@
   kWeightsPublishedAgentPaused,     // the same
   kWeightsPublishedAgentKilled,     // the same; its engine may hang, too
   kVersionsQuickly,                 // versions of the weights, one soon after the other
+  // Since plan 9.
+  kStoreFromOlderCopy,  // seconds old; what it lost is written again soon after
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -107,13 +109,16 @@
   kFifth = 5,
   kSixth = 6,
   kSeventh = 7,
-  kNewest = 8
+  kEighth = 8,
+  kNewest = 9
 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
 // overlap; none starts in the last tenth of `length`. In plan 7 most seeds inject planned work and
 // impaired upstreams only, and all entry VMs are stopped in turn beside new weights. In plan 8 most
-// seeds impair staged chunks, engines and agents only, and new weights are published regularly.
+// seeds impair staged chunks, engines and agents only, and new weights are published regularly, as
+// in plan 9, in most of whose seeds the store comes back from older copies beside changes of
+// records.
 std::vector<Fault> MakeFaultPlan(std::uint64_t seed, Duration length,
                                  PlanVersion version = PlanVersion::kNewest);
 
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -56,6 +56,15 @@
   EXPECT_EQ(all_kinds[2].target, 399u);
   EXPECT_EQ(all_kinds.back().kind, FaultKind::kVersionsInARow);
   EXPECT_EQ(all_kinds.back().at, std::chrono::microseconds(15836089));
+  const auto eighth = MakeFaultPlan(1001, seconds(20), PlanVersion::kEighth);
+  ASSERT_EQ(eighth.size(), 13u);
+  EXPECT_EQ(eighth.back().kind, FaultKind::kUpstreamSlowsDown);
+  EXPECT_EQ(eighth.back().target, 455u);
+  EXPECT_EQ(eighth.back().at, std::chrono::microseconds(17813191));
+  const auto eighth_of_all = MakeFaultPlan(1004, seconds(20), PlanVersion::kEighth);
+  ASSERT_EQ(eighth_of_all.size(), 13u);
+  EXPECT_EQ(eighth_of_all.back().kind, FaultKind::kLinkSilent);
+  EXPECT_EQ(eighth_of_all.back().target, 398u);
 }
 
 // Guards against runs without loads, which show nothing about the chunks that engines load.
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -81,6 +81,10 @@
 constexpr int kVersionsQuickly = 3;
 constexpr double kQuickPeriodShare = 0.4;  // of the fault's duration: 0.1 to 1.6 s
 
+// The store is away for so long, and what it lost is written again so long after its return.
+constexpr Duration kAwayBeforeReturn = milliseconds(300);
+constexpr double kWrittenAgainShare = 0.7;  // of the fault's duration: 0.2 to 2.8 s
+
 Duration Share(Duration duration, double share) { return FromSeconds(share * ToSeconds(duration)); }
 
 Duration HangOf(const Fault& fault) { return std::max(fault.duration, kMinHang); }
@@ -129,7 +133,7 @@
     layout.long_answers = !sixth;
     layout.all_streams_resumable = !sixth && options.seed % 4 >= 2;
     layout.weights_announced = options.seed % 2 == 1;
-    if (options.plan == PlanVersion::kNewest) {
+    if (options.plan >= PlanVersion::kEighth) {
       layout.chunks = kChunksSincePlan8;
       layout.chunk_bytes = kChunkBytesSincePlan8;
       layout.engines_carry_out_left_calls = true;
@@ -159,6 +163,9 @@
     if (ActsAtLoad(fault.kind)) return kTimeOfLoads + kMaxTimeBeforeLoad + HangOf(fault);
     const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
                                fault.kind == FaultKind::kWeightsPublishedEngineSlow;
+    if (fault.kind == FaultKind::kStoreFromOlderCopy) {
+      return fault.duration + kAwayBeforeReturn + Share(fault.duration, kWrittenAgainShare);
+    }
     if (fault.kind == FaultKind::kVersionsInARow) return kVersionsInARow * kVersionPeriod;
     if (fault.kind == FaultKind::kCrashingRequest) return kCrashingRepeats * kCrashingPeriod;
     if (fault.kind == FaultKind::kCrashingPart) return kCrashingParts * kCrashingPartPeriod;
@@ -228,6 +235,21 @@
                       [this] { this->upstreams.SetStoreCondition(StoreCondition::kHealthy); });
   }
 
+  // The copy is as old as the fault is long.
+  void ReturnStoreFromCopy(const Fault& fault) {
+    this->upstreams.Store().TakeCopy();
+    this->loop.After(fault.duration, [this, fault] {
+      this->checker.MarkDisturbed("store", this->loop.Now(), kAwayBeforeReturn);
+      this->upstreams.SetStoreCondition(StoreCondition::kResetting);
+      this->loop.After(kAwayBeforeReturn, [this] {
+        this->upstreams.Store().ReturnFromCopy();
+        this->upstreams.SetStoreCondition(StoreCondition::kHealthy);
+      });
+      this->loop.After(kAwayBeforeReturn + Share(fault.duration, kWrittenAgainShare),
+                       [this] { this->upstreams.Store().WriteLostAgain(); });
+    });
+  }
+
   void ImpairUpstream(std::size_t upstream, EngineFault fault, Duration duration) {
     const std::string id = this->upstreams.UpstreamId(upstream);
     this->checker.MarkDisturbed(id, this->loop.Now(), duration);
@@ -463,6 +485,8 @@
         return this->RevertAfter(fault.duration, "store-delay", [this] {
           this->upstreams.Store().SetAnswerDelay(platform::StoreStandinOptions().answer_delay);
         });
+      case FaultKind::kStoreFromOlderCopy:
+        return this->ReturnStoreFromCopy(fault);
       case FaultKind::kHistoryCompacted:
         return this->upstreams.Store().CompactHistory();
       case FaultKind::kEntryCutFromStore: {
