--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -15,6 +16,7 @@
 #include "base/random.h"
 #include "direct/copy_policy.h"
 #include "direct/crash_exchange.h"
+#include "direct/newer_record.h"
 #include "direct/start_timeline.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
@@ -154,12 +156,14 @@
         relay(loop, this->connections, adapter.requests, metrics, this->random,
               MakeRelayOptions(this->settings, loop.Now())),
         links(loop, this->peers, metrics, MakeLinkOptions(this->settings)),
-        operator_records(
-            loop, this->peers, adapter.store, metrics, this->random,
-            {.prefix = adapter.records.OperatorPrefix(), .peer = this->settings.process.peer}),
-        upstream_records(
-            loop, this->peers, adapter.store, metrics, this->random,
-            {.prefix = adapter.records.UpstreamPrefix(), .peer = this->settings.process.peer}),
+        operator_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.OperatorPrefix(),
+                          .peer = this->settings.process.peer,
+                          .is_newer = std::bind_front(IsNewerRecord, std::cref(adapter.records))}),
+        upstream_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.UpstreamPrefix(),
+                          .peer = this->settings.process.peer,
+                          .is_newer = std::bind_front(IsNewerRecord, std::cref(adapter.records))}),
         crash_exchange(loop, this->peers, this->links, adapter.store, this->relay.Crashes()),
         upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
--- a/src/records/era_hold.cc
+++ b/src/records/era_hold.cc
@@ -104,9 +104,12 @@
   // A process that knows nothing takes what there is, until it hears from a peer of a change that
   // the last era lost.
   if (!this->complete) return RecordPosition{.era = listed.era - 1, .revision = kUnproven};
+  const Record* known = Find(this->mirror, listed.key);
+  if (IsLive(known) && this->is_newer && this->is_newer(*known, listed)) {
+    return RecordPosition{.era = known->era, .revision = known->revision + 1};
+  }
   if (!relies_on_copy) return std::nullopt;
   const RecordPosition lowest{.era = this->before.era, .revision = listed.revision};
-  const Record* known = Find(this->mirror, listed.key);
   // Tombstones of eras before the last say nothing of its revisions.
   if (known == nullptr || (known->removed && known->era < this->before.era)) {
     return lowest > this->before ? std::optional(lowest) : std::nullopt;
--- a/src/records/era_hold.h
+++ b/src/records/era_hold.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -21,10 +23,15 @@
 // - a record whose revision in the listing is above what the mirror knows of the era that ended, or
 //   is the same with another value. This needs a copy of that very era, so it is not relied on if
 //   the era was shorter than the grace or not seen.
+// - a record whose value tells that it is newer than the known one
 class EraHold {
  public:
+  // Whether the listed record is newer than the known one of its key, as their values tell.
+  using NewerRecord = std::function<bool(const Record& known, const Record& listed)>;
+
   // The reference must outlive the object.
-  EraHold(RecordMirror& mirror, Duration grace) : mirror(mirror), grace(grace) {}
+  EraHold(RecordMirror& mirror, Duration grace, NewerRecord is_newer = {})
+      : mirror(mirror), grace(grace), is_newer(std::move(is_newer)) {}
 
   // Applies an answer of the store, or ignores it: one of an older era, or changes of an era that
   // the mirror has not begun with a listing. Returns the records that changed.
@@ -58,6 +65,7 @@
 
   RecordMirror& mirror;
   Duration grace;
+  NewerRecord is_newer;
   std::optional<RecordUpdate> listing = {};  // the last one of the era, by key
   std::uint64_t first_as_of = 0;             // of the first listing of the era
   Instant ends_at = {};
--- a/src/records/era_hold_test.cc
+++ b/src/records/era_hold_test.cc
@@ -95,6 +95,22 @@
   EXPECT_EQ(ValueOf(this->mirror, "late"), "x");
 }
 
+// An upstream restarted between the store's return and the listing. Guards against its old start
+// that counts for the whole grace, so that ends of upstreams are not understood.
+TEST(EraHoldNewerTest, ValuesThatTellTheirAgeCountAtOnce) {
+  RecordMirror mirror;
+  EraHold hold(mirror, kGrace, [](const Record& known, const Record& listed) {
+    return listed.value > known.value;
+  });
+  hold.ApplyAnswer({.records = {Row("a", "5", 8), Row("b", "5", 9)}, .as_of = 20, .full = true},
+                   At(0));
+  hold.ApplyAnswer(
+      {.records = {Row("a", "6", 7), Row("b", "4", 3)}, .as_of = 12, .full = true, .era = 1},
+      At(1));
+  EXPECT_EQ(ValueOf(mirror, "a"), "6");
+  EXPECT_EQ(ValueOf(mirror, "b"), "5");
+}
+
 // The second copy may be from before the first return, where higher revisions are older. Guards
 // against a second return that reverts what was kept at the first one.
 TEST_F(EraHoldTest, TwoErasInARowRevertNothing) {
--- a/src/records/record_sync.cc
+++ b/src/records/record_sync.cc
@@ -100,7 +100,7 @@
         era_gauge(metrics.GaugeFor("savory_store_era", this->Label())),
         kept_gauge(metrics.GaugeFor("savory_records_kept", this->Label())),
         selection({.prefix = this->options.prefix, .peer = this->options.peer}),
-        hold(this->mirror, this->options.era_hold_time) {}
+        hold(this->mirror, this->options.era_hold_time, this->options.is_newer) {}
 
   std::string Label() const { return "prefix=\"" + this->options.prefix + "\""; }
 
--- a/src/records/record_sync.h
+++ b/src/records/record_sync.h
@@ -48,6 +48,8 @@
   // When the store comes back from an older copy, what this process knows is kept for so long where
   // the copy contradicts it. Those who wrote the lost changes write them again within that time.
   Duration era_hold_time = std::chrono::seconds(10);
+  // See EraHold::NewerRecord; optional.
+  std::function<bool(const Record& known, const Record& listed)> is_newer = {};
   // Longer updates go over the connection for bulk. Most go over the one that offers take too: if
   // that one is silent, the peer hears no offers, either, and watches the store itself.
   std::size_t max_control_bytes = std::size_t{64} * 1024;
