--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -616,10 +616,10 @@
       refusal.borrowable += state.borrowable;
     }
   }
-  if (this->IsFirstAttempt(request)) this->admission.OnRefused(request.pool, request.priority);
   refusal.limited = !request.within_floor && !request.rerun &&
                     this->admission.IsLimited(request.pool, request.priority);
   if (best.state != nullptr) {
+    if (this->IsFirstAttempt(request)) this->admission.OnRefused(request.pool, request.priority);
     refusal.best = best.state->upstream.id;
     refusal.report_age = LoadAge(*best.state, now);
   }
