--- a/src/savoryrouter.h
+++ b/src/savoryrouter.h
@@ -37,6 +37,10 @@
 #include "gate/gate_driver.h"
 #include "routing/entry_driver.h"
 
+// What may go where, and who gets the room when there is too little.
+#include "admission/admission.h"
+#include "placement/placement.h"
+
 // Deployment on the users' platform: records of its store, requests that are sent directly to
 // upstreams, and the entry and agent processes. The platform adapter is in platform/.
 #include "direct/agent.h"
