--- a/src/admission/pool_room.h
+++ b/src/admission/pool_room.h
@@ -24,7 +24,7 @@
   // A class that may take less than all the room is sent only to upstreams whose load, relative to
   // their slots, lies under a limit between these two.
   double widest_limit = 1.25;
-  double narrowest_limit = 0.65;
+  double narrowest_limit = 1.0;
   // Of the first attempts of a class whose room was taken, this part is admitted all the same.
   double floor = 0.4;
   // A class with fewer requests than this part of all does not count as lacking.
