Decide by load, pace and way when requests leave the data centre

Leaving was a constant of 15 ms in one sum, and the pace in answers was cut off. LeavingPolicy compares what both sides offer: room, and the part of the caller's limits that the predicted times use, with the way there and back. Nothing leaves while callers are served well near; what would be refused leaves at once; preference grows in steps. EnginePace keeps the mean of the pace in answers, over time, for each upstream.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -92,11 +92,15 @@
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings, Instant now) {
   PlacementOptions placement{.regions = settings.process.regions, .cold = settings.cold};
   placement.cold.started = now;
-  return RelayOptions{.dispatcher = {.data_centre = settings.process.data_centre,
-                                     .placement = std::move(placement),
-                                     .entry = settings.process.peer},
-                      .budget = settings.retry_budget,
-                      .crashes = {.registry = {.self = settings.process.peer}}};
+  return RelayOptions{
+      .dispatcher = {.data_centre = settings.process.data_centre,
+                     .placement = std::move(placement),
+                     .entry = settings.process.peer,
+                     .leaving = {.data_centre = settings.process.data_centre,
+                                 .entry = settings.process.peer,
+                                 .region_bytes_per_second = settings.region_bytes_per_second}},
+      .budget = settings.retry_budget,
+      .crashes = {.registry = {.self = settings.process.peer}}};
 }
 
 }  // namespace
@@ -208,6 +212,18 @@
         .Set(static_cast<double>(places.Evacuated().size()));
   }
 
+  void LogLeaving() {
+    LeavingPolicy& leaving = this->relay.RequestDispatcher().Leaving();
+    for (const LeavingChange& change : leaving.TakeChanges(this->loop.Now())) {
+      Log(LogLevel::kInfo, change.began ? "leaving_began" : "leaving_ended",
+          {{"pool", change.pool},
+           {"reason", LeavingReasonName(change.reason)},
+           {"strain", change.strain},
+           {"left", change.left},
+           {"lasted_ms", ToMillis(change.lasted)}});
+    }
+  }
+
   // An unknown region in the rules has no upstreams. That is more likely a mistake.
   void LogUnknownHomes() {
     for (const std::string& region : this->rules->HomeRegionNames()) {
@@ -540,6 +556,7 @@
     }
     this->FollowEngines();
     this->LogWithheld();
+    this->LogLeaving();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
--- a/src/direct/entry_settings.cc
+++ b/src/direct/entry_settings.cc
@@ -9,6 +9,7 @@
 constexpr Range kSeconds = {.low = 0, .high = 3600};
 constexpr Range kMillis = {.low = 0, .high = 3'600'000};
 constexpr Range kRatio = {.low = 0, .high = 10};
+constexpr Range kMegabits = {.low = 0, .high = 1e6};
 constexpr Range kCount = {.low = 0, .high = 1e9};
 
 }  // namespace
@@ -46,6 +47,7 @@
   SettingsReader cold = reader.Section("cold_requests");
   settings.cold.overrun = cold.Number("overrun", kRatio, 0);
   settings.cold.slack = cold.Number("slack", kCount, 0);
+  settings.region_bytes_per_second = reader.Number("region_mbps", kMegabits, 0) * 1e6 / 8;
   settings.weights_deadline =
       std::chrono::milliseconds(reader.Integer("weights_deadline_ms", kMillis, 8000));
   settings.upstream_drain =
--- a/src/direct/entry_settings.h
+++ b/src/direct/entry_settings.h
@@ -40,6 +40,8 @@
   // An upstream that leaves serves on for this long after its record was removed or says so.
   Duration upstream_drain = std::chrono::milliseconds(2000);
   ColdLimitOptions cold = {};
+  // Bandwidth of the links between regions; 0: unknown.
+  double region_bytes_per_second = 0;
   // Time from SIGTERM until the platform kills the process.
   Duration stop_grace = std::chrono::seconds(8);
 };
--- a/src/loadmodel/fleet_model.cc
+++ b/src/loadmodel/fleet_model.cc
@@ -140,6 +140,7 @@
   void AddFleet() {
     RoutingRules rules{.version = 1};
     rules.pools.push_back({.name = kPool, .engine = this->options.rates, .models = {"m"}});
+    if (this->options.ways_known) rules.ways = this->Ways();
     const auto index = std::make_shared<const RoutingIndex>(std::move(rules));
     for (std::uint32_t r = 0; r < this->options.regions.size(); ++r) {
       const RegionModel& region = this->options.regions[r];
@@ -147,6 +148,9 @@
         DispatcherOptions own = this->options.dispatcher;
         own.data_centre = std::to_string(r);
         own.entry = "entry-" + std::to_string(this->entries.size());
+        own.leaving.data_centre = own.data_centre;
+        own.leaving.entry = own.entry;
+        own.placement.regions[own.data_centre] = own.data_centre;
         Entry entry{
             .region = r,
             .id = own.entry,
@@ -181,6 +185,18 @@
     }
   }
 
+  std::vector<DataCentreWay> Ways() const {
+    std::vector<DataCentreWay> ways;
+    for (std::size_t from = 0; from < this->options.regions.size(); ++from) {
+      for (std::size_t to = from + 1; to < this->options.regions.size(); ++to) {
+        ways.push_back({.from = std::to_string(from),
+                        .to = std::to_string(to),
+                        .delay = this->options.remote_delay});
+      }
+    }
+    return ways;
+  }
+
   void PublishDemand(std::size_t number) {
     Entry& entry = this->entries[number];
     const double rate = entry.demands.UpdateOwnRate(entry.dispatcher->EngineRequests(), this->now);
@@ -317,6 +333,9 @@
     for (const EngineWait& wait : this->options.waits) {
       this->At(this->start + wait.at, [this, wait] { this->StartWait(wait); });
     }
+    for (const EngineSlowdown& slowdown : this->options.slowdowns) {
+      this->At(this->start + slowdown.at, [this, slowdown] { this->StartSlowdown(slowdown); });
+    }
     for (std::size_t i = 0; i < this->options.rollouts.size(); ++i) {
       this->At(this->start + this->options.rollouts[i].at, [this, i] { this->StartRollout(i); });
     }
@@ -461,6 +480,9 @@
       attempt.predicted = sent->predicted;
       attempt.sent_at = this->now;
       ++this->outcome.sent;
+      const bool is_far =
+          this->entries[attempt.entry].region != this->engines[attempt.engine]->region;
+      if (is_far) ++this->outcome.sent_far;
       this->After(this->DelayOf(attempt), [this, number, engine = attempt.engine] {
         this->DeliverToEngine(number, engine);
       });
@@ -565,6 +587,7 @@
     const Attempt& attempt = this->attempts.at(number);
     UpstreamLoad load = this->engines[engine]->model.Load();
     if (is_done) ++load.running;  // the request of this answer
+    if (this->options.answers_tell_pace) load.pace = this->engines[engine]->model.Pace();
     this->After(this->DelayOf(attempt), [this, entry = attempt.entry, engine, load] {
       this->entries[entry].dispatcher->AddLoad(this->engines[engine]->id, load, this->now);
     });
@@ -632,6 +655,26 @@
     }
   }
 
+  void StartSlowdown(const EngineSlowdown& slowdown) {
+    const Instant end = this->now + slowdown.length;
+    for (std::size_t number = 0; number < this->engines.size(); ++number) {
+      if (this->engines[number]->region != slowdown.region) continue;
+      if (UniformUnit(this->random) < slowdown.share) this->SlowDown(number, slowdown, end);
+    }
+  }
+
+  void SlowDown(std::size_t number, const EngineSlowdown& slowdown, Instant end) {
+    EngineModel& model = this->engines[number]->model;
+    if (this->now >= end) return model.SetPace(1);
+    if (slowdown.flip_period == Duration(0)) {
+      model.SetPace(slowdown.pace);
+      return this->At(end, [this, number] { this->engines[number]->model.SetPace(1); });
+    }
+    model.SetPace(model.Pace() > 1 ? 1 : slowdown.pace);
+    this->After(slowdown.flip_period,
+                [this, number, slowdown, end] { this->SlowDown(number, slowdown, end); });
+  }
+
   void FailAttempt(AttemptNumber number) {
     Attempt& attempt = this->attempts.at(number);
     this->entries[attempt.entry].dispatcher->OnEnded(number, AttemptResult::kErrored, this->now);
--- a/src/loadmodel/fleet_model.h
+++ b/src/loadmodel/fleet_model.h
@@ -72,6 +72,17 @@
   Duration load_time = std::chrono::milliseconds(300);
 };
 
+// Some engines of one region work slower for `length`: all the time, or for each second period of
+// `flip_period` if that is set, as beside a noisy neighbour.
+struct EngineSlowdown {
+  Duration at = {};
+  Duration length = {};
+  std::uint32_t region = 0;
+  double share = 1;
+  double pace = 2;
+  Duration flip_period = {};
+};
+
 struct FleetModelOptions {
   std::uint64_t seed = 1;
   Duration length = std::chrono::seconds(20);
@@ -83,6 +94,9 @@
   std::vector<CallerShift> shifts = {};
   std::vector<EngineOutage> outages = {};
   std::vector<EngineWait> waits = {};
+  std::vector<EngineSlowdown> slowdowns = {};
+  bool ways_known = false;         // the rules hold the delays between the regions
+  bool answers_tell_pace = false;  // the pace of the moment, as well as the reports
   std::vector<RolloutModel> rollouts = {};
   Duration join_at = {};     // when the first engine joins
   Duration join_every = {};  // time between two joins
@@ -117,6 +131,7 @@
 struct FleetOutcome {
   std::vector<ClassOutcome> classes = {};
   std::uint64_t sent = 0;                        // attempts sent to engines
+  std::uint64_t sent_far = 0;                    // of those, to another region
   std::uint64_t rejected_by_engines = 0;         // attempts that met a full queue
   std::uint64_t late_by_pause_only = 0;          // late although the first event was in time
   std::uint64_t demand_reports = 0;              // rates that entries reported to all others
--- a/src/loadmodel/fleet_model_test.cc
+++ b/src/loadmodel/fleet_model_test.cc
@@ -115,6 +115,69 @@
   EXPECT_GE(MeanValueRatio("shift", "large", 1), kMinValueRatioOfLargeFleet);
 }
 
+// Sums over several runs, with the ways between the regions and the pace of the moment known or
+// not.
+struct SideOutcome {
+  double value_ratio = 0;
+  double far = 0;  // part of the attempts that went to another region
+};
+
+SideOutcome RunSides(std::string_view pattern, std::string_view fleet, bool ways, bool pace) {
+  SideOutcome sum;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetModelOptions options = *FindLoadPattern(pattern, fleet, seed);
+    options.ways_known = ways;
+    options.answers_tell_pace = pace;
+    const FleetOutcome outcome = RunFleetModel(options);
+    sum.value_ratio += outcome.ValueRatio() / kSeeds;
+    sum.far += static_cast<double>(outcome.sent_far) / static_cast<double>(outcome.sent) / kSeeds;
+  }
+  std::cout << fleet << ' ' << pattern << ", ways " << ways << ", pace " << pace << ": value ratio "
+            << sum.value_ratio << ", far " << sum.far << '\n';
+  return sum;
+}
+
+// A busy day whose regions have room. Guards against traffic that leaves and gains nothing.
+TEST(FleetModelTest, KnownWaysKeepTrafficInItsRegion) {
+  for (const char* fleet : {"small", "medium"}) {
+    const SideOutcome before = RunSides("steady", fleet, false, false);
+    const SideOutcome after = RunSides("steady", fleet, true, false);
+    EXPECT_LT(after.far, before.far) << fleet;
+    EXPECT_GE(after.value_ratio, 0.95) << fleet;
+  }
+}
+
+// One region has twice its load. Guards against callers there that are refused while others have
+// room.
+TEST(FleetModelTest, RegionWithDoubleDemandIsServedElsewhere) {
+  for (const char* fleet : {"small", "medium"}) {
+    RunSides("uneven", fleet, false, false);
+    EXPECT_GE(RunSides("uneven", fleet, true, false).value_ratio, kMinValueRatio) << fleet;
+  }
+}
+
+// The engines of one region work at a third of their speed. Guards against callers that wait for
+// them until they miss their targets.
+TEST(FleetModelTest, SlowRegionIsLeft) {
+  for (const char* fleet : {"small", "medium"}) {
+    const SideOutcome before = RunSides("slow-region", fleet, false, false);
+    const SideOutcome after = RunSides("slow-region", fleet, true, true);
+    EXPECT_GE(after.value_ratio, before.value_ratio - 0.01) << fleet;
+  }
+}
+
+// A noisy neighbour flips the pace ten times a second, and some machines are slow for seconds.
+// Guards against decisions that chase the figure.
+TEST(FleetModelTest, PaceOfTheMomentServesCallersNoWorse) {
+  for (const char* pattern : {"neighbours", "slow-machines"}) {
+    for (const char* fleet : {"small", "medium"}) {
+      const SideOutcome before = RunSides(pattern, fleet, false, false);
+      const SideOutcome after = RunSides(pattern, fleet, false, true);
+      EXPECT_GE(after.value_ratio, before.value_ratio - 0.01) << pattern << ' ' << fleet;
+    }
+  }
+}
+
 // Guards against a listed pattern that cannot be run, and against a run of an unknown name.
 TEST(LoadPatternsTest, EveryListedPatternIsFound) {
   for (const LoadPattern& pattern : LoadPatterns()) {
--- a/src/loadmodel/load_patterns.cc
+++ b/src/loadmodel/load_patterns.cc
@@ -17,6 +17,10 @@
     LoadPattern{"waits", "in a burst, half of the engines want no requests for 2 s"},
     LoadPattern{"return", "engines rejoin one by one after a power outage, under the full load"},
     LoadPattern{"shift", "half of the callers of the first region move to the last one for 4 s"},
+    LoadPattern{"uneven", "the first region has twice its load, the others less in proportion"},
+    LoadPattern{"slow-region", "the engines of the first region work at a third of their speed"},
+    LoadPattern{"slow-machines", "some engines of the first region are slow for 4 s"},
+    LoadPattern{"neighbours", "the pace of half of the engines flips ten times a second"},
 };
 
 // The three kinds of generated answers, with the sizes and values of a deployment.
@@ -132,6 +136,16 @@
           .remote_delay = milliseconds(1)};
 }
 
+// Keeps the load of all regions together.
+void MakeUneven(FleetModelOptions& options) {
+  double total = 0;
+  for (const RegionModel& region : options.regions) total += region.requests_per_second;
+  const double first = options.regions.front().requests_per_second;
+  const double factor = (total - 2 * first) / (total - first);
+  for (RegionModel& region : options.regions) region.requests_per_second *= factor;
+  options.regions.front().requests_per_second = 2 * first;
+}
+
 std::optional<FleetModelOptions> FleetOfSize(std::string_view size, std::uint64_t seed) {
   if (size == "small") return SmallFleet(seed);
   if (size == "medium") return MediumFleet(seed);
@@ -165,6 +179,21 @@
     options.join_every = milliseconds(1300) / joining;
   } else if (name == "shift") {
     options.shifts = {{.at = seconds(5), .share = 0.5}, {.at = seconds(9), .share = 0}};
+  } else if (name == "uneven") {
+    MakeUneven(options);
+  } else if (name == "slow-region") {
+    options.slowdowns = {{.at = seconds(4), .length = seconds(5), .pace = 3}};
+  } else if (name == "slow-machines") {
+    options.slowdowns = {{.at = seconds(4), .length = seconds(4), .share = 0.3, .pace = 4}};
+  } else if (name == "neighbours") {
+    for (std::uint32_t region = 0; region < options.regions.size(); ++region) {
+      options.slowdowns.push_back({.at = seconds(2),
+                                   .length = seconds(10),
+                                   .region = region,
+                                   .share = 0.5,
+                                   .pace = 2.5,
+                                   .flip_period = milliseconds(100)});
+    }
   } else {
     return std::nullopt;
   }
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "placement/home_regions.h"
+#include "placement/leaving_policy.h"
 
 namespace savory {
 
@@ -49,6 +50,7 @@
   std::vector<EngineTry> tries = {};
   bool only_former = false;  // no attempts are left: it is sent only to engines where it has run
   HomeRegions homes = {};    // the regions that it may be sent to
+  std::size_t body_bytes = 0;
 };
 
 struct SendTo {
@@ -60,6 +62,7 @@
   Duration predicted = {};  // until the first event
   double load = 0;          // requests at the upstream
   Duration report_age = {};
+  LeavingReason left = LeavingReason::kStays;  // why it leaves the data centre
 };
 struct KeepWaiting {};
 struct RefuseRequest {
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -21,10 +21,16 @@
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
-    : options(std::move(options)), random(random), placement(this->options.placement) {}
+    : options(std::move(options)),
+      random(random),
+      placement(this->options.placement),
+      leaving(this->options.leaving) {
+  this->leaving.SetRegions(this->options.placement.regions);
+}
 
 std::vector<std::string> Dispatcher::SetRules(SharedRouting given) {
   this->rules = std::move(given);
+  this->leaving.SetWays(this->rules->Rules().ways);
   std::map<std::string, ColdRule, std::less<>> cold;
   for (const PoolRule& pool : this->rules->Rules().pools) cold.emplace(pool.name, pool.cold);
   return this->placement.Cold().SetRules(std::move(cold));
@@ -96,6 +102,7 @@
 
 void Dispatcher::UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now) {
   state.load = load;
+  if (load.pace) state.pace.OnAnswered(*load.pace, now);
   state.load_at = now;
   state.others = std::max(0.0, static_cast<double>(load.running + load.waiting) - state.own);
   state.sent_since = 0;
@@ -125,6 +132,7 @@
   this->words.AddReport(StartOf(state.upstream), report, this->WeightsOf(state), now);
   state.report = report;
   state.reported_at = now;
+  state.pace.OnReported(report.pace);
   if (report.reachable) this->UpdateLoad(state, report.load, now);
 }
 
@@ -227,6 +235,11 @@
     return demand.entry == this->options.entry;
   });
   this->own_entry = static_cast<std::size_t>(own - all.begin());
+  const std::string_view region = this->placement.RegionOf(this->options.data_centre);
+  this->leaving.SetEntriesOfRegion(
+      static_cast<std::size_t>(std::ranges::count_if(all, [&](const EntryDemand& demand) {
+        return this->placement.RegionOf(demand.data_centre) == region;
+      })));
   this->entries = std::move(all);
   this->shares_due = {};
 }
@@ -407,17 +420,19 @@
         .prefill_tokens =
             state.own_prefill_tokens +
             std::max(others_waiting, this->SentByOthers(state, now) / 2) * rates.mean_prompt_tokens,
-        .pace = state.report ? std::max(1.0, state.report->pace) : 1.0};
+        .pace = std::max(1.0, state.pace.At(now))};
     candidate.forecast = Forecast(rates, work, request.prompt_tokens);
   } else {
     const double utilization = candidate.load / slots;
-    candidate.forecast.first_event = FromSeconds(ToSeconds(kPlainIdleTime) * (1 + utilization));
+    candidate.forecast.first_event = FromSeconds(ToSeconds(kPlainIdleTime) * (1 + utilization) *
+                                                 std::max(1.0, state.pace.At(now)));
   }
+  const bool is_far = state.upstream.data_centre != this->options.data_centre;
+  const auto way = is_far ? this->leaving.RoundTrip(state.upstream.data_centre) : std::nullopt;
+  if (way) candidate.forecast.first_event += *way;
   candidate.score = candidate.forecast.first_event +
                     FromSeconds(0.010 * candidate.load / slots + 0.2 * state.health.FailureRate());
-  if (state.upstream.data_centre != this->options.data_centre) {
-    candidate.score += this->options.remote_penalty;
-  }
+  if (is_far && !way) candidate.score += this->options.remote_penalty;
   return candidate;
 }
 
@@ -426,42 +441,55 @@
   if (found == this->pools.end()) return {};
   this->UpdateShares(now);
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
-  std::vector<const UpstreamState*> with_share;
-  std::vector<const UpstreamState*> near;
-  std::vector<const UpstreamState*> remote;
+  Sides sides;
   for (const auto& [id, state] : found->second) {
     if (!this->IsCandidate(state, request) || !this->MayUse(state, request, now)) continue;
     const bool is_near = state.upstream.data_centre == this->options.data_centre;
-    (state.confirmed > 0 ? with_share : (is_near ? near : remote)).push_back(&state);
+    const bool is_own = state.confirmed > 0;
+    (is_near ? (is_own ? sides.own_near : sides.near) : (is_own ? sides.own_far : sides.far))
+        .push_back(&state);
   }
-  Candidate best;
-  bool fits = false;
-  // A candidate that fits is preferred over one that does not, whatever its score.
+  const std::size_t usable =
+      sides.own_near.size() + sides.own_far.size() + sides.near.size() + sides.far.size();
+  if (this->leaving.IsActive()) {
+    Candidate chosen = this->PickBySide(std::move(sides), request, pool, now).best;
+    chosen.usable = usable;
+    return chosen;
+  }
+  Choice choice;
   const auto compare = [&](std::span<const UpstreamState* const> states) {
-    for (const UpstreamState* state : states) {
-      const Candidate next = this->Evaluate(*state, request, pool, now);
-      const bool has_room = this->Fits(next, request, now);
-      if (fits && !has_room) continue;
-      if (best.state == nullptr || (has_room && !fits) || next.score < best.score) best = next;
-      fits = fits || has_room;
-    }
+    this->Improve(choice, states, request, pool, now);
   };
-  compare(with_share);
-  if (!fits) {
-    std::shuffle(near.begin(), near.end(), this->random);
-    std::shuffle(remote.begin(), remote.end(), this->random);
+  compare(sides.own_near);
+  compare(sides.own_far);
+  if (!choice.has_room) {
+    std::shuffle(sides.near.begin(), sides.near.end(), this->random);
+    std::shuffle(sides.far.begin(), sides.far.end(), this->random);
     const auto sample = [this](std::span<const UpstreamState* const> states) {
       return states.first(std::min(this->options.sample_size, states.size()));
     };
-    compare(sample(near));
-    compare(sample(remote));
-    if (!fits) {
-      compare(near);
-      compare(remote);
+    compare(sample(sides.near));
+    compare(sample(sides.far));
+    if (!choice.has_room) {
+      compare(sides.near);
+      compare(sides.far);
     }
   }
-  best.usable = with_share.size() + near.size() + remote.size();
-  return best;
+  choice.best.usable = usable;
+  return choice.best;
+}
+
+void Dispatcher::Improve(Choice& choice, std::span<const UpstreamState* const> states,
+                         const DispatchRequest& request, const PoolRule* pool, Instant now) const {
+  // A candidate that fits is preferred over one that does not, whatever its score.
+  for (const UpstreamState* state : states) {
+    const Candidate next = this->Evaluate(*state, request, pool, now);
+    const bool has_room = this->Fits(next, request, now);
+    if (choice.has_room && !has_room) continue;
+    const bool is_first = choice.best.state == nullptr || (has_room && !choice.has_room);
+    if (is_first || next.score < choice.best.score) choice.best = next;
+    choice.has_room = choice.has_room || has_room;
+  }
 }
 
 bool Dispatcher::Fits(const Candidate& candidate, const DispatchRequest& request,
@@ -511,6 +539,9 @@
   this->placement.Cold().OnSent(upstream.id, now);
   state.own_prefill_tokens += request.prompt_tokens;
   state.health.OnStarted();
+  if (best.left != LeavingReason::kStays) {
+    this->leaving.OnLeft(request.pool, upstream.data_centre, best.left, BytesOf(request), now);
+  }
   this->sent[request.attempt] = {.upstream = upstream.id,
                                  .prefill_tokens = static_cast<double>(request.prompt_tokens)};
   return DispatchVerdict{.attempt = request.attempt,
@@ -520,7 +551,8 @@
                                             .weights_version = this->WeightsOf(state),
                                             .predicted = best.forecast.first_event,
                                             .load = best.load,
-                                            .report_age = LoadAge(state, now)}};
+                                            .report_age = LoadAge(state, now),
+                                            .left = best.left}};
 }
 
 Instant Dispatcher::WaitLimit(const DispatchRequest& request) const {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -12,10 +12,12 @@
 #include <vector>
 
 #include "base/random.h"
+#include "placement/leaving_policy.h"
 #include "placement/placement.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
+#include "relay/engine_pace.h"
 #include "relay/routing_index.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
@@ -28,8 +30,9 @@
   std::string data_centre;  // of this entry
   PlacementOptions placement = {};
   std::string entry = {};  // identity of this entry, as known to all entries
-  // Added to the predicted time of an upstream in another data centre, for the round trip and for
-  // the load on the shared link.
+  LeavingOptions leaving = {};
+  // Added to the predicted time of an upstream in another data centre where the ways between data
+  // centres are not known, for the round trip and for the load on the shared link.
   Duration remote_penalty = std::chrono::milliseconds(15);
   // Reports and load samples older than this are ignored, as they say nothing about the current
   // load of other entries.
@@ -119,6 +122,7 @@
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   Placement& Places() { return this->placement; }
+  LeavingPolicy& Leaving() { return this->leaving; }
   // The upstream, which need not be in the list, said that it is cold for `remaining`.
   void SetCold(std::string_view upstream, Duration remaining, Instant now);
   // See Placement::SetEvacuated. Upstreams that are back count as cold.
@@ -180,6 +184,7 @@
     std::optional<EngineAvailability> passed_on = {};
     Instant passed_on_at = {};
     UpstreamLoad load = {};
+    EnginePace pace = EnginePace();
     std::optional<Instant> load_at = {};
     double others = 0;             // requests of other entries at `load_at`
     std::uint32_t sent_since = 0;  // attempts of this entry since `load_at`
@@ -195,6 +200,18 @@
     double load = 0;
     Duration score = {};
     std::size_t usable = 0;  // upstreams that may be used for the request
+    LeavingReason left = LeavingReason::kStays;
+  };
+  // Upstreams that may be used for a request, by side.
+  struct Sides {
+    std::vector<const UpstreamState*> own_near = {};  // with slots of this entry
+    std::vector<const UpstreamState*> own_far = {};
+    std::vector<const UpstreamState*> near = {};
+    std::vector<const UpstreamState*> far = {};
+  };
+  struct Choice {
+    Candidate best = {};
+    bool has_room = false;  // for the request at `best`
   };
   using PoolUpstreams = std::map<std::string, UpstreamState, std::less<>>;
 
@@ -239,6 +256,12 @@
   Candidate Evaluate(const UpstreamState& state, const DispatchRequest& request,
                      const PoolRule* pool, Instant now) const;
   Candidate PickBest(const DispatchRequest& request, Instant now);
+  // Replaces `choice` by a better one among `states`, if there is one.
+  void Improve(Choice& choice, std::span<const UpstreamState* const> states,
+               const DispatchRequest& request, const PoolRule* pool, Instant now) const;
+  Choice PickBySide(Sides sides, const DispatchRequest& request, const PoolRule* pool, Instant now);
+  SideOffer OfferOf(const Choice& choice, const DispatchRequest& request, Instant now) const;
+  static std::size_t BytesOf(const DispatchRequest& request);
   bool Fits(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
   std::optional<DispatchVerdict> TryPlace(const DispatchRequest& request, Instant now,
                                           Candidate& best);
@@ -269,6 +292,7 @@
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
   Placement placement;
+  LeavingPolicy leaving;
   AgentWords words = AgentWords();
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -167,6 +167,7 @@
   // Reports the result to the dispatcher and logs when the upstream is ejected or usable again.
   void ReportEnd(AttemptNumber attempt, AttemptResult result);
   // Passes what an answer said of its upstream on to the dispatcher and logs what is new.
+  void CountLeft(LeavingReason reason);
   void TakeNotices(const SendTo& sent, std::string_view request, const UpstreamAnswer& answer,
                    int status);
   bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left);
@@ -518,7 +519,8 @@
                             .avoided = this->avoided,
                             .tries = this->tries,
                             .only_former = this->history.may_have_run >= this->history.max_attempts,
-                            .homes = this->homes};
+                            .homes = this->homes,
+                            .body_bytes = this->exchange->Body().size()};
     if (this->route.kind == RequestKind::kStream) request.max_pause = this->route.max_pause;
     return request;
   }
@@ -580,6 +582,7 @@
       return;
     }
     ++this->attempts;
+    this->relay.CountLeft(chosen.left);
     this->avoided.push_back(chosen.upstream);
     const std::string& body = this->exchange->Body();
     HttpCallOptions options{
@@ -1269,6 +1272,14 @@
   }
 }
 
+void Relay::Impl::CountLeft(LeavingReason reason) {
+  if (reason == LeavingReason::kStays) return;
+  this->metrics
+      .CounterFor("savory_attempts_left_data_centre_total",
+                  "reason=\"" + std::string(LeavingReasonName(reason)) + "\"")
+      .Add();
+}
+
 bool Relay::Impl::IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) {
   if (!time_left) return false;
   Duration& longest = this->longest_time_left[route.name];
--- a/src/relay/routing_rules.h
+++ b/src/relay/routing_rules.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "placement/cold_limits.h"
 #include "placement/home_regions.h"
+#include "placement/leaving_policy.h"
 
 namespace savory {
 
@@ -93,6 +94,7 @@
   std::vector<AccountRule> accounts = {};  // empty: no request needs an API key
   CallerLimits limits = {};
   std::optional<WeightsOrigin> origin = {};
+  std::vector<DataCentreWay> ways = {};  // between data centres, as far as they are known
 };
 
 }  // namespace savory
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -27,6 +28,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;  // 0: unknown
+  // Slowdown factor of work at the upstream at this moment; above 1: slower than usual.
+  std::optional<double> pace = {};
 };
 
 // Periodic report of the agent beside an engine, sent several times a second.
