--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -66,6 +66,8 @@
 constexpr std::string_view kLiftPath = "/refusals/lift";
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
+// The pace of engines changes many times a second.
+constexpr Duration kSlowLogPeriod = std::chrono::seconds(1);
 // Smaller corrections of the time since when a version is wanted come from message delays.
 constexpr Duration kMinLoggedCorrection = milliseconds(100);
 // Log lines at the exit on connections that lose something by it.
@@ -125,6 +127,8 @@
   std::size_t followed_engines = 0;  // as last logged
   std::size_t withheld_engines = 0;  // as last logged
   Instant follow_logged_at = {};
+  std::size_t slow_upstreams = 0;  // as last logged
+  Instant slow_logged_at = {};
   AsyncHttpServer callers;
   AsyncHttpServer ready_server;
   AsyncHttpServer metrics_server;
@@ -224,6 +228,16 @@
     }
   }
 
+  void LogSlow() {
+    const Instant now = this->loop.Now();
+    const std::size_t slow = this->relay.RequestDispatcher().Slow(now);
+    if (slow == this->slow_upstreams || now - this->slow_logged_at < kSlowLogPeriod) return;
+    Log(LogLevel::kInfo, "upstreams_slow", {{"slow", slow}, {"before", this->slow_upstreams}});
+    this->metrics.GaugeFor("savory_upstreams_slow").Set(static_cast<double>(slow));
+    this->slow_upstreams = slow;
+    this->slow_logged_at = now;
+  }
+
   // An unknown region in the rules has no upstreams. That is more likely a mistake.
   void LogUnknownHomes() {
     for (const std::string& region : this->rules->HomeRegionNames()) {
@@ -557,6 +571,7 @@
     this->FollowEngines();
     this->LogWithheld();
     this->LogLeaving();
+    this->LogSlow();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -161,6 +161,9 @@
   // Number of listed engines that only the last word of their agent, which is heard no more, keeps
   // from receiving requests.
   std::size_t Withheld(Instant now) const;
+  // Number of listed upstreams where work takes at least `kSlowPace` times as long as usual.
+  static constexpr double kSlowPace = 1.5;
+  std::size_t Slow(Instant now) const;
   // Number of upstreams of `pool` that may receive requests now.
   std::size_t Usable(std::string_view pool, Instant now) const;
   // Addresses of the engines whose load this entry must follow, sorted: see EngineWindow().
--- a/src/relay/dispatcher_leaving_test.cc
+++ b/src/relay/dispatcher_leaving_test.cc
@@ -185,6 +185,7 @@
     this->now += milliseconds(20);
     this->dispatcher.AddLoad("b0", {.running = 0, .slots = kSlots, .pace = 4}, this->now);
   }
+  EXPECT_EQ(this->dispatcher.Slow(this->now), 1u);
   for (int i = 0; i < 30; ++i) EXPECT_NE(this->Submit("chat"), "b0");
 }
 
--- a/src/relay/dispatcher_sides.cc
+++ b/src/relay/dispatcher_sides.cc
@@ -1,4 +1,5 @@
-// The part of Dispatcher that chooses between its own data centre and the others.
+// The part of Dispatcher that chooses between its own data centre and the others, and tells which
+// upstreams are slow.
 #include <algorithm>
 
 #include "relay/dispatcher.h"
@@ -19,6 +20,15 @@
   return request.body_bytes + request.answer_tokens * kBytesPerToken;
 }
 
+std::size_t Dispatcher::Slow(Instant now) const {
+  std::size_t slow = 0;
+  for (const auto& [name, pool] : this->pools) {
+    slow += static_cast<std::size_t>(std::ranges::count_if(
+        pool, [now](const auto& row) { return row.second.pace.At(now) >= kSlowPace; }));
+  }
+  return slow;
+}
+
 SideOffer Dispatcher::OfferOf(const Choice& choice, const DispatchRequest& request,
                               Instant now) const {
   if (choice.best.state == nullptr) return {};
