--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -49,8 +49,9 @@
   if (evacuated) return;
   for (const auto& [name, pool] : this->pools) {
     for (const auto& [id, state] : pool) {
-      if (state.upstream.data_centre == data_centre)
+      if (state.upstream.data_centre == data_centre) {
         this->placement.Cold().AssumeCold(id, name, now);
+      }
     }
   }
 }
