--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -4,18 +4,22 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <variant>
 
+#include "admission/admission_log.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/process_start.h"
 #include "base/random.h"
 #include "direct/copy_policy.h"
 #include "direct/crash_exchange.h"
+#include "direct/newer_record.h"
 #include "direct/start_timeline.h"
+#include "direct/tool_server.h"
 #include "direct/wanted_versions.h"
 #include "fleet/agent_list.h"
 #include "fleet/entry_links.h"
@@ -28,6 +32,7 @@
 #include "runtime/async_http_server.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
+#include "runtime/input_budget.h"
 #include "runtime/peer_transport.h"
 #include "runtime/process_load.h"
 #include "runtime/unfinished_connection.h"
@@ -76,6 +81,23 @@
 // signal.
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
 
+// Part of the machine's memory for answers that may still be replaced by another upstream's.
+constexpr std::uint64_t kBufferedAnswerParts = 5;
+InputBudgetOptions MakeInputBudget(const DirectEntrySettings& settings,
+                                   const CallerLimits& limits) {
+  return BudgetOfMachine(settings.memory_bytes, settings.max_files,
+                         limits.max_header_bytes + limits.max_body_bytes);
+}
+
+AsyncHttpServerOptions MakeCallerOptions(const DirectEntrySettings& settings,
+                                         const CallerLimits& limits) {
+  return {.limits = {.max_header_bytes = limits.max_header_bytes,
+                     .max_body_bytes = limits.max_body_bytes},
+          .header_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout,
+          .budget = MakeInputBudget(settings, limits)};
+}
+
 EntryLinksOptions MakeLinkOptions(const DirectEntrySettings& settings) {
   EntryLinksOptions options{.presence = {.self = settings.process.peer},
                             .region = settings.process.region,
@@ -94,15 +116,21 @@
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings, Instant now) {
   PlacementOptions placement{.regions = settings.process.regions, .cold = settings.cold};
   placement.cold.started = now;
-  return RelayOptions{
+  RelayOptions options{
       .dispatcher = {.data_centre = settings.process.data_centre,
                      .placement = std::move(placement),
                      .entry = settings.process.peer,
                      .leaving = {.data_centre = settings.process.data_centre,
                                  .entry = settings.process.peer,
+                                 .enabled = settings.decides_leaving,
                                  .region_bytes_per_second = settings.region_bytes_per_second}},
       .budget = settings.retry_budget,
       .crashes = {.registry = {.self = settings.process.peer}}};
+  if (settings.memory_bytes > 0) {
+    options.max_buffered_answers = std::min<std::size_t>(
+        options.max_buffered_answers, settings.memory_bytes / kBufferedAnswerParts);
+  }
+  return options;
 }
 
 }  // namespace
@@ -162,22 +190,28 @@
         relay(loop, this->connections, adapter.requests, metrics, this->random,
               MakeRelayOptions(this->settings, loop.Now())),
         links(loop, this->peers, metrics, MakeLinkOptions(this->settings)),
-        operator_records(
-            loop, this->peers, adapter.store, metrics, this->random,
-            {.prefix = adapter.records.OperatorPrefix(), .peer = this->settings.process.peer}),
-        upstream_records(
-            loop, this->peers, adapter.store, metrics, this->random,
-            {.prefix = adapter.records.UpstreamPrefix(), .peer = this->settings.process.peer}),
+        operator_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.OperatorPrefix(),
+                          .peer = this->settings.process.peer,
+                          .is_newer = std::bind_front(IsNewerRecord, std::cref(adapter.records))}),
+        upstream_records(loop, this->peers, adapter.store, metrics, this->random,
+                         {.prefix = adapter.records.UpstreamPrefix(),
+                          .peer = this->settings.process.peer,
+                          .is_newer = std::bind_front(IsNewerRecord, std::cref(adapter.records))}),
         crash_exchange(loop, this->peers, this->links, adapter.store, this->relay.Crashes()),
         upstreams(MakeListOptions(this->settings)),
         demands({.entry = this->settings.process.peer,
                  .data_centre = this->settings.process.data_centre}),
-        callers(loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
-        ready_server(loop, {},
+        callers(loop, {.budget = MakeInputBudget(this->settings, {})},
+                [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }),
+        ready_server(loop, ToolServerOptions(),
                      [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
-        metrics_server(loop, {},
+        metrics_server(loop, ToolServerOptions(),
                        [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }),
-        start_timeline(loop.Now()) {}
+        start_timeline(loop.Now()) {
+    this->callers.SetBodyCheck(
+        [this](const HttpHead& head) { return !this->relay.RefusesByHead(head); });
+  }
 
   // ---- records ----
 
@@ -287,11 +321,7 @@
           {{"pool", pool}, {"rules", this->rules->Version()}, {"reason", "negative"}});
     }
     this->LogUnknownHomes();
-    const CallerLimits& limits = this->rules->Rules().limits;
-    this->callers.SetOptions({.limits = {.max_header_bytes = limits.max_header_bytes,
-                                         .max_body_bytes = limits.max_body_bytes},
-                              .header_timeout = limits.header_timeout,
-                              .idle_timeout = limits.idle_timeout});
+    this->callers.SetOptions(MakeCallerOptions(this->settings, this->rules->Rules().limits));
     this->links.SetOrigin(this->rules->Rules().origin);
     this->UpdateEngines();
   }
@@ -519,10 +549,12 @@
 
   void UpdateDemand() {
     const Instant now = this->loop.Now();
-    const double rate =
-        this->demands.UpdateOwnRate(this->relay.RequestDispatcher().EngineRequests(), now);
+    Dispatcher& dispatcher = this->relay.RequestDispatcher();
+    this->demands.UpdateOwnRate(dispatcher.EngineRequests(), now);
+    this->demands.SetOwnPools(dispatcher.Room().Own(), dispatcher.Room().AdmittedFraction());
+    LogAdmission(dispatcher.Room().TakeChanges(), this->metrics);
     const bool due = this->demands.TakeReportDue(this->links.StatusPeriod(), now);
-    this->links.SetDemand(this->settings.process.data_centre, rate, due);
+    this->links.SetDemand(this->demands.Own(), due);
     this->UpdateEngineShares();
   }
 
@@ -572,11 +604,19 @@
     this->LogWithheld();
     this->LogLeaving();
     this->LogSlow();
+    this->CountCallers();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
     if (this->stopping_since) this->AdvanceStop();
   }
 
+  void CountCallers() {
+    this->metrics.GaugeFor("savory_caller_held_bytes")
+        .Set(static_cast<double>(this->callers.HeldBytes()));
+    this->metrics.GaugeFor("savory_callers_given_up")
+        .Set(static_cast<double>(this->callers.GivenUp()));
+  }
+
   // How long each part of the start took. -1: not reached yet.
   void LogStart() const {
     const auto millis = [](std::optional<Duration> time) { return time ? ToMillis(*time) : -1; };
@@ -659,6 +699,11 @@
     this->settings.weights_deadline = next.weights_deadline;
     this->settings.stop_grace = next.stop_grace;
     this->settings.upstream_drain = next.upstream_drain;
+    this->settings.memory_bytes = next.memory_bytes;
+    this->settings.max_files = next.max_files;
+    if (this->rules) {
+      this->callers.SetOptions(MakeCallerOptions(this->settings, this->rules->Rules().limits));
+    }
     this->upstreams.SetOptions(MakeListOptions(this->settings));
     this->ApplyWantedVersions();
   }
@@ -673,6 +718,8 @@
   void RegisterListeners() {
     this->operator_records.OnChange(
         [this](std::span<const Record> changed) { this->OnOperatorRecords(changed); });
+    this->operator_records.OnEra(
+        [this](std::uint64_t era) { this->crash_exchange.OnStoreEra(era); });
     this->upstream_records.OnChange(
         [this](std::span<const Record> changed) { this->OnUpstreamRecords(changed); });
     this->relay.OnRequestEnd(
--- a/src/placement/leaving_policy.cc
+++ b/src/placement/leaving_policy.cc
@@ -43,6 +43,7 @@
            this->options.entry_spread * PositionOf(this->options.entry)) {}
 
 void LeavingPolicy::SetWays(const std::vector<DataCentreWay>& ways) {
+  if (!this->options.enabled) return;
   this->delays.clear();
   for (const DataCentreWay& way : ways) {
     if (way.from == way.to) continue;
--- a/src/placement/leaving_policy.h
+++ b/src/placement/leaving_policy.h
@@ -23,6 +23,7 @@
 struct LeavingOptions {
   std::string data_centre = {};  // of this entry
   std::string entry = {};        // identity of this entry
+  bool enabled = true;           // off: ways are ignored, so the policy never acts
   // Strain is the part of a caller's limits (latency target, longest pause) that the predicted
   // times use. Up to this strain callers are served well near, and nothing leaves.
   double easy_strain = 0.5;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/admission.h"
 #include "base/random.h"
 #include "placement/leaving_policy.h"
 #include "placement/placement.h"
@@ -72,6 +73,7 @@
   // In addition to its share of an engine's slots, an entry may have this fraction of the share
   // queued there.
   double share_overcommit = 0.25;
+  PoolRoomOptions room = {};  // of priorities that compete for a pool
   // Of the slots that a report shows as free, this many are reserved for the entries that own them.
   // The rest is divided among the other entries.
   double borrow_reserve_slots = 2;
@@ -123,6 +125,7 @@
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   Placement& Places() { return this->placement; }
   LeavingPolicy& Leaving() { return this->leaving; }
+  Admission& Room() { return this->admission; }
   // The upstream, which need not be in the list, said that it is cold for `remaining`.
   void SetCold(std::string_view upstream, Duration remaining, Instant now);
   // See Placement::SetEvacuated. Upstreams that are back count as cold.
@@ -236,7 +239,7 @@
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
                           std::span<const std::uint32_t> slots, std::span<const double> demands,
                           Instant now) const;
-  ColdShare ColdShareOf(const UpstreamState& state) const;
+  ColdShare ColdShareOf(const UpstreamState& state, Instant now) const;
   // Requests with homes go to engines of these regions, which the entry's window need not contain.
   void FollowHomes(std::span<UpstreamState* const> serving) const;
   // Whether there are upstreams in `pool`, but none that the request may be sent to wherever there
@@ -275,6 +278,12 @@
   // upstreams asked for a wait.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
                                     Instant now) const;
+  // Whether a more urgent request waits for the same pool.
+  bool YieldsToWaiting(const DispatchRequest& request) const;
+  // Lets admission compare what this entry and the others report.
+  void UpdateAdmission(Instant now);
+  // Whether the request is a first attempt at an engine pool.
+  bool IsFirstAttempt(const DispatchRequest& request) const;
   // Whether it is known that the request cannot be sent within the time that it may wait here.
   bool IsHopeless(const DispatchRequest& request, const Candidate& best, Instant now) const;
   void UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now);
@@ -296,6 +305,7 @@
   UpstreamNotices notices = UpstreamNotices();
   Placement placement;
   LeavingPolicy leaving;
+  Admission admission;
   AgentWords words = AgentWords();
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -533,6 +533,12 @@
   void Apply(const RefuseRequest& refusal) {
     if (this->silent_attempt) return this->ReturnToSilent("no-other");
     this->refusal = refusal;
+    if (refusal.limited) {
+      this->relay.metrics
+          .CounterFor("savory_refused_for_more_urgent_total",
+                      "priority=\"" + std::to_string(PriorityClass(this->priority)) + "\"")
+          .Add();
+    }
     if (this->history.delivered) {
       this->Finish("broken-off", 0);
       this->exchange->Abort();
@@ -1172,6 +1178,7 @@
       {"share", refusal ? static_cast<std::int64_t>(refusal->share) : -1},
       {"confirmed", refusal ? static_cast<std::int64_t>(refusal->confirmed) : -1},
       {"own", refusal ? static_cast<std::int64_t>(refusal->own) : -1},
+      {"limited", refusal != nullptr && refusal->limited},
       {"borrowable", refusal ? static_cast<std::int64_t>(refusal->borrowable) : -1},
       {"weights", this->target.weights_version},
       {"load", refusal ? refusal->load : this->target.load},
@@ -1327,6 +1334,7 @@
     if (self.on_end && status >= kMinServerErrorStatus) self.on_end(false);
     self.AnswerLocally(*exchange, status, metadata.attempt_id, reason, retry_after);
   };
+  // As RefusesByHead().
   if (self.stopping) return refuse(503, "stopping", Duration(0));
   if (!self.rules) return refuse(503, "no rules known", self.options.unconfigured_retry_after);
   const RouteRule* route = self.rules->FindRoute(FieldValue(head.fields, "Host"), head.target);
@@ -1341,6 +1349,15 @@
   request->Start();
 }
 
+bool Relay::RefusesByHead(const HttpHead& head) const {
+  const Impl& self = *this->impl;
+  if (self.stopping || !self.rules) return true;
+  const RouteRule* route = self.rules->FindRoute(FieldValue(head.fields, "Host"), head.target);
+  if (route == nullptr) return true;
+  return self.rules->NeedsApiKey(*route) &&
+         self.rules->FindAccount(self.codec.DecodeRequest(head).api_key) == nullptr;
+}
+
 std::vector<std::string> Relay::SetRules(SharedRouting rules) {
   this->impl->rules = rules;
   return this->impl->dispatcher.SetRules(std::move(rules));
