--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -71,6 +71,8 @@
 constexpr std::string_view kLiftPath = "/refusals/lift";
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
+// The pace of engines changes many times a second.
+constexpr Duration kSlowLogPeriod = std::chrono::seconds(1);
 // Smaller corrections of the time since when a version is wanted come from message delays.
 constexpr Duration kMinLoggedCorrection = milliseconds(100);
 // Log lines at the exit on connections that lose something by it.
@@ -114,11 +116,16 @@
 RelayOptions MakeRelayOptions(const DirectEntrySettings& settings, Instant now) {
   PlacementOptions placement{.regions = settings.process.regions, .cold = settings.cold};
   placement.cold.started = now;
-  RelayOptions options{.dispatcher = {.data_centre = settings.process.data_centre,
-                                      .placement = std::move(placement),
-                                      .entry = settings.process.peer},
-                       .budget = settings.retry_budget,
-                       .crashes = {.registry = {.self = settings.process.peer}}};
+  RelayOptions options{
+      .dispatcher = {.data_centre = settings.process.data_centre,
+                     .placement = std::move(placement),
+                     .entry = settings.process.peer,
+                     .leaving = {.data_centre = settings.process.data_centre,
+                                 .entry = settings.process.peer,
+                                 .enabled = settings.decides_leaving,
+                                 .region_bytes_per_second = settings.region_bytes_per_second}},
+      .budget = settings.retry_budget,
+      .crashes = {.registry = {.self = settings.process.peer}}};
   if (settings.memory_bytes > 0) {
     options.max_buffered_answers = std::min<std::size_t>(
         options.max_buffered_answers, settings.memory_bytes / kBufferedAnswerParts);
@@ -148,6 +155,8 @@
   std::size_t followed_engines = 0;  // as last logged
   std::size_t withheld_engines = 0;  // as last logged
   Instant follow_logged_at = {};
+  std::size_t slow_upstreams = 0;  // as last logged
+  Instant slow_logged_at = {};
   AsyncHttpServer callers;
   AsyncHttpServer ready_server;
   AsyncHttpServer metrics_server;
@@ -241,6 +250,28 @@
         .Set(static_cast<double>(places.Evacuated().size()));
   }
 
+  void LogLeaving() {
+    LeavingPolicy& leaving = this->relay.RequestDispatcher().Leaving();
+    for (const LeavingChange& change : leaving.TakeChanges(this->loop.Now())) {
+      Log(LogLevel::kInfo, change.began ? "leaving_began" : "leaving_ended",
+          {{"pool", change.pool},
+           {"reason", LeavingReasonName(change.reason)},
+           {"strain", change.strain},
+           {"left", change.left},
+           {"lasted_ms", ToMillis(change.lasted)}});
+    }
+  }
+
+  void LogSlow() {
+    const Instant now = this->loop.Now();
+    const std::size_t slow = this->relay.RequestDispatcher().Slow(now);
+    if (slow == this->slow_upstreams || now - this->slow_logged_at < kSlowLogPeriod) return;
+    Log(LogLevel::kInfo, "upstreams_slow", {{"slow", slow}, {"before", this->slow_upstreams}});
+    this->metrics.GaugeFor("savory_upstreams_slow").Set(static_cast<double>(slow));
+    this->slow_upstreams = slow;
+    this->slow_logged_at = now;
+  }
+
   // An unknown region in the rules has no upstreams. That is more likely a mistake.
   void LogUnknownHomes() {
     for (const std::string& region : this->rules->HomeRegionNames()) {
@@ -571,6 +602,8 @@
     }
     this->FollowEngines();
     this->LogWithheld();
+    this->LogLeaving();
+    this->LogSlow();
     this->CountCallers();
     this->relay.WithdrawOutdated();
     if (this->start_timeline.TakeReport(this->loop.Now())) this->LogStart();
--- a/src/direct/entry_settings.h
+++ b/src/direct/entry_settings.h
@@ -40,6 +40,10 @@
   // An upstream that leaves serves on for this long after its record was removed or says so.
   Duration upstream_drain = std::chrono::milliseconds(2000);
   ColdLimitOptions cold = {};
+  // Whether the entry decides by load, pace and way when requests leave the data centre.
+  bool decides_leaving = false;
+  // Bandwidth of the links between regions; 0: unknown.
+  double region_bytes_per_second = 0;
   // Limits of the machine for this process; 0: not known, and callers' input is not bounded as a
   // whole.
   std::uint64_t memory_bytes = 0;
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "placement/home_regions.h"
+#include "placement/leaving_policy.h"
 
 namespace savory {
 
@@ -50,6 +51,7 @@
   bool only_former = false;   // no attempts are left: it is sent only to engines where it has run
   HomeRegions homes = {};     // the regions that it may be sent to
   bool within_floor = false;  // set by Dispatcher: see Admission::OnAsked()
+  std::size_t body_bytes = 0;
 };
 
 struct SendTo {
@@ -61,6 +63,7 @@
   Duration predicted = {};  // until the first event
   double load = 0;          // requests at the upstream
   Duration report_age = {};
+  LeavingReason left = LeavingReason::kStays;  // why it leaves the data centre
 };
 struct KeepWaiting {};
 struct RefuseRequest {
