--- a/src/records/era_hold_test.cc
+++ b/src/records/era_hold_test.cc
@@ -249,6 +249,7 @@
 RC_GTEST_PROP(EraHoldProperty, NothingRevertsAndAllAgreeInTheEnd, ()) {
   ModelStore store;
   std::vector<std::unique_ptr<MirrorProcess>> processes;
+  processes.reserve(3);
   for (int i = 0; i < 3; ++i) processes.push_back(std::make_unique<MirrorProcess>());
   std::map<std::string, std::set<int>> removals;
   int second = 100;
--- a/src/relay/dispatcher_placement_test.cc
+++ b/src/relay/dispatcher_placement_test.cc
@@ -43,6 +43,7 @@
 
   static std::vector<EntryDemand> Entries() {
     std::vector<EntryDemand> entries;
+    entries.reserve(12);
     for (int i = 0; i < 12; ++i) {
       entries.push_back({.entry = "entry-" + std::to_string(10 + i),
                          .data_centre = "dc-a",
