Log answers that begin on overdue weights, and attempts at upstreams that are gone

The log showed neither that an answer began so, nor whether its upstream was still in the list, nor how many attempts waited at an upstream that was removed; so it could not tell attempts that were never withdrawn from those that were withdrawn without effect.

`answer_overdue` (and savory_answers_overdue_total) compares the version that an answer names with the deadlines that the entry knows; `upstream_gone` counts the attempts that wait there. No decision changes.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -482,7 +482,10 @@
   }
 
   void RemoveFromDispatcher(const std::string& id, std::string_view reason) {
-    Log(LogLevel::kInfo, "upstream_gone", {{"upstream", id}, {"reason", reason}});
+    Log(LogLevel::kInfo, "upstream_gone",
+        {{"upstream", id},
+         {"reason", reason},
+         {"waiting_attempts", this->relay.RequestDispatcher().WaitingAt(id)}});
     this->seen_with_weights.erase(id);
     this->relay.RequestDispatcher().RemoveUpstream(id);
   }
--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -94,6 +94,12 @@
   Duration time_left = {};    // until the deadline; negative after it
 };
 
+// A request began on weights that were outdated for good by then.
+struct OverdueWeights {
+  std::uint64_t wanted = 0;  // version that was mandatory
+  Duration late = {};        // since its deadline
+};
+
 // An upstream was ejected, or is usable again after an ejection.
 struct HealthChange {
   std::string upstream;  // id
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -214,6 +214,26 @@
          state.report->weights_version == 0;
 }
 
+std::size_t Dispatcher::WaitingAt(std::string_view upstream) const {
+  return static_cast<std::size_t>(std::ranges::count_if(this->sent, [upstream](const auto& row) {
+    return !row.second.began && row.second.upstream == upstream;
+  }));
+}
+
+std::optional<OverdueWeights> Dispatcher::Overdue(std::string_view pool,
+                                                  std::uint64_t weights_version,
+                                                  Instant now) const {
+  const auto found = this->weights.find(pool);
+  if (found == this->weights.end()) return std::nullopt;
+  std::optional<OverdueWeights> overdue;
+  for (const WeightsRule& rule : found->second) {
+    if (rule.version <= weights_version || now <= rule.deadline) continue;
+    const Duration late = now - rule.deadline;
+    if (!overdue || late > overdue->late) overdue = {.wanted = rule.version, .late = late};
+  }
+  return overdue;
+}
+
 std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
   std::vector<OutdatedAttempt> outdated;
   for (const auto& [attempt, sent] : this->sent) {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -147,6 +147,14 @@
 
   // The first event arrived, so the prompt has been processed.
   void OnFirstEvent(AttemptNumber attempt);
+  // Attempts of this entry at the upstream, listed or not, whose first event has not arrived.
+  std::size_t WaitingAt(std::string_view upstream) const;
+  // Whether a request of `pool` that began on `weights_version` at `now` began after the deadline
+  // of a newer version; nullopt if not.
+  std::optional<OverdueWeights> Overdue(std::string_view pool, std::uint64_t weights_version,
+                                        Instant now) const;
+  // Whether the upstream is in the list.
+  bool IsListed(std::string_view upstream) const { return this->pool_of.contains(upstream); }
   // Returns the attempts that must be withdrawn, as they could begin with outdated weights. Must be
   // called several times within `outdated_reserve`.
   std::vector<OutdatedAttempt> OutdatedAttempts(Instant now) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -123,6 +123,7 @@
   const RelayCodec& codec;
   Metrics& metrics;
   Counter& withdrawn;
+  Counter& overdue;  // answers that began on outdated weights
   RelayOptions options;
   Random& random;
   Dispatcher dispatcher;
@@ -150,6 +151,7 @@
         codec(codec),
         metrics(metrics),
         withdrawn(metrics.CounterFor("savory_attempts_withdrawn_total")),
+        overdue(metrics.CounterFor("savory_answers_overdue_total")),
         options(std::move(given)),
         random(random),
         dispatcher(this->options.dispatcher, random),
@@ -230,6 +232,7 @@
       this->relay.dispatcher.AddLoad(this->target.upstream, *answer.load, this->relay.loop.Now());
     }
     this->relay.TakeNotices(this->target, this->metadata.attempt_id, answer, head.status);
+    if (answer.weights_version) this->NoteWeights(*answer.weights_version);
     if (!answer.misdirected) {
       this->relay.crashes.OnAnswered(this->target.upstream, this->target.started_unix_ms);
     }
@@ -1041,6 +1044,24 @@
 
   // ---- logs and metrics ----
 
+  // An answer that begins on outdated weights shows that its attempt should have been withdrawn.
+  void NoteWeights(std::uint64_t version) {
+    const Instant now = this->relay.loop.Now();
+    const auto overdue = this->relay.dispatcher.Overdue(this->pool, version, now);
+    if (!overdue) return;
+    this->relay.overdue.Add();
+    Log(LogLevel::kWarn, "answer_overdue",
+        {{"request", this->metadata.attempt_id},
+         {"upstream", this->target.upstream},
+         {"listed", this->relay.dispatcher.IsListed(this->target.upstream)},
+         {"weights", version},
+         {"weights_as_sent", this->target.weights_version},
+         {"wanted", overdue->wanted},
+         {"late_ms", ToMillis(overdue->late)},
+         {"sent_ms_ago", ToMillis(now - this->sent_at)},
+         {"attempts", this->attempts}});
+  }
+
   void LogAttempt(AttemptEnd end, bool granted) {
     Log(LogLevel::kInfo, "attempt_failed",
         {{"request", this->metadata.attempt_id},
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -51,6 +51,8 @@
   std::optional<Duration> cold_for = {};
   // The upstream refused the request and wants no others for this time.
   std::optional<Duration> no_requests_for = {};
+  // Version of the weights with which the answer begins.
+  std::optional<std::uint64_t> weights_version = {};
 };
 
 class RelayCodec {
