Withdraw attempts also from engines that have lost their record

Cause: Dispatcher::OutdatedAttempts looked an attempt's engine up in the list of upstreams and passed over attempts whose engine was not in it. A machine that stands still loses its record after some seconds, just when attempts wait there; they stayed open and began as it woke. The same held for attempts at a former start of an engine: they were judged by the weights of the later one. Class: a duty that hangs on the look-up of something that may have gone.

Both new tests fail on the code before (0 attempts to withdraw where 1 is expected).

Change: an attempt carries what the duty needs (start of the engine, pool, version of the weights as it was sent). The list can only show that the engine has newer weights.

--- a/src/relay/dispatch_types.h
+++ b/src/relay/dispatch_types.h
@@ -89,6 +89,7 @@
 struct OutdatedAttempt {
   AttemptNumber attempt = 0;
   std::string upstream = {};  // id
+  bool listed = true;         // the upstream is in the list
   std::uint64_t held = 0;     // version of the weights there
   std::uint64_t wanted = 0;   // version that is mandatory from the deadline on
   Duration time_left = {};    // until the deadline; negative after it
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -194,9 +194,13 @@
 }
 
 const WeightsRule* Dispatcher::NextRule(const UpstreamState& state) const {
-  const auto found = this->weights.find(state.upstream.pool);
-  if (!state.upstream.is_engine || found == this->weights.end()) return nullptr;
-  const std::uint64_t held = this->WeightsOf(state);
+  if (!state.upstream.is_engine) return nullptr;
+  return this->NextRule(state.upstream.pool, this->WeightsOf(state));
+}
+
+const WeightsRule* Dispatcher::NextRule(std::string_view pool, std::uint64_t held) const {
+  const auto found = this->weights.find(pool);
+  if (found == this->weights.end()) return nullptr;
   const WeightsRule* next = nullptr;
   for (const WeightsRule& rule : found->second) {
     if (rule.version <= held) continue;
@@ -234,18 +238,28 @@
   return overdue;
 }
 
+const Dispatcher::UpstreamState* Dispatcher::FindTarget(const Sent& sent) const {
+  const auto known = this->pool_of.find(sent.upstream);
+  if (known == this->pool_of.end()) return nullptr;
+  const UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
+  return state.upstream.started_unix_ms == sent.started_unix_ms ? &state : nullptr;
+}
+
 std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
   std::vector<OutdatedAttempt> outdated;
   for (const auto& [attempt, sent] : this->sent) {
-    const auto known = this->pool_of.find(sent.upstream);
-    if (sent.began || known == this->pool_of.end()) continue;
-    const UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
-    const WeightsRule* rule = this->NextRule(state);
+    if (sent.began || sent.weights_version == 0) continue;
+    // Without a record nobody says that the engine has newer weights than as the attempt was sent.
+    const UpstreamState* target = this->FindTarget(sent);
+    const std::uint64_t held =
+        std::max(sent.weights_version, target == nullptr ? 0 : this->WeightsOf(*target));
+    const WeightsRule* rule = this->NextRule(sent.pool, held);
     if (rule == nullptr || now < rule->deadline - this->options.outdated_reserve) continue;
-    if (this->IsLoading(state, now)) continue;
+    if (target != nullptr && this->IsLoading(*target, now)) continue;
     outdated.push_back({.attempt = attempt,
                         .upstream = sent.upstream,
-                        .held = this->WeightsOf(state),
+                        .listed = target != nullptr,
+                        .held = held,
                         .wanted = rule->version,
                         .time_left = rule->deadline - now});
   }
@@ -573,6 +587,9 @@
     this->leaving.OnLeft(request.pool, upstream.data_centre, best.left, BytesOf(request), now);
   }
   this->sent[request.attempt] = {.upstream = upstream.id,
+                                 .started_unix_ms = upstream.started_unix_ms,
+                                 .pool = request.pool,
+                                 .weights_version = upstream.is_engine ? this->WeightsOf(state) : 0,
                                  .prefill_tokens = static_cast<double>(request.prompt_tokens)};
   return DispatchVerdict{.attempt = request.attempt,
                          .decision = SendTo{.upstream = upstream.id,
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -205,6 +205,9 @@
   };
   struct Sent {
     std::string upstream;
+    std::int64_t started_unix_ms = 0;  // of the upstream
+    std::string pool = {};
+    std::uint64_t weights_version = 0;  // that the upstream held then; 0: a plain service
     double prefill_tokens = 0;
     bool began = false;  // the first event arrived
   };
@@ -261,8 +264,12 @@
   // Whether this entry has a free slot in its confirmed share, or room in its part of the queue.
   bool HasOwnSlot(const UpstreamState& state) const;
   std::uint64_t WeightsOf(const UpstreamState& state) const;
-  // The version that first makes the engine's weights outdated; nullptr: none.
+  // The version that first makes the engine's weights, or weights `held` in `pool`, outdated;
+  // nullptr: none.
   const WeightsRule* NextRule(const UpstreamState& state) const;
+  const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
+  // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
+  const UpstreamState* FindTarget(const Sent& sent) const;
   // Whether the engine loads weights, so that requests in its queue begin with the new ones.
   bool IsLoading(const UpstreamState& state, Instant now) const;
   double LoadOf(const UpstreamState& state, Instant now) const;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -164,6 +164,56 @@
   EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "the weights are new";
 }
 
+// The machine of an engine stands still, so its record disappears from the list; it may also come
+// back. Guards against attempts that are not withdrawn, and begin on older weights as it wakes.
+TEST_F(DispatcherTest, AttemptsAtRemovedEnginesAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->dispatcher.RemoveUpstream("engine-1");
+  this->now = deadline - milliseconds(600);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty());
+  const auto expect_outdated = [&](std::string_view when) {
+    const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+    ASSERT_EQ(outdated.size(), 1u) << when;
+    EXPECT_EQ(outdated.front().attempt, waits.attempt) << when;
+    EXPECT_EQ(outdated.front().upstream, "engine-1") << when;
+    EXPECT_EQ(outdated.front().held, 1u) << when;
+    EXPECT_EQ(outdated.front().wanted, 2u) << when;
+  };
+  this->now = deadline - milliseconds(400);
+  expect_outdated("removed");
+  this->AddEngine(1, 1);
+  expect_outdated("listed again");
+  this->dispatcher.OnFirstEvent(waits.attempt);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "it has begun";
+}
+
+// An engine starts again under its id and loads the new weights. Guards against an attempt that was
+// sent to its former start, whose machine stood still, and is taken to wait at the later one.
+TEST_F(DispatcherTest, AttemptsAtAFormerStartAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "chat",
+                                .address = "10.0.0.9:80",
+                                .slots = 16,
+                                .started_unix_ms = 7,
+                                .weights_version = 2,
+                                .is_engine = true});
+  this->now = deadline - milliseconds(400);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().attempt, waits.attempt);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -839,6 +839,7 @@
     Log(LogLevel::kInfo, "attempt_withdrawn",
         {{"request", this->metadata.attempt_id},
          {"upstream", outdated.upstream},
+         {"listed", outdated.listed},
          {"weights", outdated.held},
          {"wanted", outdated.wanted},
          {"deadline_in_ms", ToMillis(outdated.time_left)},
