Reset the connection of a call that is given up

Cause: HttpCall closed its connection in order. The system then goes on to deliver the bytes that the peer has not taken yet, in the background, and the peer carries the request out as it wakes. Class: withdrawing something by a message that comes behind it.

Evidence: CallThatIsGivenUpIsNotDeliveredLater fails on the code before (the peer reads all 400,055 bytes 300 ms after the call was given up) and passes now.

Change: a call that is destroyed before its end resets its connection, which drops what is not delivered. This holds for all calls: attempts, calls of agents to their engines, and calls to the origin.

--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -871,6 +871,34 @@
   this->loop.Run();
 }
 
+// A call is given up while its peer stands still, with part of the request on the way. Guards
+// against a system that goes on to deliver the rest, so that the peer carries the request out as it
+// wakes.
+TEST_F(AsyncHttpTest, CallThatIsGivenUpIsNotDeliveredLater) {
+  const int listener = ListenAt(kPort);
+  const int receive_bytes = 4096;
+  setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+  Collector collector(this->loop);
+  auto call = this->pool.Start({.address = kAddress,
+                                .head = "POST /run HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                        std::to_string(kLargeBytes) + "\r\n\r\n",
+                                .body = std::string(kLargeBytes, 'x')},
+                               collector);
+  this->loop.After(std::chrono::milliseconds(200), [&] { call.reset(); });
+  this->loop.After(std::chrono::milliseconds(300), [this] { this->loop.Stop(); });
+  this->loop.Run();
+  ASSERT_FALSE(collector.failure.has_value());
+  const int peer = accept(listener, nullptr, nullptr);
+  std::size_t received = 0;
+  std::array<char, 65536> buffer;
+  for (ssize_t count = 1; count > 0; received += static_cast<std::size_t>(count)) {
+    count = std::max<ssize_t>(0, read(peer, buffer.data(), buffer.size()));
+  }
+  EXPECT_LT(received, kLargeBytes);
+  close(peer);
+  close(listener);
+}
+
 // Guards against a late answer to an earlier call being delivered to a later one.
 TEST_F(AsyncHttpTest, AnswerOfAnotherCallIsDropped) {
   RawPeer peer(26915,
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -284,7 +284,11 @@
 HttpCall::HttpCall(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
 
 HttpCall::~HttpCall() {
-  if (this->impl->connection) this->impl->connection->call = nullptr;
+  if (!this->impl->connection) return;
+  this->impl->connection->call = nullptr;
+  // After an orderly close, the system would go on to deliver what a peer that stands still has not
+  // taken yet, and the peer would carry it out.
+  this->impl->connection->tcp.Reset();
 }
 
 void HttpCall::PassTo(HttpCallHandler& handler) { this->impl->handler = &handler; }
