Count the attempts that go on at an upstream when it is listed again

An upstream that lost its record for a while (its machine stood still, or the platform's store was away) was taken to be empty when it came back, and the ends of the attempts that went on there were counted for later ones, so that the entry sent it more than its share.

Evidence: RequestsCountAtAnEngineThatIsListedAgain fails on the code before (load 0 where two requests run, then 0 where one does).

Change: the count is taken from the attempts themselves when an upstream is listed.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -74,21 +74,32 @@
   if (known != this->pool_of.end() && known->second != upstream.pool) {
     this->RemoveUpstream(upstream.id);
   }
+  const bool is_listed = this->pool_of.contains(upstream.id);
+  if (!is_listed) this->shares_due = {};
   UpstreamState& state = this->pools[upstream.pool][upstream.id];
-  if (known == this->pool_of.end()) this->shares_due = {};
-  if (state.upstream.started_unix_ms != upstream.started_unix_ms ||
+  if (!is_listed || state.upstream.started_unix_ms != upstream.started_unix_ms ||
       state.upstream.address != upstream.address) {
     // The upstream was restarted, so its health, load and reports no longer apply.
     const auto former = this->id_at.find(state.upstream.address);
     if (former != this->id_at.end() && former->second == upstream.id) this->id_at.erase(former);
-    const std::uint32_t own = state.own;
-    state = UpstreamState{.upstream = upstream, .own = own};
+    state = UpstreamState{.upstream = upstream};
+    this->CountAttempts(state);
   }
   state.upstream = upstream;
   this->pool_of[upstream.id] = upstream.pool;
   this->id_at[upstream.address] = upstream.id;
 }
 
+// An upstream may lose its record and get it back while attempts go on there.
+void Dispatcher::CountAttempts(UpstreamState& state) const {
+  for (const auto& [attempt, sent] : this->sent) {
+    if (sent.upstream != state.upstream.id) continue;
+    ++state.own;
+    state.own_prefill_tokens += sent.prefill_tokens;
+    state.health.OnStarted();
+  }
+}
+
 void Dispatcher::RemoveUpstream(std::string_view id) {
   const auto known = this->pool_of.find(id);
   if (known == this->pool_of.end()) return;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -268,6 +268,8 @@
   // nullptr: none.
   const WeightsRule* NextRule(const UpstreamState& state) const;
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
+  // Counts the attempts that go on at an upstream that is listed anew.
+  void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
   const UpstreamState* FindTarget(const Sent& sent) const;
   // Whether the engine loads weights, so that requests in its queue begin with the new ones.
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -192,6 +192,29 @@
   EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "it has begun";
 }
 
+// The record of an engine disappears for a while and its requests go on. Guards against an engine
+// that is taken to be empty when it is listed again, and against ends of these requests that count
+// for others.
+TEST_F(DispatcherTest, RequestsCountAtAnEngineThatIsListedAgain) {
+  this->AddEngine(1);
+  const DispatchRequest first = this->Chat();
+  const DispatchRequest second = this->Chat();
+  EXPECT_EQ(this->Submit(first), "engine-1");
+  EXPECT_EQ(this->Submit(second), "engine-1");
+  this->dispatcher.RemoveUpstream("engine-1");
+  this->AddEngine(1);
+  const auto load = [this](const DispatchRequest& request) {
+    const DispatchVerdict verdict = this->dispatcher.Submit(request, this->now);
+    const auto* sent = std::get_if<SendTo>(&verdict.decision);
+    return sent == nullptr ? -1 : sent->load;
+  };
+  const DispatchRequest third = this->Chat();
+  EXPECT_EQ(load(third), 2);
+  this->dispatcher.OnEnded(first.attempt, AttemptResult::kServed, this->now);
+  this->dispatcher.OnEnded(second.attempt, AttemptResult::kServed, this->now);
+  EXPECT_EQ(load(this->Chat()), 1);
+}
+
 // An engine starts again under its id and loads the new weights. Guards against an attempt that was
 // sent to its former start, whose machine stood still, and is taken to wait at the later one.
 TEST_F(DispatcherTest, AttemptsAtAFormerStartAreWithdrawnBeforeTheDeadline) {
