Expect requests to wait as long as others wait at the engine

What callers saw: with links of machines beside engines squeezed to a twentieth and some of these machines frozen, requests began on version 1 up to 8.9 s after version 2 was announced (8 s allowed).

Cause: shortly before a version's deadline, a request is sent only where its first event is predicted in time. The prediction comes from the engine's published rates and its load; it knows neither the way nor that the machine stands still, though requests of the same entry had waited there for seconds. Class: a prediction that no observation corrects.

Evidence: RequestIsNotSentWhereOthersWaitBeyondTheDeadline fails without the change (sent where another waits 2 s with 2 s left).

Change: FirstEventWaits keeps, per upstream, what the oldest request has waited so far and what the last one waited, also in vain; the prediction is at least that long while an engine's weights are about to be outdated.

--- a/src/loadmodel/fleet_model.cc
+++ b/src/loadmodel/fleet_model.cc
@@ -626,7 +626,7 @@
     const Caller& caller = this->callers.at(attempt.caller);
     const RequestClass& request_class = this->options.classes[caller.class_index];
     if (progress.is_first_event) {
-      dispatcher.OnFirstEvent(number);
+      dispatcher.OnFirstEvent(number, this->now);
       attempt.first_event_late = this->now - caller.first_sent > request_class.target;
       const Duration error = this->now - attempt.sent_at - attempt.predicted;
       this->prediction_errors_ms.push_back(ToSeconds(error) * 1000);
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -18,6 +18,12 @@
   return {.id = upstream.id, .started_unix_ms = upstream.started_unix_ms};
 }
 
+// Whether an attempt that ended so without a first event shows how long others would wait.
+bool WaitedInVain(AttemptResult result) {
+  return result == AttemptResult::kSilent || result == AttemptResult::kCancelled ||
+         result == AttemptResult::kErrored;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, Random& random)
@@ -97,6 +103,7 @@
     ++state.own;
     state.own_prefill_tokens += sent.prefill_tokens;
     state.health.OnStarted();
+    if (!sent.began) state.waits.OnSent(attempt, sent.sent_at);
   }
 }
 
@@ -554,11 +561,7 @@
   if (candidate.state->upstream.is_engine && !request.rerun && !is_allowed) return false;
   const double slots = std::max(1u, candidate.state->upstream.slots);
   if (!candidate.state->upstream.is_engine) return candidate.load < slots * (1 + kPlainQueueRatio);
-  const WeightsRule* rule = this->NextRule(*candidate.state);
-  const bool begins_in_time =
-      rule == nullptr ||
-      now + candidate.forecast.first_event < rule->deadline - this->options.outdated_reserve;
-  if (!begins_in_time) return false;
+  if (!this->BeginsInTime(candidate, now)) return false;
   if (request.rerun) return candidate.load < slots * 1.5;
   if (!request.within_floor &&
       !this->admission.MayTake(request.pool, request.priority, candidate.load / slots)) {
@@ -578,6 +581,14 @@
          candidate.forecast.first_event < left;
 }
 
+bool Dispatcher::BeginsInTime(const Candidate& candidate, Instant now) const {
+  const WeightsRule* rule = this->NextRule(*candidate.state);
+  if (rule == nullptr) return true;
+  const Duration seen = candidate.state->waits.Longest(now, this->options.load_lifetime);
+  const Duration wait = std::max(candidate.forecast.first_event, seen);
+  return now + wait < rule->deadline - this->options.outdated_reserve;
+}
+
 bool Dispatcher::CouldSend(const DispatchRequest& request, Instant now) {
   return this->Fits(this->PickBest(request, now), request, now);
 }
@@ -591,6 +602,7 @@
   if (!this->HasOwnSlot(state) && state.borrowable > 0) --state.borrowable;
   ++state.own;
   ++state.sent_since;
+  state.waits.OnSent(request.attempt, now);
   this->placement.Cold().OnSent(upstream.id, now);
   state.own_prefill_tokens += request.prompt_tokens;
   state.health.OnStarted();
@@ -601,6 +613,7 @@
                                  .started_unix_ms = upstream.started_unix_ms,
                                  .pool = request.pool,
                                  .weights_version = upstream.is_engine ? this->WeightsOf(state) : 0,
+                                 .sent_at = now,
                                  .prefill_tokens = static_cast<double>(request.prompt_tokens)};
   return DispatchVerdict{.attempt = request.attempt,
                          .decision = SendTo{.upstream = upstream.id,
@@ -776,27 +789,38 @@
   this->waiting.remove_if([attempt](const auto& request) { return request.attempt == attempt; });
 }
 
-void Dispatcher::OnFirstEvent(AttemptNumber attempt) {
+void Dispatcher::OnFirstEvent(AttemptNumber attempt, Instant now) {
   const auto found = this->sent.find(attempt);
   if (found == this->sent.end()) return;
-  found->second.began = true;
-  const double tokens = std::exchange(found->second.prefill_tokens, 0);
-  const auto known = this->pool_of.find(found->second.upstream);
-  if (known == this->pool_of.end()) return;
+  if (UpstreamState* state = this->EndPrefill(found->second)) {
+    state->waits.OnWaited(attempt, found->second.sent_at, now);
+  }
+}
+
+Dispatcher::UpstreamState* Dispatcher::EndPrefill(Sent& sent) {
+  sent.began = true;
+  const double tokens = std::exchange(sent.prefill_tokens, 0);
+  const auto known = this->pool_of.find(sent.upstream);
+  if (known == this->pool_of.end()) return nullptr;
   UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
   state.own_prefill_tokens = std::max(0.0, state.own_prefill_tokens - tokens);
+  return &state;
 }
 
 std::optional<HealthChange> Dispatcher::OnEnded(AttemptNumber attempt, AttemptResult result,
                                                 Instant now) {
-  this->OnFirstEvent(attempt);
   const auto found = this->sent.find(attempt);
   if (found == this->sent.end()) return {};
-  const std::string upstream = std::move(found->second.upstream);
+  UpstreamState* const known = this->EndPrefill(found->second);
+  const Sent ended = std::move(found->second);
   this->sent.erase(found);
-  const auto known = this->pool_of.find(upstream);
-  if (known == this->pool_of.end()) return {};
-  UpstreamState& state = this->pools.find(known->second)->second.find(upstream)->second;
+  if (known == nullptr) return {};
+  UpstreamState& state = *known;
+  if (WaitedInVain(result)) {
+    state.waits.OnWaited(attempt, ended.sent_at, now);
+  } else {
+    state.waits.OnEnded(attempt, ended.sent_at);
+  }
   if (state.own > 0) --state.own;
   // An engine that loads new weights aborts its requests; this does not count as a failure.
   const bool loads = this->HasReport(state, now)
@@ -806,7 +830,7 @@
   const bool was_half_open = state.health.IsHalfOpen();
   const Instant until_before = state.health.EjectedUntil();
   state.health.OnEnded(result, now, this->random);
-  HealthChange change{.upstream = upstream, .failure_rate = state.health.FailureRate()};
+  HealthChange change{.upstream = ended.upstream, .failure_rate = state.health.FailureRate()};
   if (state.health.EjectedUntil() != until_before) {
     change.ejected = true;
     change.ejected_for = state.health.EjectedUntil() - now;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -19,6 +19,7 @@
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
+#include "relay/first_event_waits.h"
 #include "relay/routing_index.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
@@ -146,7 +147,7 @@
   void Withdraw(AttemptNumber attempt);
 
   // The first event arrived, so the prompt has been processed.
-  void OnFirstEvent(AttemptNumber attempt);
+  void OnFirstEvent(AttemptNumber attempt, Instant now);
   // Attempts of this entry at the upstream, listed or not, whose first event has not arrived.
   std::size_t WaitingAt(std::string_view upstream) const;
   // Whether a request of `pool` that began on `weights_version` at `now` began after the deadline
@@ -199,6 +200,7 @@
     Instant passed_on_at = {};
     UpstreamLoad load = {};
     EnginePace pace = EnginePace();
+    FirstEventWaits waits = FirstEventWaits();  // of own attempts
     std::optional<Instant> load_at = {};
     double others = 0;             // requests of other entries at `load_at`
     std::uint32_t sent_since = 0;  // attempts of this entry since `load_at`
@@ -208,6 +210,7 @@
     std::int64_t started_unix_ms = 0;  // of the upstream
     std::string pool = {};
     std::uint64_t weights_version = 0;  // that the upstream held then; 0: a plain service
+    Instant sent_at = {};
     double prefill_tokens = 0;
     bool began = false;  // the first event arrived
   };
@@ -268,6 +271,8 @@
   // nullptr: none.
   const WeightsRule* NextRule(const UpstreamState& state) const;
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
+  // The attempt waits for its first event no more. Returns its upstream; nullptr if not listed.
+  UpstreamState* EndPrefill(Sent& sent);
   // Counts the attempts that go on at an upstream that is listed anew.
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
@@ -286,6 +291,8 @@
   SideOffer OfferOf(const Choice& choice, const DispatchRequest& request, Instant now) const;
   static std::size_t BytesOf(const DispatchRequest& request);
   bool Fits(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
+  // Whether a request that is sent there now begins before the engine's weights are outdated.
+  bool BeginsInTime(const Candidate& candidate, Instant now) const;
   std::optional<DispatchVerdict> TryPlace(const DispatchRequest& request, Instant now,
                                           Candidate& best);
   DispatchVerdict Refuse(const DispatchRequest& request, const Candidate& best, Instant now);
--- a/src/relay/dispatcher_leaving_test.cc
+++ b/src/relay/dispatcher_leaving_test.cc
@@ -91,7 +91,7 @@
                                                             this->now);
     const auto* sent = std::get_if<SendTo>(&verdict.decision);
     if (sent == nullptr) return "none";
-    this->dispatcher.OnFirstEvent(attempt);  // no prompts pile up
+    this->dispatcher.OnFirstEvent(attempt, this->now);  // no prompts pile up
     if (sent->left != LeavingReason::kStays) ++this->left[sent->left];
     return sent->upstream;
   }
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -139,6 +139,38 @@
   EXPECT_EQ(this->Submit(rerun), "engine-1");
 }
 
+// The machine of an engine stands still, or the way to it is slow: requests there wait far longer
+// than predicted. Guards against sending more to it shortly before the deadline of a version.
+TEST_F(DispatcherTest, RequestIsNotSentWhereOthersWaitBeyondTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  this->now = deadline - seconds(4);
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  const auto submit = [this] {
+    const DispatchRequest next = this->Chat();
+    const std::string to = this->Submit(next);
+    if (to == "wait") this->dispatcher.Withdraw(next.attempt);
+    if (to == "engine-1") {
+      this->dispatcher.OnEnded(next.attempt, AttemptResult::kRefused, this->now);
+    }
+    return to;
+  };
+  this->now = deadline - milliseconds(2500);
+  EXPECT_EQ(submit(), "engine-1") << "1.5 s of 2.5 s";
+  this->now = deadline - milliseconds(2000);
+  EXPECT_EQ(submit(), "wait") << "2 s of 2 s";
+  this->dispatcher.OnFirstEvent(waits.attempt, this->now);
+  EXPECT_EQ(submit(), "wait") << "it has just waited for 2 s";
+  this->dispatcher.OnEnded(waits.attempt, AttemptResult::kServed, this->now);
+  const DispatchRequest quick = this->Chat();
+  this->AddEngine(2, 2);
+  this->now = deadline - milliseconds(1900);
+  EXPECT_EQ(this->Submit(quick), "engine-2") << "its weights stay";
+}
+
 // A request waits in an engine's queue until the deadline of a newer version. Guards against its
 // beginning with the older weights after that.
 TEST_F(DispatcherTest, WaitingAttemptsAreWithdrawnBeforeTheDeadline) {
@@ -150,7 +182,7 @@
   const DispatchRequest waits = this->Chat();
   EXPECT_EQ(this->Submit(began), "engine-1");
   EXPECT_EQ(this->Submit(waits), "engine-1");
-  this->dispatcher.OnFirstEvent(began.attempt);
+  this->dispatcher.OnFirstEvent(began.attempt, this->now);
   this->now = deadline - milliseconds(600);
   EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty());
   this->now = deadline - milliseconds(400);
@@ -188,7 +220,7 @@
   expect_outdated("removed");
   this->AddEngine(1, 1);
   expect_outdated("listed again");
-  this->dispatcher.OnFirstEvent(waits.attempt);
+  this->dispatcher.OnFirstEvent(waits.attempt, this->now);
   EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "it has begun";
 }
 
@@ -299,7 +331,7 @@
   for (int i = 0; i < 4; ++i) {
     const DispatchRequest request = this->Chat();
     EXPECT_EQ(this->Submit(request), "engine-2");
-    this->dispatcher.OnFirstEvent(request.attempt);
+    this->dispatcher.OnFirstEvent(request.attempt, this->now);
   }
 }
 
@@ -499,7 +531,7 @@
   int placed = 0;
   for (DispatchRequest request = this->Chat(); this->Submit(request) == "engine-2";
        request = this->Chat()) {
-    this->dispatcher.OnFirstEvent(request.attempt);
+    this->dispatcher.OnFirstEvent(request.attempt, this->now);
     ++placed;
   }
   EXPECT_GE(placed, 8);
@@ -552,7 +584,7 @@
   int borrowed = 0;
   for (DispatchRequest request = this->Chat(); this->Submit(request) == "engine-2";
        request = this->Chat()) {
-    this->dispatcher.OnFirstEvent(request.attempt);
+    this->dispatcher.OnFirstEvent(request.attempt, this->now);
     ++borrowed;
   }
   EXPECT_GE(borrowed, 8);
@@ -608,7 +640,7 @@
     for (int i = 0; i < 40; ++i) {
       const DispatchRequest request = this->Chat();
       ++placed[this->Submit(request)];
-      this->dispatcher.OnFirstEvent(request.attempt);
+      this->dispatcher.OnFirstEvent(request.attempt, this->now);
     }
     return placed["engine-2"];
   };
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -649,7 +649,7 @@
       if (event.id && this->last_event && *event.id <= *this->last_event) continue;
       if (!this->first_event_seen) {
         this->first_event_seen = true;
-        this->relay.dispatcher.OnFirstEvent(this->attempt);
+        this->relay.dispatcher.OnFirstEvent(this->attempt, this->relay.loop.Now());
       }
       if (!event.only_comments) {
         this->LeaveSilent("other-goes-on", AttemptResult::kSilent);
