Judge an engine's weights by the freshest word on them

Cause: Dispatcher::WeightsOf took the largest of the record's, the last reported and the last passed-on version, without an age. What another entry passed on after a restart, or a report before a load of an older staged version, hid what the agent said since; no rule applied (NextRule == nullptr), so the request was sent up to enforced_at however long it had to wait, and was never withdrawn. An attempt was also judged by the weights as it was sent when its engine had said since that it holds older ones. IsServing went by the freshest word. Class: a belief that outlives what it rests on.

Evidence: both new tests fail on the code before (x86_64): the request is sent as one for version 4, a slow one is sent too, and 0 attempts are withdrawn where 1 is expected.

Change: FreshestWord is what IsServing went by (report, else passed on). WeightsOf takes its version, else the record's. IsServing, Fits, SendTo, IsAvoided, ReplacesWeights and OutdatedAttempts use it. An attempt keeps the version as it was sent only where no agent says otherwise, as the record lags. AgentWords still gets the newest version named, which it needs to tell a later word from a repeated one.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -145,7 +145,7 @@
   if (id == this->id_at.end()) return;
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
-  this->words.AddReport(StartOf(state.upstream), report, this->WeightsOf(state), now);
+  this->words.AddReport(StartOf(state.upstream), report, NewestNamed(state), now);
   state.report = report;
   state.reported_at = now;
   state.pace.OnReported(report.pace);
@@ -157,7 +157,7 @@
   if (id == this->id_at.end()) return;
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
-  this->words.AddPassedOn(StartOf(state.upstream), passed_on, this->WeightsOf(state), now);
+  this->words.AddPassedOn(StartOf(state.upstream), passed_on, NewestNamed(state), now);
   state.passed_on = passed_on;
   state.passed_on_at = now;
 }
@@ -198,15 +198,38 @@
   return required;
 }
 
-std::uint64_t Dispatcher::WeightsOf(const UpstreamState& state) const {
+std::uint64_t Dispatcher::NewestNamed(const UpstreamState& state) {
   const std::uint64_t reported = state.report ? state.report->weights_version : 0;
   const std::uint64_t passed_on = state.passed_on ? state.passed_on->weights_version : 0;
   return std::max({state.upstream.weights_version, reported, passed_on});
 }
 
-const WeightsRule* Dispatcher::NextRule(const UpstreamState& state) const {
-  if (!state.upstream.is_engine) return nullptr;
-  return this->NextRule(state.upstream.pool, this->WeightsOf(state));
+std::optional<Dispatcher::AgentWord> Dispatcher::FreshestWord(const UpstreamState& state,
+                                                              Instant now) const {
+  const auto word_of = [](const auto& said) {
+    return AgentWord{
+        .serves = said.reachable && said.accepting,
+        .weights_version = said.reachable ? std::optional(said.weights_version) : std::nullopt};
+  };
+  if (this->HasReport(state, now)) return word_of(*state.report);
+  if (!state.passed_on || now - state.passed_on_at >= this->options.availability_lifetime) {
+    return std::nullopt;
+  }
+  return word_of(*state.passed_on);
+}
+
+std::uint64_t Dispatcher::WeightsOf(const UpstreamState& state, Instant now) const {
+  const auto word = this->FreshestWord(state, now);
+  return word && word->weights_version ? *word->weights_version : state.upstream.weights_version;
+}
+
+std::uint64_t Dispatcher::WeightsAt(const Sent& sent, const UpstreamState* target,
+                                    Instant now) const {
+  if (target == nullptr) return sent.weights_version;
+  const auto word = this->FreshestWord(*target, now);
+  const std::uint64_t said = word ? word->weights_version.value_or(0) : 0;
+  // The record may lag behind what was known as the attempt was sent.
+  return said > 0 ? said : std::max(sent.weights_version, target->upstream.weights_version);
 }
 
 const WeightsRule* Dispatcher::NextRule(std::string_view pool, std::uint64_t held) const {
@@ -260,10 +283,8 @@
   std::vector<OutdatedAttempt> outdated;
   for (const auto& [attempt, sent] : this->sent) {
     if (sent.began || sent.weights_version == 0) continue;
-    // Without a record nobody says that the engine has newer weights than as the attempt was sent.
     const UpstreamState* target = this->FindTarget(sent);
-    const std::uint64_t held =
-        std::max(sent.weights_version, target == nullptr ? 0 : this->WeightsOf(*target));
+    const std::uint64_t held = this->WeightsAt(sent, target, now);
     const WeightsRule* rule = this->NextRule(sent.pool, held);
     if (rule == nullptr || now < rule->deadline - this->options.outdated_reserve) continue;
     if (target != nullptr && this->IsLoading(*target, now)) continue;
@@ -391,25 +412,30 @@
   return state.own < state.confirmed * (1 + this->options.share_overcommit);
 }
 
-bool Dispatcher::ReplacesWeights(const EngineTry& sent) const {
+bool Dispatcher::ReplacesWeights(const EngineTry& sent, Instant now) const {
   const auto known = this->pool_of.find(sent.upstream);
   if (known == this->pool_of.end()) return false;
   const UpstreamState& state = this->pools.find(known->second)->second.find(sent.upstream)->second;
-  return this->WeightsOf(state) > sent.weights_version || this->NextRule(state) != nullptr;
+  if (!state.upstream.is_engine) return false;
+  const std::uint64_t held = this->WeightsOf(state, now);
+  if (held > sent.weights_version) return true;
+  // An engine that loads holds nothing for a while.
+  return this->NextRule(state.upstream.pool, held > 0 ? held : sent.weights_version) != nullptr;
 }
 
-bool Dispatcher::IsAvoided(const UpstreamState& state, const DispatchRequest& request) const {
+bool Dispatcher::IsAvoided(const UpstreamState& state, const DispatchRequest& request,
+                           Instant now) const {
   const std::string& id = state.upstream.id;
   const auto found = std::ranges::find(request.tries, id, &EngineTry::upstream);
   const bool may_return =
-      found != request.tries.end() && this->WeightsOf(state) > found->weights_version;
+      found != request.tries.end() && this->WeightsOf(state, now) > found->weights_version;
   if (may_return) return request.only_former && !found->may_have_run;
   return request.only_former || std::ranges::find(request.avoided, id) != request.avoided.end();
 }
 
 bool Dispatcher::MayUse(const UpstreamState& state, const DispatchRequest& request,
                         Instant now) const {
-  if (this->IsAvoided(state, request)) return false;
+  if (this->IsAvoided(state, request, now)) return false;
   if (this->placement.Check(state.upstream.data_centre, request.homes) != PlacementBar::kNone) {
     return false;
   }
@@ -426,19 +452,13 @@
 bool Dispatcher::IsServing(const UpstreamState& state, Instant now) const {
   if (state.upstream.draining) return false;
   if (this->placement.IsEvacuated(state.upstream.data_centre)) return false;
-  std::uint64_t held = state.upstream.weights_version;
-  const auto apply = [&held](const auto& known) {
-    held = known.weights_version;
-    return known.reachable && known.accepting;
-  };
-  if (this->HasReport(state, now)) {
-    if (!apply(*state.report)) return false;
-  } else if (this->words.IsRefusing(StartOf(state.upstream), now)) {
+  if (!this->HasReport(state, now) && this->words.IsRefusing(StartOf(state.upstream), now)) {
     return false;
-  } else if (state.passed_on && now - state.passed_on_at < this->options.availability_lifetime) {
-    if (!apply(*state.passed_on)) return false;
   }
+  const auto word = this->FreshestWord(state, now);
+  if (word && !word->serves) return false;
   if (!state.upstream.is_engine) return true;
+  const std::uint64_t held = this->WeightsOf(state, now);
   return held > 0 && held >= this->RequiredWeights(state.upstream.pool, now);
 }
 
@@ -554,7 +574,8 @@
   if (candidate.state->upstream.is_engine && !request.rerun && !is_allowed) return false;
   const double slots = std::max(1u, candidate.state->upstream.slots);
   if (!candidate.state->upstream.is_engine) return candidate.load < slots * (1 + kPlainQueueRatio);
-  const WeightsRule* rule = this->NextRule(*candidate.state);
+  const Upstream& engine = candidate.state->upstream;
+  const WeightsRule* rule = this->NextRule(engine.pool, this->WeightsOf(*candidate.state, now));
   const bool begins_in_time =
       rule == nullptr ||
       now + candidate.forecast.first_event < rule->deadline - this->options.outdated_reserve;
@@ -597,16 +618,17 @@
   if (best.left != LeavingReason::kStays) {
     this->leaving.OnLeft(request.pool, upstream.data_centre, best.left, BytesOf(request), now);
   }
+  const std::uint64_t held = upstream.is_engine ? this->WeightsOf(state, now) : 0;
   this->sent[request.attempt] = {.upstream = upstream.id,
                                  .started_unix_ms = upstream.started_unix_ms,
                                  .pool = request.pool,
-                                 .weights_version = upstream.is_engine ? this->WeightsOf(state) : 0,
+                                 .weights_version = held,
                                  .prefill_tokens = static_cast<double>(request.prompt_tokens)};
   return DispatchVerdict{.attempt = request.attempt,
                          .decision = SendTo{.upstream = upstream.id,
                                             .address = upstream.address,
                                             .started_unix_ms = upstream.started_unix_ms,
-                                            .weights_version = this->WeightsOf(state),
+                                            .weights_version = held,
                                             .predicted = best.forecast.first_event,
                                             .load = best.load,
                                             .report_age = LoadAge(state, now),
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -134,7 +134,7 @@
   // Whether this start of the upstream is listed and not known to be leaving.
   bool IsExpectedToStay(const UpstreamStart& start, Instant now) const;
   // Whether the engine's weights at that attempt have been replaced, or are due to be.
-  bool ReplacesWeights(const EngineTry& sent) const;
+  bool ReplacesWeights(const EngineTry& sent, Instant now) const;
 
   DispatchVerdict Submit(DispatchRequest request, Instant now);
   // Returns the waiting requests that are now sent or refused. Must be called periodically while
@@ -203,6 +203,10 @@
     double others = 0;             // requests of other entries at `load_at`
     std::uint32_t sent_since = 0;  // attempts of this entry since `load_at`
   };
+  struct AgentWord {
+    bool serves = false;                                // reachable, and takes requests
+    std::optional<std::uint64_t> weights_version = {};  // nullopt: the engine did not answer
+  };
   struct Sent {
     std::string upstream;
     std::int64_t started_unix_ms = 0;  // of the upstream
@@ -235,7 +239,7 @@
   // Oldest weights version with which engines of `pool` may receive requests; 0: any.
   std::uint64_t RequiredWeights(std::string_view pool, Instant now) const;
   bool MayUse(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
-  bool IsAvoided(const UpstreamState& state, const DispatchRequest& request) const;
+  bool IsAvoided(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
   // Whether new requests of this entry may go to the upstream: to a followed engine or any service.
   bool IsCandidate(const UpstreamState& state, const DispatchRequest& request) const;
   // Whether the upstream accepts requests at all. Depends only on data that all entries have, so
@@ -263,10 +267,15 @@
   void UpdateBorrowable(UpstreamState& state, Instant now);
   // Whether this entry has a free slot in its confirmed share, or room in its part of the queue.
   bool HasOwnSlot(const UpstreamState& state) const;
-  std::uint64_t WeightsOf(const UpstreamState& state) const;
-  // The version that first makes the engine's weights, or weights `held` in `pool`, outdated;
-  // nullptr: none.
-  const WeightsRule* NextRule(const UpstreamState& state) const;
+  // The freshest word of the engine's agent: its own, or one that another entry passed on.
+  std::optional<AgentWord> FreshestWord(const UpstreamState& state, Instant now) const;
+  // The version that the engine holds by the freshest word on it; without one, by its record.
+  std::uint64_t WeightsOf(const UpstreamState& state, Instant now) const;
+  // The version that an attempt which waits at `target` would begin on; nullptr: see FindTarget().
+  std::uint64_t WeightsAt(const Sent& sent, const UpstreamState* target, Instant now) const;
+  // The newest version that any word on this start of the engine named, however old the word is.
+  static std::uint64_t NewestNamed(const UpstreamState& state);
+  // The version that first makes weights `held` in `pool` outdated; nullptr: none.
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // Counts the attempts that go on at an upstream that is listed anew.
   void CountAttempts(UpstreamState& state) const;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -237,6 +237,59 @@
   EXPECT_EQ(outdated.front().attempt, waits.attempt);
 }
 
+// An engine starts again and loads an older version that was staged there; then another entry
+// passes on what was said of its former start. Guards against taking that for the version that it
+// holds, so that requests begin there after the deadline.
+TEST_F(DispatcherTest, LateWordOnAFormerStartDoesNotHideOlderWeights) {
+  this->AddEngine(1, 4);
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "chat",
+                                .address = "10.0.0.1:80",
+                                .data_centre = "dc-a",
+                                .slots = 16,
+                                .started_unix_ms = 7,
+                                .is_engine = true});
+  this->PassOn(1, 4);
+  this->now += seconds(4);
+  const Instant deadline = this->now + milliseconds(1600);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 4, .enforced_at = deadline - milliseconds(1200), .deadline = deadline}});
+  this->Report(1, 0, 3);
+  const DispatchRequest waits = this->Chat();
+  const DispatchVerdict verdict = this->dispatcher.Submit(waits, this->now);
+  const auto* sent = std::get_if<SendTo>(&verdict.decision);
+  ASSERT_NE(sent, nullptr);
+  EXPECT_EQ(sent->weights_version, 3u);
+  DispatchRequest slow = this->Chat();
+  slow.prompt_tokens = 64'000;
+  slow.rerun = true;
+  EXPECT_EQ(this->Submit(slow), "wait") << "it would begin after the deadline";
+  this->now = deadline - milliseconds(400);
+  this->Report(1, 1, 3);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().attempt, waits.attempt);
+  EXPECT_EQ(outdated.front().held, 3u);
+}
+
+// An engine gives up weights that may be corrupt, and loads an older version while a request waits
+// there. Guards against judging the request by the weights as it was sent.
+TEST_F(DispatcherTest, AttemptsAtAnEngineThatWentBackAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 3);
+  const Instant deadline = this->now + seconds(4);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 4, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  this->Report(1, 0, 4);
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->now = deadline - milliseconds(400);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "its record lags behind";
+  this->Report(1, 1, 3);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().held, 3u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
@@ -353,11 +406,11 @@
   rerun.avoided = {"engine-1"};
   rerun.tries = {{.upstream = "engine-1", .weights_version = 1, .may_have_run = true}};
   rerun.only_former = true;
-  EXPECT_FALSE(this->dispatcher.ReplacesWeights(rerun.tries[0]));
+  EXPECT_FALSE(this->dispatcher.ReplacesWeights(rerun.tries[0], this->now));
   this->dispatcher.SetWeightsRules(
       "chat",
       {{.version = 2, .enforced_at = this->now + seconds(6), .deadline = this->now + seconds(6)}});
-  EXPECT_TRUE(this->dispatcher.ReplacesWeights(rerun.tries[0]));
+  EXPECT_TRUE(this->dispatcher.ReplacesWeights(rerun.tries[0], this->now));
   EXPECT_EQ(this->Submit(rerun), "wait");
   this->AddEngine(1, 0);  // loads
   EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -932,7 +932,8 @@
     this->tries.push_back(sent);
     if (!may_have_run) return;
     const auto is_back_soon = [this](const EngineTry& other) {
-      return other.may_have_run && this->relay.dispatcher.ReplacesWeights(other);
+      return other.may_have_run &&
+             this->relay.dispatcher.ReplacesWeights(other, this->relay.loop.Now());
     };
     this->history.may_return =
         end == AttemptEnd::kWithdrawn || std::ranges::any_of(this->tries, is_back_soon);
