Withdraw attempts also from engines that may load an intermediate version

Cause: OutdatedAttempts passed over all attempts at an engine that its agent reports as refusing and without weights. That report does not name the version that is loaded, and it looks the same where the agent cannot reach the engine (no state, and in doubt as the load request is unanswered).

Evidence: both new tests fail on the code before (x86_64; 0 attempts to withdraw where 1 is expected).

Change: an engine that loads is taken to load the oldest version that is newer than what it held, so its queue is left alone until the deadline of the version after that. Only an engine that answers its agent loads. A load that was announced and has not begun was no fault: the report names the older version until the engine gives it up.

An engine that is told to give up weights which may be corrupt may load the same version again; its report looks the same, so attempts there are still passed over.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -228,8 +228,20 @@
   if (target == nullptr) return sent.weights_version;
   const auto word = this->FreshestWord(*target, now);
   const std::uint64_t said = word ? word->weights_version.value_or(0) : 0;
+  if (said > 0) return said;
   // The record may lag behind what was known as the attempt was sent.
-  return said > 0 ? said : std::max(sent.weights_version, target->upstream.weights_version);
+  const std::uint64_t before = std::max(sent.weights_version, target->upstream.weights_version);
+  return this->IsLoading(*target, now) ? this->NextVersion(sent.pool, before) : before;
+}
+
+std::uint64_t Dispatcher::NextVersion(std::string_view pool, std::uint64_t held) const {
+  const auto found = this->weights.find(pool);
+  std::optional<std::uint64_t> next;
+  if (found == this->weights.end()) return held;
+  for (const WeightsRule& rule : found->second) {
+    if (rule.version > held) next = std::min(next.value_or(rule.version), rule.version);
+  }
+  return next.value_or(held);
 }
 
 const WeightsRule* Dispatcher::NextRule(std::string_view pool, std::uint64_t held) const {
@@ -248,7 +260,7 @@
 }
 
 bool Dispatcher::IsLoading(const UpstreamState& state, Instant now) const {
-  return this->HasReport(state, now) && !state.report->accepting &&
+  return this->HasReport(state, now) && state.report->reachable && !state.report->accepting &&
          state.report->weights_version == 0;
 }
 
@@ -287,7 +299,6 @@
     const std::uint64_t held = this->WeightsAt(sent, target, now);
     const WeightsRule* rule = this->NextRule(sent.pool, held);
     if (rule == nullptr || now < rule->deadline - this->options.outdated_reserve) continue;
-    if (target != nullptr && this->IsLoading(*target, now)) continue;
     outdated.push_back({.attempt = attempt,
                         .upstream = sent.upstream,
                         .listed = target != nullptr,
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -275,13 +275,16 @@
   std::uint64_t WeightsAt(const Sent& sent, const UpstreamState* target, Instant now) const;
   // The newest version that any word on this start of the engine named, however old the word is.
   static std::uint64_t NewestNamed(const UpstreamState& state);
+  // The oldest version of `pool` that is newer than `held`; `held` if there is none.
+  std::uint64_t NextVersion(std::string_view pool, std::uint64_t held) const;
   // The version that first makes weights `held` in `pool` outdated; nullptr: none.
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // Counts the attempts that go on at an upstream that is listed anew.
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
   const UpstreamState* FindTarget(const Sent& sent) const;
-  // Whether the engine loads weights, so that requests in its queue begin with the new ones.
+  // Whether the engine loads weights, so that requests in its queue begin with newer ones: with any
+  // version that is newer than those before, as nobody says which one the agent loads.
   bool IsLoading(const UpstreamState& state, Instant now) const;
   double LoadOf(const UpstreamState& state, Instant now) const;
   double SentByOthers(const UpstreamState& state, Instant now) const;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -290,6 +290,44 @@
   EXPECT_EQ(outdated.front().held, 3u);
 }
 
+// Versions 3 and 4 are announced in a row, and an engine loads one of them past the end of the time
+// of 4. Guards against requests in its queue that begin with version 3 after that.
+TEST_F(DispatcherTest, AttemptsAtAnEngineThatMayLoadAnIntermediateVersionAreWithdrawn) {
+  this->AddEngine(1, 2);
+  const Instant third = this->now + seconds(4);
+  const Instant fourth = third + seconds(1);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 3, .enforced_at = third - seconds(1), .deadline = third},
+               {.version = 4, .enforced_at = fourth - seconds(1), .deadline = fourth}});
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->now = third - milliseconds(400);
+  this->Report(1, 1, 0, false);
+  EXPECT_TRUE(this->dispatcher.OutdatedAttempts(this->now).empty()) << "either of them will do";
+  this->now = fourth - milliseconds(400);
+  this->Report(1, 1, 0, false);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().wanted, 4u);
+}
+
+// An engine stands still with a load request that it has not answered. Guards against taking it for
+// one that loads, so that requests in its queue begin with the older weights as it wakes.
+TEST_F(DispatcherTest, AttemptsAtAnEngineThatDoesNotAnswerItsAgentAreWithdrawn) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(4);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  const DispatchRequest waits = this->Chat();
+  EXPECT_EQ(this->Submit(waits), "engine-1");
+  this->now = deadline - milliseconds(400);
+  this->dispatcher.AddReport({.address = "10.0.0.1:80", .reachable = false, .accepting = false},
+                             this->now);
+  const std::vector<OutdatedAttempt> outdated = this->dispatcher.OutdatedAttempts(this->now);
+  ASSERT_EQ(outdated.size(), 1u);
+  EXPECT_EQ(outdated.front().held, 1u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
