Keep only attempts that have begun at a silent upstream

What callers would see besides (relay_session_test only): a stream that ends as if complete before its last piece.

Cause: OnSilence kept the attempt of any stream of which a part had been delivered, also of an attempt that had not begun itself. Relay::Impl::WithdrawOutdated finds requests by the attempt in progress, so the kept one was never withdrawn while another upstream was tried. Its handler passes over the head of the answer as one that was received before: the end of a late refusal without a body was taken for the end of the stream. By reading: a second silent upstream replaced the kept attempt without a report of its end, so that its slot stayed taken in the dispatcher; and once it returned, the dispatcher did not learn that it had begun and would have withdrawn it in the midst of the stream.

Change: an attempt is kept only if an event of it was passed on. One that has not begun is given up, as it is before a part was delivered. So a kept attempt has begun for the dispatcher as well, and a stream that resumes there is no new begin.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -745,7 +745,8 @@
     // The limit may have been set before the answer began.
     if (this->finished || !this->call || !MayRerun(this->history)) return;
     if (!this->CouldLeaveUpstream()) return this->silence->Set(kSilenceRecheck);
-    if (this->history.delivered) return this->TryAnotherUpstream();
+    // An attempt that has not begun could begin late, or be refused.
+    if (this->first_event_at) return this->TryAnotherUpstream();
     this->call.reset();
     this->EndAttempt(AttemptEnd::kSilent);
   }
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -97,6 +97,8 @@
     add("book", RequestKind::kNonIdempotent, false);
     add("chat", RequestKind::kStream, true);
     add("feed", RequestKind::kStream, false);
+    add("talk", RequestKind::kStream, true);
+    rules.routes.back().max_attempts = 4;
     rules.pools.push_back({.name = "pool"});
     rules.accounts.push_back({.name = "kochi", .api_keys = {"k1"}});
     this->relay.SetRules(std::make_shared<const RoutingIndex>(std::move(rules)));
@@ -288,6 +290,7 @@
 
   void TearDown() override {
     this->call.reset();
+    this->held_up.reset();
     this->held.clear();
   }
 
@@ -308,6 +311,7 @@
       loop, {}, [this](const SharedExchange& exchange) { this->relay.Serve(exchange); }};
   std::map<std::string, std::unique_ptr<AsyncHttpServer>> servers;
   std::map<std::string, std::vector<Behaviour>> behaviours;
+  SharedExchange held_up;            // is answered later
   std::vector<SharedExchange> held;  // keeps the exchanges alive until the test ends
   std::unique_ptr<HttpCall> call;
   std::string body;
@@ -890,6 +894,55 @@
   ExpectGoldenText("outdated_engine", this->printed);
 }
 
+// A begun stream waits for its first event at upstream "b", which holds older weights and stands
+// still, and then at "c", which holds the new ones. Guards against an attempt at "b" that stays
+// open and begins there after the deadline.
+TEST_F(RelaySession, SilentAttemptThatHasNotBegunIsNotKept) {
+  this->AddUpstream("c", 26935, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "home", 1);
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  this->behaviours["a"] = {Events(1, 3, false)};
+  this->behaviours["b"] = {
+      [this](const SharedExchange&) { this->SetEngine("c", 26935, "away", 2); }};
+  this->behaviours["c"] = {[this](const SharedExchange& exchange) {
+    this->relay.RequestDispatcher().SetWeightsRules("pool",
+                                                    {{.version = 2, .deadline = this->loop.Now()}});
+    this->loop.After(milliseconds(100), [this, exchange] {
+      this->Print("c begins");
+      Events(4, 5, true)(exchange);
+    });
+  }};
+  this->Call("POST", "/talk/1", "prompt");
+  EXPECT_LT(this->printed.find("b is cancelled"), this->printed.find("c begins")) << this->printed;
+  EXPECT_NE(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
+}
+
+// A begun stream waits for its first event at a silent upstream, which refuses it while another one
+// is tried. Guards against taking the end of the refusal for the end of the stream.
+TEST_F(RelaySession, LateRefusalDoesNotEndABegunStream) {
+  this->AddUpstream("c", 26935, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "home", 1);
+  this->behaviours["a"] = {Events(1, 3, false)};
+  this->behaviours["b"] = {[this](const SharedExchange& exchange) {
+    this->SetEngine("c", 26935, "away", 1);
+    this->held_up = exchange;
+  }};
+  this->behaviours["c"] = {[this](const SharedExchange& exchange) {
+    if (!this->held_up->IsOver()) {
+      AnswerWith(503, "", {{.name = "Not-Run", .value = "1"}})(this->held_up);
+    }
+    this->loop.After(milliseconds(50), [exchange] {
+      if (!exchange->IsOver()) Events(4, 5, true)(exchange);
+    });
+  }};
+  this->Call("POST", "/talk/1", "prompt");
+  EXPECT_NE(this->printed.find("id: 5|data: e||"), std::string::npos) << this->printed;
+}
+
 // Guards against forwarding requests without a route or a valid API key, or while the entry is
 // stopping.
 TEST_F(RelaySession, UnroutableRequestsReachNoUpstream) {
