Withdraw whole answers that wait at an engine with outdated weights

Cause: RelayedRequest::WithdrawOutdated acted on streams only, as only their events told the dispatcher that a request had begun.

Evidence: the new test fails on the code before (x86_64; 0 attempts withdrawn where 1 is expected).

Change: the head of an answer that is no stream shows that it has begun. Attempts of requests that may be repeated and of which no head has arrived are withdrawn as those of streams are. Requests that must not run twice are left alone: their callers could not be told whether they ran.

An engine that sends the head only with the whole answer may be at work on it by then, and its work is lost.

--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -145,7 +145,8 @@
   // Removes a waiting request.
   void Withdraw(AttemptNumber attempt);
 
-  // The first event arrived, so the prompt has been processed.
+  // The first event of a stream, or the head of another answer, arrived: the prompt has been
+  // processed.
   void OnFirstEvent(AttemptNumber attempt);
   // Attempts of this entry at the upstream, listed or not, whose first event has not arrived.
   std::size_t WaitingAt(std::string_view upstream) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -240,6 +240,8 @@
     this->answer_not_run = answer.not_run;
     this->answer_misdirected = answer.misdirected;
     this->answer_streams = head.status == 200 && IsEventStream(head);
+    // The head of a stream may come before it begins.
+    if (!this->answer_streams) this->relay.dispatcher.OnFirstEvent(this->attempt);
     this->ends_with_connection = EndsWithConnection(head);
     this->ignored_bytes = 0;
     if (!this->history.delivered) {
@@ -834,9 +836,11 @@
     return this->relay.dispatcher.CouldSend(request, now);
   }
 
-  // Only the events of a stream show whether a request has begun.
+  // The caller of a request that must not run twice could not be told whether it ran: it is left
+  // there.
   void WithdrawOutdated(const OutdatedAttempt& outdated) {
-    if (this->finished || !this->call || this->route.kind != RequestKind::kStream) return;
+    if (this->finished || !this->call) return;
+    if (this->route.kind != RequestKind::kStream && !MayRerun(this->history)) return;
     Log(LogLevel::kInfo, "attempt_withdrawn",
         {{"request", this->metadata.attempt_id},
          {"upstream", outdated.upstream},
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -894,6 +894,49 @@
   ExpectGoldenText("outdated_engine", this->printed);
 }
 
+// Whole answers wait at upstream "a" as its weights become outdated. Guards against a request that
+// begins with them, one that is run again though its answer has begun, and a second run of one that
+// must not run twice.
+TEST_F(RelaySession, WholeAnswerAtOutdatedEngineIsWithdrawn) {
+  const Counter& withdrawn = this->metrics.CounterFor("savory_attempts_withdrawn_total");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 2);
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  const auto outdate = [this](const SharedExchange&) {
+    this->relay.RequestDispatcher().SetWeightsRules("pool",
+                                                    {{.version = 2, .deadline = this->loop.Now()}});
+  };
+  const auto call = [&](const std::string& target, const Behaviour& behaviour) {
+    this->printed.clear();
+    this->relay.RequestDispatcher().SetWeightsRules("pool", {});
+    this->RunFor(2 * DispatcherOptions().shares_period);
+    this->behaviours["a"] = {behaviour};
+    this->Call("POST", target, "prompt");
+  };
+  call("/read/1", outdate);
+  EXPECT_EQ(withdrawn.Value(), 1u);
+  EXPECT_NE(this->printed.find("whole answer: from b"), std::string::npos) << this->printed;
+  const auto answer_later = [this, outdate](const SharedExchange& exchange) {
+    outdate(exchange);
+    this->loop.After(milliseconds(60), [exchange] { AnswerWith(200, "from a")(exchange); });
+  };
+  call("/book/1", answer_later);
+  EXPECT_NE(this->printed.find("whole answer: from a"), std::string::npos) << this->printed;
+  call("/read/2", [this, outdate](const SharedExchange& exchange) {
+    exchange->BeginStream(
+        200, std::vector<HttpField>{
+                 {.name = "Id", .value = std::string(FieldValue(exchange->Head().fields, "Id"))}});
+    exchange->SendPart("from ");
+    this->loop.After(milliseconds(20), [exchange, outdate] { outdate(exchange); });
+    this->loop.After(milliseconds(80), [exchange] {
+      exchange->SendPart("a");
+      exchange->EndStream();
+    });
+  });
+  EXPECT_NE(this->printed.find("whole answer: from a"), std::string::npos) << this->printed;
+  EXPECT_EQ(withdrawn.Value(), 1u);
+}
+
 // A begun stream waits for its first event at upstream "b", which holds older weights and stands
 // still, and then at "c", which holds the new ones. Guards against an attempt at "b" that stays
 // open and begins there after the deadline.
