--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -135,7 +135,7 @@
   // Whether this start of the upstream is listed and not known to be leaving.
   bool IsExpectedToStay(const UpstreamStart& start, Instant now) const;
   // Whether the engine's weights at that attempt have been replaced, or are due to be.
-  bool ReplacesWeights(const EngineTry& sent) const;
+  bool ReplacesWeights(const EngineTry& sent, Instant now) const;
 
   DispatchVerdict Submit(DispatchRequest request, Instant now);
   // Returns the waiting requests that are now sent or refused. Must be called periodically while
@@ -146,7 +146,8 @@
   // Removes a waiting request.
   void Withdraw(AttemptNumber attempt);
 
-  // The first event arrived, so the prompt has been processed.
+  // The first event of a stream, or the head of another answer, arrived: the prompt has been
+  // processed.
   void OnFirstEvent(AttemptNumber attempt, Instant now);
   // Attempts of this entry at the upstream, listed or not, whose first event has not arrived.
   std::size_t WaitingAt(std::string_view upstream) const;
@@ -205,6 +206,10 @@
     double others = 0;             // requests of other entries at `load_at`
     std::uint32_t sent_since = 0;  // attempts of this entry since `load_at`
   };
+  struct AgentWord {
+    bool serves = false;                                // reachable, and takes requests
+    std::optional<std::uint64_t> weights_version = {};  // nullopt: the engine did not answer
+  };
   struct Sent {
     std::string upstream;
     std::int64_t started_unix_ms = 0;  // of the upstream
@@ -238,7 +243,7 @@
   // Oldest weights version with which engines of `pool` may receive requests; 0: any.
   std::uint64_t RequiredWeights(std::string_view pool, Instant now) const;
   bool MayUse(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
-  bool IsAvoided(const UpstreamState& state, const DispatchRequest& request) const;
+  bool IsAvoided(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
   // Whether new requests of this entry may go to the upstream: to a followed engine or any service.
   bool IsCandidate(const UpstreamState& state, const DispatchRequest& request) const;
   // Whether the upstream accepts requests at all. Depends only on data that all entries have, so
@@ -266,10 +271,17 @@
   void UpdateBorrowable(UpstreamState& state, Instant now);
   // Whether this entry has a free slot in its confirmed share, or room in its part of the queue.
   bool HasOwnSlot(const UpstreamState& state) const;
-  std::uint64_t WeightsOf(const UpstreamState& state) const;
-  // The version that first makes the engine's weights, or weights `held` in `pool`, outdated;
-  // nullptr: none.
-  const WeightsRule* NextRule(const UpstreamState& state) const;
+  // The freshest word of the engine's agent: its own, or one that another entry passed on.
+  std::optional<AgentWord> FreshestWord(const UpstreamState& state, Instant now) const;
+  // The version that the engine holds by the freshest word on it; without one, by its record.
+  std::uint64_t WeightsOf(const UpstreamState& state, Instant now) const;
+  // The version that an attempt which waits at `target` would begin on; nullptr: see FindTarget().
+  std::uint64_t WeightsAt(const Sent& sent, const UpstreamState* target, Instant now) const;
+  // The newest version that any word on this start of the engine named, however old the word is.
+  static std::uint64_t NewestNamed(const UpstreamState& state);
+  // The oldest version of `pool` that is newer than `held`; `held` if there is none.
+  std::uint64_t NextVersion(std::string_view pool, std::uint64_t held) const;
+  // The version that first makes weights `held` in `pool` outdated; nullptr: none.
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // The attempt waits for its first event no more. Returns its upstream; nullptr if not listed.
   UpstreamState* EndPrefill(Sent& sent);
@@ -277,7 +289,8 @@
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
   const UpstreamState* FindTarget(const Sent& sent) const;
-  // Whether the engine loads weights, so that requests in its queue begin with the new ones.
+  // Whether the engine loads weights, so that requests in its queue begin with newer ones: with any
+  // version that is newer than those before, as nobody says which one the agent loads.
   bool IsLoading(const UpstreamState& state, Instant now) const;
   double LoadOf(const UpstreamState& state, Instant now) const;
   double SentByOthers(const UpstreamState& state, Instant now) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -240,6 +240,10 @@
     this->answer_not_run = answer.not_run;
     this->answer_misdirected = answer.misdirected;
     this->answer_streams = head.status == 200 && IsEventStream(head);
+    // The head of a stream may come before it begins.
+    if (!this->answer_streams && !answer.not_run) {
+      this->relay.dispatcher.OnFirstEvent(this->attempt, this->relay.loop.Now());
+    }
     this->ends_with_connection = EndsWithConnection(head);
     this->ignored_bytes = 0;
     if (!this->history.delivered) {
@@ -745,7 +749,8 @@
     // The limit may have been set before the answer began.
     if (this->finished || !this->call || !MayRerun(this->history)) return;
     if (!this->CouldLeaveUpstream()) return this->silence->Set(kSilenceRecheck);
-    if (this->history.delivered) return this->TryAnotherUpstream();
+    // An attempt that has not begun could begin late, or be refused.
+    if (this->first_event_at) return this->TryAnotherUpstream();
     this->call.reset();
     this->EndAttempt(AttemptEnd::kSilent);
   }
@@ -833,9 +838,11 @@
     return this->relay.dispatcher.CouldSend(request, now);
   }
 
-  // Only the events of a stream show whether a request has begun.
+  // The caller of a request that must not run twice could not be told whether it ran: it is left
+  // there.
   void WithdrawOutdated(const OutdatedAttempt& outdated) {
-    if (this->finished || !this->call || this->route.kind != RequestKind::kStream) return;
+    if (this->finished || !this->call) return;
+    if (this->route.kind != RequestKind::kStream && !MayRerun(this->history)) return;
     Log(LogLevel::kInfo, "attempt_withdrawn",
         {{"request", this->metadata.attempt_id},
          {"upstream", outdated.upstream},
@@ -932,7 +939,8 @@
     this->tries.push_back(sent);
     if (!may_have_run) return;
     const auto is_back_soon = [this](const EngineTry& other) {
-      return other.may_have_run && this->relay.dispatcher.ReplacesWeights(other);
+      return other.may_have_run &&
+             this->relay.dispatcher.ReplacesWeights(other, this->relay.loop.Now());
     };
     this->history.may_return =
         end == AttemptEnd::kWithdrawn || std::ranges::any_of(this->tries, is_back_soon);
