--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -237,6 +237,21 @@
   EXPECT_EQ(outdated.front().attempt, waits.attempt);
 }
 
+// The record of an engine names newer weights than its agent, who goes before it, reports. Guards
+// against an attempt that is not withdrawn as the record says more than the engine holds.
+TEST_F(DispatcherTest, AttemptsAreJudgedByTheReportedWeights) {
+  this->AddEngine(1, 2);
+  this->Report(1, 0, 1);
+  const Instant deadline = this->now + milliseconds(1400);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->now = deadline - milliseconds(400);
+  this->Report(1, 1, 1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
