--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -252,6 +252,19 @@
   EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
 }
 
+// An engine whose weights were corrupt gives them up and loads the version before, in the same
+// start. Guards against judging an attempt there by the version as it was sent.
+TEST_F(DispatcherTest, AttemptsAtAnEngineThatWentBackAreWithdrawn) {
+  this->AddEngine(1, 2);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->AddEngine(1, 1);
+  this->now = deadline - milliseconds(400);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
