--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -265,6 +265,24 @@
   EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
 }
 
+// An engine goes over to a pool whose versions have higher numbers. Guards against judging an
+// attempt of its former pool by them.
+TEST_F(DispatcherTest, AttemptsOfAFormerPoolAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "code",
+                                .address = "10.0.0.1:80",
+                                .slots = 16,
+                                .weights_version = 9,
+                                .is_engine = true});
+  this->now = deadline - milliseconds(400);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
