--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -283,6 +283,19 @@
   EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
 }
 
+// An engine is ejected and loses its record for a moment. Guards against an ejection that ends with
+// the record.
+TEST_F(DispatcherTest, EjectionOutlastsTheRecord) {
+  this->AddEngine(1);
+  const DispatchRequest fails = this->Chat();
+  EXPECT_EQ(this->Submit(fails), "engine-1");
+  this->dispatcher.OnEnded(fails.attempt, AttemptResult::kUnreachable, this->now);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->dispatcher.RemoveUpstream("engine-1");
+  this->AddEngine(1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
