--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -296,6 +296,28 @@
   EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
 }
 
+// An attempt at a former start of an engine fails late. Guards against ejecting the later start.
+TEST_F(DispatcherTest, EndsOfAFormerStartDoNotEjectTheLaterOne) {
+  this->AddEngine(1);
+  std::vector<DispatchRequest> former;
+  for (int i = 0; i < 3; ++i) {
+    former.push_back(this->Chat());
+    EXPECT_EQ(this->Submit(former.back()), "engine-1");
+  }
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "chat",
+                                .address = "10.0.0.1:80",
+                                .data_centre = "dc-a",
+                                .slots = 16,
+                                .started_unix_ms = 7,
+                                .weights_version = 1,
+                                .is_engine = true});
+  for (const DispatchRequest& request : former) {
+    this->dispatcher.OnEnded(request.attempt, AttemptResult::kErrored, this->now);
+  }
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
 // Guards against requests to an engine that is draining, holds no weights, or is about to load
 // weights.
 TEST_F(DispatcherTest, UnusableEnginesGetNoRequests) {
