--- a/src/relay/dispatcher_placement_test.cc
+++ b/src/relay/dispatcher_placement_test.cc
@@ -224,5 +224,40 @@
   EXPECT_EQ(send(30), 30);
 }
 
+// The record of a cold upstream disappears for a moment. Guards against requests beyond the bound as
+// it is listed again, and against a cold notice that comes meanwhile and is lost.
+TEST_F(DispatcherPlacementTest, ColdUpstreamStaysColdWithoutItsRecord) {
+  Random own_random{7};
+  DispatcherOptions options{.data_centre = "dc-a", .entry = "only"};
+  options.placement.cold = {.overrun = 1.5, .slack = 5, .started = Instant()};
+  for (const bool is_said_meanwhile : {false, true}) {
+    Dispatcher alone(options, own_random);
+    RoutingRules rules{.version = 1};
+    rules.pools.push_back(
+        {.name = "ledger", .cold = {.after_start = seconds(3), .requests_per_second = 10}});
+    EXPECT_TRUE(alone.SetRules(std::make_shared<const RoutingIndex>(std::move(rules))).empty());
+    const Upstream upstream{.id = "u",
+                            .pool = "ledger",
+                            .address = "10.0.0.1:80",
+                            .data_centre = "dc-a",
+                            .slots = 100};
+    alone.SetUpstream(upstream);
+    if (!is_said_meanwhile) alone.SetCold("u", seconds(3), this->now);
+    alone.RemoveUpstream("u");
+    if (is_said_meanwhile) alone.SetCold("u", seconds(3), this->now);
+    alone.SetUpstream(upstream);
+    int sent = 0;
+    for (int i = 0; i < 30; ++i) {
+      DispatchRequest request = this->Chat();
+      request.pool = "ledger";
+      const DispatchVerdict verdict = alone.Submit(request, this->now);
+      if (std::holds_alternative<SendTo>(verdict.decision)) ++sent;
+      alone.OnEnded(request.attempt, AttemptResult::kServed, this->now);
+      alone.Withdraw(request.attempt);
+    }
+    EXPECT_EQ(sent, 10) << is_said_meanwhile;
+  }
+}
+
 }  // namespace
 }  // namespace savory
