--- a/src/relay/dispatcher_placement_test.cc
+++ b/src/relay/dispatcher_placement_test.cc
@@ -259,5 +259,38 @@
   }
 }
 
+// An upstream has no record as its data centre is taken back. Guards against requests beyond the bound
+// as it is listed again.
+TEST_F(DispatcherPlacementTest, UnlistedUpstreamOfAReturningDataCentreIsCold) {
+  Random own_random{7};
+  DispatcherOptions options{.data_centre = "dc-a", .entry = "only"};
+  options.placement.cold = {.overrun = 1.5, .slack = 5, .started = Instant()};
+  Dispatcher alone(options, own_random);
+  RoutingRules rules{.version = 1};
+  rules.pools.push_back(
+      {.name = "ledger", .cold = {.after_start = seconds(3), .requests_per_second = 10}});
+  EXPECT_TRUE(alone.SetRules(std::make_shared<const RoutingIndex>(std::move(rules))).empty());
+  const Upstream upstream{.id = "u",
+                          .pool = "ledger",
+                          .address = "10.0.0.1:80",
+                          .data_centre = "dc-a",
+                          .slots = 100};
+  alone.SetUpstream(upstream);
+  alone.SetEvacuated("dc-a", true, this->now);
+  alone.RemoveUpstream("u");
+  alone.SetEvacuated("dc-a", false, this->now);
+  alone.SetUpstream(upstream);
+  int sent = 0;
+  for (int i = 0; i < 30; ++i) {
+    DispatchRequest request = this->Chat();
+    request.pool = "ledger";
+    const DispatchVerdict verdict = alone.Submit(request, this->now);
+    if (std::holds_alternative<SendTo>(verdict.decision)) ++sent;
+    alone.OnEnded(request.attempt, AttemptResult::kServed, this->now);
+    alone.Withdraw(request.attempt);
+  }
+  EXPECT_EQ(sent, 10);
+}
+
 }  // namespace
 }  // namespace savory
