--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -97,6 +97,8 @@
     add("book", RequestKind::kNonIdempotent, false);
     add("chat", RequestKind::kStream, true);
     add("feed", RequestKind::kStream, false);
+    add("long", RequestKind::kStream, true);
+    rules.routes.back().max_attempts = 4;
     rules.pools.push_back({.name = "pool"});
     rules.accounts.push_back({.name = "kochi", .api_keys = {"k1"}});
     this->relay.SetRules(std::make_shared<const RoutingIndex>(std::move(rules)));
@@ -648,6 +650,37 @@
   EXPECT_NE(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
 }
 
+// A begun stream goes on at an engine that falls silent before its first event there, so that it is
+// kept while another one is tried. Guards against a silent attempt that is not withdrawn as its
+// engine's weights become outdated, and begins with them later.
+TEST_F(RelaySession, SilentAttemptThatHasNotBegunIsWithdrawn) {
+  for (const std::string id : {"a", "b"}) this->relay.RequestDispatcher().RemoveUpstream(id);
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 1);
+  this->AddUpstream("c", 26934, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  bool began_late = false;
+  this->behaviours["a"] = {Events(1, 2, false)};
+  this->behaviours["b"] = {[this, &began_late](const SharedExchange& exchange) {
+    // "b" stands still; meanwhile "c" holds the newer weights, and the time of the older ones ends.
+    this->SetEngine("c", 26934, "away", 2);
+    this->loop.After(milliseconds(900), [this] {
+      this->relay.RequestDispatcher().SetWeightsRules(
+          "pool", {{.version = 2, .deadline = this->loop.Now()}});
+    });
+    this->loop.After(milliseconds(1100), [&began_late, exchange] {
+      began_late = !exchange->IsOver();
+      if (began_late) Events(3, 4, true)(exchange);
+    });
+  }};
+  this->behaviours["c"] = {Silent()};
+  this->Call("POST", "/long/1", "prompt");
+  EXPECT_NE(this->printed.find("c gets POST /long/1 after event 2"), std::string::npos)
+      << this->printed;
+  EXPECT_FALSE(began_late) << this->printed;
+}
+
 // Both engines interrupt a begun stream for new weights; the first one is back, and is lost before
 // it answers. Guards against a stream that is reset though the second one is back soon.
 TEST_F(RelaySession, BegunStreamReturnsToTheOtherEngineThatInterruptedIt) {
