--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -681,6 +681,25 @@
   EXPECT_FALSE(began_late) << this->printed;
 }
 
+// As above, but the silent engine rejects the request as it wakes. Guards against a rejection that
+// is taken for the end of the stream.
+TEST_F(RelaySession, RejectionBySilentUpstreamDoesNotCompleteTheStream) {
+  this->AddUpstream("c", 26934, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->behaviours["a"] = {Events(1, 2, false)};
+  this->behaviours["b"] = {[this](const SharedExchange& exchange) {
+    this->SetUpstream("c", 26934, "away");
+    this->loop.After(milliseconds(900), [exchange] {
+      AnswerWith(503, "", {{.name = "Not-Run", .value = "1"}})(exchange);
+    });
+  }};
+  this->behaviours["c"] = {Silent()};
+  this->Call("POST", "/long/1", "prompt");
+  EXPECT_NE(this->printed.find("c gets POST /long/1 after event 2"), std::string::npos)
+      << this->printed;
+  EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
+}
+
 // Both engines interrupt a begun stream for new weights; the first one is back, and is lost before
 // it answers. Guards against a stream that is reset though the second one is back soon.
 TEST_F(RelaySession, BegunStreamReturnsToTheOtherEngineThatInterruptedIt) {
