--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -700,6 +700,27 @@
   EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
 }
 
+// An engine sends a comment while a request waits in its queue. Guards against taking the comment
+// for the beginning, so that the request is not withdrawn.
+TEST_F(RelaySession, AttemptThatOnlyGotACommentIsWithdrawn) {
+  const Counter& withdrawn = this->metrics.CounterFor("savory_attempts_withdrawn_total");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 2);
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  this->behaviours["a"] = {[this](const SharedExchange& exchange) {
+    exchange->BeginStream(
+        200, std::vector<HttpField>{{.name = "Content-Type", .value = "text/event-stream"}});
+    exchange->SendPart(": queued\n\n");
+    this->loop.After(milliseconds(40), [this] {
+      this->relay.RequestDispatcher().SetWeightsRules(
+          "pool", {{.version = 2, .deadline = this->loop.Now()}});
+    });
+  }};
+  this->behaviours["b"] = {Events(1, 2, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(withdrawn.Value(), 1u) << this->printed;
+}
+
 // Both engines interrupt a begun stream for new weights; the first one is back, and is lost before
 // it answers. Guards against a stream that is reset though the second one is back soon.
 TEST_F(RelaySession, BegunStreamReturnsToTheOtherEngineThatInterruptedIt) {
