--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -721,6 +721,30 @@
   EXPECT_EQ(withdrawn.Value(), 1u) << this->printed;
 }
 
+// An engine ends and starts again, and its later start is listed before the entry notices the lost
+// connection. Guards against a crash that counts for no request.
+TEST_F(RelaySession, CrashCountsThoughTheLaterStartIsListedFirst) {
+  const auto list = [this](std::int64_t started_unix_ms) {
+    this->relay.RequestDispatcher().SetUpstream({.id = "a",
+                                                 .pool = "pool",
+                                                 .address = "127.0.0.1:26932",
+                                                 .data_centre = "home",
+                                                 .slots = 4,
+                                                 .started_unix_ms = started_unix_ms});
+    this->relay.Crashes().OnUpstreamListed(
+        {.id = "a", .address = "127.0.0.1:26932", .started_unix_ms = started_unix_ms});
+  };
+  list(5);
+  this->behaviours["a"] = {[list](const SharedExchange& exchange) {
+    list(6);
+    exchange->Abort();
+  }};
+  this->Call("GET", "/read/1");
+  EXPECT_NE(this->printed.find("a gets GET /read/1"), std::string::npos) << this->printed;
+  this->RunFor(seconds(1));
+  EXPECT_TRUE(this->relay.Crashes().HasSuspects());
+}
+
 // Both engines interrupt a begun stream for new weights; the first one is back, and is lost before
 // it answers. Guards against a stream that is reset though the second one is back soon.
 TEST_F(RelaySession, BegunStreamReturnsToTheOtherEngineThatInterruptedIt) {
