--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -269,6 +269,87 @@
   EXPECT_EQ(outdated.front().attempt, waits.attempt);
 }
 
+// The record of an engine names newer weights than its agent, who goes before it, reports. Guards
+// against an attempt that is not withdrawn as the record says more than the engine holds.
+TEST_F(DispatcherTest, AttemptsAreJudgedByTheReportedWeights) {
+  this->AddEngine(1, 2);
+  this->Report(1, 0, 1);
+  const Instant deadline = this->now + milliseconds(1400);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->now = deadline - milliseconds(400);
+  this->Report(1, 1, 1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
+// An engine whose weights were corrupt gives them up and loads the version before, in the same
+// start. Guards against judging an attempt there by the version as it was sent.
+TEST_F(DispatcherTest, AttemptsAtAnEngineThatWentBackAreWithdrawn) {
+  this->AddEngine(1, 2);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->AddEngine(1, 1);
+  this->now = deadline - milliseconds(400);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
+// An engine goes over to a pool whose versions have higher numbers. Guards against judging an
+// attempt of its former pool by them.
+TEST_F(DispatcherTest, AttemptsOfAFormerPoolAreWithdrawnBeforeTheDeadline) {
+  this->AddEngine(1, 1);
+  const Instant deadline = this->now + seconds(8);
+  this->dispatcher.SetWeightsRules(
+      "chat", {{.version = 2, .enforced_at = deadline - seconds(1), .deadline = deadline}});
+  EXPECT_EQ(this->Submit(this->Chat()), "engine-1");
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "code",
+                                .address = "10.0.0.1:80",
+                                .slots = 16,
+                                .weights_version = 9,
+                                .is_engine = true});
+  this->now = deadline - milliseconds(400);
+  EXPECT_EQ(this->dispatcher.OutdatedAttempts(this->now).size(), 1u);
+}
+
+// An engine is ejected and loses its record for a moment. Guards against an ejection that ends with
+// the record.
+TEST_F(DispatcherTest, EjectionOutlastsTheRecord) {
+  this->AddEngine(1);
+  const DispatchRequest fails = this->Chat();
+  EXPECT_EQ(this->Submit(fails), "engine-1");
+  this->dispatcher.OnEnded(fails.attempt, AttemptResult::kUnreachable, this->now);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+  this->dispatcher.RemoveUpstream("engine-1");
+  this->AddEngine(1);
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 0u);
+}
+
+// An attempt at a former start of an engine fails late. Guards against ejecting the later start.
+TEST_F(DispatcherTest, EndsOfAFormerStartDoNotEjectTheLaterOne) {
+  this->AddEngine(1);
+  std::vector<DispatchRequest> former;
+  for (int i = 0; i < 3; ++i) {
+    former.push_back(this->Chat());
+    EXPECT_EQ(this->Submit(former.back()), "engine-1");
+  }
+  this->dispatcher.SetUpstream({.id = "engine-1",
+                                .pool = "chat",
+                                .address = "10.0.0.1:80",
+                                .data_centre = "dc-a",
+                                .slots = 16,
+                                .started_unix_ms = 7,
+                                .weights_version = 1,
+                                .is_engine = true});
+  for (const DispatchRequest& request : former) {
+    this->dispatcher.OnEnded(request.attempt, AttemptResult::kErrored, this->now);
+  }
+  EXPECT_EQ(this->dispatcher.Usable("chat", this->now), 1u);
+}
+
 // An engine starts again and loads an older version that was staged there; then another entry
 // passes on what was said of its former start. Guards against taking that for the version that it
 // holds, so that requests begin there after the deadline.
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -652,6 +652,101 @@
   EXPECT_NE(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
 }
 
+// A begun stream goes on at an engine that falls silent before its first event there, so that it is
+// kept while another one is tried. Guards against a silent attempt that is not withdrawn as its
+// engine's weights become outdated, and begins with them later.
+TEST_F(RelaySession, SilentAttemptThatHasNotBegunIsWithdrawn) {
+  for (const std::string id : {"a", "b"}) this->relay.RequestDispatcher().RemoveUpstream(id);
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 1);
+  this->AddUpstream("c", 26934, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  bool began_late = false;
+  this->behaviours["a"] = {Events(1, 2, false)};
+  this->behaviours["b"] = {[this, &began_late](const SharedExchange& exchange) {
+    // "b" stands still; meanwhile "c" holds the newer weights, and the time of the older ones ends.
+    this->SetEngine("c", 26934, "away", 2);
+    this->loop.After(milliseconds(900), [this] {
+      this->relay.RequestDispatcher().SetWeightsRules(
+          "pool", {{.version = 2, .deadline = this->loop.Now()}});
+    });
+    this->loop.After(milliseconds(1100), [&began_late, exchange] {
+      began_late = !exchange->IsOver();
+      if (began_late) Events(3, 4, true)(exchange);
+    });
+  }};
+  this->behaviours["c"] = {Silent()};
+  this->Call("POST", "/talk/1", "prompt");
+  EXPECT_NE(this->printed.find("c gets POST /talk/1 after event 2"), std::string::npos)
+      << this->printed;
+  EXPECT_FALSE(began_late) << this->printed;
+}
+
+// As above, but the silent engine rejects the request as it wakes. Guards against a rejection that
+// is taken for the end of the stream.
+TEST_F(RelaySession, RejectionBySilentUpstreamDoesNotCompleteTheStream) {
+  this->AddUpstream("c", 26934, "away");
+  this->relay.RequestDispatcher().RemoveUpstream("c");
+  this->behaviours["a"] = {Events(1, 2, false)};
+  this->behaviours["b"] = {[this](const SharedExchange& exchange) {
+    this->SetUpstream("c", 26934, "away");
+    this->loop.After(milliseconds(900), [exchange] {
+      AnswerWith(503, "", {{.name = "Not-Run", .value = "1"}})(exchange);
+    });
+  }};
+  this->behaviours["c"] = {Silent()};
+  this->Call("POST", "/talk/1", "prompt");
+  EXPECT_NE(this->printed.find("c gets POST /talk/1 after event 2"), std::string::npos)
+      << this->printed;
+  EXPECT_EQ(this->printed.find("caller has whole answer"), std::string::npos) << this->printed;
+}
+
+// An engine sends a comment while a request waits in its queue. Guards against taking the comment
+// for the beginning, so that the request is not withdrawn.
+TEST_F(RelaySession, AttemptThatOnlyGotACommentIsWithdrawn) {
+  const Counter& withdrawn = this->metrics.CounterFor("savory_attempts_withdrawn_total");
+  this->SetEngine("a", 26932, "home", 1);
+  this->SetEngine("b", 26933, "away", 2);
+  this->loop.Every(milliseconds(20), [this] { this->relay.WithdrawOutdated(); });
+  this->behaviours["a"] = {[this](const SharedExchange& exchange) {
+    exchange->BeginStream(
+        200, std::vector<HttpField>{{.name = "Content-Type", .value = "text/event-stream"}});
+    exchange->SendPart(": queued\n\n");
+    this->loop.After(milliseconds(40), [this] {
+      this->relay.RequestDispatcher().SetWeightsRules(
+          "pool", {{.version = 2, .deadline = this->loop.Now()}});
+    });
+  }};
+  this->behaviours["b"] = {Events(1, 2, true)};
+  this->Call("POST", "/chat/1", "prompt");
+  EXPECT_EQ(withdrawn.Value(), 1u) << this->printed;
+}
+
+// An engine ends and starts again, and its later start is listed before the entry notices the lost
+// connection. Guards against a crash that counts for no request.
+TEST_F(RelaySession, CrashCountsThoughTheLaterStartIsListedFirst) {
+  const auto list = [this](std::int64_t started_unix_ms) {
+    this->relay.RequestDispatcher().SetUpstream({.id = "a",
+                                                 .pool = "pool",
+                                                 .address = "127.0.0.1:26932",
+                                                 .data_centre = "home",
+                                                 .slots = 4,
+                                                 .started_unix_ms = started_unix_ms});
+    this->relay.Crashes().OnUpstreamListed(
+        {.id = "a", .address = "127.0.0.1:26932", .started_unix_ms = started_unix_ms});
+  };
+  list(5);
+  this->behaviours["a"] = {[list](const SharedExchange& exchange) {
+    list(6);
+    exchange->Abort();
+  }};
+  this->Call("GET", "/read/1");
+  EXPECT_NE(this->printed.find("a gets GET /read/1"), std::string::npos) << this->printed;
+  this->RunFor(seconds(1));
+  EXPECT_TRUE(this->relay.Crashes().HasSuspects());
+}
+
 // Both engines interrupt a begun stream for new weights; the first one is back, and is lost before
 // it answers. Guards against a stream that is reset though the second one is back soon.
 TEST_F(RelaySession, BegunStreamReturnsToTheOtherEngineThatInterruptedIt) {
