Withdraw attempts from engines that went back to older weights

Change: where no agent says otherwise, the version as it was sent counts only while the record is the one of then.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -236,8 +236,11 @@
   const auto word = this->FreshestWord(*target, now);
   const std::uint64_t said = word ? word->weights_version.value_or(0) : 0;
   if (said > 0) return said;
-  // The record may lag behind what was known as the attempt was sent.
-  const std::uint64_t before = std::max(sent.weights_version, target->upstream.weights_version);
+  // The record may lag behind what was known as the attempt was sent, and may name no version while
+  // the engine loads. If it has changed since, the engine may have gone back to older weights.
+  const std::uint64_t recorded = target->upstream.weights_version;
+  const bool is_news = recorded > 0 && recorded != sent.recorded_version;
+  const std::uint64_t before = is_news ? recorded : sent.weights_version;
   return this->IsLoading(*target, now) ? this->NextVersion(sent.pool, before) : before;
 }
 
@@ -646,6 +649,7 @@
                                  .started_unix_ms = upstream.started_unix_ms,
                                  .pool = request.pool,
                                  .weights_version = held,
+                                 .recorded_version = upstream.weights_version,
                                  .sent_at = now,
                                  .prefill_tokens = static_cast<double>(request.prompt_tokens)};
   return DispatchVerdict{.attempt = request.attempt,
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -214,7 +214,8 @@
     std::string upstream;
     std::int64_t started_unix_ms = 0;  // of the upstream
     std::string pool = {};
-    std::uint64_t weights_version = 0;  // that the upstream held then; 0: a plain service
+    std::uint64_t weights_version = 0;   // that the upstream held then; 0: a plain service
+    std::uint64_t recorded_version = 0;  // the same by its record
     Instant sent_at = {};
     double prefill_tokens = 0;
     bool began = false;  // the first event arrived
