Judge attempts by the versions of the pool that they were sent to

Found in review (shown by a test only): an engine that goes over to another pool in the same start was judged by the versions of that pool's model, whose numbers say nothing of the attempts that wait from before.

Evidence: AttemptsOfAFormerPoolAreWithdrawnBeforeTheDeadline (review) failed and passes.

Change: FindTarget compares the pool, too.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -298,7 +298,9 @@
   const auto known = this->pool_of.find(sent.upstream);
   if (known == this->pool_of.end()) return nullptr;
   const UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
-  return state.upstream.started_unix_ms == sent.started_unix_ms ? &state : nullptr;
+  const bool is_same =
+      state.upstream.started_unix_ms == sent.started_unix_ms && known->second == sent.pool;
+  return is_same ? &state : nullptr;
 }
 
 std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
