Let no attempt at a former start count at the later one

Found in review (shown by a test only): three requests that failed at a start of an engine which had ended ejected the start after it, and were counted as its load and as its probe.

Change: an attempt belongs to the start that it was sent to, in all that is counted.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -89,17 +89,17 @@
     const auto former = this->id_at.find(state.upstream.address);
     if (former != this->id_at.end() && former->second == upstream.id) this->id_at.erase(former);
     state = UpstreamState{.upstream = upstream};
+    this->pool_of[upstream.id] = upstream.pool;
     this->CountAttempts(state);
   }
   state.upstream = upstream;
-  this->pool_of[upstream.id] = upstream.pool;
   this->id_at[upstream.address] = upstream.id;
 }
 
 // An upstream may lose its record and get it back while attempts go on there.
 void Dispatcher::CountAttempts(UpstreamState& state) const {
   for (const auto& [attempt, sent] : this->sent) {
-    if (sent.upstream != state.upstream.id) continue;
+    if (sent.upstream != state.upstream.id || this->FindTarget(sent) != &state) continue;
     ++state.own;
     state.own_prefill_tokens += sent.prefill_tokens;
     state.health.OnStarted();
@@ -839,11 +839,10 @@
 Dispatcher::UpstreamState* Dispatcher::EndPrefill(Sent& sent) {
   sent.began = true;
   const double tokens = std::exchange(sent.prefill_tokens, 0);
-  const auto known = this->pool_of.find(sent.upstream);
-  if (known == this->pool_of.end()) return nullptr;
-  UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
-  state.own_prefill_tokens = std::max(0.0, state.own_prefill_tokens - tokens);
-  return &state;
+  auto* const target = const_cast<UpstreamState*>(this->FindTarget(sent));
+  if (target == nullptr) return nullptr;
+  target->own_prefill_tokens = std::max(0.0, target->own_prefill_tokens - tokens);
+  return target;
 }
 
 std::optional<HealthChange> Dispatcher::OnEnded(AttemptNumber attempt, AttemptResult result,
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -284,11 +284,11 @@
   std::uint64_t NextVersion(std::string_view pool, std::uint64_t held) const;
   // The version that first makes weights `held` in `pool` outdated; nullptr: none.
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
-  // The attempt waits for its first event no more. Returns its upstream; nullptr if not listed.
+  // The attempt waits for its first event no more. Returns its target: see FindTarget().
   UpstreamState* EndPrefill(Sent& sent);
   // Counts the attempts that go on at an upstream that is listed anew.
   void CountAttempts(UpstreamState& state) const;
-  // The start of an upstream that the attempt was sent to; nullptr if it is not listed.
+  // The start of an upstream that the attempt was sent to; nullptr if that start is not listed.
   const UpstreamState* FindTarget(const Sent& sent) const;
   // Whether the engine loads weights, so that requests in its queue begin with newer ones: with any
   // version that is newer than those before, as nobody says which one the agent loads.
