Keep the whole send queue to a peer free of delivered messages

What callers saw: an answer that had begun broke off 12 s after its entry had stood still while the agent was stopped.

Cause: ZeroMQ counts the messages sent on a connection against its high-water mark until it learns, in batches of half the mark, that they have left. So of the 4096 places only 2049 to 4096 were free. The agent dropped parts beyond them without a word, and the entry asked in vain for them after its exit.

Change: the mark is twice the 4096 messages that may wait. At times up to 8191 can wait.

An answer of which more than 4096 messages wait is still not covered.

--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -24,6 +24,9 @@
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 2000;
 constexpr int kMaxQueuedMessages = 4096;
+// ZeroMQ frees the places of sent messages in batches of half the mark, so that up to half of it is
+// taken by messages that have left.
+constexpr int kSendHighWaterMark = 2 * kMaxQueuedMessages;
 // Idle connections are closed, so that the number of sockets follows the number of peers in use.
 constexpr Duration kIdleTimeout = std::chrono::seconds(120);
 // Messages read by one Receive(). The event loop calls it again while the socket has input.
@@ -99,7 +102,7 @@
       if (!IsAddress(peer)) return nullptr;
       zmq::socket_t socket(this->context, zmq::socket_type::dealer);
       SetCommonOptions(socket);
-      socket.set(zmq::sockopt::sndhwm, kMaxQueuedMessages);
+      socket.set(zmq::sockopt::sndhwm, kSendHighWaterMark);
       socket.set(zmq::sockopt::reconnect_ivl, kReconnectMinMs);
       socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
       socket.connect("tcp://" + key.first);
