Do not take the start of an agent for a pause

What callers saw: for 250 ms after each start, an agent refused all requests as too late.

Cause: the gate is told that it is ready before it is started, when the time of its last event was still that of the machine's start. It took the gap for a pause and counted it against the time left of the requests that came within pause_settle_time.

PausedAgentTest.StartIsNoPause fails before (1 of 1).

Change: the time of the last event begins with that of the gate's construction.

--- a/src/apps/paused_agent_test.cc
+++ b/src/apps/paused_agent_test.cc
@@ -78,5 +78,22 @@
   while (call("last") != 200) ASSERT_LT(MonotonicClock::now(), again);
 }
 
+// Guards against a start that counts as a pause since the machine's start: the agent then refused
+// for 250 ms all requests as too late.
+TEST(PausedAgentTest, StartIsNoPause) {
+  ProcessGroup processes;
+  RequestFleet fleet(
+      processes, {.bin_directory = std::filesystem::read_symlink("/proc/self/exe").parent_path(),
+                  .base_port = kBasePort,
+                  .entries = 1,
+                  .agents = 1,
+                  .latency_ms = 5});
+  const auto started = fleet.Start(MakeTables());
+  ASSERT_TRUE(started) << started.error().detail;
+  const std::string log = processes.ReadLog(RequestFleet::AgentName(0));
+  EXPECT_NE(log.find("event=started"), std::string::npos);
+  EXPECT_EQ(log.find("event=gate_paused"), std::string::npos) << log;
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/gate/gate_driver.cc
+++ b/src/gate/gate_driver.cc
@@ -95,7 +95,7 @@
   bool engine_probing = false;
   bool idle_tick = false;  // the next tick was scheduled with kIdleTickPeriod
   EventLoop::TimerId tick = 0;
-  Instant last_fed = {};
+  Instant last_fed = this->node.loop.Now();
 
   Impl(Node& node, GateDriverOptions given)
       : node(node),
