Let the test of a slow entry stop the agent once the request runs

Cause: the test stopped the entry 400 ms after the call began. By then the entry had not sent the 14 MB to the agent, which drained and exited; the entry refused the request as not run. That is right.

Change: the test waits until the service has begun to run the request, as the service counts it. The rest is as before. It still guards: without SendLastMessages() it fails with status 0 (1 of 1).

--- a/src/apps/planned_stop_test.cc
+++ b/src/apps/planned_stop_test.cc
@@ -120,6 +120,13 @@
     return std::async(std::launch::async, [this, call] { return this->Call(call); });
   }
 
+  // How many requests the service has begun to run.
+  int CountRuns() const {
+    int runs = 0;
+    for (const auto& [key, count] : this->fleet.CountRuns()) runs += count;
+    return runs;
+  }
+
   ProcessGroup processes;
   RequestFleet fleet{this->processes, FleetOptions()};
   const std::string entry = RequestFleet::EntryName(0);
@@ -141,9 +148,16 @@
 // Guards against an agent that exits while the last parts of its answers wait for an entry that
 // stands still for a moment.
 TEST_F(PlannedStopTest, StoppingAgentSendsAllPartsToASlowEntry) {
+  const int runs_before = this->CountRuns();
+  ASSERT_GT(runs_before, 0);
   auto answer =
       this->Begin({.method = "POST", .target = "/read", .body = std::string(kLargeBodyBytes, 'x')});
-  std::this_thread::sleep_for(milliseconds(400));
+  // An agent that is told to stop refuses what reaches it later.
+  const Instant limit = MonotonicClock::now() + seconds(10);
+  while (this->CountRuns() <= runs_before) {
+    ASSERT_LT(MonotonicClock::now(), limit);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
   ASSERT_TRUE(this->processes.Signal(this->entry, SIGSTOP));
   ASSERT_TRUE(this->processes.Signal(this->agent, SIGTERM));
   std::this_thread::sleep_for(milliseconds(2800));
