Don't let a late time postpone an earlier version of unknown age

Cause: a time that an agent reports for the newest version counts only if it is hardly later than when this entry first saw the version, and at most from then. For a version that another one has followed, the reported time was taken as it was: one that comes from a process which learned of the version late replaced the unknown age, and with it the end of the grace of 2.2 s, by a time of up to 8 s after that process had learned of it.

Evidence: the new test fails on the code before (x86_64): 2.3 s after version 2 was first seen it is not required.

Change: the same check for every version that this entry has seen. An earlier time counts as before.

Result: direct_test passes.

--- a/src/direct/wanted_versions.cc
+++ b/src/direct/wanted_versions.cc
@@ -31,7 +31,9 @@
     if (this->reported.size() > kMaxReported) this->reported.erase(this->reported.begin());
     return false;
   }
-  if (version == this->newest) return wanted_since && this->AddTime(version, *wanted_since);
+  if (this->first_seen.contains(version)) {
+    return wanted_since && this->AddTime(version, *wanted_since);
+  }
   if (!this->history.Add({.version = version, .since = wanted_since})) return false;
   this->first_seen.emplace(version, now);
   return true;
--- a/src/direct/wanted_versions_test.cc
+++ b/src/direct/wanted_versions_test.cc
@@ -121,6 +121,19 @@
             earliest + kOptions.deadline - kOptions.margin);
 }
 
+// A process learned of a version of unknown age late, and another version has followed. Guards
+// against the time of that process postponing the deadline of the earlier version.
+TEST(WantedVersions, LateTimeOfAFollowedVersionDoesNotReplaceUnknownAge) {
+  const Instant start = Instant(std::chrono::hours(1));
+  WantedVersions versions;
+  versions.AddFromStore(2, false, start);
+  versions.AddFromStore(3, true, start + seconds(1));
+  versions.AddFromAgent(2, start + seconds(3), start + seconds(3));
+  EXPECT_EQ(Required(versions, start + milliseconds(2300)), 2u);
+  versions.AddFromAgent(2, start - seconds(1), start + seconds(4));
+  EXPECT_EQ(versions.WantedSince(2), start - seconds(1));
+}
+
 // A version that only an agent reports, and not the store, must not become the newest one.
 TEST(WantedVersions, OnlyStoreAddsNewestVersion) {
   WantedVersions versions;
