Play machines that stand still across the end of a version's time (soak, plan 10)

Callers saw answers that began on older weights more than 8 s after newer ones were announced: machines stood still across the end of that time, lost their records, and began what waited there as they woke.

Cause of the gap: no fault of the soak let an engine stand still with its agent, and none removed a record and put it back; an engine that hangs counted as a disturbed link, which excuses the entry from the time limits.

Change: plan 10 draws weights that the origin holds back, and engines that stand still from 0.3 to 4 s before the end of the rollout limit until 0.1 to 1.4 s after it. The engine's proxy keeps what arrives and orderly closes, and a reset takes it away, as in the sockets of a stopped process; the engine's timers stand too; its agent is stopped; its record is away from 1.2 s of silence until 0.2 s after it woke. Another kind stops agents alone. Nothing is marked as disturbed, so that no check excuses anything for it. The test that plans publish weights again and again holds for plans 8 and 9 as before; plan 10 holds weights back instead and has a test of its own.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 59> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 61> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -75,6 +75,8 @@
     {FaultKind::kWeightsPublishedAgentKilled, "weights-named-agent-killed", 10},
     {FaultKind::kVersionsQuickly, "versions-quickly", 8},
     {FaultKind::kStoreFromOlderCopy, "store-from-older-copy", 30},
+    {FaultKind::kWeightsPublishedMachinesStandStill, "weights-named-machines-stand-still", 30},
+    {FaultKind::kWeightsPublishedAgentsStandStill, "weights-named-agents-stand-still", 10},
 }};
 
 // Of plan 7 without unplanned disruption of entry VMs, the store and links.
@@ -119,6 +121,20 @@
     FaultKind::kEntryPaused,        FaultKind::kWatchersKilled,      FaultKind::kUpstreamLeft,
     FaultKind::kUpstreamDrained,    FaultKind::kUpstreamCrashed,     FaultKind::kRouteChanged,
     FaultKind::kWeightsPublished,   FaultKind::kCrashingRequest};
+// Of plan 10: what keeps requests waiting at engines until the rollout limit ends.
+constexpr std::array<FaultKind, 12> kStandStillKinds = {
+    FaultKind::kWeightsPublishedMachinesStandStill,
+    FaultKind::kWeightsPublishedAgentsStandStill,
+    FaultKind::kAgentKilled,
+    FaultKind::kAgentPaused,
+    FaultKind::kUpstreamCrashed,
+    FaultKind::kUpstreamBreaksOff,
+    FaultKind::kUpstreamFallsSilent,
+    FaultKind::kUpstreamSlow,
+    FaultKind::kUpstreamSlowsDown,
+    FaultKind::kEngineHangs,
+    FaultKind::kRouteChanged,
+    FaultKind::kBurst};
 // One seed in so many draws from all kinds instead.
 constexpr std::uint64_t kAllKindsEverySeeds = 4;
 
@@ -131,6 +147,7 @@
 constexpr std::size_t kSixthPlanKinds = 41;
 constexpr std::size_t kSeventhPlanKinds = 49;
 constexpr std::size_t kEighthPlanKinds = 58;
+constexpr std::size_t kNinthPlanKinds = 59;
 
 std::vector<FaultSpec> SpecsOfKinds(std::span<const FaultKind> kinds) {
   std::vector<FaultSpec> specs;
@@ -145,6 +162,7 @@
   static const std::vector<FaultSpec> kPlannedWork = SpecsOfKinds(kPlannedWorkKinds);
   static const std::vector<FaultSpec> kLoads = SpecsOfKinds(kLoadKinds);
   static const std::vector<FaultSpec> kOlderCopies = SpecsOfKinds(kOlderCopyKinds);
+  static const std::vector<FaultSpec> kStandStill = SpecsOfKinds(kStandStillKinds);
   const bool all_kinds = seed % kAllKindsEverySeeds == 0;
   switch (version) {
     case PlanVersion::kFirst:
@@ -163,10 +181,12 @@
       return all_kinds ? all.first(kSeventhPlanKinds) : kPlannedWork;
     case PlanVersion::kEighth:
       return all_kinds ? all.first(kEighthPlanKinds) : kLoads;
-    case PlanVersion::kNewest:
+    case PlanVersion::kNinth:
+      return all_kinds ? all.first(kNinthPlanKinds) : kOlderCopies;
+    case PlanVersion::kTenth:
       break;
   }
-  return all_kinds ? all : kOlderCopies;
+  return all_kinds ? all : kStandStill;
 }
 
 // Mean time between the starts of two series.
@@ -215,6 +235,15 @@
   }
 }
 
+// At any time of the plan's first half, so that other faults may follow.
+void AddStandStill(Random& random, double end, std::vector<Fault>& plan) {
+  plan.push_back({.at = FromSeconds(end / 2 * UniformUnit(random)),
+                  .kind = FaultKind::kWeightsPublishedMachinesStandStill,
+                  .target = UniformBelow(random, 1000),
+                  .duration = FromSeconds(kMinDurationS +
+                                          (kMaxDurationS - kMinDurationS) * UniformUnit(random))});
+}
+
 }  // namespace
 
 std::string_view FaultName(FaultKind kind) {
@@ -261,7 +290,10 @@
   if (version == PlanVersion::kSeventh && seed % kAllKindsEverySeeds != 0) {
     AddStopsInTurn(random, end, plan);
   }
-  if (version >= PlanVersion::kEighth) AddPublications(random, end, plan);
+  if (version == PlanVersion::kEighth || version == PlanVersion::kNinth) {
+    AddPublications(random, end, plan);
+  }
+  if (version == PlanVersion::kTenth) AddStandStill(random, end, plan);
   std::sort(plan.begin(), plan.end(),
             [](const Fault& left, const Fault& right) { return left.at < right.at; });
   return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -88,6 +88,10 @@
   kVersionsQuickly,                 // versions of the weights, one soon after the other
   // Since plan 9.
   kStoreFromOlderCopy,  // seconds old; what it lost is written again soon after
+  // Since plan 10. The origin has the published weights only after the rollout limit, and across
+  // its end stand still:
+  kWeightsPublishedMachinesStandStill,  // engines with their agents, whose records are removed
+  kWeightsPublishedAgentsStandStill,    // agents alone
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -110,7 +114,9 @@
   kSixth = 6,
   kSeventh = 7,
   kEighth = 8,
-  kNewest = 9
+  kNinth = 9,
+  kTenth = 10,
+  kNewest = kTenth
 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
@@ -118,7 +124,8 @@
 // impaired upstreams only, and all entry VMs are stopped in turn beside new weights. In plan 8 most
 // seeds impair staged chunks, engines and agents only, and new weights are published regularly, as
 // in plan 9, in most of whose seeds the store comes back from older copies beside changes of
-// records.
+// records. In most seeds of plan 10 machines stand still across the end of the rollout limit,
+// beside impaired upstreams and agents.
 std::vector<Fault> MakeFaultPlan(std::uint64_t seed, Duration length,
                                  PlanVersion version = PlanVersion::kNewest);
 
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -65,14 +65,44 @@
   ASSERT_EQ(eighth_of_all.size(), 13u);
   EXPECT_EQ(eighth_of_all.back().kind, FaultKind::kLinkSilent);
   EXPECT_EQ(eighth_of_all.back().target, 398u);
+  const auto ninth = MakeFaultPlan(2003, seconds(20), PlanVersion::kNinth);
+  ASSERT_EQ(ninth.size(), 19u);
+  EXPECT_EQ(ninth.front().at, std::chrono::microseconds(340009));
+  EXPECT_EQ(ninth.back().kind, FaultKind::kUpstreamDrained);
+  EXPECT_EQ(ninth.back().at, std::chrono::microseconds(16019556));
+  const auto ninth_of_all = MakeFaultPlan(2004, seconds(20), PlanVersion::kNinth);
+  ASSERT_EQ(ninth_of_all.size(), 21u);
+  EXPECT_EQ(ninth_of_all.back().kind, FaultKind::kWeightsPublished);
+  EXPECT_EQ(ninth_of_all.back().at, std::chrono::microseconds(17391303));
 }
 
 // Guards against runs without loads, which show nothing about the chunks that engines load.
 TEST(FaultPlan, EverySeedPublishesWeightsAgainAndAgain) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-    const auto plan = MakeFaultPlan(seed, seconds(20));
-    EXPECT_GE(std::ranges::count(plan, FaultKind::kWeightsPublished, &Fault::kind), 3) << seed;
+    for (const PlanVersion version : {PlanVersion::kEighth, PlanVersion::kNinth}) {
+      const auto plan = MakeFaultPlan(seed, seconds(20), version);
+      EXPECT_GE(std::ranges::count(plan, FaultKind::kWeightsPublished, &Fault::kind), 3) << seed;
+    }
+  }
+}
+
+// Guards against runs of plan 10 in which no machine stands still at the end of a rollout limit, or
+// all from about the same time before it.
+TEST(FaultPlan, EverySeedStopsMachinesBeforeTheEndOfARolloutLimit) {
+  int just_before = 0;
+  int seconds_before = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    int faults = 0;
+    for (const Fault& fault : MakeFaultPlan(seed, seconds(20), PlanVersion::kTenth)) {
+      if (fault.kind != FaultKind::kWeightsPublishedMachinesStandStill) continue;
+      ++faults;
+      just_before += fault.duration < seconds(1) ? 1 : 0;
+      seconds_before += fault.duration > seconds(2) ? 1 : 0;
+    }
+    EXPECT_GE(faults, 1) << seed;
   }
+  EXPECT_GE(just_before, 10);
+  EXPECT_GE(seconds_before, 10);
 }
 
 // Guards against fault kinds that are never injected, and against plans without overlapping faults.
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <set>
+#include <utility>
 
 #include "base/digest.h"
 #include "runtime/event_loop.h"
@@ -31,6 +32,8 @@
     std::unique_ptr<TcpConnection> connection = {};
     // What is delayed. Later bytes wait behind it also once the link is healthy.
     std::deque<std::function<void()>> delayed = {};
+    std::string held = {};
+    bool end_held = false;
 
     void Delay(std::function<void()> step);
     void PassEnd(TcpEnd end);
@@ -49,6 +52,7 @@
   std::string target;
   TcpListener listener;
   LinkCondition condition = LinkCondition::kHealthy;
+  bool holding = false;
   std::set<std::shared_ptr<ConnectionPair>> pairs = {};
 
   Impl(EventLoop& loop, std::string listen, std::string target)
@@ -77,6 +81,10 @@
 };
 
 void FaultProxy::Impl::Side::OnBytes(std::span<const std::byte> bytes) {
+  if (this->proxy->holding && this->towards_target) {
+    this->held += AsText(bytes);
+    return;
+  }
   Side& other = this->towards_target ? this->pair->target : this->pair->client;
   const LinkCondition condition = this->proxy->condition;
   const bool discarded = this->pair->discarding || condition == LinkCondition::kSilent ||
@@ -108,6 +116,10 @@
 }
 
 void FaultProxy::Impl::Side::OnEnd(TcpEnd end) {
+  if (this->proxy->holding && this->towards_target && end == TcpEnd::kClosed) {
+    this->end_held = true;
+    return;
+  }
   if (end != TcpEnd::kClosed || this->delayed.empty()) return this->PassEnd(end);
   this->Delay([this, end] { this->PassEnd(end); });
 }
@@ -136,6 +148,18 @@
 
 void FaultProxy::SetCondition(LinkCondition condition) { this->impl->condition = condition; }
 
+void FaultProxy::Hold() { this->impl->holding = true; }
+
+void FaultProxy::Release() {
+  this->impl->holding = false;
+  const auto pairs = this->impl->pairs;
+  for (const auto& pair : pairs) {
+    const std::string held = std::exchange(pair->client.held, {});
+    if (!held.empty()) pair->client.OnBytes(std::as_bytes(std::span(held)));
+    if (std::exchange(pair->client.end_held, false)) pair->client.OnEnd(TcpEnd::kClosed);
+  }
+}
+
 void FaultProxy::SilenceOpen() {
   for (const auto& pair : this->impl->pairs) pair->discarding = true;
 }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -28,6 +28,10 @@
   // Applies to all connections. Those that have discarded bytes continue to do so under any later
   // condition, since the lost bytes would leave a gap.
   void SetCondition(LinkCondition condition);
+  // What clients send, and their orderly closes, is kept until Release(), as a stopped target's
+  // sockets keep it. A reset takes it away.
+  void Hold();
+  void Release();
   void ResetAll();
   // The open connections discard all bytes from now on; new ones are healthy.
   void SilenceOpen();
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -44,6 +44,12 @@
 constexpr Duration kSlowAfterPublication = seconds(5);
 constexpr Duration kSlowTime = seconds(5);
 
+// Engines load weights that came late within this time.
+constexpr Duration kTimeOfLateLoads = seconds(2);
+// Time of standing still after the end of the rollout limit.
+constexpr Duration kMinStillAfterEnd = milliseconds(100);
+constexpr Duration kMaxStillAfterEnd = milliseconds(1500);
+
 // A request that ends its upstreams is sent so often.
 constexpr int kCrashingRepeats = 12;
 constexpr Duration kCrashingPeriod = milliseconds(700);
@@ -162,7 +168,9 @@
     }
     if (ActsAtLoad(fault.kind)) return kTimeOfLoads + kMaxTimeBeforeLoad + HangOf(fault);
     const bool delays_origin = fault.kind == FaultKind::kWeightsPublishedEntryPaused ||
-                               fault.kind == FaultKind::kWeightsPublishedEngineSlow;
+                               fault.kind == FaultKind::kWeightsPublishedEngineSlow ||
+                               fault.kind == FaultKind::kWeightsPublishedMachinesStandStill ||
+                               fault.kind == FaultKind::kWeightsPublishedAgentsStandStill;
     if (fault.kind == FaultKind::kStoreFromOlderCopy) {
       return fault.duration + kAwayBeforeReturn + Share(fault.duration, kWrittenAgainShare);
     }
@@ -455,6 +463,29 @@
     this->upstreams.PublishWeights(kOriginDelay);
   }
 
+  // Agents, and with them their engines or not, stand still from the fault's duration before the
+  // end of the rollout limit until after it. While the origin lacks a version, its limit counts:
+  // past that, entries send nothing to engines without it, so that a later one would end unseen.
+  void PublishAndStandStill(const Fault& fault) {
+    const Instant now = this->loop.Now();
+    if (now >= this->late_publication + kOriginDelay + kTimeOfLateLoads) {
+      this->late_publication = now;
+      this->PublishWeightsLate();
+    }
+    const Instant end = this->late_publication + CheckerOptions().weights_rollout_limit;
+    const Duration wait = std::max(end - fault.duration - now, Duration(0));
+    const Duration after_end =
+        kMinStillAfterEnd +
+        Share(kMaxStillAfterEnd - kMinStillAfterEnd, static_cast<double>(fault.target % 10) / 10);
+    const bool with_engine = fault.kind == FaultKind::kWeightsPublishedMachinesStandStill;
+    for (const std::size_t engine : this->EnginesOf(fault, fault.target % 4 != 3)) {
+      this->loop.After(wait, [this, engine, with_engine, still = fault.duration + after_end] {
+        this->processes.Pause(this->layout.AgentVm(engine), still);
+        if (with_engine) this->upstreams.StandStill(engine, still);
+      });
+    }
+  }
+
   // Runs `revert` after `duration`, unless a later fault of the same component started meanwhile.
   void RevertAfter(Duration duration, const std::string& component, std::function<void()> revert) {
     const int generation = ++this->fault_generations[component];
@@ -638,6 +669,9 @@
           this->SlowUpstream(engine, StartDelay(duration), kSlowTime);
         });
         return this->PublishWeightsLate();
+      case FaultKind::kWeightsPublishedMachinesStandStill:
+      case FaultKind::kWeightsPublishedAgentsStandStill:
+        return this->PublishAndStandStill(fault);
     }
   }
 
@@ -654,6 +688,7 @@
   int crashing_requests = 0;
   std::uint64_t corruptions = 0;
   Instant last_publication = {};
+  Instant late_publication = {};  // of weights that the origin lacks, before machines stand still
   Instant start_deadline = {};
   Instant evaluation_start = {};
 };
--- a/soak/soak_upstreams.cc
+++ b/soak/soak_upstreams.cc
@@ -20,6 +20,8 @@
 constexpr std::uint32_t kEngineSlotsForLongAnswers = 12;
 // Time after a crash until the upstream's record disappears from the store.
 constexpr Duration kRegistrationTtl = milliseconds(1200);
+// Time after an upstream has woken until its record is back.
+constexpr Duration kListedAgainDelay = milliseconds(200);
 // A leaving upstream accepts requests at least a little longer than CheckerOptions::drain_time,
 // then exits when it is idle.
 constexpr Duration kDrainTime = milliseconds(2300);
@@ -69,7 +71,7 @@
     this->store.Put(platform::WeightsKey(kModel),
                     platform::EncodeWeightsWanted(kModel, this->weights_version));
   }
-  this->loop.Every(kPollPeriod, [this] { this->UpdateWeightsInRecords(); });
+  this->loop.Every(kPollPeriod, [this] { this->UpdateRecords(); });
   return success();
 }
 
@@ -116,6 +118,9 @@
   const bool engine = this->layout.IsEngine(index);
   ++managed.starts;
   managed.leaving = false;
+  managed.listed = true;
+  managed.still_until = {};
+  managed.link->Release();
   const std::string id_before = managed.record.id;
   managed.record = {.id = "u" + std::to_string(index) + "-" + std::to_string(managed.starts),
                     .pool = this->layout.PoolOf(index),
@@ -184,7 +189,7 @@
 
 void SoakUpstreams::Drain(std::size_t upstream, Duration extra) {
   ManagedUpstream& managed = this->upstreams[upstream];
-  if (!managed.standin || managed.leaving || !this->store_available) return;
+  if (!managed.standin || managed.leaving || !managed.listed || !this->store_available) return;
   managed.record.draining = true;
   this->store.Put(platform::UpstreamKey(managed.record.id),
                   platform::EncodeUpstream(managed.record));
@@ -193,7 +198,7 @@
 
 void SoakUpstreams::Leave(std::size_t upstream, Duration extra) {
   ManagedUpstream& managed = this->upstreams[upstream];
-  if (!managed.standin || managed.leaving || !this->store_available) return;
+  if (!managed.standin || managed.leaving || !managed.listed || !this->store_available) return;
   this->store.Remove(platform::UpstreamKey(managed.record.id));
   this->ServeOn(upstream, extra);
 }
@@ -243,6 +248,19 @@
   this->upstreams[upstream].standin->FallSilent(duration, reports_too);
 }
 
+void SoakUpstreams::StandStill(std::size_t upstream, Duration duration) {
+  ManagedUpstream& managed = this->upstreams[upstream];
+  if (!managed.standin) return;
+  const Instant now = this->loop.Now();
+  if (now >= managed.still_until) managed.silent_since = now;
+  managed.still_until = std::max(managed.still_until, now + duration);
+  managed.standin->StandStill(duration);
+  managed.link->Hold();
+  this->loop.After(duration, [this, &managed] {
+    if (this->loop.Now() >= managed.still_until) managed.link->Release();
+  });
+}
+
 void SoakUpstreams::BreakOff(std::size_t upstream) {
   if (this->upstreams[upstream].standin) this->upstreams[upstream].standin->BreakOff();
 }
@@ -331,11 +349,20 @@
                   platform::EncodeWeightsWanted(kModel, this->weights_version));
 }
 
-void SoakUpstreams::UpdateWeightsInRecords() {
+void SoakUpstreams::UpdateRecords() {
   for (ManagedUpstream& managed : this->upstreams) {
     if (!managed.standin || !managed.record.is_engine || !this->store_available) continue;
     if (managed.leaving && !managed.record.draining) continue;  // has no record any more
-    if (managed.standin->WeightsVersion() == managed.record.weights_version) continue;
+    const Instant now = this->loop.Now();
+    if (managed.listed && now < managed.still_until &&
+        now >= managed.silent_since + kRegistrationTtl) {
+      managed.listed = false;
+      this->store.Remove(platform::UpstreamKey(managed.record.id));
+    }
+    const bool returns = !managed.listed && now >= managed.still_until + kListedAgainDelay;
+    if (!managed.listed && !returns) continue;
+    managed.listed = true;
+    if (!returns && managed.standin->WeightsVersion() == managed.record.weights_version) continue;
     managed.record.weights_version = managed.standin->WeightsVersion();
     this->store.Put(platform::UpstreamKey(managed.record.id),
                     platform::EncodeUpstream(managed.record));
--- a/soak/soak_upstreams.h
+++ b/soak/soak_upstreams.h
@@ -53,6 +53,9 @@
   void SetFault(std::size_t upstream, platform::EngineFault fault);
   void SetPace(std::size_t upstream, double factor);
   void FallSilent(std::size_t upstream, Duration duration, bool reports_too);
+  // The upstream stands still, and its record is away from some time of silence on until it has
+  // woken.
+  void StandStill(std::size_t upstream, Duration duration);
   void BreakOff(std::size_t upstream);
   void CorruptStagedChunk(std::size_t upstream, std::uint64_t seed);
   // Every fifth one; `seed` selects the first.
@@ -98,6 +101,9 @@
     Instant at_load_request_until = {};
     int starts = 0;
     bool leaving = false;  // until the replacement starts
+    Instant still_until = {};
+    Instant silent_since = {};  // as the platform sees it
+    bool listed = true;         // false: the platform has removed the record for its silence
   };
 
   std::uint32_t SlotsOf(bool engine) const;
@@ -111,8 +117,9 @@
   void ExitWhenIdle(std::size_t index);
   // Writes `value` as soon as the store is available; an empty value removes the key.
   void WriteWhenAvailable(const std::string& key, const std::string& value);
-  // Writes the weights version that each engine has loaded into its record.
-  void UpdateWeightsInRecords();
+  // Writes the weights version that each engine has loaded into its record, removes the records of
+  // upstreams that stand still, and puts them back.
+  void UpdateRecords();
 
   EventLoop& loop;
   Checker& checker;
