Excuse no entry from the time of new weights beside an engine that hangs (soak)

A frozen engine takes nothing away from an entry that runs, and the users' rule counts the machine that sends.

Change: the hang marks the engine only, as other impaired engines are. The weights' check, and those of requests at leaving engines and of asked waits, hold there now; none is looser. CheckerTest.OutdatedWeightsAreExcusedOnlyForTheDisturbedEntryAndLink has the rule for a marked engine.

--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -396,7 +396,7 @@
   }
 
   void HangEngine(std::size_t engine, Duration duration) {
-    this->checker.MarkLinkDisturbed(this->upstreams.UpstreamId(engine), this->loop.Now(), duration);
+    this->checker.MarkDisturbed(this->upstreams.UpstreamId(engine), this->loop.Now(), duration);
     this->upstreams.FallSilent(engine, duration, true);
   }
 
