--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -303,6 +303,11 @@
   return is_same ? &state : nullptr;
 }
 
+bool Dispatcher::IsTargetListed(AttemptNumber attempt) const {
+  const auto found = this->sent.find(attempt);
+  return found != this->sent.end() && this->FindTarget(found->second) != nullptr;
+}
+
 std::vector<OutdatedAttempt> Dispatcher::OutdatedAttempts(Instant now) const {
   std::vector<OutdatedAttempt> outdated;
   for (const auto& [attempt, sent] : this->sent) {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -155,8 +155,8 @@
   // of a newer version; nullopt if not.
   std::optional<OverdueWeights> Overdue(std::string_view pool, std::uint64_t weights_version,
                                         Instant now) const;
-  // Whether the upstream is in the list.
-  bool IsListed(std::string_view upstream) const { return this->pool_of.contains(upstream); }
+  // Whether the start of an upstream that the attempt was sent to is in the list.
+  bool IsTargetListed(AttemptNumber attempt) const;
   // Returns the attempts that must be withdrawn, as they could begin with outdated weights. Must be
   // called several times within `outdated_reserve`.
   std::vector<OutdatedAttempt> OutdatedAttempts(Instant now) const;
@@ -286,7 +286,7 @@
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // The attempt waits for its first event no more. Returns its target: see FindTarget().
   UpstreamState* EndPrefill(Sent& sent);
-  // Counts the attempts that go on at an upstream that is listed anew.
+  // Counts the attempts that go on at this start of an upstream, which is listed anew.
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if that start is not listed.
   const UpstreamState* FindTarget(const Sent& sent) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -1063,7 +1063,7 @@
     Log(LogLevel::kWarn, "answer_overdue",
         {{"request", this->metadata.attempt_id},
          {"upstream", this->target.upstream},
-         {"listed", this->relay.dispatcher.IsListed(this->target.upstream)},
+         {"listed", this->relay.dispatcher.IsTargetListed(this->attempt)},
          {"weights", version},
          {"weights_as_sent", this->target.weights_version},
          {"wanted", overdue->wanted},
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -286,8 +286,9 @@
 HttpCall::~HttpCall() {
   if (!this->impl->connection) return;
   this->impl->connection->call = nullptr;
-  // After an orderly close, the system would go on to deliver what a peer that stands still has not
-  // taken yet, and the peer would carry it out.
+  // After an orderly close, the system would go on to deliver what the system of a peer that stands
+  // still has not taken yet, and the peer would carry it out. What lies there already is read
+  // first.
   this->impl->connection->tcp.Reset();
 }
 
