--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -73,6 +73,7 @@
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 // The pace of engines changes many times a second.
 constexpr Duration kSlowLogPeriod = std::chrono::seconds(1);
+constexpr Duration kSilentLogPeriod = std::chrono::seconds(1);
 // Smaller corrections of the time since when a version is wanted come from message delays.
 constexpr Duration kMinLoggedCorrection = milliseconds(100);
 // Log lines at the exit on connections that lose something by it.
@@ -154,6 +155,8 @@
   std::size_t sharing_entries = 1;
   std::size_t followed_engines = 0;  // as last logged
   std::size_t withheld_engines = 0;  // as last logged
+  std::size_t silent_engines = 0;    // as last logged
+  Instant silent_logged_at = {};
   Instant follow_logged_at = {};
   std::size_t slow_upstreams = 0;  // as last logged
   Instant slow_logged_at = {};
@@ -594,6 +597,16 @@
     this->withheld_engines = withheld;
   }
 
+  void LogSilent() {
+    const Instant now = this->loop.Now();
+    const std::size_t silent = this->relay.RequestDispatcher().Silent(now);
+    this->metrics.GaugeFor("savory_engines_silent").Set(static_cast<double>(silent));
+    if (silent == this->silent_engines || now - this->silent_logged_at < kSilentLogPeriod) return;
+    Log(LogLevel::kWarn, "engines_silent", {{"engines", silent}, {"before", this->silent_engines}});
+    this->silent_engines = silent;
+    this->silent_logged_at = now;
+  }
+
   // ---- maintenance, stop, settings ----
 
   void RunMaintenance() {
@@ -605,6 +618,7 @@
     }
     this->FollowEngines();
     this->LogWithheld();
+    this->LogSilent();
     this->LogLeaving();
     this->LogSlow();
     this->CountCallers();
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -148,6 +148,7 @@
   this->words.AddReport(StartOf(state.upstream), report, this->WeightsOf(state), now);
   state.report = report;
   state.reported_at = now;
+  state.silence.OnReport(now);
   state.pace.OnReported(report.pace);
   if (report.reachable) this->UpdateLoad(state, report.load, now);
 }
@@ -484,6 +485,8 @@
   candidate.score = candidate.forecast.first_event +
                     FromSeconds(0.010 * candidate.load / slots + 0.2 * state.health.FailureRate());
   if (is_far && !way) candidate.score += this->options.remote_penalty;
+  // Upstreams that stopped together are not tried in turn.
+  if (request.rerun) candidate.score += state.silence.Age(now);
   return candidate;
 }
 
@@ -493,41 +496,48 @@
   this->UpdateShares(now);
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   Sides sides;
+  std::vector<const UpstreamState*> silent;
   for (const auto& [id, state] : found->second) {
     if (!this->IsCandidate(state, request) || !this->MayUse(state, request, now)) continue;
+    if (state.silence.IsSilent(now)) {
+      if (this->MayProbeSilent(state, request)) silent.push_back(&state);
+      continue;
+    }
     const bool is_near = state.upstream.data_centre == this->options.data_centre;
     const bool is_own = state.confirmed > 0;
     (is_near ? (is_own ? sides.own_near : sides.near) : (is_own ? sides.own_far : sides.far))
         .push_back(&state);
   }
-  const std::size_t usable =
-      sides.own_near.size() + sides.own_far.size() + sides.near.size() + sides.far.size();
-  if (this->leaving.IsActive()) {
-    Candidate chosen = this->PickBySide(std::move(sides), request, pool, now).best;
-    chosen.usable = usable;
-    return chosen;
-  }
+  const std::size_t usable = sides.own_near.size() + sides.own_far.size() + sides.near.size() +
+                             sides.far.size() + silent.size();
+  Choice choice = this->leaving.IsActive()
+                      ? this->PickBySide(std::move(sides), request, pool, now)
+                      : this->PickByScore(std::move(sides), request, pool, now);
+  this->AddSilent(choice, silent, request, pool, now);
+  choice.best.usable = usable;
+  return choice.best;
+}
+
+Dispatcher::Choice Dispatcher::PickByScore(Sides sides, const DispatchRequest& request,
+                                           const PoolRule* pool, Instant now) {
   Choice choice;
   const auto compare = [&](std::span<const UpstreamState* const> states) {
     this->Improve(choice, states, request, pool, now);
   };
   compare(sides.own_near);
   compare(sides.own_far);
-  if (!choice.has_room) {
-    std::shuffle(sides.near.begin(), sides.near.end(), this->random);
-    std::shuffle(sides.far.begin(), sides.far.end(), this->random);
-    const auto sample = [this](std::span<const UpstreamState* const> states) {
-      return states.first(std::min(this->options.sample_size, states.size()));
-    };
-    compare(sample(sides.near));
-    compare(sample(sides.far));
-    if (!choice.has_room) {
-      compare(sides.near);
-      compare(sides.far);
-    }
-  }
-  choice.best.usable = usable;
-  return choice.best;
+  if (choice.has_room) return choice;
+  std::shuffle(sides.near.begin(), sides.near.end(), this->random);
+  std::shuffle(sides.far.begin(), sides.far.end(), this->random);
+  const auto sample = [this](std::span<const UpstreamState* const> states) {
+    return states.first(std::min(this->options.sample_size, states.size()));
+  };
+  compare(sample(sides.near));
+  compare(sample(sides.far));
+  if (choice.has_room) return choice;
+  compare(sides.near);
+  compare(sides.far);
+  return choice;
 }
 
 void Dispatcher::Improve(Choice& choice, std::span<const UpstreamState* const> states,
@@ -579,7 +589,9 @@
 }
 
 bool Dispatcher::CouldSend(const DispatchRequest& request, Instant now) {
-  return this->Fits(this->PickBest(request, now), request, now);
+  const Candidate best = this->PickBest(request, now);
+  // A request does not leave one upstream that is silent for another.
+  return this->Fits(best, request, now) && !best.state->silence.IsSilent(now);
 }
 
 std::optional<DispatchVerdict> Dispatcher::TryPlace(const DispatchRequest& request, Instant now,
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -24,6 +24,7 @@
 #include "relay/upstream.h"
 #include "relay/upstream_health.h"
 #include "relay/upstream_notices.h"
+#include "relay/upstream_silence.h"
 
 namespace savory {
 
@@ -88,6 +89,8 @@
   // version. This covers the period of the checks and the time until the engine notices the closed
   // connection of an attempt that was withdrawn.
   Duration outdated_reserve = std::chrono::milliseconds(500);
+  // Bytes of an answer are noted as a sign of its upstream at most once in this time.
+  Duration answer_note_period = std::chrono::milliseconds(100);
 };
 
 // From `enforced_at` on, only engines with weights `version` or newer receive requests; from
@@ -140,11 +143,13 @@
   // Returns the waiting requests that are now sent or refused. Must be called periodically while
   // requests wait; Relay calls it every 10 ms.
   std::vector<DispatchVerdict> Poll(Instant now);
-  // Whether Submit() would send the request now.
+  // Whether Submit() would send the request now to an upstream that is not silent.
   bool CouldSend(const DispatchRequest& request, Instant now);
   // Removes a waiting request.
   void Withdraw(AttemptNumber attempt);
 
+  // Bytes of the attempt's answer arrived, so its upstream is not silent. Cheap enough for each.
+  void OnAnswerBytes(AttemptNumber attempt, Instant now);
   // The first event arrived, so the prompt has been processed.
   void OnFirstEvent(AttemptNumber attempt);
   // Attempts of this entry at the upstream, listed or not, whose first event has not arrived.
@@ -172,6 +177,8 @@
   // Number of listed engines that only the last word of their agent, which is heard no more, keeps
   // from receiving requests.
   std::size_t Withheld(Instant now) const;
+  // Number of engines that would receive requests as usual if they had not fallen silent.
+  std::size_t Silent(Instant now) const;
   // Number of listed upstreams where work takes at least `kSlowPace` times as long as usual.
   static constexpr double kSlowPace = 1.5;
   std::size_t Slow(Instant now) const;
@@ -184,6 +191,7 @@
   struct UpstreamState {
     Upstream upstream;
     UpstreamHealth health = UpstreamHealth();
+    UpstreamSilence silence = UpstreamSilence();
     std::uint32_t own = 0;            // attempts of this entry
     bool followed = false;            // an engine that this entry sends to, see EngineWindow()
     bool followed_for_homes = false;  // see FollowHomes()
@@ -210,6 +218,7 @@
     std::uint64_t weights_version = 0;  // that the upstream held then; 0: a plain service
     double prefill_tokens = 0;
     bool began = false;  // the first event arrived
+    Instant answer_noted_at = {};
   };
   struct Candidate {
     const UpstreamState* state = nullptr;
@@ -282,6 +291,14 @@
   // Replaces `choice` by a better one among `states`, if there is one.
   void Improve(Choice& choice, std::span<const UpstreamState* const> states,
                const DispatchRequest& request, const PoolRule* pool, Instant now) const;
+  // Adds the engines that were heard and are silent, if nothing else has room.
+  void AddSilent(Choice& choice, std::span<const UpstreamState* const> silent,
+                 const DispatchRequest& request, const PoolRule* pool, Instant now) const;
+  // Whether the request may be sent to an engine that is silent: as to one that is half open, and
+  // only if it ends before a version makes the weights there outdated.
+  bool MayProbeSilent(const UpstreamState& state, const DispatchRequest& request) const;
+  Choice PickByScore(Sides sides, const DispatchRequest& request, const PoolRule* pool,
+                     Instant now);
   Choice PickBySide(Sides sides, const DispatchRequest& request, const PoolRule* pool, Instant now);
   SideOffer OfferOf(const Choice& choice, const DispatchRequest& request, Instant now) const;
   static std::size_t BytesOf(const DispatchRequest& request);
--- /dev/null
+++ b/src/relay/dispatcher_silence.cc
@@ -0,0 +1,49 @@
+// The part of Dispatcher that keeps requests from engines that have fallen silent.
+#include <algorithm>
+
+#include "relay/dispatcher.h"
+
+namespace savory {
+
+void Dispatcher::OnAnswerBytes(AttemptNumber attempt, Instant now) {
+  const auto found = this->sent.find(attempt);
+  if (found == this->sent.end()) return;
+  Sent& sent = found->second;
+  if (now - sent.answer_noted_at < this->options.answer_note_period) return;
+  sent.answer_noted_at = now;
+  const auto known = this->pool_of.find(sent.upstream);
+  if (known == this->pool_of.end()) return;
+  UpstreamState& state = this->pools.find(known->second)->second.find(known->first)->second;
+  if (state.upstream.started_unix_ms == sent.started_unix_ms) state.silence.OnAnswer(now);
+}
+
+bool Dispatcher::MayProbeSilent(const UpstreamState& state, const DispatchRequest& request) const {
+  if (!request.may_probe || state.own > 0) return false;
+  // As the machine wakes, the request may begin before its withdrawal is noticed.
+  const WeightsRule* rule = this->NextRule(state);
+  return rule == nullptr || request.deadline < rule->deadline - this->options.outdated_reserve;
+}
+
+void Dispatcher::AddSilent(Choice& choice, std::span<const UpstreamState* const> silent,
+                           const DispatchRequest& request, const PoolRule* pool,
+                           Instant now) const {
+  if (choice.has_room) return;
+  // Room near that is used up is no reason to try a silent engine elsewhere.
+  const bool only_near = choice.best.state != nullptr;
+  for (const UpstreamState* const& state : silent) {
+    if (only_near && state->upstream.data_centre != this->options.data_centre) continue;
+    this->Improve(choice, std::span(&state, 1), request, pool, now);
+  }
+}
+
+std::size_t Dispatcher::Silent(Instant now) const {
+  std::size_t silent = 0;
+  for (const auto& [name, pool] : this->pools) {
+    silent += static_cast<std::size_t>(std::ranges::count_if(pool, [this, now](const auto& row) {
+      return row.second.silence.IsSilent(now) && this->IsServing(row.second, now);
+    }));
+  }
+  return silent;
+}
+
+}  // namespace savory
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -226,7 +226,7 @@
   // ---- the upstream's answer ----
 
   void OnAnswerHead(const HttpHead& head) override {
-    this->last_bytes_at = this->relay.loop.Now();
+    this->NoteBytes();
     const UpstreamAnswer answer = this->relay.codec.DecodeAnswer(head);
     if (answer.load) {
       this->relay.dispatcher.AddLoad(this->target.upstream, *answer.load, this->relay.loop.Now());
@@ -258,7 +258,7 @@
   }
 
   void OnAnswerBody(std::string_view bytes) override {
-    this->last_bytes_at = this->relay.loop.Now();
+    this->NoteBytes();
     if (this->answer_unusable || this->answer_not_run) return this->Ignore(bytes);
     if (this->answer_streams) {
       this->ForwardEvents(bytes);
@@ -303,6 +303,7 @@
 
   void OnSilentBody(std::string_view bytes) {
     const auto keep = this->shared_from_this();
+    this->relay.dispatcher.OnAnswerBytes(this->silent_attempt->attempt, this->relay.loop.Now());
     EventSplitter splitter = this->silent_attempt->splitter;
     const std::vector<StreamEvent> events = splitter.Feed(bytes);
     // Bytes of an unfinished event, and comments, are no progress.
@@ -668,6 +669,11 @@
     if (this->LimitUnsent() && progress) this->SetSilenceLimit(this->PauseLimit());
   }
 
+  void NoteBytes() {
+    this->last_bytes_at = this->relay.loop.Now();
+    this->relay.dispatcher.OnAnswerBytes(this->attempt, this->last_bytes_at);
+  }
+
   // The upstream may send bytes without end.
   void Ignore(std::string_view bytes) {
     this->ignored_bytes += bytes.size();
