--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -327,6 +327,7 @@
   for (std::size_t i = window.first; i < window.last; ++i) serving[i]->followed = true;
   this->FollowHomes(serving);
   for (auto& [id, state] : pool) {
+    if (!state.followed && !state.followed_for_homes) state.silence.OnUnfollowed();
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
     if (!known || now - state.borrowable_at < this->options.load_propagation_time) continue;
@@ -358,7 +359,8 @@
   IndexRange window{.last = serving.size()};
   if (this->entries.size() <= 1) return window;
   const auto accepts = [this, now](const UpstreamState* state) {
-    return !state->health.IsHalfOpen() && this->notices.MayUse(StartOf(state->upstream), now);
+    return !state->health.IsHalfOpen() && !state->silence.IsSilent(now) &&
+           this->notices.MayUse(StartOf(state->upstream), now);
   };
   for (std::size_t least = this->options.min_followed_engines;; least *= 2) {
     window = EngineWindow(slots, demands, this->own_entry, least);
@@ -486,7 +488,7 @@
                     FromSeconds(0.010 * candidate.load / slots + 0.2 * state.health.FailureRate());
   if (is_far && !way) candidate.score += this->options.remote_penalty;
   // Upstreams that stopped together are not tried in turn.
-  if (request.rerun) candidate.score += state.silence.Age(now);
+  if (request.rerun && state.upstream.is_engine) candidate.score += state.silence.Age(now);
   return candidate;
 }
 
--- a/src/relay/dispatcher_silence_test.cc
+++ b/src/relay/dispatcher_silence_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "relay/dispatcher.h"
 
@@ -187,6 +188,26 @@
   EXPECT_EQ(this->Submit(rerun), "engine-2");
 }
 
+// An entry is cut off from all engines that it follows. Guards against keeping to them while others
+// can be followed, and against taking engines for silent that report to other entries.
+TEST_F(DispatcherSilenceTest, EntryWhoseEnginesAreSilentFollowsOthers) {
+  for (int i = 1; i <= 40; ++i) this->AddEngine(i);
+  std::vector<EntryDemand> entries;
+  for (int i = 0; i < 10; ++i) {
+    entries.push_back(
+        {.entry = "entry-" + std::to_string(i), .data_centre = "dc-a", .requests_per_second = 50});
+  }
+  this->dispatcher.SetEntries(entries);
+  const std::vector<std::string> before = this->dispatcher.EnginesToFollow(this->now);
+  ASSERT_EQ(before.size(), 16u);
+  for (int i = 1; i <= 40; ++i) this->Report(i);
+  this->now += milliseconds(100);
+  EXPECT_EQ(this->dispatcher.EnginesToFollow(this->now), before);
+  this->now += milliseconds(1500);
+  EXPECT_EQ(this->dispatcher.Silent(this->now), 16u);
+  EXPECT_GE(this->dispatcher.EnginesToFollow(this->now).size(), 24u);
+}
+
 // Guards against a request that leaves one machine that stands still for another.
 TEST_F(DispatcherSilenceTest, NoRequestLeavesItsUpstreamForASilentOne) {
   this->AddEngine(1);
--- a/src/relay/upstream_silence.cc
+++ b/src/relay/upstream_silence.cc
@@ -4,13 +4,14 @@
 
 namespace savory {
 
-void UpstreamSilence::OnReport(Instant now) { this->reported_at = now; }
+bool UpstreamSilence::IsSilent(Instant now) const {
+  return this->reported_at && now - *this->reported_at < this->options.agent_end &&
+         this->Age(now) >= this->options.limit;
+}
 
 Duration UpstreamSilence::Age(Instant now) const {
-  if (!this->reported_at || now - *this->reported_at >= this->options.agent_end) {
-    return Duration(0);
-  }
-  return now - std::max(*this->reported_at, this->answered_at);
+  const Instant last = std::max(this->reported_at.value_or(Instant()), this->answered_at);
+  return std::min(now - last, this->options.limit);
 }
 
 }  // namespace savory
--- a/src/relay/upstream_silence.h
+++ b/src/relay/upstream_silence.h
@@ -18,17 +18,19 @@
 
 // One start of an upstream. It is silent if its agent reported once and neither the agent nor an
 // answer has been heard for a while: its machine may stand still, and would carry out as it wakes
-// what it was sent meanwhile. Where no agent was ever heard, silence says nothing.
+// what it was sent meanwhile. Where no agent is expected to report, silence says nothing.
 class UpstreamSilence {
  public:
   explicit UpstreamSilence(UpstreamSilenceOptions options = {}) : options(options) {}
 
-  void OnReport(Instant now);
+  void OnReport(Instant now) { this->reported_at = now; }
+  // The agent reports to this entry no more.
+  void OnUnfollowed() { this->reported_at.reset(); }
   // A byte of any answer arrived.
   void OnAnswer(Instant now) { this->answered_at = now; }
 
-  bool IsSilent(Instant now) const { return this->Age(now) >= this->options.limit; }
-  // Time since the last report or byte; 0 where silence says nothing.
+  bool IsSilent(Instant now) const;
+  // Time since the last report or byte, at most `limit`, which is also returned if there was none.
   Duration Age(Instant now) const;
 
  private:
