--- a/src/relay/dispatcher_silence_test.cc
+++ b/src/relay/dispatcher_silence_test.cc
@@ -193,6 +193,7 @@
 TEST_F(DispatcherSilenceTest, EntryWhoseEnginesAreSilentFollowsOthers) {
   for (int i = 1; i <= 40; ++i) this->AddEngine(i);
   std::vector<EntryDemand> entries;
+  entries.reserve(10);
   for (int i = 0; i < 10; ++i) {
     entries.push_back(
         {.entry = "entry-" + std::to_string(i), .data_centre = "dc-a", .requests_per_second = 50});
