--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -890,6 +890,22 @@
   ExpectGoldenText("outdated_engine", this->printed);
 }
 
+// The agent beside an engine has ended, but the engine answers. Guards against taking it for one
+// whose machine stands still.
+TEST_F(RelaySession, AnswerEndsTheSilenceOfAnEngine) {
+  Dispatcher& dispatcher = this->relay.RequestDispatcher();
+  dispatcher.RemoveUpstream("b");
+  this->SetEngine("a", 26932, "home", 1);
+  for (const std::string target : {"/read/1", "/chat/1"}) {
+    dispatcher.AddReport({.address = "127.0.0.1:26932", .weights_version = 1}, this->loop.Now());
+    this->RunFor(milliseconds(1600));
+    EXPECT_EQ(dispatcher.Silent(this->loop.Now()), 1u);
+    if (target == "/chat/1") this->behaviours["a"] = {PausesAfterOneEvent(milliseconds(10))};
+    this->Call("GET", target);
+    EXPECT_EQ(dispatcher.Silent(this->loop.Now()), 0u) << this->printed;
+  }
+}
+
 // Guards against forwarding requests without a route or a valid API key, or while the entry is
 // stopping.
 TEST_F(RelaySession, UnroutableRequestsReachNoUpstream) {
