--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -1081,6 +1081,22 @@
   EXPECT_NE(this->printed.find("id: 5|data: e||"), std::string::npos) << this->printed;
 }
 
+// The agent beside an engine has ended, but the engine answers. Guards against taking it for one
+// whose machine stands still.
+TEST_F(RelaySession, AnswerEndsTheSilenceOfAnEngine) {
+  Dispatcher& dispatcher = this->relay.RequestDispatcher();
+  dispatcher.RemoveUpstream("b");
+  this->SetEngine("a", 26932, "home", 1);
+  for (const std::string target : {"/read/1", "/chat/1"}) {
+    dispatcher.AddReport({.address = "127.0.0.1:26932", .weights_version = 1}, this->loop.Now());
+    this->RunFor(milliseconds(1600));
+    EXPECT_EQ(dispatcher.Silent(this->loop.Now()), 1u);
+    if (target == "/chat/1") this->behaviours["a"] = {PausesAfterOneEvent(milliseconds(10))};
+    this->Call("GET", target);
+    EXPECT_EQ(dispatcher.Silent(this->loop.Now()), 0u) << this->printed;
+  }
+}
+
 // Guards against forwarding requests without a route or a valid API key, or while the entry is
 // stopping.
 TEST_F(RelaySession, UnroutableRequestsReachNoUpstream) {
@@ -1111,8 +1127,8 @@
             "caller has whole answer: from a\n");
 }
 
-// Guards against requests that a planned stop sends to engines that have just turned slow, and cuts
-// off at its end, because all finished answers were quick.
+// Guards against requests that a planned stop sends to engines that have just turned slow, and
+// cuts off at its end, because all finished answers were quick.
 TEST_F(RelaySession, SlowAnswersInProgressCountForAStop) {
   this->Call("POST", "/chat/1", "prompt");  // quick
   this->behaviours["a"] = {PausesAfterOneEvent(seconds(3))};
