Slow the copy down for an engine that may get requests, not only where some have arrived

What callers saw: requests reached engines up to 4 s after they were sent; some began on version 1 of the weights up to 9.8 s after version 2 was announced (8 s allowed), also on the untouched code.

Cause: an agent pauses its copy on a congested link only while requests are at its engine. On a link full of chunks no request gets through, so the engine looked unused, and the copy went on at full speed. Class: an effect that hides the condition it depends on.

Change: MayGetRequests: an engine that accepts requests and whose weights are not outdated may get some. An outdated one still gets its weights as soon as possible.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -197,7 +197,8 @@
     // The chunks prove a load that nobody vouches for, or it is repeated with them.
     const bool copies_again = this->loader.HasUnknownLoad();
     this->copier.SetEngineVersion(copies_again ? 0 : state.weights_version);
-    this->copier.SetEngineRequests(state.running + state.waiting);
+    const bool accepting = this->loader.Accepting() && !state.busy && state.weights_version > 0;
+    this->copier.SetEngineRequests(state.running + state.waiting, accepting);
     this->AdvanceLoad();
     if (newly_reachable) this->Report(true);
   }
--- a/src/direct/copy_policy.cc
+++ b/src/direct/copy_policy.cc
@@ -43,6 +43,10 @@
   return !IsEngineOutdated(context) || context.engine_version == 0u || context.first_copy;
 }
 
+bool MayGetRequests(const EngineUse& use) {
+  return use.requests > 0 || (use.accepting && use.time_left > Duration(0));
+}
+
 bool ShouldFinishBeforeNewer(const CopyProgress& copy) {
   if (copy.held >= copy.chunks || copy.newer_known_for >= kMaxFinishTime) return false;
   if (copy.time_left < kMinTimeToFinish) return false;
--- a/src/direct/copy_policy.h
+++ b/src/direct/copy_policy.h
@@ -42,6 +42,17 @@
 // first.
 Duration OriginDelay(const CopyContext& context);
 
+// What entries may send to this agent's engine.
+struct EngineUse {
+  std::uint32_t requests = 0;            // that run or wait there
+  bool accepting = false;                // it holds weights and takes requests
+  Duration time_left = Duration::max();  // until its weights are outdated
+};
+
+// Whether requests may be on their way to the engine. None may have arrived for a while just
+// because the copy fills the link.
+bool MayGetRequests(const EngineUse& use);
+
 // State of the copy in progress when the manifest of a newer version arrives.
 struct CopyProgress {
   std::size_t held = 0;       // chunks in memory
--- a/src/direct/copy_policy_test.cc
+++ b/src/direct/copy_policy_test.cc
@@ -133,5 +133,14 @@
       {.held = 30, .chunks = 48, .resumed_for = std::chrono::milliseconds(3500)}));
 }
 
+// A narrow link is full of chunks, so that no request gets through. Guards against an agent that
+// takes its engine for unused then, and copies all the faster.
+TEST(CopyPolicyTest, EngineThatAcceptsMayGetRequestsThoughNoneArrive) {
+  EXPECT_TRUE(MayGetRequests({.accepting = true}));
+  EXPECT_TRUE(MayGetRequests({.requests = 1}));
+  EXPECT_FALSE(MayGetRequests({.accepting = true, .time_left = Duration(0)})) << "outdated";
+  EXPECT_FALSE(MayGetRequests({.accepting = false}));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -79,6 +79,7 @@
   FleetView view = {};
   std::optional<std::uint64_t> engine_version = {};
   std::uint32_t engine_requests = 0;
+  bool engine_accepting = false;
   CongestionDetector congestion = CongestionDetector();
   LinkStateChanged last_link_state = {};     // last state passed to the spreader
   std::uint64_t peer_requested_version = 0;  // version that another agent requested from this one
@@ -258,6 +259,15 @@
   }
 
   // Until engines without `version` get no requests.
+  // Until the version that the engine holds is outdated.
+  Duration EngineTimeLeft() const {
+    for (const VersionTime& version : this->view.history.All()) {
+      if (version.version <= this->engine_version.value_or(0) || !version.since) continue;
+      return *version.since + this->options.deadline - this->Now();
+    }
+    return Duration::max();
+  }
+
   Duration TimeLeft(const VersionCopy& version) const {
     return version.wanted_since + this->options.deadline - this->Now();
   }
@@ -452,13 +462,15 @@
 
   // ---- the link ----
 
-  // Slows the copy down in favour of the engine's answers when the link is congested, as it is when
-  // it has less bandwidth than configured. An engine without requests (for example because its
-  // weights are outdated) needs the weights as soon as possible, so the copy is not slowed down
-  // then.
+  // Slows the copy down in favour of the engine's requests and answers when the link is congested,
+  // as it is when it has less bandwidth than configured. An engine that gets no requests (for
+  // example because its weights are outdated) needs the weights as soon as possible, so the copy is
+  // not slowed down then.
   void WatchLink() {
     const Instant now = this->Now();
-    if (this->engine_requests == 0) {
+    if (!MayGetRequests({.requests = this->engine_requests,
+                         .accepting = this->engine_accepting,
+                         .time_left = this->EngineTimeLeft()})) {
       this->congestion.Reset();
       return this->UpdateLinkState();
     }
@@ -535,8 +547,9 @@
   this->impl->FollowWantedVersion();
 }
 
-void WeightsCopier::SetEngineRequests(std::uint32_t requests) {
+void WeightsCopier::SetEngineRequests(std::uint32_t requests, bool accepting) {
   this->impl->engine_requests = requests;
+  this->impl->engine_accepting = accepting;
 }
 
 void WeightsCopier::Tick() {
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -66,8 +66,9 @@
   void SetFleet(const FleetView& view);
   // Version that the engine holds: 0 for none, nullopt while the engine is unreachable.
   void SetEngineVersion(std::optional<std::uint64_t> version);
-  // Number of requests at the engine. Their answers share the link with the weights.
-  void SetEngineRequests(std::uint32_t requests);
+  // Number of requests at the engine, and whether it accepts more. They and their answers share the
+  // link with the weights.
+  void SetEngineRequests(std::uint32_t requests, bool accepting);
   // Performs the work that is due. Call every 10 ms while IsActive(), and several times per second
   // otherwise.
   void Tick();
