Refuse requests at an engine whose narrow link may delay them past the end of its weights

What is in the network can be withdrawn by nobody.

Cause: an entry knows neither the way nor its delay; the agent does (it measures queues on its link), and told nobody. Class: knowledge that does not reach the place of the decision.

Change: an agent reports its engine as not accepting while its link is narrow and less than 4 s are left until its weights are outdated. The entries hear of it at once, and of its end. The log line engine_accepting says so.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -214,10 +214,12 @@
                      .waiting = this->engine->waiting,
                      .slots = this->engine->slots};
       report.weights_version = this->engine->weights_version;
-      report.accepting = report.accepting && !this->engine->busy;
+      report.accepting =
+          report.accepting && !this->engine->busy && !this->copier.DelaysRequestsTooLong();
       report.pace = this->engine->pace;
       report.kv_used = this->engine->kv_used;
     }
+    if (report.accepting != this->last_report.accepting) this->LogAccepting(report);
     const bool changed = report.reachable != this->last_report.reachable ||
                          report.accepting != this->last_report.accepting ||
                          report.weights_version != this->last_report.weights_version;
@@ -225,6 +227,13 @@
     this->links.Report(report, urgent || changed);
   }
 
+  void LogAccepting(const EngineReport& report) const {
+    Log(LogLevel::kInfo, "engine_accepting",
+        {{"accepting", report.accepting},
+         {"weights", report.weights_version},
+         {"narrow_link", this->copier.DelaysRequestsTooLong()}});
+  }
+
   // ---- periodic work ----
 
   void Tick() {
--- a/src/direct/copy_policy.cc
+++ b/src/direct/copy_policy.cc
@@ -2,9 +2,14 @@
 
 #include <algorithm>
 
+#include "distribution/congestion_detector.h"
+
 namespace savory {
 namespace {
 
+// What was sent before a link was found to be narrow, and one chunk, has arrived after this time.
+constexpr Duration kLongestWayOnNarrowLink = std::chrono::seconds(4);
+
 // Reading all staged chunks back from the engine takes about a second.
 constexpr Duration kReadBackTime = std::chrono::milliseconds(1500);
 
@@ -47,6 +52,10 @@
   return use.requests > 0 || (use.accepting && use.time_left > Duration(0));
 }
 
+bool MayArriveTooLate(LinkState link, Duration time_left) {
+  return link == LinkState::kNarrow && time_left < kLongestWayOnNarrowLink;
+}
+
 bool ShouldFinishBeforeNewer(const CopyProgress& copy) {
   if (copy.held >= copy.chunks || copy.newer_known_for >= kMaxFinishTime) return false;
   if (copy.time_left < kMinTimeToFinish) return false;
--- a/src/direct/copy_policy.h
+++ b/src/direct/copy_policy.h
@@ -8,6 +8,8 @@
 
 namespace savory {
 
+enum class LinkState;
+
 // No process knows the age of a version that was announced before all running processes started.
 // Engines with older weights may then serve for only this long after the version was first seen.
 // This is shorter than the 3 s or more for which the platform exempts a restarted machine from its
@@ -53,6 +55,10 @@
 // because the copy fills the link.
 bool MayGetRequests(const EngineUse& use);
 
+// Whether a request that is sent to the engine now may arrive only after its weights are outdated,
+// as it waits behind chunks on the way.
+bool MayArriveTooLate(LinkState link, Duration time_left);
+
 // State of the copy in progress when the manifest of a newer version arrives.
 struct CopyProgress {
   std::size_t held = 0;       // chunks in memory
--- a/src/direct/copy_policy_test.cc
+++ b/src/direct/copy_policy_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "distribution/congestion_detector.h"
+
 namespace savory {
 namespace {
 
@@ -142,5 +144,15 @@
   EXPECT_FALSE(MayGetRequests({.accepting = false}));
 }
 
+// Requests wait for seconds behind chunks on a narrow link. Guards against an engine that accepts
+// them until they would begin on outdated weights.
+TEST(CopyPolicyTest, NarrowLinkDelaysRequestsPastTheEndOfAVersion) {
+  EXPECT_TRUE(MayArriveTooLate(LinkState::kNarrow, std::chrono::seconds(3)));
+  EXPECT_TRUE(MayArriveTooLate(LinkState::kNarrow, std::chrono::seconds(-1)));
+  EXPECT_FALSE(MayArriveTooLate(LinkState::kNarrow, std::chrono::seconds(5)));
+  EXPECT_FALSE(MayArriveTooLate(LinkState::kNarrow, Duration::max())) << "its weights stay";
+  EXPECT_FALSE(MayArriveTooLate(LinkState::kBusy, std::chrono::seconds(3)));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -562,6 +562,11 @@
   this->impl->LogProgress();
 }
 
+bool WeightsCopier::DelaysRequestsTooLong() const {
+  return MayArriveTooLate(this->impl->congestion.State(this->impl->Now()),
+                          this->impl->EngineTimeLeft());
+}
+
 bool WeightsCopier::IsActive() const {
   if (this->impl->pending) return true;
   return this->impl->spreader && this->impl->spreader->IsActive();
--- a/src/direct/weights_copier.h
+++ b/src/direct/weights_copier.h
@@ -73,6 +73,9 @@
   // otherwise.
   void Tick();
   bool IsActive() const;
+  // Whether requests to the engine may arrive only after its weights are outdated, as the link is
+  // narrow.
+  bool DelaysRequestsTooLong() const;
 
   // The newest version whose copy is in progress or complete; nullopt before the first one.
   const std::optional<VersionCopy>& Newest() const;
