Mend what the review of the narrow links found

- EngineTimeLeft passed over versions of unknown age, so that an outdated engine counted as one that may get requests after a full restart; it took the first newer version, not the one whose time ends first.
OutdatedSince decides it now; its test fails for both by construction of the loop before (returned the first known time).
- An attempt that was given up at once, or never sent, hid a wait of seconds from the prediction (AttemptThatIsGivenUpOnlyRaisesTheWait).
- A silent engine at the edge of the followed window was forgotten to be silent as the window moved.
- An engine that is lost counted as accepting for the copy.
- Names and comments: `delays_requests` and `busy` in the log line, the comment on reports.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -177,6 +177,7 @@
     this->engine.reset();
     this->loader.SetEngineUnreachable();
     this->copier.SetEngineVersion({});
+    this->copier.SetEngineRequests(0, false);
     this->Report(true);
   }
 
@@ -231,7 +232,8 @@
     Log(LogLevel::kInfo, "engine_accepting",
         {{"accepting", report.accepting},
          {"weights", report.weights_version},
-         {"narrow_link", this->copier.DelaysRequestsTooLong()}});
+         {"busy", this->engine && this->engine->busy},
+         {"delays_requests", this->copier.DelaysRequestsTooLong()}});
   }
 
   // ---- periodic work ----
--- a/src/direct/copy_policy.cc
+++ b/src/direct/copy_policy.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 
-#include "distribution/congestion_detector.h"
-
 namespace savory {
 namespace {
 
-// What was sent before a link was found to be narrow, and one chunk, has arrived after this time.
+// What was sent before a link was found to be narrow, and one chunk, usually has arrived after this
+// time.
 constexpr Duration kLongestWayOnNarrowLink = std::chrono::seconds(4);
 
 // Reading all staged chunks back from the engine takes about a second.
@@ -52,6 +51,14 @@
   return use.requests > 0 || (use.accepting && use.time_left > Duration(0));
 }
 
+Instant OutdatedSince(std::span<const VersionTime> history, std::uint64_t held, Instant assumed) {
+  Instant earliest = assumed;
+  for (const VersionTime& known : history) {
+    if (known.version > held && known.since) earliest = std::min(earliest, *known.since);
+  }
+  return earliest;
+}
+
 bool MayArriveTooLate(LinkState link, Duration time_left) {
   return link == LinkState::kNarrow && time_left < kLongestWayOnNarrowLink;
 }
--- a/src/direct/copy_policy.h
+++ b/src/direct/copy_policy.h
@@ -3,13 +3,14 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 
 #include "base/time.h"
+#include "distribution/congestion_detector.h"
+#include "fleet/version_history.h"
 
 namespace savory {
 
-enum class LinkState;
-
 // No process knows the age of a version that was announced before all running processes started.
 // Engines with older weights may then serve for only this long after the version was first seen.
 // This is shorter than the 3 s or more for which the platform exempts a restarted machine from its
@@ -44,7 +45,7 @@
 // first.
 Duration OriginDelay(const CopyContext& context);
 
-// What entries may send to this agent's engine.
+// How this agent's engine is used.
 struct EngineUse {
   std::uint32_t requests = 0;            // that run or wait there
   bool accepting = false;                // it holds weights and takes requests
@@ -55,6 +56,10 @@
 // because the copy fills the link.
 bool MayGetRequests(const EngineUse& use);
 
+// Since when a version newer than `held` is wanted, the earliest one. `assumed`: the same of a
+// version whose time nobody knows; Instant::max(): there is none.
+Instant OutdatedSince(std::span<const VersionTime> history, std::uint64_t held, Instant assumed);
+
 // Whether a request that is sent to the engine now may arrive only after its weights are outdated,
 // as it waits behind chunks on the way.
 bool MayArriveTooLate(LinkState link, Duration time_left);
--- a/src/direct/copy_policy_test.cc
+++ b/src/direct/copy_policy_test.cc
@@ -154,5 +154,21 @@
   EXPECT_FALSE(MayArriveTooLate(LinkState::kBusy, std::chrono::seconds(3)));
 }
 
+// Guards against weights that count as valid for as long as the time of one newer version is
+// unknown, or until the time of a later one.
+TEST(CopyPolicyTest, EarliestNewerVersionOutdatesTheWeights) {
+  const Instant start = Instant(std::chrono::hours(1));
+  const std::vector<VersionTime> history = {
+      {.version = 2, .since = start},
+      {.version = 3, .since = std::nullopt},
+      {.version = 4, .since = start + std::chrono::seconds(9)},
+      {.version = 5, .since = start + std::chrono::seconds(7)}};
+  EXPECT_EQ(OutdatedSince(history, 1, Instant::max()), start);
+  EXPECT_EQ(OutdatedSince(history, 2, Instant::max()), start + std::chrono::seconds(7));
+  EXPECT_EQ(OutdatedSince(history, 2, start + std::chrono::seconds(3)),
+            start + std::chrono::seconds(3));
+  EXPECT_EQ(OutdatedSince(history, 5, Instant::max()), Instant::max());
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -258,16 +258,17 @@
     this->FollowWantedVersion();
   }
 
-  // Until engines without `version` get no requests.
-  // Until the version that the engine holds is outdated.
+  // Until the weights of the engine are outdated; negative: they are.
   Duration EngineTimeLeft() const {
-    for (const VersionTime& version : this->view.history.All()) {
-      if (version.version <= this->engine_version.value_or(0) || !version.since) continue;
-      return *version.since + this->options.deadline - this->Now();
-    }
-    return Duration::max();
+    const std::uint64_t held = this->engine_version.value_or(0);
+    const Instant assumed_since =
+        this->newest && this->newest->version > held ? this->newest->wanted_since : Instant::max();
+    const Instant since = OutdatedSince(this->view.history.All(), held, assumed_since);
+    if (since == Instant::max()) return Duration::max();
+    return since + this->options.deadline - this->Now();
   }
 
+  // Until engines without `version` get no requests.
   Duration TimeLeft(const VersionCopy& version) const {
     return version.wanted_since + this->options.deadline - this->Now();
   }
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -376,7 +376,9 @@
   for (std::size_t i = window.first; i < window.last; ++i) serving[i]->followed = true;
   this->FollowHomes(serving);
   for (auto& [id, state] : pool) {
-    if (!state.followed && !state.followed_for_homes) state.silence.OnUnfollowed();
+    // A silent engine may have left the window for its silence.
+    const bool is_followed = state.followed || state.followed_for_homes;
+    if (!is_followed && !state.silence.IsSilent(now)) state.silence.OnUnfollowed();
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
     if (!known || now - state.borrowable_at < this->options.load_propagation_time) continue;
@@ -874,12 +876,13 @@
   if (known == nullptr) return {};
   UpstreamState& state = *known;
   if (WaitedInVain(result)) {
-    state.waits.OnWaited(attempt, ended.sent_at, now);
+    state.waits.OnGivenUp(attempt, ended.sent_at, now, this->options.load_lifetime);
   } else {
     state.waits.OnEnded(attempt, ended.sent_at);
   }
   if (state.own > 0) --state.own;
-  // An engine that loads new weights aborts its requests; this does not count as a failure.
+  // An engine that loads new weights aborts its requests, and one behind a narrow link gets them
+  // late; neither counts as a failure.
   const bool loads = this->HasReport(state, now)
                          ? !state.report->accepting
                          : this->words.IsRefusing(StartOf(state.upstream), now);
--- a/src/relay/first_event_waits.cc
+++ b/src/relay/first_event_waits.cc
@@ -10,6 +10,14 @@
   this->last_at = now;
 }
 
+void FirstEventWaits::OnGivenUp(AttemptNumber attempt, Instant sent_at, Instant now,
+                                Duration lifetime) {
+  if (this->waiting.erase({sent_at, attempt}) == 0) return;
+  if (now - sent_at < this->Longest(now, lifetime)) return;
+  this->last = now - sent_at;
+  this->last_at = now;
+}
+
 Duration FirstEventWaits::Longest(Instant now, Duration lifetime) const {
   const Duration last = now - this->last_at < lifetime ? this->last : Duration(0);
   if (this->waiting.empty()) return last;
--- a/src/relay/first_event_waits.h
+++ b/src/relay/first_event_waits.h
@@ -16,12 +16,14 @@
 class FirstEventWaits {
  public:
   void OnSent(AttemptNumber attempt, Instant sent_at) { this->waiting.emplace(sent_at, attempt); }
-  // The first event arrived, or the attempt ended without one after it had waited in vain.
+  // The first event arrived.
   void OnWaited(AttemptNumber attempt, Instant sent_at, Instant now);
+  // The attempt was given up without a first event: others wait at least as long.
+  void OnGivenUp(AttemptNumber attempt, Instant sent_at, Instant now, Duration lifetime);
   // The attempt ended and says nothing about the wait of others.
   void OnEnded(AttemptNumber attempt, Instant sent_at) { this->waiting.erase({sent_at, attempt}); }
 
-  // The longest of what the oldest waiting request has waited so far and what the last ones waited,
+  // The longest of what the oldest waiting request has waited so far and what the last one waited,
   // unless that is longer ago than `lifetime`.
   Duration Longest(Instant now, Duration lifetime) const;
 
--- a/src/relay/first_event_waits_test.cc
+++ b/src/relay/first_event_waits_test.cc
@@ -32,5 +32,18 @@
   EXPECT_EQ(waits.Longest(kStart + seconds(9), kLifetime), Duration(0)) << "it had begun before";
 }
 
+// A caller leaves at once, or a request is not sent after all. Guards against an attempt that says
+// nothing and hides a wait of seconds.
+TEST(FirstEventWaitsTest, AttemptThatIsGivenUpOnlyRaisesTheWait) {
+  FirstEventWaits waits;
+  const Instant end = kStart + seconds(2);
+  waits.OnSent(7, kStart);
+  waits.OnSent(8, end);
+  waits.OnGivenUp(7, kStart, end, kLifetime);
+  EXPECT_EQ(waits.Longest(end, kLifetime), seconds(2));
+  waits.OnGivenUp(8, end, end + milliseconds(10), kLifetime);
+  EXPECT_EQ(waits.Longest(end + milliseconds(10), kLifetime), seconds(2));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -37,7 +37,8 @@
   std::string address;  // IP:PORT of the engine
   UpstreamLoad load = {};
   bool reachable = true;  // the engine answered its agent
-  bool accepting = true;  // no weights load is about to start or in progress
+  // No weights load is about to start or in progress, and the way is not too slow for requests.
+  bool accepting = true;
   std::uint64_t weights_version = 0;
   double pace = 1;              // slowdown factor; above 1: slower than its published rates
   std::uint64_t kv_used = 0;    // used KV cache, in tokens
