--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -151,7 +151,7 @@
   EXPECT_EQ(this->Submit(waits), "engine-1");
   const auto submit = [this] {
     const DispatchRequest next = this->Chat();
-    const std::string to = this->Submit(next);
+    std::string to = this->Submit(next);
     if (to == "wait") this->dispatcher.Withdraw(next.attempt);
     if (to == "engine-1") {
       this->dispatcher.OnEnded(next.attempt, AttemptResult::kRefused, this->now);
