Soak: list the requests that were not served after the recovery time

The run's logs went with the machine, so nothing tells whether the five requests were refused, late or broken off. Change: each such request is printed with what callers and upstreams saw of it, and in a run that breaks the rule with its entry's log lines.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -612,16 +612,41 @@
                                   ", loaded with " + *fault);
 }
 
+bool Checker::IsServed(const Request& request) {
+  return request.answer->state == AnswerState::kComplete && request.answer->status == 200;
+}
+
+bool Checker::CountsSince(const Request& request, Instant since) {
+  return request.sent.sent >= since && request.answer && !request.sent.request.cancel_after;
+}
+
 std::pair<std::uint64_t, std::uint64_t> Checker::ServedSince(Instant since) const {
   std::uint64_t served = 0;
   std::uint64_t all = 0;
   for (const auto& [id, request] : this->requests) {
-    if (request.sent.sent < since || !request.answer) continue;
-    if (request.sent.request.cancel_after) continue;
+    if (!CountsSince(request, since)) continue;
     ++all;
-    if (request.answer->state == AnswerState::kComplete && request.answer->status == 200) ++served;
+    if (IsServed(request)) ++served;
   }
   return {served, all};
 }
 
+std::vector<UnservedRequest> Checker::UnservedSince(Instant since) const {
+  std::vector<const Request*> requests_unserved;
+  for (const auto& [id, request] : this->requests) {
+    if (CountsSince(request, since) && !IsServed(request)) requests_unserved.push_back(&request);
+  }
+  std::ranges::sort(requests_unserved, {},
+                    [](const Request* request) { return request->sent.sent; });
+  std::vector<UnservedRequest> unserved;
+  for (const Request* request : requests_unserved) {
+    const SentRequest& sent = request->sent;
+    unserved.push_back({.attempt_id = sent.request.attempt_id,
+                        .entry_vm = sent.entry_vm,
+                        .description = request->trace.Describe(sent, *request->answer,
+                                                               request->answered_at, since)});
+  }
+  return unserved;
+}
+
 }  // namespace savory
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -69,6 +69,12 @@
   std::string detail;
 };
 
+struct UnservedRequest {
+  std::string attempt_id;
+  std::string entry_vm;
+  std::string description;  // with times in ms
+};
+
 // Totals for the result line.
 struct SoakCounts {
   std::uint64_t sent = 0;
@@ -165,6 +171,9 @@
   // Number of served and of all finished requests sent at or after `since`. Requests with an early
   // disconnect of their caller (`cancel_after`) are left out.
   std::pair<std::uint64_t, std::uint64_t> ServedSince(Instant since) const;
+  // The finished requests that ServedSince() does not count as served, in the order in which they
+  // were sent.
+  std::vector<UnservedRequest> UnservedSince(Instant since) const;
 
  private:
   struct Request {
@@ -195,6 +204,8 @@
   using EntryAndUpstream = std::pair<std::string, std::string>;
 
   Request* Find(std::string_view attempt_id);
+  static bool IsServed(const Request& request);
+  static bool CountsSince(const Request& request, Instant since);
   // End of the component's last disturbance, including the settle time.
   Instant UndisturbedSince(std::string_view component) const;
   bool IsUndisturbed(std::string_view component, Instant now) const;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -25,6 +25,9 @@
   for (const Violation& note : result.notes) {
     std::cerr << note.rule << ": " << note.detail << '\n';
   }
+  for (const std::string& unserved : result.unserved_at_end) {
+    std::cerr << "unserved after recovery: " << unserved << '\n';
+  }
   nlohmann::ordered_json line = {{"seed", options.seed},
                                  {"plan", static_cast<int>(options.plan)},
                                  {"seconds", ToSeconds(options.length)},
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -1,6 +1,7 @@
 #include "soak/soak_run.h"
 
 #include <algorithm>
+#include <fstream>
 #include <map>
 
 #include "apps/process_group.h"
@@ -219,6 +220,7 @@
     for (const std::string& vm : this->processes.StopAll()) {
       this->checker.AddViolation("planned-stop", vm + " did not exit with status 0 in time");
     }
+    this->DescribeUnserved();
     this->result.violations = this->checker.Violations();
     this->result.notes = this->checker.Notes();
     this->result.counts = this->checker.Counts();
@@ -228,6 +230,19 @@
     }
   }
 
+  // A run in CI leaves only what it prints.
+  void DescribeUnserved() {
+    for (const UnservedRequest& unserved : this->checker.UnservedSince(this->evaluation_start)) {
+      this->result.unserved_at_end.push_back(unserved.description);
+      if (this->result.served_at_end >= kMinServedShare) continue;
+      std::ifstream log(this->group.Directory() + "/" + unserved.entry_vm + ".log");
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("request=" + unserved.attempt_id) == std::string::npos) continue;
+        this->result.unserved_at_end.push_back(line);
+      }
+    }
+  }
+
   // ---- faults ----
 
   void MarkEntriesDisturbed(Duration duration) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -28,7 +28,9 @@
   std::vector<Violation> notes;  // observations that break no rule
   SoakCounts counts;
   double served_at_end = 0;  // share of the requests after recovery from the last fault
-  std::string logs;          // directory, if it was kept
+  // Those that were not served, each followed by its log lines if too many were not.
+  std::vector<std::string> unserved_at_end;
+  std::string logs;  // directory, if it was kept
 };
 
 // Errors: kUnavailable when a program cannot be started or an address is in use.
