Take no more requests for callers' returns than were left unserved

What callers saw: first requests were refused as 'overloaded' beside engines with free slots. Cause: a request counted as a return if its time left was under 0.82 of the longest one ever seen on its route. One caller that waits long, by any time that it names, made returns of all others for good, and these may use nine tenths of the slots only. Change: CallerReturns. Time beyond the route's timeout does not count, and each request that ends unserved allows for one return within about the timeout.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -13,6 +13,7 @@
 #include "crashes/request_fingerprint.h"
 #include "relay/answer_times.h"
 #include "relay/attempt_plan.h"
+#include "relay/caller_returns.h"
 #include "relay/event_splitter.h"
 #include "relay/relay_codec.h"
 #include "runtime/event_loop.h"
@@ -27,9 +28,6 @@
 // A request with less time left is not sent, as its answer could not reach the caller in time.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
-// A request whose time left is below this fraction of the longest one seen on its route is taken
-// for a caller's retry. First tries differ in their time left, but stay above this fraction.
-constexpr double kMinFirstTryTimeFraction = 0.82;
 // A retry after a lost connection waits until the upstream has been probed, so that what is learned
 // of its end counts for the retry.
 constexpr Duration kCrashVerdictTime = std::chrono::milliseconds(30);
@@ -140,9 +138,7 @@
   std::map<AttemptNumber, RelayedRequest*> waiting = {};
   bool poll_scheduled = false;
   std::size_t buffered_bytes = 0;  // of the answers in all requests
-  // Longest time left that a request had on arrival, by route name. A clearly shorter one indicates
-  // a caller's retry.
-  TextMap<Duration> longest_time_left = {};
+  CallerReturns returns = CallerReturns();
 
   Impl(EventLoop& loop, HttpConnectionPool& upstreams, const RelayCodec& codec, Metrics& metrics,
        Random& random, RelayOptions given)
@@ -172,7 +168,6 @@
   void CountLeft(LeavingReason reason);
   void TakeNotices(const SendTo& sent, std::string_view request, const UpstreamAnswer& answer,
                    int status);
-  bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left);
   // The longest time of the route's recent answers, also of those that are not complete yet;
   // nullopt if none is complete.
   std::optional<Duration> LongestAnswer(std::string_view route) const;
@@ -208,7 +203,9 @@
     this->deadline = this->arrived + this->metadata.time_left.value_or(this->route.timeout);
     this->timeout = std::min(this->deadline, this->arrived + this->route.timeout);
     this->last_event = this->metadata.last_event_id;
-    this->is_caller_retry = this->relay.IsCallerRetry(this->route, this->metadata.time_left);
+    this->is_caller_retry = this->metadata.time_left &&
+                            this->relay.returns.IsReturn(this->route.name, this->route.timeout,
+                                                         *this->metadata.time_left, now);
     this->relay.budget.OnRequest(this->pool, now);
     this->silence.emplace(this->relay.loop, this->Guarded([this] { this->OnSilence(); }));
     this->exchange->OnCallerDisconnected(this->Guarded([this] { this->OnCallerDisconnected(); }));
@@ -1108,6 +1105,8 @@
   }
 
   void Finish(std::string_view outcome, int status);
+  // Whether the caller may send the request once more.
+  bool MayReturn(std::string_view outcome, Instant now) const;
   void LogEnd(std::string_view outcome, int status, Instant now) const;
 
   Relay::Impl& relay;
@@ -1189,12 +1188,20 @@
     this->relay.metrics.HistogramFor("savory_first_part_seconds", labels)
         .Observe(ToSeconds(*this->first_part));
   }
+  if (this->MayReturn(outcome, now)) {
+    this->relay.returns.OnUnserved(this->route.name, this->route.timeout, now);
+  }
   this->LogEnd(outcome, status, now);
   if (this->relay.on_end) this->relay.on_end(outcome == "served");
   // Must be the last statement: the map may hold the last reference to this object.
   this->relay.requests.erase(this);
 }
 
+bool RelayedRequest::MayReturn(std::string_view outcome, Instant now) const {
+  const bool caller_ended_it = outcome == "caller-gone" || outcome == "caller-too-slow";
+  return outcome != "served" && !caller_ended_it && now < this->deadline;
+}
+
 void RelayedRequest::LogEnd(std::string_view outcome, int status, Instant now) const {
   // For a refused request, the values of the best upstream considered; otherwise of the one chosen.
   const RefuseRequest* refusal = this->refusal ? &*this->refusal : nullptr;
@@ -1324,13 +1331,6 @@
       .Add();
 }
 
-bool Relay::Impl::IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) {
-  if (!time_left) return false;
-  Duration& longest = this->longest_time_left[route.name];
-  longest = std::max(longest, *time_left);
-  return ToSeconds(*time_left) < ToSeconds(longest) * kMinFirstTryTimeFraction;
-}
-
 std::optional<Duration> Relay::Impl::LongestAnswer(std::string_view route) const {
   std::optional<Duration> longest = this->answer_times.Longest(route);
   if (!longest) return longest;
@@ -1397,6 +1397,7 @@
 
 std::vector<std::string> Relay::SetRules(SharedRouting rules) {
   this->impl->rules = rules;
+  this->impl->returns.KeepRoutes(rules->Rules().routes);
   return this->impl->dispatcher.SetRules(std::move(rules));
 }
 
