Wait out a moment's shortage of slots

What callers saw: refused after an eighth of their target, beside slots that were freed well within it. Cause: one limit for all shortages. Entries' shares lag behind the demand, so an entry lacks slots for moments. Change: a first request waits up to half of its target where it would begin in time, unless more than a tenth of them was refused in about two seconds. MomentOfShortageIsWaitedOut fails with the old limit.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -627,13 +627,16 @@
     return candidate.load < slots * this->options.caller_retry_load_fraction &&
            candidate.forecast.first_event < left / 2;
   }
-  const Duration waited = now - request.arrived;
+  return this->IsInTime(candidate, request, now) && candidate.forecast.first_event < left;
+}
+
+bool Dispatcher::IsInTime(const Candidate& candidate, const DispatchRequest& request,
+                          Instant now) const {
   const auto usable = [this](Duration limit) {
     return FromSeconds(ToSeconds(limit) * this->options.usable_fraction);
   };
-  return waited + candidate.forecast.first_event <= usable(request.target) &&
-         candidate.forecast.longest_pause <= usable(request.max_pause) &&
-         candidate.forecast.first_event < left;
+  return now - request.arrived + candidate.forecast.first_event <= usable(request.target) &&
+         candidate.forecast.longest_pause <= usable(request.max_pause);
 }
 
 bool Dispatcher::BeginsInTime(const Candidate& candidate, Instant now) const {
@@ -686,6 +689,11 @@
                                             .left = best.left}};
 }
 
+bool Dispatcher::IsLimited(const DispatchRequest& request) const {
+  return !request.within_floor && !request.rerun &&
+         this->admission.IsLimited(request.pool, request.priority);
+}
+
 Instant Dispatcher::WaitLimit(const DispatchRequest& request) const {
   if (request.answer_begun) return request.deadline;
   const Duration wait = request.rerun
@@ -694,6 +702,17 @@
   return std::min(request.deadline, request.arrived + wait);
 }
 
+bool Dispatcher::HasWaited(const DispatchRequest& request, const Candidate& best,
+                           Instant now) const {
+  if (now < this->WaitLimit(request)) return false;
+  if (request.rerun || request.is_caller_retry || this->IsLimited(request)) return true;
+  const auto shortage = this->shortages.find(request.pool);
+  if (shortage == this->shortages.end() || shortage->second.Lasts()) return true;
+  if (best.state == nullptr || !this->IsInTime(best, request, now)) return true;
+  const Duration wait = FromSeconds(ToSeconds(request.target) * this->options.long_wait_fraction);
+  return now >= std::min(request.deadline, request.arrived + wait);
+}
+
 std::optional<Instant> Dispatcher::EndOfWaits(std::string_view pool,
                                               std::span<const std::string> avoided,
                                               Instant now) const {
@@ -771,10 +790,12 @@
       refusal.borrowable += state.borrowable;
     }
   }
-  refusal.limited = !request.within_floor && !request.rerun &&
-                    this->admission.IsLimited(request.pool, request.priority);
+  refusal.limited = this->IsLimited(request);
   if (best.state != nullptr) {
-    if (this->IsFirstAttempt(request)) this->admission.OnRefused(request.pool, request.priority);
+    if (this->IsFirstAttempt(request)) {
+      this->admission.OnRefused(request.pool, request.priority);
+      if (!refusal.limited) this->shortages[request.pool].OnRefused(now);
+    }
     refusal.best = best.state->upstream.id;
     refusal.report_age = LoadAge(*best.state, now);
   }
@@ -808,6 +829,7 @@
   if (pool != nullptr && pool->engine && request.avoided.empty()) ++this->engine_requests;
   if (this->IsFirstAttempt(request)) {
     request.within_floor = this->admission.OnAsked(request.pool, request.priority);
+    this->shortages[request.pool].OnAsked(now);
   }
   if (this->YieldsToWaiting(request)) {
     best = this->PickBest(request, now);
@@ -815,7 +837,7 @@
     return *placed;
   }
   if (request.rerun) request.arrived = now;  // it waits from the end of the last attempt
-  if (now >= this->WaitLimit(request) || this->IsHopeless(request, best, now)) {
+  if (this->HasWaited(request, best, now) || this->IsHopeless(request, best, now)) {
     return this->Refuse(request, best, now);
   }
   const AttemptNumber attempt = request.attempt;
@@ -834,7 +856,7 @@
     Candidate best;
     if (auto placed = this->TryPlace(*request, now, best)) {
       verdicts.push_back(std::move(*placed));
-    } else if (now >= this->WaitLimit(*request) || this->IsHopeless(*request, best, now)) {
+    } else if (this->HasWaited(*request, best, now) || this->IsHopeless(*request, best, now)) {
       verdicts.push_back(this->Refuse(*request, best, now));
     } else {
       ++request;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -21,6 +21,7 @@
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
 #include "relay/routing_index.h"
+#include "relay/shortage.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
 #include "relay/upstream_health.h"
@@ -47,6 +48,8 @@
   // A request waits here for a slot for at most this fraction of its latency target before it is
   // refused.
   double wait_fraction = 0.125;
+  // A first request waits so long where it would begin in time, unless the shortage lasts.
+  double long_wait_fraction = 0.5;
   // After an attempt that ran or may have run, a request without a begun answer waits up to this
   // long for another upstream.
   Duration rerun_wait = std::chrono::milliseconds(800);
@@ -106,8 +109,8 @@
 // Assigns requests to upstreams. Each entry decides alone, from its own attempts, the engines'
 // reports and the load in upstreams' answers. It estimates the load of the other entries on an
 // upstream as the reported load minus its own requests there. Requests wait here only briefly: one
-// that gets no slot within a fraction of its latency target is refused, so that the caller learns
-// of it at once.
+// that gets no slot within a fraction of its latency target, which is smaller in a shortage that
+// lasts, is refused, so that the caller learns of it at once.
 class Dispatcher {
  public:
   // `random` must outlive the dispatcher.
@@ -323,6 +326,8 @@
   SideOffer OfferOf(const Choice& choice, const DispatchRequest& request, Instant now) const;
   static std::size_t BytesOf(const DispatchRequest& request);
   bool Fits(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
+  // Whether the forecast says that it is answered with its full value.
+  bool IsInTime(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
   // Whether a request that is sent there now begins before the engine's weights are outdated.
   bool BeginsInTime(const Candidate& candidate, Instant now) const;
   std::optional<DispatchVerdict> TryPlace(const DispatchRequest& request, Instant now,
@@ -330,6 +335,10 @@
   DispatchVerdict Refuse(const DispatchRequest& request, const Candidate& best, Instant now);
   static Duration LoadAge(const UpstreamState& state, Instant now);
   Instant WaitLimit(const DispatchRequest& request) const;
+  // Whether a request that can't be placed, at best at `best`, waits no longer.
+  bool HasWaited(const DispatchRequest& request, const Candidate& best, Instant now) const;
+  // Whether room is kept from the request for more urgent ones.
+  bool IsLimited(const DispatchRequest& request) const;
   // When the first serving upstream outside `avoided` may be used; nullopt if none of the pool's
   // upstreams asked for a wait.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
@@ -357,6 +366,7 @@
   TextMap<std::vector<WeightsRule>> weights = {};  // by pool
   std::unordered_map<AttemptNumber, Sent> sent = {};
   std::list<DispatchRequest> waiting = {};  // most urgent first
+  TextMap<Shortage> shortages = {};         // by engine pool
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
   Placement placement;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -823,6 +823,46 @@
   EXPECT_GE(borrowed + fill_slots(), 16);
 }
 
+// Guards against a request that is refused although one of this entry's slots is freed in time.
+TEST_F(DispatcherTest, MomentOfShortageIsWaitedOut) {
+  this->AddEngine(1);
+  this->dispatcher.SetEntries(Entries(4));
+  this->dispatcher.EnginesToFollow(this->now);  // divides the slots
+  this->now += milliseconds(10);
+  this->Report(1, 8);
+  std::vector<AttemptNumber> sent;
+  DispatchRequest request = this->Chat();
+  request.prompt_tokens = 10;
+  while (this->Submit(request) == "engine-1") {
+    sent.push_back(request.attempt);
+    request.attempt = this->next_attempt++;
+  }
+  ASSERT_FALSE(sent.empty());
+  this->now += milliseconds(150);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  for (const AttemptNumber attempt : sent) {
+    this->dispatcher.OnEnded(attempt, AttemptResult::kServed, this->now);
+  }
+  const auto verdicts = this->dispatcher.Poll(this->now);
+  ASSERT_EQ(verdicts.size(), 1u);
+  EXPECT_EQ(Name(verdicts[0]), "engine-1");
+}
+
+// Guards against answers that all come late because everything waits in a shortage that lasts.
+TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
+  this->AddEngine(1);
+  this->dispatcher.SetEntries(Entries(2));
+  this->Report(1, 0);
+  while (this->Submit(this->Chat()) == "engine-1") {
+  }
+  for (int i = 0; i < 20; ++i) this->Submit(this->Chat());
+  this->now += milliseconds(201);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 21u);
+  EXPECT_EQ(this->Submit(this->Chat()), "wait");
+  this->now += milliseconds(51);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Callers retry while all slots are in use or no engine is usable. Guards against delaying the
 // refusal: with a wait of 1 s, 450 callers of kcw-recell-grown scale-1 disconnected before it
 // arrived, and those answered late used slots of new requests.
