Dispatcher explains what it would decide, without a trace

Operators saw refusals and engines without requests, and could learn the reason only from logs of requests that had been sent: which engines were candidates, and why the others were not, was written nowhere.

Dispatcher::Explain lets a copy of the dispatcher, with a copy of its random numbers, take the decision, and tells for each upstream of the pool why it is no candidate, or its forecast and room.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -579,8 +579,8 @@
   compare(sides.own_near);
   compare(sides.own_far);
   if (choice.has_room) return choice;
-  std::shuffle(sides.near.begin(), sides.near.end(), this->random);
-  std::shuffle(sides.far.begin(), sides.far.end(), this->random);
+  std::shuffle(sides.near.begin(), sides.near.end(), this->random.get());
+  std::shuffle(sides.far.begin(), sides.far.end(), this->random.get());
   const auto sample = [this](std::span<const UpstreamState* const> states) {
     return states.first(std::min(this->options.sample_size, states.size()));
   };
@@ -771,8 +771,7 @@
       refusal.borrowable += state.borrowable;
     }
   }
-  refusal.limited = !request.within_floor && !request.rerun &&
-                    this->admission.IsLimited(request.pool, request.priority);
+  refusal.limited = this->IsRoomLimited(request);
   if (best.state != nullptr) {
     if (this->IsFirstAttempt(request)) this->admission.OnRefused(request.pool, request.priority);
     refusal.best = best.state->upstream.id;
@@ -781,6 +780,11 @@
   return DispatchVerdict{.attempt = request.attempt, .decision = std::move(refusal)};
 }
 
+bool Dispatcher::IsRoomLimited(const DispatchRequest& request) const {
+  return !request.within_floor && !request.rerun &&
+         this->admission.IsLimited(request.pool, request.priority);
+}
+
 bool Dispatcher::IsFirstAttempt(const DispatchRequest& request) const {
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   return pool != nullptr && pool->engine && !request.rerun && !request.is_caller_retry &&
@@ -802,14 +806,23 @@
   this->admission.Update(others, now);
 }
 
-DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
-  Candidate best;
+void Dispatcher::CountAsked(DispatchRequest& request) {
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   if (pool != nullptr && pool->engine && request.avoided.empty()) ++this->engine_requests;
   if (this->IsFirstAttempt(request)) {
     request.within_floor = this->admission.OnAsked(request.pool, request.priority);
   }
-  if (this->YieldsToWaiting(request)) {
+}
+
+DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
+  this->CountAsked(request);
+  const bool yields = this->YieldsToWaiting(request);
+  return this->Decide(std::move(request), yields, now);
+}
+
+DispatchVerdict Dispatcher::Decide(DispatchRequest request, bool yields, Instant now) {
+  Candidate best;
+  if (yields) {
     best = this->PickBest(request, now);
   } else if (auto placed = this->TryPlace(request, now, best)) {
     return *placed;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -29,6 +30,10 @@
 
 namespace savory {
 
+enum class CandidateBar : std::uint8_t;
+struct DispatchExplanation;
+struct UpstreamView;
+
 struct DispatcherOptions {
   std::string data_centre;  // of this entry
   PlacementOptions placement = {};
@@ -146,6 +151,10 @@
   std::vector<DispatchVerdict> Poll(Instant now);
   // Whether Submit() would send the request now to an upstream that is not silent.
   bool CouldSend(const DispatchRequest& request, Instant now);
+  // What Submit() would decide, and why, without any effect: no count, share or random number is
+  // used up. Takes time in proportion to all upstreams and attempts. `max_views` upstreams are
+  // described.
+  DispatchExplanation Explain(DispatchRequest request, Instant now, std::size_t max_views) const;
   // Removes a waiting request.
   void Withdraw(AttemptNumber attempt);
 
@@ -338,6 +347,19 @@
   bool YieldsToWaiting(const DispatchRequest& request) const;
   // Lets admission compare what this entry and the others report.
   void UpdateAdmission(Instant now);
+  // The part of Submit() before the decision: counts what callers ask for.
+  void CountAsked(DispatchRequest& request);
+  // The decision of Submit(). `yields`: see YieldsToWaiting().
+  DispatchVerdict Decide(DispatchRequest request, bool yields, Instant now);
+  // Whether room is kept for more urgent requests.
+  bool IsRoomLimited(const DispatchRequest& request) const;
+  CandidateBar BarOf(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
+  // The reason why an upstream is not IsServing().
+  CandidateBar ServingBarOf(const UpstreamState& state, Instant now) const;
+  UpstreamView ViewOf(const UpstreamState& state, const DispatchRequest& request,
+                      Instant now) const;
+  void AddViews(DispatchExplanation& explanation, const DispatchRequest& request,
+                Instant now) const;
   // Whether the request is a first attempt at an engine pool.
   bool IsFirstAttempt(const DispatchRequest& request) const;
   // Whether it is known that the request cannot be sent within the time that it may wait here.
@@ -345,7 +367,7 @@
   void UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now);
 
   DispatcherOptions options;
-  Random& random;
+  std::reference_wrapper<Random> random;
   SharedRouting rules = {};
   std::vector<EntryDemand> entries = {};  // sorted by data centre and identity; includes this one
   std::size_t own_entry = 0;              // index of this entry
--- a/src/relay/dispatcher_sides.cc
+++ b/src/relay/dispatcher_sides.cc
@@ -51,7 +51,7 @@
   };
   const auto add_sample = [&](Choice& choice, std::vector<const UpstreamState*>& states) {
     if (choice.has_room) return;
-    std::shuffle(states.begin(), states.end(), this->random);
+    std::shuffle(states.begin(), states.end(), this->random.get());
     improve(choice, std::span(states).first(std::min(this->options.sample_size, states.size())));
   };
   Choice near;
