Entry on the users' platform explains where a request would go

An operator who asked why a caller is refused, or why an engine gets nothing, had to send a request and read the logs of the entry.

POST /explain at the metrics address takes a question (host, path, key, size) and answers with route, account, homes, emptied zones and, for each pool, the decision, the upstreams by the reason why they are no candidates, and the first upstreams with shares, load and forecast. At most five questions at once and two a second, four pools, 100 upstreams each, 8 KB a question; a question that is refused is logged without what it asked, as it may hold a key, and savory_explain_questions_total counts both kinds.

--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -17,6 +17,7 @@
 #include "base/random.h"
 #include "direct/copy_policy.h"
 #include "direct/crash_exchange.h"
+#include "direct/explain_service.h"
 #include "direct/newer_record.h"
 #include "direct/start_timeline.h"
 #include "direct/tool_server.h"
@@ -28,6 +29,7 @@
 #include "relay/record_codec.h"
 #include "relay/relay.h"
 #include "relay/relay_codec.h"
+#include "relay/request_explanation.h"
 #include "relay/upstream_list.h"
 #include "runtime/async_http_server.h"
 #include "runtime/event_loop.h"
@@ -69,6 +71,7 @@
 // On the address of the metrics.
 constexpr std::string_view kRefusalsPath = "/refusals";
 constexpr std::string_view kLiftPath = "/refusals/lift";
+constexpr std::string_view kExplainPath = "/explain";
 // Minimum time between two log lines on the number of engines that the entry follows.
 constexpr Duration kFollowLogPeriod = std::chrono::seconds(1);
 // The pace of engines changes many times a second.
@@ -163,6 +166,7 @@
   AsyncHttpServer callers;
   AsyncHttpServer ready_server;
   AsyncHttpServer metrics_server;
+  ExplainService explain_service;
   SharedRouting rules = {};
   std::map<std::string, WantedVersions> wanted_versions = {};  // by model
   // Newest version that engines held or the origin has, by model. Counts while none is announced.
@@ -211,6 +215,9 @@
                      [this](const SharedExchange& exchange) { this->AnswerReady(*exchange); }),
         metrics_server(loop, ToolServerOptions(),
                        [this](const SharedExchange& exchange) { this->AnswerMetrics(*exchange); }),
+        explain_service(
+            metrics, {.entry = this->settings.process.vm},
+            [this](const RequestQuestion& question) { return this->relay.Explain(question); }),
         start_timeline(loop.Now()) {
     this->callers.SetBodyCheck(
         [this](const HttpHead& head) { return !this->relay.RefusesByHead(head); });
@@ -533,6 +540,9 @@
     const HttpHead& head = exchange.Head();
     if (head.target == kRefusalsPath) return this->AnswerRefusals(exchange);
     if (head.target == kLiftPath) return this->LiftRefusal(exchange);
+    if (head.target == kExplainPath) {
+      return this->explain_service.Serve(exchange, this->loop.Now());
+    }
     const std::vector<HttpField> fields = {{.name = "Content-Type", .value = "text/plain"}};
     exchange.Answer(200, fields, this->metrics.Render());
   }
--- a/src/relay/dispatch_explanation_test.cc
+++ b/src/relay/dispatch_explanation_test.cc
@@ -235,11 +235,9 @@
   RC_ASSERT(chosen.first_event == sent->predicted);
 }
 
-class DispatchExplanationProperty : public ::testing::Test {};
-
 // Two entries see the same; one of them is asked before each request. Guards against an explanation
 // that differs from the decision, and against a question that changes any later one.
-RC_GTEST_FIXTURE_PROP(DispatchExplanationProperty, TellsTheDecisionAndChangesNone, ()) {
+RC_GTEST_PROP(DispatchExplanationProperty, TellsTheDecisionAndChangesNone, ()) {
   const bool knows_ways = *rc::gen::arbitrary<bool>();
   World asked(knows_ways);
   World left_alone(knows_ways);
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -133,6 +133,7 @@
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   Placement& Places() { return this->placement; }
+  const Placement& Places() const { return this->placement; }
   LeavingPolicy& Leaving() { return this->leaving; }
   Admission& Room() { return this->admission; }
   // The upstream, which need not be in the list, said that it is cold for `remaining`.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -15,6 +15,8 @@
 #include "relay/attempt_plan.h"
 #include "relay/event_splitter.h"
 #include "relay/relay_codec.h"
+#include "relay/request_explanation.h"
+#include "relay/request_terms.h"
 #include "runtime/event_loop.h"
 #include "runtime/guarded.h"
 #include "runtime/http_connection_pool.h"
@@ -55,18 +57,6 @@
   return end == AttemptEnd::kNoAnswer || end == AttemptEnd::kBrokenOff;
 }
 
-// Of a refusal of the dispatcher.
-std::string_view ReasonOf(ErrorKind kind) {
-  switch (kind) {
-    case ErrorKind::kNoUpstream:
-      return "no upstream";
-    case ErrorKind::kOutsideHomes:
-      return "no upstream in a home region";
-    default:
-      return "overloaded";
-  }
-}
-
 AttemptResult ResultOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotSent:
@@ -191,15 +181,13 @@
         rules(std::move(rules)),
         route(route),
         account(account == nullptr ? std::string() : account->name),
-        priority(account != nullptr && account->priority >= 0 ? account->priority : route.priority),
-        homes(account == nullptr ? route.homes : route.homes.And(account->homes)),
+        priority(PriorityOf(route, account)),
+        homes(HomesOf(route, account)),
         arrived(this->exchange->ReceivedAt()) {
     for (const std::string& id : this->metadata.prompt_parts) {
       this->suspect.parts.push_back(PromptPartDigest(id));
     }
-    this->history = {.kind = route.kind,
-                     .resumable = route.resumable,
-                     .max_attempts = std::max(1u, route.max_attempts)};
+    this->history = FirstHistoryOf(route);
   }
 
   void Start() {
@@ -470,14 +458,10 @@
 
   // Whether a request that has not run yet might be cut off by the end of the process.
   bool EndsAfterStop() const {
-    if (this->relay.stop_end == Instant::max() || this->history.may_have_run > 0) return false;
-    const Instant now = this->relay.loop.Now();
-    Duration longest = this->timeout - now;
-    if (MayRerun(this->history)) {
-      const auto usual = this->relay.LongestAnswer(this->route.name);
-      longest = std::min(longest, usual.value_or(longest));
-    }
-    return now + longest > this->relay.stop_end;
+    if (this->relay.stop_end == Instant::max()) return false;
+    const auto usual = this->relay.LongestAnswer(this->route.name);
+    return savory::EndsAfterStop(this->history, this->timeout, usual, this->relay.stop_end,
+                                 this->relay.loop.Now());
   }
 
   // Time since the request was sent to the upstream where it is now.
@@ -511,26 +495,25 @@
   }
 
   DispatchRequest MakeDispatchRequest(bool rerun) const {
-    DispatchRequest request{.attempt = this->attempt,
-                            .pool = this->pool,
-                            .arrived = this->arrived,
-                            .target = this->route.target_latency,
-                            .deadline = this->timeout,
-                            .caller_deadline = this->deadline,
-                            .priority = this->priority,
-                            .prompt_tokens = this->metadata.prompt_tokens,
-                            .answer_tokens = this->metadata.answer_tokens,
-                            .is_caller_retry = this->is_caller_retry,
-                            .rerun = rerun,
-                            .answer_begun = this->history.delivered,
-                            .may_probe = MayRerun(this->history),
-                            .avoided = this->avoided,
-                            .tries = this->tries,
-                            .only_former = this->history.may_have_run >= this->history.max_attempts,
-                            .homes = this->homes,
-                            .body_bytes = this->exchange->Body().size()};
-    if (this->route.kind == RequestKind::kStream) request.max_pause = this->route.max_pause;
-    return request;
+    return {.attempt = this->attempt,
+            .pool = this->pool,
+            .arrived = this->arrived,
+            .target = this->route.target_latency,
+            .deadline = this->timeout,
+            .caller_deadline = this->deadline,
+            .priority = this->priority,
+            .prompt_tokens = this->metadata.prompt_tokens,
+            .answer_tokens = this->metadata.answer_tokens,
+            .max_pause = MaxPauseOf(this->route),
+            .is_caller_retry = this->is_caller_retry,
+            .rerun = rerun,
+            .answer_begun = this->history.delivered,
+            .may_probe = MayRerun(this->history),
+            .avoided = this->avoided,
+            .tries = this->tries,
+            .only_former = this->history.may_have_run >= this->history.max_attempts,
+            .homes = this->homes,
+            .body_bytes = this->exchange->Body().size()};
   }
 
   void Apply(const KeepWaiting&) {
@@ -553,7 +536,7 @@
     } else if (this->history.may_have_run > 0) {
       this->AnswerLocally(502, "no upstream left", {});
     } else {
-      this->AnswerLocally(503, ReasonOf(refusal.kind), refusal.retry_after);
+      this->AnswerLocally(503, RefusalReason(refusal.kind), refusal.retry_after);
     }
   }
 
@@ -1400,6 +1383,19 @@
   return this->impl->dispatcher.SetRules(std::move(rules));
 }
 
+RequestExplanation Relay::Explain(const RequestQuestion& question) const {
+  const Impl& self = *this->impl;
+  return ExplainRequest(
+      question,
+      {.rules = self.rules.get(),
+       .dispatcher = self.dispatcher,
+       .stopping = self.stopping,
+       .stop_end = self.stop_end,
+       .unconfigured_retry_after = self.options.unconfigured_retry_after,
+       .usual_answer = [&self](std::string_view route) { return self.LongestAnswer(route); }},
+      self.loop.Now());
+}
+
 Dispatcher& Relay::RequestDispatcher() { return this->impl->dispatcher; }
 PoolRetryBudget& Relay::Budget() { return this->impl->budget; }
 CrashGuard& Relay::Crashes() { return this->impl->crashes; }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,6 +19,8 @@
 class HttpConnectionPool;
 class Metrics;
 class RelayCodec;
+struct RequestExplanation;
+struct RequestQuestion;
 
 struct RelayOptions {
   DispatcherOptions dispatcher = {};
@@ -66,6 +68,9 @@
   // Whether Serve() would answer a request with this head without its body.
   bool RefusesByHead(const HttpHead& head) const;
 
+  // What Serve() would do with a first attempt of such a request, without any effect.
+  RequestExplanation Explain(const RequestQuestion& question) const;
+
   // As Dispatcher::SetRules.
   std::vector<std::string> SetRules(SharedRouting rules);
   Dispatcher& RequestDispatcher();
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -8,6 +8,7 @@
 #include "relay/event_splitter.h"
 #include "relay/relay.h"
 #include "relay/relay_codec.h"
+#include "relay/request_explanation.h"
 #include "runtime/async_http_server.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
@@ -276,6 +277,37 @@
     this->loop.Cancel(limit);
   }
 
+  // What the relay says that it would do with the same call: "upstream X", or "STATUS REASON".
+  std::string Explained(const std::string& target, const std::string& key = "k1") const {
+    const RequestExplanation told = this->relay.Explain({.host = "test",
+                                                         .path = target,
+                                                         .api_key = key,
+                                                         .prompt_tokens = 100,
+                                                         .time_left = milliseconds(2000)});
+    if (told.refusal) return std::to_string(told.refusal->status) + " " + told.refusal->reason;
+    const DispatchExplanation& dispatch = told.pools.front().dispatch;
+    if (const auto* sent = std::get_if<SendTo>(&dispatch.verdict.decision)) {
+      return "upstream " + sent->upstream;
+    }
+    const auto* refused = std::get_if<RefuseRequest>(&dispatch.verdict.decision);
+    const ErrorKind kind = refused == nullptr ? dispatch.after_wait->kind : refused->kind;
+    return "503 " + std::string(RefusalReason(kind));
+  }
+
+  // Expects that a call ends as it was explained. Returns the explanation.
+  std::string CallAsExplained(const std::string& target, const std::string& key = "k1") {
+    std::string told = this->Explained(target, key);
+    this->printed.clear();
+    this->Call("POST", target, "van 7", key);
+    if (told.starts_with("upstream ")) {
+      EXPECT_NE(this->printed.find(told.substr(9) + " gets POST " + target), std::string::npos);
+    } else {
+      EXPECT_NE(this->printed.find("caller gets " + told.substr(0, 3)), std::string::npos);
+      EXPECT_NE(this->printed.find("whole answer: " + told.substr(4) + "|"), std::string::npos);
+    }
+    return told;
+  }
+
   void RunFor(Duration duration) {
     this->loop.After(duration, [this] { this->loop.Stop(); });
     this->loop.Run();
@@ -1167,6 +1199,25 @@
   EXPECT_EQ(this->relay.InProgress(), 0u);
 }
 
+// Guards against an explanation of the whole request path that differs from what callers get.
+TEST_F(RelaySession, CallsEndAsExplained) {
+  Dispatcher& dispatcher = this->relay.RequestDispatcher();
+  EXPECT_EQ(this->CallAsExplained("/read/1"), "upstream a");
+  EXPECT_EQ(this->CallAsExplained("/none/1"), "404 no route");
+  EXPECT_EQ(this->CallAsExplained("/read/2", "k2"), "401 unknown API key");
+  dispatcher.SetEvacuated("home", true, this->loop.Now());
+  EXPECT_EQ(this->CallAsExplained("/book/3"), "upstream b");
+  dispatcher.RemoveUpstream("b");
+  EXPECT_EQ(this->CallAsExplained("/book/4"), "503 no upstream");
+  dispatcher.SetEvacuated("home", false, this->loop.Now());
+  EXPECT_EQ(this->CallAsExplained("/book/5"), "upstream a");
+  this->relay.BeginStop(this->loop.Now() + milliseconds(700));
+  EXPECT_EQ(this->CallAsExplained("/book/6"), "503 stopping");
+  EXPECT_EQ(this->CallAsExplained("/read/7"), "upstream a");
+  this->relay.StopAccepting();
+  EXPECT_EQ(this->CallAsExplained("/read/8"), "503 stopping");
+}
+
 // Guards against answering "not found" while the entry has no routing rules yet.
 TEST_F(RelaySession, EntryWithoutRulesAnswersNotRun) {
   Relay unconfigured(this->loop, this->upstreams, this->codec, this->metrics, this->random, {});
