savoryrouterctl explain

It asks one entry, as each decides alone. An unknown route or key, an entry that does not answer or was asked too often, and an address of something else each have an error of their own; the key may come from standard input.

The entry of an installation of one's own does not explain yet.

--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "apps/ctl_edit.h"
+#include "apps/ctl_explain.h"
 #include "apps/ctl_fleet.h"
 #include "apps/ctl_manifest.h"
 #include "apps/ctl_options.h"
@@ -37,6 +38,7 @@
       {"watch", RunWatch},
       {"refusals", RunRefusals},
       {"lift", RunLift},
+      {"explain", RunExplain},
       {"manifest", RunManifest},
   };
   return kCommands;
--- a/src/apps/ctl_options.cc
+++ b/src/apps/ctl_options.cc
@@ -30,6 +30,10 @@
 Requests that end upstreams:
   refusals                       print which requests are refused, and the evidence
   lift CAUSE                     accept the requests of a refusal again, at all entries
+Routing:
+  explain HOST PATH              print where a request would go now, and why, without sending it;
+                                 asks one entry at --operators (on the users' platform, its
+                                 metrics address); exit status 2: no such route or key
 Weights:
   manifest FILE --name NAME --out FILE
                                  compute the manifest of a weights file, print its digest
@@ -79,10 +83,21 @@
       "name", po::value(&options.name), "manifest: name of the weights at the origin")(
       "out", po::value(&options.out), "manifest: output file")(
       "chunk-size", po::value(&options.chunk_size)->default_value(options.chunk_size),
-      "manifest: chunk size in bytes")(
-      "limit", po::value(&options.limit)->default_value(options.limit),
-      "history: number of revisions")("json", po::bool_switch(&options.json), "print JSON")(
-      "help", "print this help")("version", "print the version");
+      "manifest: chunk size in bytes")("limit",
+                                       po::value(&options.limit)->default_value(options.limit),
+                                       "history: number of revisions")(
+      "key", po::value(&options.key),
+      "explain: API key of the request; - reads it from standard input")(
+      "prompt-tokens", po::value(&options.prompt_tokens)->default_value(options.prompt_tokens),
+      "explain: tokens of the prompt")(
+      "answer-tokens", po::value(&options.answer_tokens)->default_value(options.answer_tokens),
+      "explain: tokens of the answer at most")(
+      "upstreams", po::value(&options.upstreams)->default_value(options.upstreams),
+      "explain: upstreams that are described for each pool, at most 100")(
+      "returned", po::bool_switch(&options.returned),
+      "explain: the caller was refused before and sends the request again")(
+      "json", po::bool_switch(&options.json), "print JSON")("help", "print this help")(
+      "version", "print the version");
   po::options_description hidden;
   hidden.add_options()("command", po::value(&options.command))("argument",
                                                                po::value(&options.arguments));
--- a/src/apps/ctl_options.h
+++ b/src/apps/ctl_options.h
@@ -22,6 +22,11 @@
   std::string out;                     // output file for the manifest
   std::uint32_t chunk_size = 1 << 20;  // bytes
   std::uint32_t limit = 20;            // revisions printed by `history`
+  std::string key;                     // explain: API key; "-": a line of standard input
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+  std::uint32_t upstreams = 20;  // explain: described for each pool
+  bool returned = false;         // explain: the caller was refused before
   Duration timeout = std::chrono::seconds(10);
   bool json = false;
   bool wait = false;
