Explanation takes a short time left for a caller's retry, as the relay does

The relay takes a request with clearly less time left than others of its route for a caller's retry, which is sent only where there is room to spare; an explanation looked at the operator's word alone. It asks the relay now, without noting the time, and tells the result. Times under 10 ms are refused: such requests are not sent.

--- a/src/apps/ctl_explain.cc
+++ b/src/apps/ctl_explain.cc
@@ -139,7 +139,8 @@
     out << "route " << answer["route"].get<std::string>() << ": "
         << answer.at("kind").get<std::string>() << ", priority " << answer.at("priority")
         << ", target " << MillisText(answer, "target_ms") << ", homes "
-        << answer.at("homes").get<std::string>() << '\n';
+        << answer.at("homes").get<std::string>()
+        << (answer.at("returned").get<bool>() ? ", taken for a caller's retry" : "") << '\n';
   }
   out << "account " << answer.value("account", "none") << '\n';
   if (!answer.at("evacuated").empty()) {
--- a/src/direct/explain_service_test.cc
+++ b/src/direct/explain_service_test.cc
@@ -66,6 +66,7 @@
       R"({"host": "h", "path": "/", "prompt_tokens": 1e300})",
       R"({"host": "h", "path": "/", "max_upstreams": 101})",
       R"({"host": "h", "path": "/", "returned": 1})",
+      R"({"host": "h", "path": "/", "time_left_ms": 4})",
       R"({"host": "h", "path": "/", "promt_tokens": 1})",
       R"({"host": "h", "path": "/)" + std::string(9000, 'a') + R"("})"};
   for (const std::string& body : malformed) {
--- a/src/relay/explanation_codec.cc
+++ b/src/relay/explanation_codec.cc
@@ -14,6 +14,8 @@
 
 constexpr std::uint64_t kMaxTokens = 100'000'000;
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{1} << 40;
+// With less, a request is not sent.
+constexpr std::uint64_t kMinTimeLeftMs = 10;
 constexpr std::uint64_t kMaxTimeLeftMs = 24ull * 3600 * 1000;
 
 Error Invalid(std::string reason) {
@@ -32,14 +34,15 @@
     return value->get<std::string>();
   }
 
-  std::optional<std::uint64_t> Number(const char* name, std::uint64_t most) {
+  std::optional<std::uint64_t> Number(const char* name, std::uint64_t least, std::uint64_t most) {
     const json* value = this->Find(name);
     if (value == nullptr) return std::nullopt;
-    if (!value->is_number_unsigned() || value->get<std::uint64_t>() > most) {
-      this->Fail(name, "is no whole number from 0 to " + std::to_string(most));
-      return std::nullopt;
-    }
-    return value->get<std::uint64_t>();
+    const bool is_whole = value->is_number_unsigned();
+    const std::uint64_t number = is_whole ? value->get<std::uint64_t>() : 0;
+    if (is_whole && number >= least && number <= most) return number;
+    this->Fail(name,
+               "is no whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return std::nullopt;
   }
 
   bool Flag(const char* name) {
@@ -179,13 +182,13 @@
                            .api_key = fields.Text("key"),
                            .returned = fields.Flag("returned")};
   const auto number = [&fields](const char* name, std::uint64_t most, std::uint64_t fallback) {
-    return fields.Number(name, most).value_or(fallback);
+    return fields.Number(name, 0, most).value_or(fallback);
   };
   question.prompt_tokens = static_cast<std::uint32_t>(number("prompt_tokens", kMaxTokens, 0));
   question.answer_tokens = static_cast<std::uint32_t>(number("answer_tokens", kMaxTokens, 0));
   question.body_bytes = number("body_bytes", kMaxBodyBytes, 0);
   question.max_upstreams = number("max_upstreams", kMaxDescribedUpstreams, question.max_upstreams);
-  if (const auto left = fields.Number("time_left_ms", kMaxTimeLeftMs)) {
+  if (const auto left = fields.Number("time_left_ms", kMinTimeLeftMs, kMaxTimeLeftMs)) {
     question.time_left = std::chrono::milliseconds(*left);
   }
   if (question.host.empty()) fields.Fail("host", "is missing");
@@ -215,6 +218,7 @@
     json["priority"] = explanation.priority;
     json["homes"] = explanation.homes;
     json["target_ms"] = MillisOf(explanation.target);
+    json["returned"] = explanation.returned;
   }
   if (!explanation.account.empty()) json["account"] = explanation.account;
   json["evacuated"] = explanation.evacuated;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -162,7 +162,8 @@
   void CountLeft(LeavingReason reason);
   void TakeNotices(const SendTo& sent, std::string_view request, const UpstreamAnswer& answer,
                    int status);
-  bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left);
+  bool IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) const;
+  void NoteTimeLeft(const RouteRule& route, std::optional<Duration> time_left);
   // The longest time of the route's recent answers, also of those that are not complete yet;
   // nullopt if none is complete.
   std::optional<Duration> LongestAnswer(std::string_view route) const;
@@ -197,6 +198,7 @@
     this->timeout = std::min(this->deadline, this->arrived + this->route.timeout);
     this->last_event = this->metadata.last_event_id;
     this->is_caller_retry = this->relay.IsCallerRetry(this->route, this->metadata.time_left);
+    this->relay.NoteTimeLeft(this->route, this->metadata.time_left);
     this->relay.budget.OnRequest(this->pool, now);
     this->silence.emplace(this->relay.loop, this->Guarded([this] { this->OnSilence(); }));
     this->exchange->OnCallerDisconnected(this->Guarded([this] { this->OnCallerDisconnected(); }));
@@ -1307,11 +1309,16 @@
       .Add();
 }
 
-bool Relay::Impl::IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) {
-  if (!time_left) return false;
+bool Relay::Impl::IsCallerRetry(const RouteRule& route, std::optional<Duration> time_left) const {
+  const auto longest = this->longest_time_left.find(route.name);
+  if (!time_left || longest == this->longest_time_left.end()) return false;
+  return ToSeconds(*time_left) < ToSeconds(longest->second) * kMinFirstTryTimeFraction;
+}
+
+void Relay::Impl::NoteTimeLeft(const RouteRule& route, std::optional<Duration> time_left) {
+  if (!time_left) return;
   Duration& longest = this->longest_time_left[route.name];
   longest = std::max(longest, *time_left);
-  return ToSeconds(*time_left) < ToSeconds(longest) * kMinFirstTryTimeFraction;
 }
 
 std::optional<Duration> Relay::Impl::LongestAnswer(std::string_view route) const {
@@ -1392,6 +1399,10 @@
        .stopping = self.stopping,
        .stop_end = self.stop_end,
        .unconfigured_retry_after = self.options.unconfigured_retry_after,
+       .is_caller_retry =
+           [&self](const RouteRule& route, std::optional<Duration> time_left) {
+             return self.IsCallerRetry(route, time_left);
+           },
        .usual_answer = [&self](std::string_view route) { return self.LongestAnswer(route); }},
       self.loop.Now());
 }
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -1203,6 +1203,14 @@
 TEST_F(RelaySession, CallsEndAsExplained) {
   Dispatcher& dispatcher = this->relay.RequestDispatcher();
   EXPECT_EQ(this->CallAsExplained("/read/1"), "upstream a");
+  const auto is_returned = [this](int left_ms) {
+    RequestQuestion question{.host = "test", .path = "/read/1", .api_key = "k1"};
+    question.time_left = milliseconds(left_ms);
+    return this->relay.Explain(question).returned;
+  };
+  EXPECT_FALSE(is_returned(90'000));
+  EXPECT_FALSE(is_returned(2000));
+  EXPECT_TRUE(is_returned(1000));
   EXPECT_EQ(this->CallAsExplained("/none/1"), "404 no route");
   EXPECT_EQ(this->CallAsExplained("/read/2", "k2"), "401 unknown API key");
   dispatcher.SetEvacuated("home", true, this->loop.Now());
--- a/src/relay/request_explanation.cc
+++ b/src/relay/request_explanation.cc
@@ -37,7 +37,6 @@
           .prompt_tokens = question.prompt_tokens,
           .answer_tokens = question.answer_tokens,
           .max_pause = MaxPauseOf(route),
-          .is_caller_retry = question.returned,
           .may_probe = MayRerun(FirstHistoryOf(route)),
           .homes = HomesOf(route, account),
           .body_bytes = question.body_bytes};
@@ -101,7 +100,9 @@
   explanation.refusal = RefusalByHead(basis, route, account);
   if (explanation.refusal) return explanation;
 
+  explanation.returned = question.returned || basis.is_caller_retry(*route, question.time_left);
   DispatchRequest request = FirstAttempt(question, *route, account, now);
+  request.is_caller_retry = explanation.returned;
   if (EndsAfterStop(FirstHistoryOf(*route), request.deadline, basis.usual_answer(route->name),
                     basis.stop_end, now)) {
     explanation.refusal = EarlyRefusal{.reason = "stopping", .retry_after = Duration(0)};
--- a/src/relay/request_explanation.h
+++ b/src/relay/request_explanation.h
@@ -30,8 +30,9 @@
   std::uint32_t answer_tokens = 0;  // upper bound
   std::size_t body_bytes = 0;
   std::optional<Duration> time_left = {};  // until the caller gives up; nullopt: the route's time
-  bool returned = false;                   // the caller was refused before
-  std::size_t max_upstreams = 20;          // described for each pool
+  // The caller was refused before. It is also taken for that with too little time left.
+  bool returned = false;
+  std::size_t max_upstreams = 20;  // described for each pool
 };
 
 // An answer of the entry itself, before any choice of an upstream.
@@ -55,6 +56,7 @@
   int priority = 0;
   std::string homes = {};  // as HomeRegions::Text()
   Duration target = {};
+  bool returned = false;                    // taken for a caller's retry
   std::vector<std::string> evacuated = {};  // data centres, the first twenty
   std::size_t evacuated_left_out = 0;
   std::optional<EarlyRefusal> refusal = {};
@@ -69,6 +71,8 @@
   bool stopping = false;              // no request is accepted any more
   Instant stop_end = Instant::max();  // of a planned stop
   Duration unconfigured_retry_after = {};
+  // Whether a request with so much time left is taken for a caller's retry.
+  std::function<bool(const RouteRule& route, std::optional<Duration> time_left)> is_caller_retry;
   // The usual time of the answers of a route; nullopt: unknown.
   std::function<std::optional<Duration>(std::string_view route)> usual_answer;
 };
