--- a/src/relay/caller_returns.cc
+++ b/src/relay/caller_returns.cc
@@ -3,33 +3,39 @@
 #include <algorithm>
 #include <cmath>
 #include <string>
-#include <utility>
 
 namespace savory {
 
-void CallerReturns::Decay(RouteState& state, Duration timeout, Instant now) {
-  const double passed = ToSeconds(now - std::exchange(state.counted_at, now));
-  state.unserved *= std::exp(-passed / std::max(0.001, ToSeconds(timeout)));
+double CallerReturns::Unserved(const RouteState& state, Duration timeout, Instant now) {
+  const double passed = ToSeconds(now - state.counted_at);
+  return state.unserved * std::exp(-passed / std::max(0.001, ToSeconds(timeout)));
+}
+
+bool CallerReturns::LooksLikeReturn(std::string_view route, Duration timeout, Duration time_left,
+                                    Instant now) const {
+  const auto known = this->routes.find(route);
+  if (known == this->routes.end()) return false;
+  const Duration longest = std::min(known->second.longest_left, timeout);
+  const double least_first = ToSeconds(longest) * this->options.min_first_fraction;
+  return ToSeconds(time_left) < least_first && Unserved(known->second, timeout, now) >= 0.5;
 }
 
 bool CallerReturns::IsReturn(std::string_view route, Duration timeout, Duration time_left,
                              Instant now) {
+  const bool is_return = this->LooksLikeReturn(route, timeout, time_left, now);
   RouteState& state = this->routes[std::string(route)];
-  const Duration left = std::min(time_left, timeout);
-  state.longest_left = std::min(std::max(state.longest_left, left), timeout);
-  if (ToSeconds(left) >= ToSeconds(state.longest_left) * this->options.min_first_fraction) {
-    return false;
+  state.longest_left = std::min(std::max(state.longest_left, time_left), timeout);
+  if (is_return) {
+    state.unserved = std::max(0.0, Unserved(state, timeout, now) - 1);
+    state.counted_at = now;
   }
-  Decay(state, timeout, now);
-  if (state.unserved < 0.5) return false;
-  state.unserved = std::max(0.0, state.unserved - 1);
-  return true;
+  return is_return;
 }
 
 void CallerReturns::OnUnserved(std::string_view route, Duration timeout, Instant now) {
   RouteState& state = this->routes[std::string(route)];
-  Decay(state, timeout, now);
-  ++state.unserved;
+  state.unserved = Unserved(state, timeout, now) + 1;
+  state.counted_at = now;
 }
 
 void CallerReturns::KeepRoutes(std::span<const RouteRule> kept) {
--- a/src/relay/caller_returns.h
+++ b/src/relay/caller_returns.h
@@ -24,6 +24,9 @@
 
   // `time_left`: that the caller will still wait, on the request's arrival.
   bool IsReturn(std::string_view route, Duration timeout, Duration time_left, Instant now);
+  // What IsReturn() would say, without counting the request.
+  bool LooksLikeReturn(std::string_view route, Duration timeout, Duration time_left,
+                       Instant now) const;
   // A request ended without a whole answer, so its caller may return, to any entry.
   void OnUnserved(std::string_view route, Duration timeout, Instant now);
   // Forgets all other routes.
@@ -36,7 +39,7 @@
     Instant counted_at = {};
   };
 
-  static void Decay(RouteState& state, Duration timeout, Instant now);
+  static double Unserved(const RouteState& state, Duration timeout, Instant now);
 
   CallerReturnsOptions options;
   TextMap<RouteState> routes = {};
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -579,8 +579,8 @@
   compare(sides.own_near);
   compare(sides.own_far);
   if (choice.has_room) return choice;
-  std::shuffle(sides.near.begin(), sides.near.end(), this->random);
-  std::shuffle(sides.far.begin(), sides.far.end(), this->random);
+  std::shuffle(sides.near.begin(), sides.near.end(), this->random.get());
+  std::shuffle(sides.far.begin(), sides.far.end(), this->random.get());
   const auto sample = [this](std::span<const UpstreamState* const> states) {
     return states.first(std::min(this->options.sample_size, states.size()));
   };
@@ -689,11 +689,6 @@
                                             .left = best.left}};
 }
 
-bool Dispatcher::IsLimited(const DispatchRequest& request) const {
-  return !request.within_floor && !request.rerun &&
-         this->admission.IsLimited(request.pool, request.priority);
-}
-
 Instant Dispatcher::WaitLimit(const DispatchRequest& request) const {
   if (request.answer_begun) return request.deadline;
   const Duration wait = request.rerun
@@ -702,15 +697,15 @@
   return std::min(request.deadline, request.arrived + wait);
 }
 
-bool Dispatcher::HasWaited(const DispatchRequest& request, const Candidate& best,
-                           Instant now) const {
-  if (now < this->WaitLimit(request)) return false;
-  if (request.rerun || request.is_caller_retry || this->IsLimited(request)) return true;
+Instant Dispatcher::WaitEnd(const DispatchRequest& request, const Candidate& best,
+                            Instant now) const {
+  const Instant limit = this->WaitLimit(request);
+  if (request.rerun || request.is_caller_retry || this->IsRoomLimited(request)) return limit;
   const auto shortage = this->shortages.find(request.pool);
-  if (shortage == this->shortages.end() || shortage->second.Lasts()) return true;
-  if (best.state == nullptr || !this->IsInTime(best, request, now)) return true;
+  if (shortage == this->shortages.end() || shortage->second.Lasts()) return limit;
+  if (best.state == nullptr || !this->IsInTime(best, request, now)) return limit;
   const Duration wait = FromSeconds(ToSeconds(request.target) * this->options.long_wait_fraction);
-  return now >= std::min(request.deadline, request.arrived + wait);
+  return std::min(request.deadline, request.arrived + wait);
 }
 
 std::optional<Instant> Dispatcher::EndOfWaits(std::string_view pool,
@@ -790,7 +785,7 @@
       refusal.borrowable += state.borrowable;
     }
   }
-  refusal.limited = this->IsLimited(request);
+  refusal.limited = this->IsRoomLimited(request);
   if (best.state != nullptr) {
     if (this->IsFirstAttempt(request)) {
       this->admission.OnRefused(request.pool, request.priority);
@@ -802,6 +797,11 @@
   return DispatchVerdict{.attempt = request.attempt, .decision = std::move(refusal)};
 }
 
+bool Dispatcher::IsRoomLimited(const DispatchRequest& request) const {
+  return !request.within_floor && !request.rerun &&
+         this->admission.IsLimited(request.pool, request.priority);
+}
+
 bool Dispatcher::IsFirstAttempt(const DispatchRequest& request) const {
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   return pool != nullptr && pool->engine && !request.rerun && !request.is_caller_retry &&
@@ -823,21 +823,30 @@
   this->admission.Update(others, now);
 }
 
-DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
-  Candidate best;
+void Dispatcher::CountAsked(DispatchRequest& request, Instant now) {
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   if (pool != nullptr && pool->engine && request.avoided.empty()) ++this->engine_requests;
   if (this->IsFirstAttempt(request)) {
     request.within_floor = this->admission.OnAsked(request.pool, request.priority);
     this->shortages[request.pool].OnAsked(now);
   }
-  if (this->YieldsToWaiting(request)) {
+}
+
+DispatchVerdict Dispatcher::Submit(DispatchRequest request, Instant now) {
+  this->CountAsked(request, now);
+  const bool yields = this->YieldsToWaiting(request);
+  return this->Decide(std::move(request), yields, now);
+}
+
+DispatchVerdict Dispatcher::Decide(DispatchRequest request, bool yields, Instant now) {
+  Candidate best;
+  if (yields) {
     best = this->PickBest(request, now);
   } else if (auto placed = this->TryPlace(request, now, best)) {
     return *placed;
   }
   if (request.rerun) request.arrived = now;  // it waits from the end of the last attempt
-  if (this->HasWaited(request, best, now) || this->IsHopeless(request, best, now)) {
+  if (now >= this->WaitEnd(request, best, now) || this->IsHopeless(request, best, now)) {
     return this->Refuse(request, best, now);
   }
   const AttemptNumber attempt = request.attempt;
@@ -856,7 +865,7 @@
     Candidate best;
     if (auto placed = this->TryPlace(*request, now, best)) {
       verdicts.push_back(std::move(*placed));
-    } else if (this->HasWaited(*request, best, now) || this->IsHopeless(*request, best, now)) {
+    } else if (now >= this->WaitEnd(*request, best, now) || this->IsHopeless(*request, best, now)) {
       verdicts.push_back(this->Refuse(*request, best, now));
     } else {
       ++request;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -30,6 +31,10 @@
 
 namespace savory {
 
+enum class CandidateBar : std::uint8_t;
+struct DispatchExplanation;
+struct UpstreamView;
+
 struct DispatcherOptions {
   std::string data_centre;  // of this entry
   PlacementOptions placement = {};
@@ -131,6 +136,7 @@
   bool AddLeaving(const UpstreamStart& start, Instant now);
   bool AddWait(const UpstreamStart& start, Duration wait, Instant now);
   Placement& Places() { return this->placement; }
+  const Placement& Places() const { return this->placement; }
   LeavingPolicy& Leaving() { return this->leaving; }
   Admission& Room() { return this->admission; }
   // The upstream, which need not be in the list, said that it is cold for `remaining`.
@@ -149,6 +155,10 @@
   std::vector<DispatchVerdict> Poll(Instant now);
   // Whether Submit() would send the request now to an upstream that is not silent.
   bool CouldSend(const DispatchRequest& request, Instant now);
+  // What Submit() would decide, and why, without any effect: no count, share or random number is
+  // used up. Takes time in proportion to all upstreams and attempts. `max_views` upstreams are
+  // described.
+  DispatchExplanation Explain(DispatchRequest request, Instant now, std::size_t max_views) const;
   // Removes a waiting request.
   void Withdraw(AttemptNumber attempt);
 
@@ -335,10 +345,8 @@
   DispatchVerdict Refuse(const DispatchRequest& request, const Candidate& best, Instant now);
   static Duration LoadAge(const UpstreamState& state, Instant now);
   Instant WaitLimit(const DispatchRequest& request) const;
-  // Whether a request that can't be placed, at best at `best`, waits no longer.
-  bool HasWaited(const DispatchRequest& request, const Candidate& best, Instant now) const;
-  // Whether room is kept from the request for more urgent ones.
-  bool IsLimited(const DispatchRequest& request) const;
+  // Until when a request waits that can't be placed now, at best at `best`: WaitLimit() or longer.
+  Instant WaitEnd(const DispatchRequest& request, const Candidate& best, Instant now) const;
   // When the first serving upstream outside `avoided` may be used; nullopt if none of the pool's
   // upstreams asked for a wait.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
@@ -347,6 +355,19 @@
   bool YieldsToWaiting(const DispatchRequest& request) const;
   // Lets admission compare what this entry and the others report.
   void UpdateAdmission(Instant now);
+  // The part of Submit() before the decision: counts what callers ask for.
+  void CountAsked(DispatchRequest& request, Instant now);
+  // The decision of Submit(). `yields`: see YieldsToWaiting().
+  DispatchVerdict Decide(DispatchRequest request, bool yields, Instant now);
+  // Whether room is kept for more urgent requests.
+  bool IsRoomLimited(const DispatchRequest& request) const;
+  CandidateBar BarOf(const UpstreamState& state, const DispatchRequest& request, Instant now) const;
+  // The reason why an upstream is not IsServing().
+  CandidateBar ServingBarOf(const UpstreamState& state, Instant now) const;
+  UpstreamView ViewOf(const UpstreamState& state, const DispatchRequest& request,
+                      Instant now) const;
+  void AddViews(DispatchExplanation& explanation, const DispatchRequest& request,
+                Instant now) const;
   // Whether the request is a first attempt at an engine pool.
   bool IsFirstAttempt(const DispatchRequest& request) const;
   // Whether it is known that the request cannot be sent within the time that it may wait here.
@@ -354,7 +375,7 @@
   void UpdateLoad(UpstreamState& state, const UpstreamLoad& load, Instant now);
 
   DispatcherOptions options;
-  Random& random;
+  std::reference_wrapper<Random> random;
   SharedRouting rules = {};
   std::vector<EntryDemand> entries = {};  // sorted by data centre and identity; includes this one
   std::size_t own_entry = 0;              // index of this entry
