Use little of what was just gained at a cold engine

Cause: an entry took its share of a cold engine's rate in full at the moment at which it saw itself as the owner. Entries learn of each other and of engines at different times, so that within one second several of them were the sole owner of one engine. The part of entries without slots there was divided by the number that the agent had counted so far: the first to follow it took all of it.

Change: SteadyShare tells the least that an entry had within the window of 1.1 s. Of slots that it has had for less, an entry uses at most a quarter of what the bound leaves beside the tolerated rate (4 requests here).

Tests: DispatcherPlacementTest.GainedSlotsOfAColdEngineCountInFullOnlyLater sent 26 instead of 4 on the commit before.

--- a/src/placement/cold_limits.cc
+++ b/src/placement/cold_limits.cc
@@ -90,13 +90,14 @@
 std::size_t ColdLimits::Allowance(const ColdRule* rule, const ColdShare& share) const {
   if (rule == nullptr) return std::numeric_limits<std::size_t>::max();
   const double tolerated = rule->requests_per_second;
-  if (share.fraction > 0) {
-    const double own = std::floor(tolerated * share.fraction);
-    return static_cast<std::size_t>(std::max(1.0, own));
+  const double left = tolerated * (this->options.overrun - 1) + this->options.slack;
+  if (share.fraction > 0 || share.gained > 0) {
+    const double held = std::floor(tolerated * share.fraction);
+    const double all = std::floor(tolerated * (share.fraction + share.gained));
+    return static_cast<std::size_t>(std::max({1.0, held, std::min(all, std::floor(left / 4))}));
   }
   // Entries without a share live on what the bound leaves beside the tolerated rate, of which half
   // is kept.
-  const double left = tolerated * (this->options.overrun - 1) + this->options.slack;
   const auto entries = static_cast<double>(std::max<std::size_t>(1, share.entries));
   return static_cast<std::size_t>(std::max(0.0, std::floor(left / 2 / entries)));
 }
--- a/src/placement/cold_limits.h
+++ b/src/placement/cold_limits.h
@@ -41,7 +41,8 @@
 
 // This entry's part of an upstream, as the entries divide the slots.
 struct ColdShare {
-  double fraction = 0;      // of the upstream's slots; 0: none
+  double fraction = 0;      // of the upstream's slots, held for the whole window; 0: none
+  double gained = 0;        // beside that, since less than the window
   std::size_t entries = 1;  // that may send to it, this one included
 };
 
--- a/src/placement/cold_limits_test.cc
+++ b/src/placement/cold_limits_test.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "placement/steady_share.h"
+
 namespace savory {
 namespace {
 
@@ -181,5 +183,47 @@
   }
 }
 
+// Pattern: engines return one after another, so that the slots of one change hands twice within a
+// second, and each entry learns of it at another time. Guards against more requests in any second,
+// over all entries, than the bound allows.
+RC_GTEST_PROP(ColdLimitsProperty, SumStaysUnderTheBoundWhileSlotsChangeHands, ()) {
+  const Instant begin = Instant(std::chrono::hours(1));
+  const auto first = milliseconds(*rc::gen::inRange(0, 2000));
+  const std::vector<Duration> moves{first, first + milliseconds(*rc::gen::inRange(0, 900))};
+  struct Entry {
+    ColdLimits limits = MakeLimits();
+    SteadyShare share = SteadyShare();
+    std::vector<Duration> late = {};  // by move
+  };
+  std::vector<Entry> entries(5);
+  for (Entry& entry : entries) {
+    entry.limits.SetCold("e", seconds(4), begin);
+    for (int i = 0; i < 2; ++i) entry.late.emplace_back(milliseconds(*rc::gen::inRange(0, 300)));
+  }
+  entries[0].share.Set(12, begin - seconds(2));
+  std::vector<Instant> sent;
+  for (Instant now = begin; now < begin + milliseconds(3900); now += milliseconds(7)) {
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      Entry& entry = entries[i];
+      std::size_t owner = 0;
+      for (std::size_t k = 0; k < 2; ++k) {
+        if (now >= begin + moves[k] + entry.late[k]) owner = k + 1;
+      }
+      const std::uint32_t slots = owner == i ? 12 : 0;
+      entry.share.Set(slots, now);
+      const double held = entry.share.Least(now) / 12.0;
+      const ColdShare share{.fraction = held, .gained = slots / 12.0 - held, .entries = 5};
+      while (entry.limits.MaySend(kEngine, share, now)) {
+        entry.limits.OnSent(kEngine, now);
+        sent.push_back(now);
+      }
+    }
+  }
+  for (std::size_t from = 0, last = 0; last < sent.size(); ++last) {
+    while (sent[last] - sent[from] >= seconds(1)) ++from;
+    RC_ASSERT(static_cast<double>(last - from + 1) <= kBound);
+  }
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -13,6 +13,8 @@
 constexpr Duration kPlainIdleTime = std::chrono::milliseconds(60);
 // Requests that may be queued at a plain service, as a fraction of its slots.
 constexpr double kPlainQueueRatio = 1.0;
+// More entries than this that may send to an engine are not told apart.
+constexpr std::size_t kMaxSenders = 4096;
 
 UpstreamStart StartOf(const Upstream& upstream) {
   return {.id = upstream.id, .started_unix_ms = upstream.started_unix_ms};
@@ -58,15 +60,27 @@
 }
 
 ColdShare Dispatcher::ColdShareOf(const UpstreamState& state, Instant now) const {
-  // Only entries that follow an engine send to it.
-  const bool counted = this->HasReport(state, now) && state.report->followers > 0;
-  const std::size_t entries =
-      std::max<std::size_t>(1, counted ? state.report->followers : this->entries.size());
   if (!state.upstream.is_engine) {
+    const std::size_t entries = this->SendersTo(state, now);
     return {.fraction = 1.0 / static_cast<double>(entries), .entries = entries};
   }
-  return {.fraction = static_cast<double>(state.share) / std::max(1u, state.upstream.slots),
-          .entries = entries};
+  const double slots = std::max(1u, state.upstream.slots);
+  const double held = std::min(state.share, state.steady_share.Least(now)) / slots;
+  return {.fraction = held,
+          .gained = state.share / slots - held,
+          .entries = kMaxSenders - state.steady_room.Least(now)};
+}
+
+std::size_t Dispatcher::SendersTo(const UpstreamState& state, Instant now) const {
+  // Only entries that follow an engine send to it.
+  const bool counted = this->HasReport(state, now) && state.report->followers > 0;
+  return std::max<std::size_t>(1, counted ? state.report->followers : this->entries.size());
+}
+
+void Dispatcher::NoteColdShare(UpstreamState& state, Instant now) const {
+  const std::size_t senders = std::min<std::size_t>(kMaxSenders, this->SendersTo(state, now));
+  state.steady_share.Set(state.share, now);
+  state.steady_room.Set(static_cast<std::uint32_t>(kMaxSenders - senders), now);
 }
 
 void Dispatcher::SetUpstream(const Upstream& upstream) {
@@ -372,6 +386,7 @@
     // A silent engine may have left the window for its silence.
     const bool is_followed = state.followed || state.followed_for_homes;
     if (!is_followed && !state.silence.IsSilent(now)) state.silence.OnUnfollowed();
+    if (state.upstream.is_engine) this->NoteColdShare(state, now);
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
     if (!known || now - state.borrowable_at < this->options.load_propagation_time) continue;
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "placement/leaving_policy.h"
 #include "placement/placement.h"
+#include "placement/steady_share.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
@@ -199,9 +200,11 @@
     bool followed = false;            // an engine that this entry sends to, see EngineWindow()
     bool followed_for_homes = false;  // see FollowHomes()
     std::uint32_t share = 0;          // slots that belong to this entry
-    std::uint32_t confirmed = 0;      // those that may be used, see ConfirmShare()
-    Instant share_grew_at = {};       // when `share` first exceeded `confirmed`; epoch: it does not
-    std::uint32_t borrowable = 0;     // other entries' slots it may use, see UpdateBorrowable()
+    SteadyShare steady_share = SteadyShare();
+    SteadyShare steady_room = SteadyShare();  // for entries that may send to it, see ColdShareOf()
+    std::uint32_t confirmed = 0;              // those that may be used, see ConfirmShare()
+    Instant share_grew_at = {};    // when `share` first exceeded `confirmed`; epoch: it does not
+    std::uint32_t borrowable = 0;  // other entries' slots it may use, see UpdateBorrowable()
     Instant borrowable_at = {};
     double own_prefill_tokens = 0;  // prompt tokens of own attempts without a first event
     std::optional<EngineReport> report = {};
@@ -269,7 +272,13 @@
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
                           std::span<const std::uint32_t> slots, std::span<const double> demands,
                           Instant now) const;
+  // What this entry has gained of the engine within the window counts little, and the number of
+  // others that send there counts as the largest within the window: others learn later, or this
+  // entry has just started.
   ColdShare ColdShareOf(const UpstreamState& state, Instant now) const;
+  // Number of entries that may send to the upstream, this one included.
+  std::size_t SendersTo(const UpstreamState& state, Instant now) const;
+  void NoteColdShare(UpstreamState& state, Instant now) const;
   // Requests with homes go to engines of these regions, which the entry's window need not contain.
   void FollowHomes(std::span<UpstreamState* const> serving) const;
   // Whether there are upstreams in `pool`, but none that the request may be sent to wherever there
--- a/src/relay/dispatcher_placement_test.cc
+++ b/src/relay/dispatcher_placement_test.cc
@@ -287,5 +287,50 @@
   EXPECT_EQ(sent, 10);
 }
 
+// Pattern: engines come back one after another, so that the slots of a cold one change hands.
+// Guards against an entry that uses the tolerated rate of an engine while its former owner's
+// requests are still within the window.
+TEST_F(DispatcherPlacementTest, GainedSlotsOfAColdEngineCountInFullOnlyLater) {
+  Random own_random{7};
+  DispatcherOptions options{.data_centre = "dc-a", .entry = "own"};
+  options.placement.cold = {.overrun = 1.5, .slack = 5, .started = Instant()};
+  Dispatcher own(options, own_random);
+  RoutingRules rules{.version = 1};
+  rules.pools.push_back({.name = "chat",
+                         .engine = EngineRates{.slots = 12},
+                         .models = {"m"},
+                         .cold = {.after_start = seconds(30), .requests_per_second = 26}});
+  EXPECT_TRUE(own.SetRules(std::make_shared<const RoutingIndex>(std::move(rules))).empty());
+  own.SetUpstream({.id = "u",
+                   .pool = "chat",
+                   .address = "10.0.0.1:80",
+                   .data_centre = "dc-a",
+                   .slots = 12,
+                   .weights_version = 1,
+                   .is_engine = true});
+  const EntryDemand self{.entry = "own", .data_centre = "dc-a", .requests_per_second = 1};
+  const EntryDemand other{.entry = "z", .data_centre = "dc-a", .requests_per_second = 1000};
+  own.SetCold("u", seconds(30), this->now);
+  const auto send = [&] {
+    int sent = 0;
+    for (int i = 0; i < 40; ++i) {
+      const DispatchRequest request = this->Chat();
+      const DispatchVerdict verdict = own.Submit(request, this->now);
+      if (std::holds_alternative<SendTo>(verdict.decision)) ++sent;
+      own.OnEnded(request.attempt, AttemptResult::kServed, this->now);
+      own.Withdraw(request.attempt);
+    }
+    return sent;
+  };
+  own.SetEntries({self, other});
+  own.EnginesToFollow(this->now);
+  this->now += seconds(2);
+  EXPECT_EQ(send(), 0);
+  own.SetEntries({self});
+  EXPECT_EQ(send(), 4);
+  this->now += milliseconds(1200);
+  EXPECT_EQ(send(), 26);
+}
+
 }  // namespace
 }  // namespace savory
