--- a/src/placement/steady_share_test.cc
+++ b/src/placement/steady_share_test.cc
@@ -12,9 +12,10 @@
 
 using std::chrono::milliseconds;
 
+constexpr int kWindow = 20;  // milliseconds
+
 // Guards against a share that counts before it was held for the whole window.
 RC_GTEST_PROP(SteadyShareProperty, IsTheLeastShareOfTheWindow, ()) {
-  constexpr int kWindow = 20;
   SteadyShare share{milliseconds(kWindow)};
   std::vector<std::uint32_t> history;  // one share a millisecond
   for (int i = 0; i < 200; ++i) {
