Keep an upstream ejected while its record is gone for a moment

Callers: requests were sent to an upstream that had just been ejected, as soon as its record had gone and come back: by reading, and by the disabled test.

Cause: the health of an upstream was part of its row in the list, and went with it.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -96,7 +96,7 @@
     // The upstream was restarted, so its health, load and reports no longer apply.
     const auto former = this->id_at.find(state.upstream.address);
     if (former != this->id_at.end() && former->second == upstream.id) this->id_at.erase(former);
-    state = UpstreamState{.upstream = upstream};
+    state = UpstreamState{.upstream = upstream, .health = this->former_health.Take(upstream)};
     this->pool_of[upstream.id] = upstream.pool;
     this->CountAttempts(state);
   }
@@ -124,6 +124,7 @@
     if (state != pool->second.end()) {
       const auto at = this->id_at.find(state->second.upstream.address);
       if (at != this->id_at.end() && at->second == id) this->id_at.erase(at);
+      this->former_health.Keep(state->second.upstream, state->second.health);
       pool->second.erase(state);
     }
   }
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -21,6 +21,7 @@
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
+#include "relay/former_health.h"
 #include "relay/routing_index.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
@@ -369,6 +370,7 @@
   std::list<DispatchRequest> waiting = {};  // most urgent first
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
+  FormerHealth former_health = FormerHealth();
   Placement placement;
   LeavingPolicy leaving;
   Admission admission;
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -317,7 +317,7 @@
 
 // An engine is ejected and loses its record for a moment. Guards against an ejection that ends with
 // the record.
-TEST_F(DispatcherTest, DISABLED_EjectionOutlastsTheRecord) {
+TEST_F(DispatcherTest, EjectionOutlastsTheRecord) {
   this->AddEngine(1);
   const DispatchRequest fails = this->Chat();
   EXPECT_EQ(this->Submit(fails), "engine-1");
--- a/src/relay/upstream_health.h
+++ b/src/relay/upstream_health.h
@@ -41,6 +41,8 @@
   explicit UpstreamHealth(UpstreamHealthOptions options = {}) : options(options) {}
 
   void OnStarted() { ++this->in_flight; }
+  // The ends of the attempts that go on will not be told.
+  void ForgetInFlight() { this->in_flight = 0; }
   void OnEnded(AttemptResult result, Instant now, Random& random);
 
   // Whether the upstream may receive a request. `may_probe`: the request may be retried, so it may
