--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -13,11 +13,17 @@
 constexpr Duration kPlainIdleTime = std::chrono::milliseconds(60);
 // Requests that may be queued at a plain service, as a fraction of its slots.
 constexpr double kPlainQueueRatio = 1.0;
+// More entries than this that may send to an engine are not told apart.
+constexpr std::size_t kMaxSenders = 4096;
 
 UpstreamStart StartOf(const Upstream& upstream) {
   return {.id = upstream.id, .started_unix_ms = upstream.started_unix_ms};
 }
 
+ColdUpstream PlaceOf(const Upstream& upstream) {
+  return {.id = upstream.id, .pool = upstream.pool, .data_centre = upstream.data_centre};
+}
+
 // Whether an attempt that ended so without a first event shows how long others would wait.
 bool WaitedInVain(AttemptResult result) {
   return result == AttemptResult::kSilent || result == AttemptResult::kCancelled ||
@@ -44,35 +50,37 @@
 }
 
 void Dispatcher::SetCold(std::string_view upstream, Duration remaining, Instant now) {
-  const auto known = this->pool_of.find(upstream);
-  if (known != this->pool_of.end()) {
-    this->placement.Cold().SetCold(upstream, known->second, remaining, now);
-  }
+  this->placement.Cold().SetCold(upstream, remaining, now);
 }
 
 void Dispatcher::SetEvacuated(const std::string& data_centre, bool evacuated, Instant now) {
   if (!this->placement.SetEvacuated(data_centre, evacuated)) return;
   this->shares_due = {};
-  if (evacuated) return;
-  for (const auto& [name, pool] : this->pools) {
-    for (const auto& [id, state] : pool) {
-      if (state.upstream.data_centre == data_centre) {
-        this->placement.Cold().AssumeCold(id, name, now);
-      }
-    }
-  }
+  if (!evacuated) this->placement.Cold().OnDataCentreReturned(data_centre, now);
 }
 
 ColdShare Dispatcher::ColdShareOf(const UpstreamState& state, Instant now) const {
-  // Only entries that follow an engine send to it.
-  const bool counted = this->HasReport(state, now) && state.report->followers > 0;
-  const std::size_t entries =
-      std::max<std::size_t>(1, counted ? state.report->followers : this->entries.size());
   if (!state.upstream.is_engine) {
+    const std::size_t entries = this->SendersTo(state, now);
     return {.fraction = 1.0 / static_cast<double>(entries), .entries = entries};
   }
-  return {.fraction = static_cast<double>(state.share) / std::max(1u, state.upstream.slots),
-          .entries = entries};
+  const double slots = std::max(1u, state.upstream.slots);
+  const double held = std::min(state.share, state.steady_share.Least(now)) / slots;
+  return {.fraction = held,
+          .gained = state.share / slots - held,
+          .entries = kMaxSenders - state.steady_room.Least(now)};
+}
+
+std::size_t Dispatcher::SendersTo(const UpstreamState& state, Instant now) const {
+  // Only entries that follow an engine send to it.
+  const bool counted = this->HasReport(state, now) && state.report->followers > 0;
+  return std::max<std::size_t>(1, counted ? state.report->followers : this->entries.size());
+}
+
+void Dispatcher::NoteColdShare(UpstreamState& state, Instant now) const {
+  const std::size_t senders = std::min<std::size_t>(kMaxSenders, this->SendersTo(state, now));
+  state.steady_share.Set(state.share, now);
+  state.steady_room.Set(static_cast<std::uint32_t>(kMaxSenders - senders), now);
 }
 
 void Dispatcher::SetUpstream(const Upstream& upstream) {
@@ -88,7 +96,7 @@
     // The upstream was restarted, so its health, load and reports no longer apply.
     const auto former = this->id_at.find(state.upstream.address);
     if (former != this->id_at.end() && former->second == upstream.id) this->id_at.erase(former);
-    state = UpstreamState{.upstream = upstream};
+    state = UpstreamState{.upstream = upstream, .health = this->former_health.Take(upstream)};
     this->pool_of[upstream.id] = upstream.pool;
     this->CountAttempts(state);
   }
@@ -116,10 +124,10 @@
     if (state != pool->second.end()) {
       const auto at = this->id_at.find(state->second.upstream.address);
       if (at != this->id_at.end() && at->second == id) this->id_at.erase(at);
+      this->former_health.Keep(state->second.upstream, state->second.health);
       pool->second.erase(state);
     }
   }
-  this->placement.Cold().Forget(id);
   this->pool_of.erase(known);
 }
 
@@ -379,6 +387,7 @@
     // A silent engine may have left the window for its silence.
     const bool is_followed = state.followed || state.followed_for_homes;
     if (!is_followed && !state.silence.IsSilent(now)) state.silence.OnUnfollowed();
+    if (state.upstream.is_engine) this->NoteColdShare(state, now);
     this->ConfirmShare(state, now);
     const bool known = state.load_at && now - *state.load_at < this->options.load_lifetime;
     if (!known || now - state.borrowable_at < this->options.load_propagation_time) continue;
@@ -474,7 +483,8 @@
   }
   return state.health.MayUse(now, request.may_probe) && this->IsServing(state, now) &&
          this->notices.MayUse(StartOf(state.upstream), now) &&
-         this->placement.Cold().MaySend(state.upstream.id, this->ColdShareOf(state, now), now);
+         this->placement.Cold().MaySend(PlaceOf(state.upstream), this->ColdShareOf(state, now),
+                                        now);
 }
 
 bool Dispatcher::IsCandidate(const UpstreamState& state, const DispatchRequest& request) const {
@@ -664,7 +674,7 @@
   ++state.own;
   ++state.sent_since;
   state.waits.OnSent(request.attempt, now);
-  this->placement.Cold().OnSent(upstream.id, now);
+  this->placement.Cold().OnSent(PlaceOf(upstream), now);
   state.own_prefill_tokens += request.prompt_tokens;
   state.health.OnStarted();
   if (best.left != LeavingReason::kStays) {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -16,11 +16,13 @@
 #include "base/random.h"
 #include "placement/leaving_policy.h"
 #include "placement/placement.h"
+#include "placement/steady_share.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
+#include "relay/former_health.h"
 #include "relay/routing_index.h"
 #include "relay/shortage.h"
 #include "relay/slot_shares.h"
@@ -139,7 +141,8 @@
   const Placement& Places() const { return this->placement; }
   LeavingPolicy& Leaving() { return this->leaving; }
   Admission& Room() { return this->admission; }
-  // The upstream, which need not be in the list, said that it is cold for `remaining`.
+  // The upstream, which need not be in the list, answered that it is cold for `remaining`. For what
+  // its record says, see ColdLimits::OnRecord().
   void SetCold(std::string_view upstream, Duration remaining, Instant now);
   // See Placement::SetEvacuated. Upstreams that are back count as cold.
   void SetEvacuated(const std::string& data_centre, bool evacuated, Instant now);
@@ -211,9 +214,11 @@
     bool followed = false;            // an engine that this entry sends to, see EngineWindow()
     bool followed_for_homes = false;  // see FollowHomes()
     std::uint32_t share = 0;          // slots that belong to this entry
-    std::uint32_t confirmed = 0;      // those that may be used, see ConfirmShare()
-    Instant share_grew_at = {};       // when `share` first exceeded `confirmed`; epoch: it does not
-    std::uint32_t borrowable = 0;     // other entries' slots it may use, see UpdateBorrowable()
+    SteadyShare steady_share = SteadyShare();
+    SteadyShare steady_room = SteadyShare();  // for entries that may send to it, see ColdShareOf()
+    std::uint32_t confirmed = 0;              // those that may be used, see ConfirmShare()
+    Instant share_grew_at = {};    // when `share` first exceeded `confirmed`; epoch: it does not
+    std::uint32_t borrowable = 0;  // other entries' slots it may use, see UpdateBorrowable()
     Instant borrowable_at = {};
     double own_prefill_tokens = 0;  // prompt tokens of own attempts without a first event
     std::optional<EngineReport> report = {};
@@ -281,7 +286,13 @@
   IndexRange ChooseWindow(std::span<UpstreamState* const> serving,
                           std::span<const std::uint32_t> slots, std::span<const double> demands,
                           Instant now) const;
+  // What this entry has gained of the engine within the window counts little, and the number of
+  // others that send there counts as the largest within the window: others learn later, or this
+  // entry has just started.
   ColdShare ColdShareOf(const UpstreamState& state, Instant now) const;
+  // Number of entries that may send to the upstream, this one included.
+  std::size_t SendersTo(const UpstreamState& state, Instant now) const;
+  void NoteColdShare(UpstreamState& state, Instant now) const;
   // Requests with homes go to engines of these regions, which the entry's window need not contain.
   void FollowHomes(std::span<UpstreamState* const> serving) const;
   // Whether there are upstreams in `pool`, but none that the request may be sent to wherever there
@@ -390,6 +401,7 @@
   TextMap<Shortage> shortages = {};         // by engine pool
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
+  FormerHealth former_health = FormerHealth();
   Placement placement;
   LeavingPolicy leaving;
   Admission admission;
