Send probes of silent engines out of the data centre by the leaving policy

What callers saw: nothing for certain, found in review. While all agents were silent (an entry cut off from them, or a loss of power), requests of one data centre went to silent engines of others that nobody counted, and went there although a silent engine near was untried.

Cause: AddSilent compared near and far engines by score alone, so that one failure near (up to 0.2 s in the score) outweighed the way, and left the reason at "stays". TryPlace therefore told neither the policy nor the log: no episode, no bytes on the link between regions.

Evidence: DispatcherLeavingTest.ProbesOfSilentEnginesLeaveByThePolicy on the code before: 0 of 8 probes stayed near where 8 may, 0 of 3 counted, no episode.

Change: silent engines near come first. Those elsewhere are a side of their own that the policy decides on, as for engines that are heard. Where the ways are unknown and the policy does not act, all are compared by score as before (SilentEnginesElsewhereAreProbedWithoutWays passes before and after: it guards the other branch).

Measured, x86_64: relay_test 'Dispatcher*', 83 of 83 passed in one run.

--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -310,9 +310,10 @@
   // Replaces `choice` by a better one among `states`, if there is one.
   void Improve(Choice& choice, std::span<const UpstreamState* const> states,
                const DispatchRequest& request, const PoolRule* pool, Instant now) const;
-  // Adds the engines that were heard and are silent, if nothing else has room.
+  // Adds the engines that were heard and are silent, if nothing else has room. Where requests may
+  // leave the data centre, one that finds a silent engine near stays.
   void AddSilent(Choice& choice, std::span<const UpstreamState* const> silent,
-                 const DispatchRequest& request, const PoolRule* pool, Instant now) const;
+                 const DispatchRequest& request, const PoolRule* pool, Instant now);
   // Whether the request may be sent to an engine that is silent: as to one that is half open, and
   // only if it ends before a version makes the weights there outdated.
   bool MayProbeSilent(const UpstreamState& state, const DispatchRequest& request,
--- a/src/relay/dispatcher_leaving_test.cc
+++ b/src/relay/dispatcher_leaving_test.cc
@@ -189,5 +189,49 @@
   for (int i = 0; i < 30; ++i) EXPECT_NE(this->Submit("chat"), "b0");
 }
 
+// All agents fall silent. Guards against probes that leave the data centre unseen, and against
+// those that leave it for engines whose scores are better by little while a silent one near is
+// untried.
+TEST_F(DispatcherLeavingTest, ProbesOfSilentEnginesLeaveByThePolicy) {
+  for (int i = 0; i < kEngines; ++i) {
+    ASSERT_EQ(this->Submit("chat").front(), 'b');
+    this->dispatcher.OnEnded(this->next_attempt - 1, AttemptResult::kErrored, this->now);
+  }
+  this->now += milliseconds(1600);
+  auto sent = this->Send(kEngines);
+  EXPECT_EQ(sent['b'], kEngines);
+  EXPECT_TRUE(this->left.empty());
+  sent = this->Send(3);
+  EXPECT_EQ(sent['a'] + sent['c'], 3);
+  EXPECT_EQ(this->left[LeavingReason::kNoneNear], 3);
+  const auto changes = this->dispatcher.Leaving().TakeChanges(this->now);
+  ASSERT_EQ(changes.size(), 1u);
+  EXPECT_EQ(changes.front().left, 3u);
+}
+
+// Guards against probes that are lost where the ways between data centres are unknown.
+TEST_F(DispatcherLeavingTest, SilentEnginesElsewhereAreProbedWithoutWays) {
+  DispatcherOptions plain{.data_centre = "dc-b", .entry = "entry-b"};
+  Dispatcher alone(std::move(plain), this->random);
+  alone.SetUpstream({.id = "a0",
+                     .pool = "chat",
+                     .address = AddressOf('a', 0),
+                     .data_centre = "dc-a",
+                     .slots = kSlots,
+                     .weights_version = 1,
+                     .is_engine = true});
+  alone.AddReport({.address = AddressOf('a', 0), .weights_version = 1}, this->now);
+  this->now += milliseconds(1600);
+  EXPECT_EQ(alone.Silent(this->now), 1u);
+  const DispatchVerdict verdict = alone.Submit({.attempt = 1,
+                                                .pool = "chat",
+                                                .arrived = this->now,
+                                                .target = milliseconds(400),
+                                                .deadline = this->now + seconds(6),
+                                                .may_probe = true},
+                                               this->now);
+  EXPECT_TRUE(std::holds_alternative<SendTo>(verdict.decision));
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/dispatcher_silence.cc
+++ b/src/relay/dispatcher_silence.cc
@@ -24,15 +24,27 @@
 }
 
 void Dispatcher::AddSilent(Choice& choice, std::span<const UpstreamState* const> silent,
-                           const DispatchRequest& request, const PoolRule* pool,
-                           Instant now) const {
+                           const DispatchRequest& request, const PoolRule* pool, Instant now) {
   if (choice.has_room) return;
   // Room near that is used up is no reason to try a silent engine elsewhere.
   const bool only_near = choice.best.state != nullptr;
+  std::vector<const UpstreamState*> far;
   for (const UpstreamState* const& state : silent) {
-    if (only_near && state->upstream.data_centre != this->options.data_centre) continue;
-    this->Improve(choice, std::span(&state, 1), request, pool, now);
+    if (state->upstream.data_centre != this->options.data_centre) {
+      far.push_back(state);
+    } else {
+      this->Improve(choice, std::span(&state, 1), request, pool, now);
+    }
   }
+  if (only_near || far.empty()) return;
+  if (!this->leaving.IsActive()) return this->Improve(choice, far, request, pool, now);
+  if (choice.has_room) return;
+  Choice elsewhere;
+  this->Improve(elsewhere, far, request, pool, now);
+  elsewhere.best.left = this->leaving.Decide(request.pool, this->OfferOf(choice, request, now),
+                                             this->OfferOf(elsewhere, request, now),
+                                             BytesOf(request), UniformUnit(this->random), now);
+  if (elsewhere.best.left != LeavingReason::kStays) choice = elsewhere;
 }
 
 std::size_t Dispatcher::Silent(Instant now) const {
