--- a/src/relay/dispatcher_silence_test.cc
+++ b/src/relay/dispatcher_silence_test.cc
@@ -218,5 +218,41 @@
   EXPECT_FALSE(this->dispatcher.CouldSend(this->Chat(), this->now));
 }
 
+// One engine asked for a wait, and the other one stands still. Guards against requests that are
+// held for an engine that will not take them, and against callers that are told to return to it.
+TEST_F(DispatcherSilenceTest, NoRequestWaitsForASilentEngineBesideOneWithAKnownTime) {
+  this->AddEngine(1);
+  this->AddEngine(2);
+  this->Report(1);
+  this->now += milliseconds(1600);
+  this->Report(2);
+  this->dispatcher.AddWait({.id = "engine-2", .started_unix_ms = 1000}, seconds(2), this->now);
+  ASSERT_EQ(this->Submit(this->Chat()), "engine-1");  // the one probe
+  for (const bool may_probe : {true, false}) {
+    const DispatchVerdict verdict = this->dispatcher.Submit(this->Chat(may_probe), this->now);
+    const auto* refusal = std::get_if<RefuseRequest>(&verdict.decision);
+    ASSERT_NE(refusal, nullptr) << may_probe;
+    EXPECT_EQ(refusal->kind, ErrorKind::kOverloaded);
+    EXPECT_GE(refusal->retry_after, seconds(2));
+  }
+  this->now += milliseconds(1980);
+  this->Report(2);
+  EXPECT_EQ(this->Submit(this->Chat(false)), "wait");
+  this->now += milliseconds(20);
+  ASSERT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
+// Guards against waits for an engine that asked for a longer one before it fell silent.
+TEST_F(DispatcherSilenceTest, SilentEnginesWaitIsALowerBound) {
+  this->AddEngine(1);
+  this->Report(1);
+  this->now += milliseconds(1600);
+  this->dispatcher.AddWait({.id = "engine-1", .started_unix_ms = 1000}, seconds(1), this->now);
+  const DispatchVerdict verdict = this->dispatcher.Submit(this->Chat(), this->now);
+  const auto* refusal = std::get_if<RefuseRequest>(&verdict.decision);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_GE(refusal->retry_after, seconds(1));
+}
+
 }  // namespace
 }  // namespace savory
