Count failures at an engine that refuses requests but does not load

What callers saw: requests went on to an engine behind a narrow link that failed or stayed silent every time, whenever its agent took requests again for a moment. Found in review.

Cause: OnEnded took "does not accept" for "loads". Since engines behind narrow links refuse requests too, every failure there was turned into a cancelled attempt, which says nothing about an engine.

Evidence: on the code before, DispatcherTest.FailuresBehindANarrowLinkCount: no ejection after two failures; FailuresAsALoadBeginsDoNotCount: three failures 1.1 s before a load are hidden as well.

Change: an engine that reports no weights loads, and its failures do not count, as before. One that refuses and still holds weights may be about to load: it breaks its last requests off some 40 ms before its agent reports it. So failures count at once, and are taken back if the next words within a second name other weights. An engine of which nobody knows more is left out for 1.5 s while its agent refuses anyway. This needs nothing new on the wire, so it holds with agents of earlier versions, too.

Not covered: an agent that is not heard between the beginning of a load and its end. Its engine's failures count then, where they did not before.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -153,6 +153,7 @@
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
   this->words.AddReport(StartOf(state.upstream), report, NewestNamed(state), now);
+  if (report.reachable) TakeBackFailures(state, report.weights_version, now);
   state.report = report;
   state.reported_at = now;
   state.silence.OnReport(now);
@@ -166,6 +167,9 @@
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
   this->words.AddPassedOn(StartOf(state.upstream), passed_on, NewestNamed(state), now);
+  if (passed_on.reachable && !this->HasReport(state, now)) {
+    TakeBackFailures(state, passed_on.weights_version, now);
+  }
   state.passed_on = passed_on;
   state.passed_on_at = now;
 }
@@ -885,23 +889,7 @@
     state.waits.OnEnded(attempt, ended.sent_at);
   }
   if (state.own > 0) --state.own;
-  // An engine that loads new weights aborts its requests, and one behind a narrow link gets them
-  // late; neither counts as a failure.
-  const bool loads = this->HasReport(state, now)
-                         ? !state.report->accepting
-                         : this->words.IsRefusing(StartOf(state.upstream), now);
-  if (loads && result != AttemptResult::kServed) result = AttemptResult::kCancelled;
-  const bool was_half_open = state.health.IsHalfOpen();
-  const Instant until_before = state.health.EjectedUntil();
-  state.health.OnEnded(result, now, this->random);
-  HealthChange change{.upstream = ended.upstream, .failure_rate = state.health.FailureRate()};
-  if (state.health.EjectedUntil() != until_before) {
-    change.ejected = true;
-    change.ejected_for = state.health.EjectedUntil() - now;
-    return change;
-  }
-  if (was_half_open && !state.health.IsHalfOpen()) return change;
-  return {};
+  return this->Judge(state, result, now);
 }
 
 std::vector<std::string> Dispatcher::EnginesToFollow(Instant now) {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -17,6 +17,7 @@
 #include "placement/placement.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
+#include "relay/doubtful_failures.h"
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
@@ -193,6 +194,7 @@
   struct UpstreamState {
     Upstream upstream;
     UpstreamHealth health = UpstreamHealth();
+    DoubtfulFailures doubtful = DoubtfulFailures();
     UpstreamSilence silence = UpstreamSilence();
     std::uint32_t own = 0;            // attempts of this entry
     bool followed = false;            // an engine that this entry sends to, see EngineWindow()
@@ -295,6 +297,13 @@
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // The attempt waits for its first event no more. Returns its target: see FindTarget().
   UpstreamState* EndPrefill(Sent& sent);
+  // The version that the last word on this start of the engine named, however old it is; 0: none.
+  static std::uint64_t LastNamed(const UpstreamState& state);
+  // A word on the engine names its weights: if they have changed, failures that may have come from
+  // a load count no more.
+  static void TakeBackFailures(UpstreamState& state, std::uint64_t weights, Instant now);
+  // Counts the end of an attempt for the upstream's health: see OnEnded().
+  std::optional<HealthChange> Judge(UpstreamState& state, AttemptResult result, Instant now);
   // Counts the attempts that go on at this start of an upstream, which is listed anew.
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if that start is not listed.
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -1010,5 +1010,49 @@
   }
 }
 
+// An engine refuses requests only because of its link, and holds its weights. Guards against
+// failures there that never count.
+TEST_F(DispatcherTest, FailuresBehindANarrowLinkCount) {
+  for (const bool is_heard : {true, false}) {
+    const std::string id = this->AddEngine(is_heard ? 1 : 2);
+    std::vector<AttemptNumber> attempts;
+    for (int i = 0; i < 2; ++i) {
+      DispatchRequest request = this->Chat();
+      attempts.push_back(request.attempt);
+      ASSERT_EQ(this->Submit(std::move(request)), id);
+    }
+    this->Report(is_heard ? 1 : 2, 2, 1, false);
+    if (!is_heard) this->now += milliseconds(1600);
+    EXPECT_FALSE(this->dispatcher.OnEnded(attempts[0], AttemptResult::kSilent, this->now));
+    const auto change = this->dispatcher.OnEnded(attempts[1], AttemptResult::kErrored, this->now);
+    ASSERT_TRUE(change) << is_heard;
+    EXPECT_TRUE(change->ejected);
+  }
+}
+
+// An engine breaks off its last requests as it begins to load, before its agent has reported it.
+// Guards against ejecting it for that, and against a load later on that hides failures.
+TEST_F(DispatcherTest, FailuresAsALoadBeginsDoNotCount) {
+  for (const bool is_soon : {true, false}) {
+    const std::string id = this->AddEngine(is_soon ? 1 : 2);
+    const int number = is_soon ? 1 : 2;
+    std::vector<AttemptNumber> attempts;
+    for (int i = 0; i < 3; ++i) {
+      DispatchRequest request = this->Chat();
+      attempts.push_back(request.attempt);
+      ASSERT_EQ(this->Submit(std::move(request)), id);
+    }
+    this->Report(number, 3, 1, false);
+    for (const AttemptNumber attempt : attempts) {
+      this->dispatcher.OnEnded(attempt, AttemptResult::kErrored, this->now);
+    }
+    this->now += milliseconds(is_soon ? 300 : 1100);
+    this->Report(number, 0, 0, false);
+    this->Report(number, 0, 2);
+    EXPECT_EQ(this->dispatcher.Usable("chat", this->now), is_soon ? 1u : 0u);
+    this->dispatcher.RemoveUpstream(id);
+  }
+}
+
 }  // namespace
 }  // namespace savory
--- a/src/relay/upstream_health.cc
+++ b/src/relay/upstream_health.cc
@@ -11,11 +11,20 @@
 
 }  // namespace
 
+bool IsFailure(AttemptResult result) {
+  return result == AttemptResult::kErrored || result == AttemptResult::kSilent ||
+         result == AttemptResult::kUnreachable || result == AttemptResult::kMisdirected;
+}
+
+void UpstreamHealth::TakeBack(const UpstreamHealth& before) {
+  const int running = this->in_flight;
+  *this = before;
+  this->in_flight = running;
+}
+
 void UpstreamHealth::OnEnded(AttemptResult result, Instant now, Random& random) {
   this->in_flight = std::max(0, this->in_flight - 1);
-  const bool failed = result == AttemptResult::kErrored || result == AttemptResult::kSilent ||
-                      result == AttemptResult::kUnreachable ||
-                      result == AttemptResult::kMisdirected;
+  const bool failed = IsFailure(result);
   // An upstream that refuses requests works; it only has no capacity.
   if (result == AttemptResult::kRefused || result == AttemptResult::kCancelled) return;
   const double weight = this->options.newest_weight;
--- a/src/relay/upstream_health.h
+++ b/src/relay/upstream_health.h
@@ -19,6 +19,9 @@
   kCancelled,    // the caller disconnected; says nothing about the upstream
 };
 
+// Whether it counts against the upstream.
+bool IsFailure(AttemptResult result);
+
 struct UpstreamHealthOptions {
   // Weight of the latest attempt in the failure rate. Two failures in a row exceed the threshold, a
   // single one among successes does not.
@@ -42,6 +45,8 @@
 
   void OnStarted() { ++this->in_flight; }
   void OnEnded(AttemptResult result, Instant now, Random& random);
+  // Goes back to the health `before` some of the results. Attempts in flight stay counted.
+  void TakeBack(const UpstreamHealth& before);
 
   // Whether the upstream may receive a request. `may_probe`: the request may be retried, so it may
   // be sent to a half-open upstream at once.
