--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -161,6 +161,7 @@
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
   this->words.AddReport(StartOf(state.upstream), report, NewestNamed(state), now);
+  if (report.reachable) TakeBackFailures(state, report.weights_version, now);
   state.report = report;
   state.reported_at = now;
   state.silence.OnReport(now);
@@ -174,6 +175,9 @@
   const auto pool = this->pools.find(this->pool_of.find(id->second)->second);
   UpstreamState& state = pool->second.find(id->second)->second;
   this->words.AddPassedOn(StartOf(state.upstream), passed_on, NewestNamed(state), now);
+  if (passed_on.reachable && !this->HasReport(state, now)) {
+    TakeBackFailures(state, passed_on.weights_version, now);
+  }
   state.passed_on = passed_on;
   state.passed_on_at = now;
 }
@@ -725,15 +729,19 @@
   if (found == this->pools.end()) return std::nullopt;
   bool waits = false;
   Instant earliest = Instant::max();
+  Instant earliest_silent = Instant::max();
   for (const auto& [id, state] : found->second) {
     const UpstreamStart start = StartOf(state.upstream);
     if (!this->IsServing(state, now) || this->notices.IsLeaving(start, now)) continue;
     const Instant wait_end = this->notices.WaitEnd(start);
     waits = waits || wait_end > now;
     if (std::find(avoided.begin(), avoided.end(), id) != avoided.end()) continue;
-    earliest = std::min(earliest, std::max({now, wait_end, state.health.EjectedUntil()}));
+    // When a silent engine takes requests again is not known, only that it is not before this.
+    Instant& first = state.silence.IsSilent(now) ? earliest_silent : earliest;
+    first = std::min(first, std::max({now, wait_end, state.health.EjectedUntil()}));
   }
-  return waits ? std::optional(earliest) : std::nullopt;
+  if (!waits) return std::nullopt;
+  return earliest == Instant::max() ? earliest_silent : earliest;
 }
 
 bool Dispatcher::IsHopeless(const DispatchRequest& request, const Candidate& best,
@@ -922,23 +930,7 @@
     state.waits.OnEnded(attempt, ended.sent_at);
   }
   if (state.own > 0) --state.own;
-  // An engine that loads new weights aborts its requests, and one behind a narrow link gets them
-  // late; neither counts as a failure.
-  const bool loads = this->HasReport(state, now)
-                         ? !state.report->accepting
-                         : this->words.IsRefusing(StartOf(state.upstream), now);
-  if (loads && result != AttemptResult::kServed) result = AttemptResult::kCancelled;
-  const bool was_half_open = state.health.IsHalfOpen();
-  const Instant until_before = state.health.EjectedUntil();
-  state.health.OnEnded(result, now, this->random);
-  HealthChange change{.upstream = ended.upstream, .failure_rate = state.health.FailureRate()};
-  if (state.health.EjectedUntil() != until_before) {
-    change.ejected = true;
-    change.ejected_for = state.health.EjectedUntil() - now;
-    return change;
-  }
-  if (was_half_open && !state.health.IsHalfOpen()) return change;
-  return {};
+  return this->Judge(state, result, now);
 }
 
 std::vector<std::string> Dispatcher::EnginesToFollow(Instant now) {
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -19,6 +19,7 @@
 #include "placement/steady_share.h"
 #include "relay/agent_words.h"
 #include "relay/dispatch_types.h"
+#include "relay/doubtful_failures.h"
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
@@ -209,6 +210,7 @@
   struct UpstreamState {
     Upstream upstream;
     UpstreamHealth health = UpstreamHealth();
+    DoubtfulFailures doubtful = DoubtfulFailures();
     UpstreamSilence silence = UpstreamSilence();
     std::uint32_t own = 0;            // attempts of this entry
     bool followed = false;            // an engine that this entry sends to, see EngineWindow()
@@ -319,6 +321,13 @@
   const WeightsRule* NextRule(std::string_view pool, std::uint64_t held) const;
   // The attempt waits for its first event no more. Returns its target: see FindTarget().
   UpstreamState* EndPrefill(Sent& sent);
+  // The version that the last word on this start of the engine named, however old it is; 0: none.
+  static std::uint64_t LastNamed(const UpstreamState& state);
+  // A word on the engine names its weights: if they have changed, failures that may have come from
+  // a load count no more.
+  static void TakeBackFailures(UpstreamState& state, std::uint64_t weights, Instant now);
+  // Counts the end of an attempt for the upstream's health: see OnEnded().
+  std::optional<HealthChange> Judge(UpstreamState& state, AttemptResult result, Instant now);
   // Counts the attempts that go on at this start of an upstream, which is listed anew.
   void CountAttempts(UpstreamState& state) const;
   // The start of an upstream that the attempt was sent to; nullptr if that start is not listed.
@@ -334,9 +343,10 @@
   // Replaces `choice` by a better one among `states`, if there is one.
   void Improve(Choice& choice, std::span<const UpstreamState* const> states,
                const DispatchRequest& request, const PoolRule* pool, Instant now) const;
-  // Adds the engines that were heard and are silent, if nothing else has room.
+  // Adds the engines that were heard and are silent, if nothing else has room. Where requests may
+  // leave the data centre, one that finds a silent engine near stays.
   void AddSilent(Choice& choice, std::span<const UpstreamState* const> silent,
-                 const DispatchRequest& request, const PoolRule* pool, Instant now) const;
+                 const DispatchRequest& request, const PoolRule* pool, Instant now);
   // Whether the request may be sent to an engine that is silent: as to one that is half open, and
   // only if it ends before a version makes the weights there outdated.
   bool MayProbeSilent(const UpstreamState& state, const DispatchRequest& request,
@@ -359,7 +369,7 @@
   // Until when a request waits that can't be placed now, at best at `best`: WaitLimit() or longer.
   Instant WaitEnd(const DispatchRequest& request, const Candidate& best, Instant now) const;
   // When the first serving upstream outside `avoided` may be used; nullopt if none of the pool's
-  // upstreams asked for a wait.
+  // upstreams asked for a wait. Silent ones count only if there are no others.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
                                     Instant now) const;
   // Whether a more urgent request waits for the same pool.
