Soak: send a crashing request again as the same request

By the users' protocol such a request comes again "with the same path, caller and body", and entries identify it by account, method, target and body. The check groups by body and asked for what no entry can know.

The checks are unchanged; a new one, 'same-crashing-request', fails a run whose callers vary the account or target of a crashing request.

--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -165,6 +165,7 @@
   ++this->counts.sent;
   const std::string_view part = FindCrashingPart(sent.request.prompt);
   if (!part.empty()) this->part_last_sent[std::string(part)] = sent.sent;
+  if (IsCrashingBody(sent.request.body)) this->CheckSameCrashingRequest(sent);
   const bool undisturbed = this->IsUndisturbed(sent.entry_vm, sent.sent) &&
                            this->IsUndisturbed("store", sent.sent) &&
                            this->IsUndisturbed("origin", sent.sent);
@@ -173,6 +174,17 @@
   if (!sent.in_pieces) request.trace.last_byte_sent = sent.sent;
 }
 
+void Checker::CheckSameCrashingRequest(const SentRequest& sent) {
+  const platform::CallerRequest& request = sent.request;
+  const auto [first, is_new] = this->crashing_targets.try_emplace(
+      request.body, CrashingTarget{.account = sent.account, .target = request.target});
+  if (first->second.account == sent.account && first->second.target == request.target) return;
+  this->AddViolation("same-crashing-request",
+                     request.attempt_id + " of " + sent.account + " asks for " + request.target +
+                         " with the body " + request.body + ", which " + first->second.account +
+                         " sent to " + first->second.target);
+}
+
 void Checker::OnLastByteSent(std::string_view attempt_id, Instant now) {
   if (Request* request = this->Find(attempt_id)) request->trace.last_byte_sent = now;
 }
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -219,6 +219,9 @@
   void CheckLeaving(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckNotices(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckCrashing(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
+  // Entry VMs recognize a request that is sent again by its account, target and body. Callers that
+  // vary one of them would make `CheckCrashing` ask for what no entry VM can know.
+  void CheckSameCrashingRequest(const SentRequest& sent);
   void CheckRoute(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckWeights(const Request& request, const platform::ArrivedRequest& arrived, Instant now);
   void CheckWholeWeights(const platform::ArrivedRequest& arrived);
@@ -251,6 +254,12 @@
   };
   std::map<std::string, CrashingRequest, std::less<>> crashing = {};  // by body or part
   std::map<std::string, Instant, std::less<>> part_last_sent = {};
+  // Of the first request with each body that ends upstreams.
+  struct CrashingTarget {
+    std::string account = {};
+    std::string target = {};
+  };
+  std::map<std::string, CrashingTarget, std::less<>> crashing_targets = {};
   // Sound requests sent to undisturbed entry VMs, and those of them that ran.
   struct SoundRequests {
     std::uint64_t sent = 0;
--- a/soak/checker_test.cc
+++ b/soak/checker_test.cc
@@ -706,6 +706,33 @@
   EXPECT_EQ(this->checker.Violations().back().rule, "crashing-request");
 }
 
+// Guards against callers that never send a crashing request again, so that entry VMs cannot know
+// it.
+TEST_F(CheckerTest, FindsCopiesOfACrashingRequestThatDiffer) {
+  const auto send = [this](const std::string& id, const std::string& account,
+                           const std::string& target, int number) {
+    this->checker.OnSent({.request = {.entry = "",
+                                      .attempt_id = id,
+                                      .host = "h",
+                                      .target = target,
+                                      .body = CrashingBody(number)},
+                          .route = {},
+                          .account = account,
+                          .entry_vm = "entry-1",
+                          .sent = this->now});
+  };
+  send("a", "shop", "/r/1", 1);
+  send("b", "shop", "/r/1", 1);
+  send("c", "shop", "/r/2", 2);
+  EXPECT_TRUE(this->checker.Violations().empty());
+  send("d", "shop", "/r/1?ms=2", 1);
+  send("e", "depot", "/r/2", 2);
+  ASSERT_EQ(this->checker.Violations().size(), 2U);
+  for (const Violation& violation : this->checker.Violations()) {
+    EXPECT_EQ(violation.rule, "same-crashing-request");
+  }
+}
+
 TEST_F(CheckerTest, FindsCrashingPartThatUpstreamsGetAgain) {
   const auto arrive = [this](const std::string& id) {
     this->Send(id, RequestKind::kStream, true);
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -183,7 +183,8 @@
     request.cancel_after =
         kMinCancelDelay + FromSeconds(ToSeconds(kCancelDelaySpread) * UniformUnit(this->random));
   }
-  if (this->layout.long_answers) {
+  // Copies of a crashing request are the same request, and it ends before its work is done.
+  if (this->layout.long_answers && !is_crashing) {
     request.target += "&ms=" + std::to_string(ToMillis(DrawWorkTime(this->random, route.kind)));
   }
   return request;
