Count a lost connection whose upstream's later start is listed already

Seen: RelaySession.DISABLED_CrashCountsThoughTheLaterStartIsListedFirst. An entry that reads the list before it notices a lost connection, as after a pause, counts the crash for no request; one that ends its upstreams may then be sent on once more for each crash that is missed.

Cause: only a start that is listed and stays may be suspected, as one that leaves may close its connections. Once a later start is listed, the earlier one is in no list, so its end looked like a planned one. Had it been suspected, nothing would have confirmed it: the listing was over, and a probe reaches the later start. The same held for a later start with another id at the address, which removes the earlier record.

Upstreams that drained, said that they leave, were removed first or have no known start are not counted, as before.

Not covered: an entry that reads the removal of a crashed upstream's record before it notices the loss can't tell it from one that left unannounced.

--- a/src/crashes/upstream_end_detector.cc
+++ b/src/crashes/upstream_end_detector.cc
@@ -42,6 +42,19 @@
   return {ProbeUpstreamProcess{.process = process}};
 }
 
+std::vector<UpstreamEndAction> UpstreamEndDetector::OnLostAfterEnd(const UpstreamProcess& process,
+                                                                   const CrashSuspect& request,
+                                                                   Instant now) {
+  const auto known = this->suspicions.find(process.id);
+  const bool lost_before =
+      known != this->suspicions.end() && IsSameStart(known->second.process, process);
+  // One that was listed between two losses is confirmed; a suspicion of a later start stays.
+  if (lost_before) return this->OnConnectionLost(process, request, now);
+  return {UpstreamEnded{.process = process,
+                        .evidence = "listed later start",
+                        .suspects = {RecordOf(process, request, Duration(0))}}};
+}
+
 std::vector<UpstreamEndAction> UpstreamEndDetector::OnProbed(const UpstreamProcess& process,
                                                              ProbeResult result, Instant now) {
   this->Expire(now);
--- a/src/crashes/upstream_end_detector.h
+++ b/src/crashes/upstream_end_detector.h
@@ -61,6 +61,9 @@
   // The connection that `request` was sent on ended before its answer was complete.
   std::vector<UpstreamEndAction> OnConnectionLost(const UpstreamProcess& process,
                                                   const CrashSuspect& request, Instant now);
+  // The same, but a later start is listed already: the process has ended.
+  std::vector<UpstreamEndAction> OnLostAfterEnd(const UpstreamProcess& process,
+                                                const CrashSuspect& request, Instant now);
   std::vector<UpstreamEndAction> OnProbed(const UpstreamProcess& process, ProbeResult result,
                                           Instant now);
   // The upstream is listed. Confirms the end of earlier starts with its id or address.
--- a/src/crashes/upstream_end_detector_test.cc
+++ b/src/crashes/upstream_end_detector_test.cc
@@ -55,6 +55,17 @@
   EXPECT_TRUE(this->detector.OnListed(Process(2000), kStart).empty());
 }
 
+// Guards against missing an end that is listed first, and against forgetting what ran at the later
+// start.
+TEST_F(UpstreamEndDetectorTest, LossAfterALaterStartProvesTheEnd) {
+  EXPECT_EQ(Suspects(this->detector.OnLostAfterEnd(Process(500), Request("c"), kStart)), 1U);
+  EXPECT_FALSE(this->detector.HasSuspicion());
+  this->LoseTwo();
+  EXPECT_EQ(Suspects(this->detector.OnLostAfterEnd(Process(500), Request("c"), kStart)), 1U);
+  EXPECT_EQ(Suspects(this->detector.OnListed(Process(2000), kStart)), 2U);
+  EXPECT_EQ(Suspects(this->detector.OnLostAfterEnd(Process(), Request("d"), kStart)), 1U);
+}
+
 // Guards against missing an end because answers that were sent before it are read late.
 TEST_F(UpstreamEndDetectorTest, AnswersBeforeTheProbeProveNothing) {
   this->LoseTwo();
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -473,6 +473,7 @@
       return this->RemoveFromDispatcher(upstream.id, "a later start has its address");
     }
     if (!change.replaced.empty()) {
+      this->relay.RequestDispatcher().NoteLaterStart(change.replaced, upstream.started_unix_ms);
       this->RemoveFromDispatcher(change.replaced, "a later start has its address");
     }
     this->start_timeline.Mark(StartStep::kUpstreams, this->loop.Now());
--- a/src/relay/crash_guard.cc
+++ b/src/relay/crash_guard.cc
@@ -232,7 +232,7 @@
 
 void CrashGuard::OnConnectionLost(const UpstreamProcess& process, const CrashSuspect& request,
                                   std::string_view request_id,
-                                  std::span<const std::string> part_ids) {
+                                  std::span<const std::string> part_ids, bool was_replaced) {
   Impl& self = *this->impl;
   Log(LogLevel::kInfo, "request_suspected",
       {{"request", request_id},
@@ -240,7 +240,9 @@
        {"parts", request.parts.size()},
        {"upstream", process.id}});
   self.RememberPartIds(part_ids);
-  self.Execute(self.detector.OnConnectionLost(process, request, self.loop.Now()));
+  const Instant now = self.loop.Now();
+  self.Execute(was_replaced ? self.detector.OnLostAfterEnd(process, request, now)
+                            : self.detector.OnConnectionLost(process, request, now));
 }
 
 void CrashGuard::OnAnswered(std::string_view upstream, std::int64_t started_unix_ms) {
--- a/src/relay/crash_guard.h
+++ b/src/relay/crash_guard.h
@@ -56,9 +56,10 @@
   // ---- from this entry's requests ----
 
   // The connection that the request was sent on ended before its answer was complete. `request_id`
-  // and `part_ids` are for the log.
+  // and `part_ids` are for the log. `was_replaced`: a later start has taken the place of `process`.
   void OnConnectionLost(const UpstreamProcess& process, const CrashSuspect& request,
-                        std::string_view request_id, std::span<const std::string> part_ids);
+                        std::string_view request_id, std::span<const std::string> part_ids,
+                        bool was_replaced);
   void OnAnswered(std::string_view upstream, std::int64_t started_unix_ms);
   // The upstream answered the request completely, or has streamed its answer for a while. The
   // fingerprint may be left out if HasSuspects() is false.
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -76,6 +76,7 @@
 }
 
 void Dispatcher::SetUpstream(const Upstream& upstream) {
+  this->NoteLaterStart(upstream.id, upstream.started_unix_ms);
   const auto known = this->pool_of.find(upstream.id);
   if (known != this->pool_of.end() && known->second != upstream.pool) {
     this->RemoveUpstream(upstream.id);
@@ -185,13 +186,6 @@
   return this->notices.AddWait(start, wait, now);
 }
 
-bool Dispatcher::IsExpectedToStay(const UpstreamStart& start, Instant now) const {
-  const auto known = this->pool_of.find(start.id);
-  if (known == this->pool_of.end() || this->notices.IsLeaving(start, now)) return false;
-  const Upstream& listed = this->pools.find(known->second)->second.find(start.id)->second.upstream;
-  return !listed.draining && listed.started_unix_ms == start.started_unix_ms;
-}
-
 void Dispatcher::SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules) {
   this->weights[pool] = std::move(rules);
 }
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -20,6 +20,7 @@
 #include "relay/engine_forecast.h"
 #include "relay/engine_pace.h"
 #include "relay/first_event_waits.h"
+#include "relay/replaced_starts.h"
 #include "relay/routing_index.h"
 #include "relay/slot_shares.h"
 #include "relay/upstream.h"
@@ -137,6 +138,10 @@
   void SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules);
   // Whether this start of the upstream is listed and not known to be leaving.
   bool IsExpectedToStay(const UpstreamStart& start, Instant now) const;
+  // Whether a later start took the place of this one, which was not known to be leaving.
+  bool WasReplaced(const UpstreamStart& start, Instant now) const;
+  // A later start, which may have another id, is about to take the place of upstream `id`.
+  void NoteLaterStart(std::string_view id, std::int64_t later_unix_ms);
   // Whether the engine's weights at that attempt have been replaced, or are due to be.
   bool ReplacesWeights(const EngineTry& sent, Instant now) const;
 
@@ -359,6 +364,7 @@
   std::list<DispatchRequest> waiting = {};  // most urgent first
   // Apart from `pools`, because what an upstream or its agent said outlives its record.
   UpstreamNotices notices = UpstreamNotices();
+  ReplacedStarts replaced = ReplacedStarts();
   Placement placement;
   LeavingPolicy leaving;
   Admission admission;
--- a/src/relay/dispatcher_notices_test.cc
+++ b/src/relay/dispatcher_notices_test.cc
@@ -206,6 +206,40 @@
   Instant wait_end = {};
 };
 
+// Guards against crashes that count for no request as the later start is listed first, and against
+// taking the end of an upstream that left for a crash.
+TEST_F(DispatcherNoticesTest, LaterStartTellsThatAStayingUpstreamEnded) {
+  const auto was_replaced = [this](std::string_view id, std::int64_t started) {
+    return this->dispatcher.WasReplaced({.id = id, .started_unix_ms = started}, this->now);
+  };
+  this->dispatcher.SetUpstream(Listed("a", 2));
+  EXPECT_TRUE(was_replaced("a", 1));
+  EXPECT_FALSE(was_replaced("a", 2));
+
+  // Another id at the address.
+  this->dispatcher.NoteLaterStart("b", 2);
+  this->dispatcher.RemoveUpstream("b");
+  EXPECT_TRUE(was_replaced("b", 1));
+
+  Upstream leaving = Listed("a", 2);
+  leaving.draining = true;
+  this->dispatcher.SetUpstream(leaving);
+  this->dispatcher.SetUpstream(Listed("a", 3));
+  EXPECT_FALSE(was_replaced("a", 2));
+
+  this->dispatcher.AddLeaving({.id = "a", .started_unix_ms = 3}, this->now);
+  this->dispatcher.SetUpstream(Listed("a", 4));
+  EXPECT_FALSE(was_replaced("a", 3));
+
+  // Its record was removed before, or says nothing of its start.
+  this->dispatcher.RemoveUpstream("a");
+  this->dispatcher.SetUpstream(Listed("a", 5));
+  EXPECT_FALSE(was_replaced("a", 4));
+  this->dispatcher.SetUpstream(Listed("c", 0));
+  this->dispatcher.SetUpstream(Listed("c", 1));
+  EXPECT_FALSE(was_replaced("c", 0));
+}
+
 // Real upstreams, what their starts said, and the records that the entry reads, which may be older.
 class World : private Bench {
  public:
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -389,12 +389,14 @@
 
   void OnConnectionLost(const SendTo& lost, bool streamed_soundly) {
     const UpstreamStart start{.id = lost.upstream, .started_unix_ms = lost.started_unix_ms};
+    const Dispatcher& dispatcher = this->relay.dispatcher;
+    const bool was_replaced = dispatcher.WasReplaced(start, this->relay.loop.Now());
     // One that leaves may close its connections.
-    if (!this->relay.dispatcher.IsExpectedToStay(start, this->relay.loop.Now())) return;
+    if (!was_replaced && !dispatcher.IsExpectedToStay(start, this->relay.loop.Now())) return;
     if (streamed_soundly) return;
     this->relay.crashes.OnConnectionLost(
         {.id = lost.upstream, .address = lost.address, .started_unix_ms = lost.started_unix_ms},
-        this->Suspect(), this->metadata.attempt_id, this->metadata.prompt_parts);
+        this->Suspect(), this->metadata.attempt_id, this->metadata.prompt_parts, was_replaced);
   }
 
   // Whether the request, or a part of its prompt, ran at two upstreams that ended, and another
--- a/src/relay/relay_session_test.cc
+++ b/src/relay/relay_session_test.cc
@@ -725,7 +725,7 @@
 
 // An engine ends and starts again, and its later start is listed before the entry notices the lost
 // connection. Guards against a crash that counts for no request.
-TEST_F(RelaySession, DISABLED_CrashCountsThoughTheLaterStartIsListedFirst) {
+TEST_F(RelaySession, CrashCountsThoughTheLaterStartIsListedFirst) {
   const auto list = [this](std::int64_t started_unix_ms) {
     this->relay.RequestDispatcher().SetUpstream({.id = "a",
                                                  .pool = "pool",
