Don't blame parts that many requests have for ends beside other causes

Cause: all entries had just started and no engine had answered anything, so no part was known to be sound. The first requests that reached the four engines were among three crashing requests and a crashing part; within a second all four had ended. The part that was at each end explained all of them, better than any request with its two. Nothing answers a refused part, so nothing could clear it.

Change: each entry counts the parts of the last 128 to 256 requests that arrived. A part that a fourth of them have is doubtful as a cause, as one that was answered before: it is looked at last, only for ends that nothing else explains, and two ends less count. On both request paths. It is still refused if nothing else explains the ends, two ends later than before. Whole requests are judged as before.

--- a/src/crashes/crash_causes.cc
+++ b/src/crashes/crash_causes.cc
@@ -14,7 +14,7 @@
 struct Candidate {
   Digest digest = {};
   Crashes crashes = {};
-  bool was_sound = false;
+  bool is_doubtful = false;
 };
 
 // The crashes of all candidates, by index.
@@ -54,15 +54,14 @@
       a, [&b](const auto& crash) { return std::ranges::binary_search(b, crash); });
 }
 
-// How many crashes speak for the candidate, of `unexplained` ones. What was sound before runs
-// beside causes as often as it is requested. If it has become guilty, it runs at most of the
-// crashes.
+// How many crashes speak for the candidate, of `unexplained` ones. What is doubtful runs
+// beside causes as often as it is requested. If it is guilty, it runs at most of the crashes.
 std::size_t WeightOf(const Candidate& candidate, std::size_t unexplained,
                      const CrashCauseOptions& options) {
   const std::size_t crashes = candidate.crashes.size();
-  if (!candidate.was_sound) return crashes;
+  if (!candidate.is_doubtful) return crashes;
   if (2 * crashes < unexplained) return 0;
-  return crashes - std::min(crashes, options.sound_discount);
+  return crashes - std::min(crashes, options.doubtful_discount);
 }
 
 void RemoveCrashes(std::vector<Candidate>& candidates, const Crashes& explained) {
@@ -131,7 +130,7 @@
 // Whether a candidate explains all of `crashes` and more.
 bool HasBetterCause(const Crashes& crashes, std::span<const Candidate> candidates) {
   return std::ranges::any_of(candidates, [&](const Candidate& candidate) {
-    return !candidate.was_sound && candidate.crashes.size() > crashes.size() &&
+    return !candidate.is_doubtful && candidate.crashes.size() > crashes.size() &&
            std::ranges::includes(candidate.crashes, crashes);
   });
 }
@@ -180,7 +179,7 @@
   for (const CrashCandidate& candidate : candidates) {
     rest.push_back({.digest = candidate.digest,
                     .crashes = index.IndicesOf(candidate.crashes),
-                    .was_sound = candidate.was_sound});
+                    .is_doubtful = candidate.is_doubtful});
   }
   const std::vector<Candidate> all = rest;
   // Crashes that several candidates explain equally well are set aside, not explained.
@@ -196,15 +195,15 @@
     RemoveCrashes(open, crashes);
     RemoveCrashes(rest, crashes);
   }
-  // What was sound before is looked at only for what nothing else explains.
-  bool with_sound = false;
+  // What is doubtful is looked at only for what nothing else explains.
+  bool with_doubtful = false;
   for (std::size_t round = 0; round < options.max_causes; ++round) {
     const auto weight_of = [&](const Candidate& row) {
-      return row.was_sound && !with_sound ? 0 : WeightOf(row, unexplained, options);
+      return row.is_doubtful && !with_doubtful ? 0 : WeightOf(row, unexplained, options);
     };
     const auto best = std::ranges::max_element(rest, {}, weight_of);
     if (best == rest.end() || weight_of(*best) < options.crash_threshold) {
-      if (std::exchange(with_sound, true)) break;
+      if (std::exchange(with_doubtful, true)) break;
       continue;
     }
     const std::size_t weight = weight_of(*best);
--- a/src/crashes/crash_causes.h
+++ b/src/crashes/crash_causes.h
@@ -22,8 +22,9 @@
 struct CrashCandidate {
   Digest digest = {};
   std::vector<UpstreamIncarnation> crashes = {};  // sorted
-  // It was answered before, and may have become guilty only since.
-  bool was_sound = false;
+  // It was answered before, and may have become guilty only since; or so many requests have it that
+  // it runs at most crashes in any case.
+  bool is_doubtful = false;
 };
 
 // Requests that have each of `all_of`, as fingerprint or part, end the upstreams that run them.
@@ -39,7 +40,7 @@
   std::size_t crash_threshold = 2;    // crashes that prove a cause if nothing else explains them
   std::size_t certain_threshold = 3;  // crashes that prove it also beside others
   std::size_t max_causes = 64;        // looked for at a time
-  std::size_t sound_discount = 2;     // crashes that count for nothing if it was sound before
+  std::size_t doubtful_discount = 2;  // crashes that count for nothing if it is doubtful
 };
 
 struct CrashCauses {
@@ -51,9 +52,9 @@
 // Keeps the causes that were certain before, unless a candidate explains the same crashes and more:
 // over a long time, what runs beside several causes collects some crashes of each. Otherwise looks
 // for the fewest causes that explain all crashes: the candidate with the most crashes first, then
-// the one with the most of the rest; what was sound, less the discount, only for what nothing else
-// explains. A request that ran beside the guilty ones, even at several crashes, explains none that
-// they don't. `candidates` are those with at least `crash_threshold` crashes.
+// the one with the most of the rest; what is doubtful, less the discount, only for what nothing
+// else explains. A request that ran beside the guilty ones, even at several crashes, explains none
+// that they don't. `candidates` are those with at least `crash_threshold` crashes.
 CrashCauses FindCrashCauses(std::span<const CrashCandidate> candidates,
                             const CrashSuspects& suspects,
                             std::span<const CrashCause> proved_before,
--- a/src/crashes/crash_causes_test.cc
+++ b/src/crashes/crash_causes_test.cc
@@ -165,6 +165,38 @@
   }
 }
 
+// All entries lost power, so nothing was answered yet when three requests end all upstreams within
+// a second. Guards against refusing the part that all requests have, which stops their route.
+TEST_F(CrashCausesTest, PartOfAllRequestsIsNoCauseBesideOthers) {
+  for (int i = 0; i < 16; ++i) {
+    this->registry.CountRequest(Request("", {"common", "own" + std::to_string(i)}).parts);
+  }
+  const CrashSuspect bad = Request("bad", {"common", "own1"});
+  const CrashSuspect worse = Request("worse", {"common", "own2"});
+  const CrashSuspect worst = Request("worst", {"common", "own3"});
+  for (const char* upstream : {"u2", "u0"}) this->Add(upstream, bad);
+  for (const char* upstream : {"u2", "u0"}) this->Add(upstream, worse);
+  for (const char* upstream : {"u1", "u3"}) this->Add(upstream, worst);
+  this->Add("u1", Request("sound1", {"common", "own4"}));
+  this->Add("u3", Request("sound2", {"common", "own5"}));
+  EXPECT_FALSE(this->Refuses(Request("r", {"common", "own6"})));
+  EXPECT_TRUE(this->Refuses(worst));
+}
+
+// Guards against a part of all requests that is guilty and never refused.
+TEST_F(CrashCausesTest, PartOfAllRequestsIsRefusedIfNothingElseExplains) {
+  for (int i = 0; i < 16; ++i) {
+    this->registry.CountRequest(Request("", {"common", "own" + std::to_string(i)}).parts);
+  }
+  for (int i = 0; i < 3; ++i) {
+    const std::string number = std::to_string(i);
+    this->Add("u" + number, Request("r" + number, {"common", "own" + number}));
+  }
+  EXPECT_FALSE(this->Refuses(Request("r", {"common", "own9"})));
+  this->Add("u3", Request("r3", {"common", "own3"}));
+  EXPECT_TRUE(this->Refuses(Request("r", {"common", "own9"})));
+}
+
 // Guards against two guilty parts at the same time, the rarer of which explains less.
 TEST_F(CrashCausesTest, TwoGuiltyPartsAreBothFound) {
   for (const char* upstream : {"u1", "u2", "u3", "u4"}) {
--- a/src/crashes/crash_registry.cc
+++ b/src/crashes/crash_registry.cc
@@ -20,7 +20,10 @@
 }  // namespace
 
 CrashRegistry::CrashRegistry(CrashRegistryOptions options, Random& random)
-    : options(std::move(options)), random(random), sound_parts(this->options.sound_parts) {}
+    : options(std::move(options)),
+      random(random),
+      sound_parts(this->options.sound_parts),
+      part_shares(this->options.part_shares) {}
 
 std::vector<CrashAction> CrashRegistry::Handle(const CrashEvent& event, Instant now) {
   std::vector<CrashAction> actions;
@@ -435,9 +438,10 @@
   std::vector<CrashCandidate> candidates;
   for (const CrashHistory& history : this->strong) {
     if (now >= history.expires) continue;
-    const bool was_sound =
-        history.is_part && this->sound_parts.AnsweredAt(history.digest) != Instant();
-    CrashCandidate candidate{.digest = history.digest, .was_sound = was_sound};
+    const bool is_doubtful =
+        history.is_part && (this->sound_parts.AnsweredAt(history.digest) != Instant() ||
+                            this->part_shares.IsCommon(history.digest));
+    CrashCandidate candidate{.digest = history.digest, .is_doubtful = is_doubtful};
     for (const Crash& crash : history.crashes) candidate.crashes.push_back(crash.process);
     std::ranges::sort(candidate.crashes);
     candidates.push_back(std::move(candidate));
--- a/src/crashes/crash_registry.h
+++ b/src/crashes/crash_registry.h
@@ -17,6 +17,7 @@
 #include "crashes/crash_causes.h"
 #include "crashes/crash_record.h"
 #include "crashes/crash_suspect.h"
+#include "crashes/part_shares.h"
 #include "crashes/sound_parts.h"
 
 namespace savory {
@@ -30,6 +31,7 @@
   // A part that was answered so shortly before a crash did not cause it.
   Duration sound_before_crash = std::chrono::seconds(2);
   SoundPartsOptions sound_parts = {};
+  PartSharesOptions part_shares = {};
   std::uint32_t fan_out = 4;   // random entries that a new record is sent to
   std::uint32_t max_hops = 6;  // maximum forwards of a record along one path
   // With at most this many other entries, the one that detects a crash sends the record to all of
@@ -115,6 +117,8 @@
   CrashRegistry& operator=(const CrashRegistry&) = delete;
 
   std::vector<CrashAction> Handle(const CrashEvent& event, Instant now);
+  // A request with these parts arrived at this entry, whether it is refused or not.
+  void CountRequest(std::span<const Digest> parts) { this->part_shares.Add(parts); }
 
   // Whether the request must be refused with kRequestCrashesUpstream.
   bool IsRefused(const CrashSuspect& request, Instant now) const;
@@ -204,6 +208,7 @@
   std::unordered_map<Digest, CrashHistories::iterator> by_digest;
   CrashSuspects suspects;
   SoundParts sound_parts;
+  PartShares part_shares;
   bool causes_outdated = false;
   Instant next_update = {};
   std::uint64_t cause_updates = 0;
--- a/src/relay/crash_guard.cc
+++ b/src/relay/crash_guard.cc
@@ -230,6 +230,10 @@
   this->impl->on_refusal = std::move(listener);
 }
 
+void CrashGuard::OnArrived(std::span<const Digest> parts) {
+  this->impl->registry.CountRequest(parts);
+}
+
 void CrashGuard::OnConnectionLost(const UpstreamProcess& process, const CrashSuspect& request,
                                   std::string_view request_id,
                                   std::span<const std::string> part_ids, bool was_replaced) {
--- a/src/relay/crash_guard.h
+++ b/src/relay/crash_guard.h
@@ -55,6 +55,8 @@
 
   // ---- from this entry's requests ----
 
+  // A request arrived whose prompt has these parts, which others may share.
+  void OnArrived(std::span<const Digest> parts);
   // The connection that the request was sent on ended before its answer was complete. `request_id`
   // and `part_ids` are for the log. `was_replaced`: a later start has taken the place of `process`.
   void OnConnectionLost(const UpstreamProcess& process, const CrashSuspect& request,
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -214,6 +214,7 @@
     this->exchange->OnCallerDisconnected(this->Guarded([this] { this->OnCallerDisconnected(); }));
     this->timer =
         this->relay.loop.After(this->timeout - now, this->Guarded([this] { this->OnTimeout(); }));
+    this->relay.crashes.OnArrived(this->suspect.parts);
     if (this->CrashesUpstreams()) return this->RefuseCrashing();
     if (this->EndsAfterStop()) return this->RefuseAtStop();
     this->Submit();
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -55,6 +55,7 @@
   const wire::Route* route = this->MatchRoute(event);
   if (route == nullptr) return this->Refuse(event, ErrorKind::kNoRoute, event.path);
   const CrashSuspect suspect{.fingerprint = event.fingerprint, .parts = event.prompt_parts};
+  this->crash_registry.CountRequest(suspect.parts);
   if (this->crash_registry.IsRefused(suspect, this->now)) {
     return this->Refuse(event, ErrorKind::kRequestCrashesUpstream,
                         "the same request, or others with a part of its prompt, crashed upstreams");
