--- a/src/relay/dispatch_explanation.cc
+++ b/src/relay/dispatch_explanation.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "relay/dispatcher.h"
+#include "relay/upstream_keys.h"
 
 namespace savory {
 namespace {
@@ -70,8 +71,7 @@
         state.silence.IsSilent(now) && !this->MayProbeSilent(state, request, now);
     return is_barred ? CandidateBar::kSilent : CandidateBar::kNone;
   }
-  const UpstreamStart start{.id = state.upstream.id,
-                            .started_unix_ms = state.upstream.started_unix_ms};
+  const UpstreamStart start = StartOf(state.upstream);
   switch (this->placement.Check(state.upstream.data_centre, request.homes)) {
     case PlacementBar::kOutsideHomes:
       return CandidateBar::kOutsideHomes;
@@ -86,16 +86,14 @@
   if (!this->notices.MayUse(start, now)) return CandidateBar::kWaiting;
   if (!state.health.MayUse(now, request.may_probe)) return CandidateBar::kEjected;
   const ColdShare share = this->ColdShareOf(state, now);
-  if (!this->placement.Cold().MaySend(state.upstream.id, share, now)) return CandidateBar::kCold;
+  if (!this->placement.Cold().MaySend(PlaceOf(state.upstream), share, now))
+    return CandidateBar::kCold;
   return this->IsCandidate(state, request) ? CandidateBar::kOther : CandidateBar::kNotFollowed;
 }
 
 CandidateBar Dispatcher::ServingBarOf(const UpstreamState& state, Instant now) const {
   const auto word = this->FreshestWord(state, now);
-  if (word ? !word->serves
-           : this->words.IsRefusing(
-                 {.id = state.upstream.id, .started_unix_ms = state.upstream.started_unix_ms},
-                 now)) {
+  if (word ? !word->serves : this->words.IsRefusing(StartOf(state.upstream), now)) {
     return CandidateBar::kRefusing;
   }
   if (this->WeightsOf(state, now) == 0) return CandidateBar::kWithoutWeights;
@@ -109,8 +107,7 @@
                                 Instant now) const {
   const PoolRule* pool = this->rules ? this->rules->FindPool(request.pool) : nullptr;
   const Candidate candidate = this->Evaluate(state, request, pool, now);
-  const UpstreamStart start{.id = state.upstream.id,
-                            .started_unix_ms = state.upstream.started_unix_ms};
+  const UpstreamStart start = StartOf(state.upstream);
   const CandidateBar bar = this->BarOf(state, request, now);
   const Instant usable_at =
       std::max({now, state.health.EjectedUntil(), this->notices.WaitEnd(start)});
@@ -119,7 +116,7 @@
           .bar = bar,
           .usable_in = usable_at - now,
           .has_room = bar == CandidateBar::kNone && this->Fits(candidate, request, now),
-          .is_cold = this->placement.Cold().IsCold(state.upstream.id, now),
+          .is_cold = this->placement.Cold().IsCold(PlaceOf(state.upstream), now),
           .is_half_open = state.health.IsHalfOpen(),
           .slots = state.upstream.slots,
           .share = state.share,
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "relay/upstream_keys.h"
+
 namespace savory {
 namespace {
 
@@ -16,14 +18,6 @@
 // More entries than this that may send to an engine are not told apart.
 constexpr std::size_t kMaxSenders = 4096;
 
-UpstreamStart StartOf(const Upstream& upstream) {
-  return {.id = upstream.id, .started_unix_ms = upstream.started_unix_ms};
-}
-
-ColdUpstream PlaceOf(const Upstream& upstream) {
-  return {.id = upstream.id, .pool = upstream.pool, .data_centre = upstream.data_centre};
-}
-
 // Whether an attempt that ended so without a first event shows how long others would wait.
 bool WaitedInVain(AttemptResult result) {
   return result == AttemptResult::kSilent || result == AttemptResult::kCancelled ||
@@ -84,6 +78,7 @@
 }
 
 void Dispatcher::SetUpstream(const Upstream& upstream) {
+  this->NoteLaterStart(upstream.id, upstream.started_unix_ms);
   const auto known = this->pool_of.find(upstream.id);
   if (known != this->pool_of.end() && known->second != upstream.pool) {
     this->RemoveUpstream(upstream.id);
@@ -197,13 +192,6 @@
   return this->notices.AddWait(start, wait, now);
 }
 
-bool Dispatcher::IsExpectedToStay(const UpstreamStart& start, Instant now) const {
-  const auto known = this->pool_of.find(start.id);
-  if (known == this->pool_of.end() || this->notices.IsLeaving(start, now)) return false;
-  const Upstream& listed = this->pools.find(known->second)->second.find(start.id)->second.upstream;
-  return !listed.draining && listed.started_unix_ms == start.started_unix_ms;
-}
-
 void Dispatcher::SetWeightsRules(const std::string& pool, std::vector<WeightsRule> rules) {
   this->weights[pool] = std::move(rules);
 }
--- a/src/relay/dispatcher_health.cc
+++ b/src/relay/dispatcher_health.cc
@@ -1,5 +1,6 @@
 // The part of Dispatcher that judges engines by the ends of attempts there.
 #include "relay/dispatcher.h"
+#include "relay/upstream_keys.h"
 
 namespace savory {
 
@@ -16,11 +17,9 @@
 
 std::optional<HealthChange> Dispatcher::Judge(UpstreamState& state, AttemptResult result,
                                               Instant now) {
-  const bool refuses =
-      this->HasReport(state, now)
-          ? !state.report->accepting
-          : this->words.IsRefusing(
-                {.id = state.upstream.id, .started_unix_ms = state.upstream.started_unix_ms}, now);
+  const bool refuses = this->HasReport(state, now)
+                           ? !state.report->accepting
+                           : this->words.IsRefusing(StartOf(state.upstream), now);
   const std::uint64_t weights = LastNamed(state);
   // An engine that loads new weights aborts its requests, which does not count as a failure.
   if (refuses && weights == 0 && result != AttemptResult::kServed) {
