Close the connections of tasks that never ran before the loop ends

Cause (a fault that fits, found by reading; not shown to be that one): the loop closed all handles, then destroyed its timers and posted tasks, and a task that owned a connection closed its handle once more. Change: the loop drops its tasks first. Result: EventLoopTest.ConnectionsOfTasksThatNeverRanAreClosed ended with a segmentation fault before (rc 139), and passes.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -80,6 +80,16 @@
     uv_loop_close(&this->loop);
   }
 
+  // Tasks may own connections, whose handles must be closed before the loop ends.
+  void DropTasks() {
+    while (!this->timers.empty()) {
+      const auto dropped = this->timers.extract(this->timers.begin());
+      this->timer_due.erase(dropped.mapped().first);
+    }
+    Task task;
+    while (this->posted.try_pop(task)) task = nullptr;
+  }
+
   TimerId Add(Instant due, Task task) {
     const TimerId id = this->next_timer++;
     const bool earliest = this->timers.empty() || due < this->timers.begin()->first;
@@ -134,7 +144,7 @@
 };
 
 EventLoop::EventLoop() : impl(std::make_unique<Impl>()) {}
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop() { this->impl->DropTasks(); }
 
 void EventLoop::Post(Task task) {
   this->impl->posted.push(std::move(task));
--- a/src/runtime/event_loop_test.cc
+++ b/src/runtime/event_loop_test.cc
@@ -3,11 +3,14 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <memory>
+#include <span>
 #include <stdexcept>
 #include <thread>
 #include <vector>
 
 #include "base/daemon_signals.h"
+#include "runtime/tcp_connection.h"
 #include "runtime/uncaught.h"
 
 namespace savory {
@@ -70,5 +73,20 @@
   UnblockSignal(SIGHUP);
 }
 
+// Guards against a process that aborts at its end, as a task that never ran owns a connection.
+TEST(EventLoopTest, ConnectionsOfTasksThatNeverRanAreClosed) {
+  class : public TcpHandler {
+    void OnBytes(std::span<const std::byte>) override {}
+    void OnEnd(TcpEnd) override {}
+  } handler;
+  auto loop = std::make_unique<EventLoop>();
+  const auto connect = [&] {
+    return std::make_shared<TcpConnection>(*loop, "127.0.0.1:1", handler, TcpOptions{});
+  };
+  loop->After(std::chrono::hours(1), [connection = connect()] {});
+  loop->Post([connection = connect()] {});
+  loop.reset();
+}
+
 }  // namespace
 }  // namespace savory
