Keep refusing a certain request beside another one with more ends

Cause: requests that end upstreams at the same time also end some of them together. DropExplained() drops a cause that has fewer than two ends which no cause with more has, though it had been certain.

Change: a cause that was certain before is dropped only if others with more explain all of its ends. For parts that are doubtful (answered before, or in a fourth of all requests) the former rule holds: they run beside causes.

--- a/src/crashes/crash_causes.cc
+++ b/src/crashes/crash_causes.cc
@@ -135,18 +135,31 @@
   });
 }
 
-// Drops causes whose crashes are nearly all explained by others with more.
-void DropExplained(std::vector<CrashCause>& causes, const CrashCauseOptions& options) {
-  const std::vector<CrashCause> all = causes;
-  std::erase_if(causes, [&](const CrashCause& cause) {
+bool IsDoubtful(const CrashCause& cause, std::span<const Candidate> candidates) {
+  return std::ranges::any_of(cause.all_of, [&](const Digest& digest) {
+    const auto found = std::ranges::find(candidates, digest, &Candidate::digest);
+    return found != candidates.end() && found->is_doubtful;
+  });
+}
+
+// Drops causes whose crashes are nearly all explained by others with more. The first `kept` causes
+// were certain before: several that end upstreams at the same time also end them together, so these
+// are dropped only if they are doubtful, or others explain all of their crashes.
+void DropExplained(std::vector<CrashCause>& causes, std::size_t kept,
+                   std::span<const Candidate> candidates, const CrashCauseOptions& options) {
+  const std::vector<CrashCause> all = std::exchange(causes, {});
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const CrashCause& cause = all[i];
     const auto left = std::ranges::count_if(cause.crashes, [&](const auto& crash) {
       return std::ranges::none_of(all, [&](const CrashCause& other) {
         return other.crashes.size() > cause.crashes.size() &&
                std::ranges::binary_search(other.crashes, crash);
       });
     });
-    return static_cast<std::size_t>(left) < options.crash_threshold;
-  });
+    const bool is_certain = i < kept && !IsDoubtful(cause, candidates);
+    const std::size_t needed = is_certain ? 1 : options.crash_threshold;
+    if (static_cast<std::size_t>(left) >= needed) causes.push_back(cause);
+  }
 }
 
 std::vector<Digest> OpenDigests(const std::vector<Candidate>& candidates, std::size_t unexplained,
@@ -195,6 +208,7 @@
     RemoveCrashes(open, crashes);
     RemoveCrashes(rest, crashes);
   }
+  const std::size_t kept = causes.proved.size();
   // What is doubtful is looked at only for what nothing else explains.
   bool with_doubtful = false;
   for (std::size_t round = 0; round < options.max_causes; ++round) {
@@ -230,7 +244,7 @@
     }
     RemoveCrashes(rest, crashes);
   }
-  DropExplained(causes.proved, options);
+  DropExplained(causes.proved, kept, all, options);
   causes.open = OpenDigests(open, unexplained, options);
   return causes;
 }
--- a/src/crashes/crash_causes_test.cc
+++ b/src/crashes/crash_causes_test.cc
@@ -116,6 +116,18 @@
   EXPECT_FALSE(this->Refuses(Request("r", {"subject"})));
 }
 
+// Two requests end upstreams at the same time, some of them together. Guards against accepting the
+// one with fewer ends again (soak seed 2003 of plan 9).
+TEST_F(CrashCausesTest, CertainRequestStaysBesideOneWithMoreCrashes) {
+  const CrashSuspect bad = Request("bad", {"shop"});
+  const CrashSuspect worse = Request("worse", {"depot"});
+  for (const char* upstream : {"u1", "u2", "u3"}) this->Add(upstream, bad);
+  for (const char* upstream : {"u2", "u3", "v1", "v2", "v3"}) this->Add(upstream, worse);
+  for (const char* upstream : {"v4", "v5"}) this->Add(upstream, worse);
+  EXPECT_TRUE(this->Refuses(worse));
+  EXPECT_TRUE(this->Refuses(bad));
+}
+
 // Guards against blaming a frequent part: beside many causes, each of which explains a few crashes,
 // it collects more than any of them (soak seed 618 of plan 5).
 TEST_F(CrashCausesTest, FrequentSoundPartIsNoCauseOfManyCrashes) {
