--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -341,7 +341,7 @@
   static Duration LoadAge(const UpstreamState& state, Instant now);
   Instant WaitLimit(const DispatchRequest& request) const;
   // When the first serving upstream outside `avoided` may be used; nullopt if none of the pool's
-  // upstreams asked for a wait. Silent ones count only if there are no others.
+  // upstreams asked for a wait.
   std::optional<Instant> EndOfWaits(std::string_view pool, std::span<const std::string> avoided,
                                     Instant now) const;
   // Whether a more urgent request waits for the same pool.
