CallerThatWaitedLongerOnceIsForgotten fails: one caller still makes returns of all others for good

A caller that waits as long as the route's timeout, once, is remembered as the longest time left without end. A thousand later requests with two thirds of it are first ones; after the next refusal one of them is taken for a return, and each return that is refused allows for another one. Seen: IsReturn(4 s) is true 100 s after the only caller with 6 s; expected false.

--- a/src/relay/caller_returns_test.cc
+++ b/src/relay/caller_returns_test.cc
@@ -45,6 +45,19 @@
   EXPECT_FALSE(this->IsReturn(seconds(3)));
 }
 
+// Guards against one caller that waits as long as the route allows, once, and makes returns of all
+// first requests that come after a refusal.
+TEST_F(CallerReturnsTest, CallerThatWaitedLongerOnceIsForgotten) {
+  EXPECT_FALSE(this->IsReturn(seconds(6)));
+  for (int i = 0; i < 1000; ++i) {
+    this->now += milliseconds(100);
+    EXPECT_FALSE(this->IsReturn(seconds(4)));
+  }
+  this->Refuse();
+  EXPECT_FALSE(this->IsReturn(seconds(4)));
+  EXPECT_TRUE(this->IsReturn(seconds(3)));
+}
+
 TEST_F(CallerReturnsTest, RefusalsAreForgotten) {
   EXPECT_FALSE(this->IsReturn(seconds(6)));
   this->Refuse();
