ImplausibleReportIsForgotten fails: one figure in an agent's report bars its engine for minutes

The pace in answers is bounded (100 times as long as usual), that in reports is not. An answer that arrives while it holds takes it into the mean, from which it fades with a time constant of half a second. Seen: pace 4.5e25 5 s after a report of 1e30 was taken back, and infinite and no number after such reports; expected 2.

--- a/src/relay/engine_pace_test.cc
+++ b/src/relay/engine_pace_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace savory {
 namespace {
@@ -68,5 +69,21 @@
   EXPECT_LT(pace.At(kStart + milliseconds(3500)), 1.1);
 }
 
+// An agent passes on what its engine says. Guards against one implausible figure that bars the
+// engine long after it was taken back.
+TEST(EnginePaceTest, ImplausibleReportIsForgotten) {
+  for (const double implausible :
+       {1e30, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
+    EnginePace pace;
+    pace.OnReported(implausible);
+    pace.OnAnswered(1, kStart);
+    pace.OnReported(2);
+    EXPECT_LT(pace.At(kStart + seconds(5)), 2.1) << implausible;
+    EXPECT_GT(pace.At(kStart + seconds(5)), 1.9) << implausible;
+    for (int ms = 0; ms <= 2000; ms += 20) pace.OnAnswered(4, kStart + milliseconds(5000 + ms));
+    EXPECT_GT(pace.At(kStart + seconds(7)), 3.5) << implausible;
+  }
+}
+
 }  // namespace
 }  // namespace savory
