RequestThatCanNoLongerBeginIsNotKeptWaiting fails: kept until its deadline passes

In a moment's shortage a first request waits up to half of its target, but at most to its deadline, though its answer takes a while to begin. It then ends by its timer, not by a refusal: the caller has no time left to return, and neither Shortage nor Admission learns that it lacked room, so that the shortage never lasts for such callers. Seen: target 2 s, deadline 600 ms, first event after 230 ms: still waits after 400 ms.

--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -95,6 +95,19 @@
     return entries;
   }
 
+  // An engine with free slots, none of which this entry may use.
+  void RunOutOfShares() {
+    this->AddEngine(1);
+    this->dispatcher.SetEntries(Entries(4));
+    this->dispatcher.EnginesToFollow(this->now);  // divides the slots
+    this->now += milliseconds(10);
+    this->Report(1, 8);
+    DispatchRequest request = this->Chat();
+    request.prompt_tokens = 10;
+    while (this->Submit(request) == "engine-1") request.attempt = this->next_attempt++;
+    this->dispatcher.Withdraw(request.attempt);
+  }
+
   Random random{20261204};
   Instant now = Instant(std::chrono::hours(1));
   AttemptNumber next_attempt = 1;
@@ -848,6 +861,23 @@
   EXPECT_EQ(Name(verdicts[0]), "engine-1");
 }
 
+// Guards against a request that waits until its deadline passes although its answer can no longer
+// begin before it.
+TEST_F(DispatcherTest, RequestThatCanNoLongerBeginIsNotKeptWaiting) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.prompt_tokens = 6400;  // 230 ms
+  request.target = seconds(2);
+  request.max_pause = seconds(9);
+  request.deadline = this->now + milliseconds(600);
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now += milliseconds(300);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  this->now += milliseconds(100);
+  ASSERT_FALSE(this->dispatcher.CouldSend(request, this->now));
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Guards against answers that all come late because everything waits in a shortage that lasts.
 TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
   this->AddEngine(1);
