WaitEndsWhenExplained fails: the explanation names a longer wait than the request gets

The explained wait is half of the target. The request is refused earlier, as soon as its first event would come after the usable part of the target. Seen: target 1 s, first event after over 500 ms: refused before 498 ms, explained 500 ms.

--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "relay/dispatch_explanation.h"
+
 namespace savory {
 namespace {
 
@@ -878,6 +880,21 @@
   EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
 }
 
+// Guards against a wait that ends before the time that its explanation names.
+TEST_F(DispatcherTest, WaitEndsWhenExplained) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.prompt_tokens = 12'800;  // over 500 ms
+  request.target = seconds(1);
+  request.max_pause = seconds(9);
+  const Instant end = this->now + this->dispatcher.Explain(request, this->now, 1).waits_for;
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now = end - milliseconds(2);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  this->now = end + milliseconds(2);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Guards against answers that all come late because everything waits in a shortage that lasts.
 TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
   this->AddEngine(1);
