End the long wait while the request can still begin

What callers saw: with a deadline before half of the target, a wait until it passed. Explanations named a wait that was too long. Cause: WaitEnd() took neither the time until the first event off the deadline nor off the usable part of the target. Change: it does, and never ends before the short wait does.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -704,8 +704,11 @@
   const auto shortage = this->shortages.find(request.pool);
   if (shortage == this->shortages.end() || shortage->second.Lasts()) return limit;
   if (best.state == nullptr || !this->IsInTime(best, request, now)) return limit;
-  const Duration wait = FromSeconds(ToSeconds(request.target) * this->options.long_wait_fraction);
-  return std::min(request.deadline, request.arrived + wait);
+  const double target = ToSeconds(request.target);
+  const Instant latest_begin = std::min(
+      request.deadline, request.arrived + FromSeconds(target * this->options.usable_fraction));
+  const Instant end = request.arrived + FromSeconds(target * this->options.long_wait_fraction);
+  return std::max(limit, std::min(end, latest_begin - best.forecast.first_event));
 }
 
 std::optional<Instant> Dispatcher::EndOfWaits(std::string_view pool,
