Ignore an implausible pace in an agent's report

What callers saw: none of the entries' requests at an engine for minutes after one figure in a wrong unit (by test only). Cause: only the pace in answers was bounded, and the mean takes the reported one in. Change: reports above 100 times the usual time, as in answers, and those that are no number are ignored. Result: ImplausibleReportIsForgotten passes (failed before).

--- a/src/relay/engine_pace.cc
+++ b/src/relay/engine_pace.cc
@@ -12,6 +12,11 @@
 
 }  // namespace
 
+void EnginePace::OnReported(double pace) {
+  const bool is_plausible = pace >= 0 && pace <= this->options.max_reported;  // and a number
+  if (is_plausible) this->reported = pace;
+}
+
 void EnginePace::OnAnswered(double pace, Instant now) {
   const bool continues = this->answered_at && now - *this->answered_at <= this->options.max_gap;
   double before = this->At(now);
--- a/src/relay/engine_pace.h
+++ b/src/relay/engine_pace.h
@@ -17,6 +17,8 @@
   Duration slow_after = std::chrono::milliseconds(150);
   // Two figures further apart than this say nothing about the time between them.
   Duration max_gap = std::chrono::milliseconds(400);
+  // A higher pace in a report is a figure in another unit.
+  double max_reported = 100;
 };
 
 // Slowdown factors; above 1: slower than published. A slow engine is noticed as soon as its figures
@@ -25,8 +27,8 @@
  public:
   explicit EnginePace(EnginePaceOptions options = {}) : options(options) {}
 
-  // Pace in a report of the engine's agent.
-  void OnReported(double pace) { this->reported = pace; }
+  // Pace in a report of the engine's agent. An implausible one is ignored.
+  void OnReported(double pace);
   // Pace in an answer of the upstream.
   void OnAnswered(double pace, Instant now);
   double At(Instant now) const;
