Forget the longest time left that a route once saw

What callers saw: first requests refused as returns beside free slots, after one caller with more patience (by test only). Cause: the longest time left on a route was kept without end. Change: each request lowers it by a hundredth, as AnswerTimes does, so that 20 requests forget one caller whose time left is half as long again as theirs. Result: CallerThatWaitedLongerOnceIsForgotten passes (failed before).

--- a/src/relay/caller_returns.cc
+++ b/src/relay/caller_returns.cc
@@ -24,7 +24,8 @@
                              Instant now) {
   const bool is_return = this->LooksLikeReturn(route, timeout, time_left, now);
   RouteState& state = this->routes[std::string(route)];
-  state.longest_left = std::min(std::max(state.longest_left, time_left), timeout);
+  const Duration longest = FromSeconds(ToSeconds(state.longest_left) * (1 - this->options.decay));
+  state.longest_left = std::min(std::max(longest, time_left), timeout);
   if (is_return) {
     state.unserved = std::max(0.0, Unserved(state, timeout, now) - 1);
     state.counted_at = now;
--- a/src/relay/caller_returns.h
+++ b/src/relay/caller_returns.h
@@ -12,6 +12,9 @@
 struct CallerReturnsOptions {
   // A first request has at least this fraction of the longest time left on its route.
   double min_first_fraction = 0.82;
+  // Each request lowers the remembered longest time left by this fraction, so that one exception is
+  // forgotten.
+  double decay = 0.01;
 };
 
 // Callers of one route mostly wait equally long, so a request with clearly less time left has been
