RequestThatAnEngineRefusedDoesNotWaitLong fails: waits half of its target in vain, and uncounted

A request that an engine answered 'not run' is no first attempt, so neither is its asking nor its refusal counted in Shortage; but it gets the wait of first requests. A shortage in which such requests are refused never lasts.

--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -895,6 +895,17 @@
   EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
 }
 
+// Guards against a long wait in vain of a request that other engines answered "not run": its
+// refusal does not count as a sign that the shortage lasts.
+TEST_F(DispatcherTest, RequestThatAnEngineRefusedDoesNotWaitLong) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.avoided = {"engine-2"};
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now += milliseconds(51);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Guards against answers that all come late because everything waits in a shortage that lasts.
 TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
   this->AddEngine(1);
