StartInTheFutureIsForgotten fails: notices of an upstream whose clock was set back are ignored for good

A notice of an earlier start than the one known counts as a late answer. An entry that once heard of a start in the future takes none of the upstream's later notices for its own lifetime. Seen: two hours after it, AddWait() and AddLeaving() have no effect.

--- a/src/relay/upstream_notices_test.cc
+++ b/src/relay/upstream_notices_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 namespace savory {
 namespace {
 
@@ -37,5 +39,20 @@
   EXPECT_FALSE(notices.AddLeaving(kStart, now + seconds(1)));
 }
 
+// The clock of a machine went ahead and was set back. Guards against one start time that makes all
+// later notices of its upstream look like late ones, for good.
+TEST(UpstreamNoticesTest, StartInTheFutureIsForgotten) {
+  UpstreamNotices notices;
+  Instant now = Instant(seconds(1));
+  EXPECT_TRUE(notices.AddWait({.id = "a", .started_unix_ms = 9000}, seconds(2), now));
+  now += seconds(1);
+  EXPECT_FALSE(notices.AddLeaving(kStart, now));
+  now += std::chrono::hours(2);
+  EXPECT_TRUE(notices.AddWait(kStart, seconds(2), now));
+  EXPECT_FALSE(notices.MayUse(kStart, now));
+  EXPECT_TRUE(notices.AddLeaving(kStart, now));
+  EXPECT_TRUE(notices.IsLeaving(kStart, now));
+}
+
 }  // namespace
 }  // namespace savory
