Take notices of a start before one that was last heard of long ago

What callers saw: requests at an upstream that had said it leaves or wants none (by test only). Cause: a start in the future, of a clock that was set back, outranked all later ones without end. Change: where the last notice is an hour old and nothing of it holds any more, any other start replaces it. Result: StartInTheFutureIsForgotten passes (failed before).

--- a/src/relay/upstream_notices.cc
+++ b/src/relay/upstream_notices.cc
@@ -14,9 +14,12 @@
                 .first->second;
   }
   Notice& notice = known->second;
+  // No late answers come so long after the last notice: the upstream's clock was set back.
+  const bool is_old = now - notice.changed_at >= this->options.leaving_lifetime;
+  const bool is_spent = is_old && now >= std::max(notice.leaving_until, notice.wait_end);
   // A late answer of a start that has ended.
-  if (start.started_unix_ms < notice.started_unix_ms) return nullptr;
-  if (start.started_unix_ms > notice.started_unix_ms) {
+  if (start.started_unix_ms < notice.started_unix_ms && !is_spent) return nullptr;
+  if (start.started_unix_ms != notice.started_unix_ms) {
     notice = Notice{.started_unix_ms = start.started_unix_ms};
   }
   notice.changed_at = now;
