--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "relay/dispatch_explanation.h"
+
 namespace savory {
 namespace {
 
@@ -95,6 +97,19 @@
     return entries;
   }
 
+  // An engine with free slots, none of which this entry may use.
+  void RunOutOfShares() {
+    this->AddEngine(1);
+    this->dispatcher.SetEntries(Entries(4));
+    this->dispatcher.EnginesToFollow(this->now);  // divides the slots
+    this->now += milliseconds(10);
+    this->Report(1, 8);
+    DispatchRequest request = this->Chat();
+    request.prompt_tokens = 10;
+    while (this->Submit(request) == "engine-1") request.attempt = this->next_attempt++;
+    this->dispatcher.Withdraw(request.attempt);
+  }
+
   Random random{20261204};
   Instant now = Instant(std::chrono::hours(1));
   AttemptNumber next_attempt = 1;
@@ -848,6 +863,49 @@
   EXPECT_EQ(Name(verdicts[0]), "engine-1");
 }
 
+// Guards against a request that waits until its deadline passes although its answer can no longer
+// begin before it.
+TEST_F(DispatcherTest, RequestThatCanNoLongerBeginIsNotKeptWaiting) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.prompt_tokens = 6400;  // 230 ms
+  request.target = seconds(2);
+  request.max_pause = seconds(9);
+  request.deadline = this->now + milliseconds(600);
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now += milliseconds(300);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  this->now += milliseconds(100);
+  ASSERT_FALSE(this->dispatcher.CouldSend(request, this->now));
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
+// Guards against a wait that ends before the time that its explanation names.
+TEST_F(DispatcherTest, WaitEndsWhenExplained) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.prompt_tokens = 12'800;  // over 500 ms
+  request.target = seconds(1);
+  request.max_pause = seconds(9);
+  const Instant end = this->now + this->dispatcher.Explain(request, this->now, 1).waits_for;
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now = end - milliseconds(2);
+  EXPECT_TRUE(this->dispatcher.Poll(this->now).empty());
+  this->now = end + milliseconds(2);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
+// Guards against a long wait in vain of a request that other engines answered "not run": its
+// refusal does not count as a sign that the shortage lasts.
+TEST_F(DispatcherTest, RequestThatAnEngineRefusedDoesNotWaitLong) {
+  this->RunOutOfShares();
+  DispatchRequest request = this->Chat();
+  request.avoided = {"engine-2"};
+  ASSERT_EQ(this->Submit(request), "wait");
+  this->now += milliseconds(51);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Guards against answers that all come late because everything waits in a shortage that lasts.
 TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
   this->AddEngine(1);
