--- a/src/relay/dispatch_explanation.cc
+++ b/src/relay/dispatch_explanation.cc
@@ -86,8 +86,9 @@
   if (!this->notices.MayUse(start, now)) return CandidateBar::kWaiting;
   if (!state.health.MayUse(now, request.may_probe)) return CandidateBar::kEjected;
   const ColdShare share = this->ColdShareOf(state, now);
-  if (!this->placement.Cold().MaySend(PlaceOf(state.upstream), share, now))
+  if (!this->placement.Cold().MaySend(PlaceOf(state.upstream), share, now)) {
     return CandidateBar::kCold;
+  }
   return this->IsCandidate(state, request) ? CandidateBar::kOther : CandidateBar::kNotFollowed;
 }
 
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -702,7 +702,7 @@
 Instant Dispatcher::WaitEnd(const DispatchRequest& request, const Candidate& best,
                             Instant now) const {
   const Instant limit = this->WaitLimit(request);
-  if (request.rerun || request.is_caller_retry || this->IsRoomLimited(request)) return limit;
+  if (!this->IsFirstAttempt(request) || this->IsRoomLimited(request)) return limit;
   const auto shortage = this->shortages.find(request.pool);
   if (shortage == this->shortages.end() || shortage->second.Lasts()) return limit;
   if (best.state == nullptr || !this->IsInTime(best, request, now)) return limit;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -1186,7 +1186,9 @@
 
 bool RelayedRequest::MayReturn(std::string_view outcome, Instant now) const {
   const bool caller_ended_it = outcome == "caller-gone" || outcome == "caller-too-slow";
-  return outcome != "served" && !caller_ended_it && now < this->deadline;
+  // A return that ends unserved allows for no other one: a first request that was taken for a
+  // return would make others look like returns, too.
+  return outcome != "served" && !caller_ended_it && !this->is_caller_retry && now < this->deadline;
 }
 
 void RelayedRequest::LogEnd(std::string_view outcome, int status, Instant now) const {
