Send nothing more to an engine that has just refused a request

What callers saw: refused beside free slots. Cause: an entry took nothing from 'not run' but that this request should go elsewhere; the load that it knew was older. Change: the engine gets no request until a newer word on its load, an answer of this entry's requests there, or for 0.5 s. The test fails without the change.

--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -130,6 +130,7 @@
   state.load = load;
   if (load.pace) state.pace.OnAnswered(*load.pace, now);
   state.load_at = now;
+  state.refused_at = {};
   state.others = std::max(0.0, static_cast<double>(load.running + load.waiting) - state.own);
   state.sent_since = 0;
   this->UpdateBorrowable(state, now);
@@ -616,6 +617,7 @@
   const bool is_allowed =
       this->HasOwnSlot(*candidate.state) || candidate.state->borrowable > 0 || queues_at_home;
   if (candidate.state->upstream.is_engine && !request.rerun && !is_allowed) return false;
+  if (this->IsFull(*candidate.state, now)) return false;
   const double slots = std::max(1u, candidate.state->upstream.slots);
   if (!candidate.state->upstream.is_engine) return candidate.load < slots * (1 + kPlainQueueRatio);
   if (!this->BeginsInTime(candidate, now)) return false;
@@ -632,6 +634,11 @@
   return this->IsInTime(candidate, request, now) && candidate.forecast.first_event < left;
 }
 
+bool Dispatcher::IsFull(const UpstreamState& state, Instant now) const {
+  return state.refused_at != Instant() &&
+         now - state.refused_at < this->options.load_propagation_time;
+}
+
 bool Dispatcher::IsInTime(const Candidate& candidate, const DispatchRequest& request,
                           Instant now) const {
   const auto usable = [this](Duration limit) {
@@ -921,6 +928,8 @@
     state.waits.OnEnded(attempt, ended.sent_at);
   }
   if (state.own > 0) --state.own;
+  if (result == AttemptResult::kServed) state.refused_at = {};
+  if (result == AttemptResult::kRefused && state.upstream.is_engine) state.refused_at = now;
   return this->Judge(state, result, now);
 }
 
--- a/src/relay/dispatcher.h
+++ b/src/relay/dispatcher.h
@@ -226,6 +226,8 @@
     std::uint32_t confirmed = 0;              // those that may be used, see ConfirmShare()
     Instant share_grew_at = {};    // when `share` first exceeded `confirmed`; epoch: it does not
     std::uint32_t borrowable = 0;  // other entries' slots it may use, see UpdateBorrowable()
+    // When it refused a request; epoch: nothing since the last word on its load, see IsFull().
+    Instant refused_at = {};
     Instant borrowable_at = {};
     double own_prefill_tokens = 0;  // prompt tokens of own attempts without a first event
     std::optional<EngineReport> report = {};
@@ -362,6 +364,8 @@
   SideOffer OfferOf(const Choice& choice, const DispatchRequest& request, Instant now) const;
   static std::size_t BytesOf(const DispatchRequest& request);
   bool Fits(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
+  // Whether the engine has refused a request, and nothing tells since that it has a slot again.
+  bool IsFull(const UpstreamState& state, Instant now) const;
   // Whether the forecast says that it is answered with its full value.
   bool IsInTime(const Candidate& candidate, const DispatchRequest& request, Instant now) const;
   // Whether a request that is sent there now begins before the engine's weights are outdated.
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -906,6 +906,28 @@
   EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
 }
 
+// Guards against requests that use up their attempts at engines which have just refused others.
+TEST_F(DispatcherTest, EngineThatRefusedARequestGetsNoOthersUntilItsLoadIsKnown) {
+  this->AddEngine(1);
+  this->Report(1, 10);
+  const auto refuse = [this] {
+    DispatchRequest request = this->Chat();
+    const AttemptNumber attempt = request.attempt;
+    ASSERT_EQ(this->Submit(std::move(request)), "engine-1");
+    this->dispatcher.OnEnded(attempt, AttemptResult::kRefused, this->now);
+  };
+  refuse();
+  EXPECT_EQ(this->Submit(this->Chat()), "wait");
+  this->now += milliseconds(20);
+  this->Report(1, 11);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+  refuse();
+  this->now += milliseconds(499);
+  EXPECT_EQ(this->Submit(this->Chat()), "wait");
+  this->now += milliseconds(1);
+  EXPECT_EQ(this->dispatcher.Poll(this->now).size(), 1u);
+}
+
 // Guards against answers that all come late because everything waits in a shortage that lasts.
 TEST_F(DispatcherTest, LastingShortageIsNotWaitedOut) {
   this->AddEngine(1);
