--- a/soak/fault_proxy_test.cc
+++ b/soak/fault_proxy_test.cc
@@ -15,8 +15,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr char kListen[] = "127.85.0.1:27601";
-constexpr char kTarget[] = "127.85.0.2:27601";
+constexpr char kListen[] = "127.86.0.1:27611";
+constexpr char kTarget[] = "127.86.0.2:27611";
 
 struct Peer : TcpHandler {
   std::string received = {};
--- a/src/gate/upstream_call_test.cc
+++ b/src/gate/upstream_call_test.cc
@@ -17,8 +17,8 @@
 namespace savory {
 namespace {
 
-constexpr int kPort = 26951;
-constexpr char kAddress[] = "127.0.0.1:26951";
+constexpr int kPort = 26945;
+constexpr char kAddress[] = "127.0.0.1:26945";
 
 // An upstream with one connection, on which it gives each request the next answer.
 class RawUpstream {
