--- a/src/runtime/buffered_call.cc
+++ b/src/runtime/buffered_call.cc
@@ -4,12 +4,22 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_connection_pool.h"
 
 namespace savory {
 namespace {
 
+// Longer answers are logged.
+constexpr std::size_t kLoggedBytes = std::size_t{64} * 1024;
+
+// Method and target of a request head.
+std::string_view RequestLine(std::string_view head) {
+  const std::string_view line = head.substr(0, head.find('\r'));
+  return line.substr(0, line.rfind(' '));
+}
+
 // Holds a reference to itself until the call has ended.
 class BufferedCall : public HttpCallHandler, public std::enable_shared_from_this<BufferedCall> {
  public:
@@ -19,11 +29,14 @@
 
   void Start(HttpConnectionPool& connections, HttpCallOptions options, Duration timeout) {
     this->self = this->shared_from_this();
+    this->address = options.address;
+    this->request = RequestLine(options.head);
     this->deadline = this->loop.Now() + timeout;
     this->timer = this->loop.After(timeout, [weak = this->weak_from_this()] {
       const auto call = weak.lock();
       if (!call) return;
       call->timer = 0;
+      call->LogLong("no end in time");
       call->End(TooLate());
     });
     this->call = connections.Start(std::move(options), *this);
@@ -35,6 +48,7 @@
   }
   void OnAnswerBody(std::string_view bytes) override {
     if (this->answer.body.size() + bytes.size() > this->max_answer_bytes) {
+      this->LogLong("too long");
       return this->End(Error{.kind = ErrorKind::kMalformed,
                              .detail = "the answer is larger than " +
                                        std::to_string(this->max_answer_bytes) + " bytes"});
@@ -48,6 +62,7 @@
   }
   void OnCallFailed(CallFailure failure) override {
     const bool sent = failure != CallFailure::kNotSent;
+    this->LogLong(CallFailureName(failure));
     this->End(Error{.kind = sent ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
                     .detail = std::string(CallFailureName(failure))});
   }
@@ -55,6 +70,17 @@
  private:
   static Error TooLate() { return {.kind = ErrorKind::kTimeout, .detail = "no answer in time"}; }
 
+  void LogLong(std::string_view reason) const {
+    if (this->answer.body.size() <= kLoggedBytes) return;
+    Log(LogLevel::kWarn, "answer_given_up",
+        {{"call", this->request},
+         {"address", this->address},
+         {"status", this->answer.status},
+         {"reason", reason},
+         {"bytes", this->answer.body.size()},
+         {"most", this->max_answer_bytes}});
+  }
+
   void End(Result<BufferedAnswer> result) {
     const auto keep = std::exchange(this->self, nullptr);
     if (this->timer != 0) this->loop.Cancel(this->timer);
@@ -65,6 +91,8 @@
   EventLoop& loop;
   std::function<void(Result<BufferedAnswer>)> done;
   std::size_t max_answer_bytes;
+  std::string address = {};
+  std::string request = {};
   std::unique_ptr<HttpCall> call = {};
   EventLoop::TimerId timer = 0;
   Instant deadline = {};
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -201,6 +201,10 @@
     this->RejectUnmatched(head);
     return false;
   }
+  if (match == AnswerMatch::kUnknown) {
+    LogSampled("upstream_answer_unidentified",
+               {{"address", this->connection->address}, {"status", head.status}});
+  }
   this->discarding = interim || match == AnswerMatch::kOtherCall;
   if (this->discarding) {
     ++this->discarded_answers;
