Pass no success on without the proof of the upstream that ran the request

Cause: the first answer on a connection was taken for the call's own if nothing in it told otherwise, and nothing read the proof.

Change: what lacks an id, or as a success the proof, belongs to no call. The call fails at the head, its connection is closed, the attempt may have run (not-answered): requests that may run twice go to another upstream, callers of the others get 502, never 'not run'. Refusals without an id on a new connection count as before.

--- a/src/relay/attempt_plan.cc
+++ b/src/relay/attempt_plan.cc
@@ -14,6 +14,8 @@
       return "no-answer";
     case AttemptEnd::kBrokenOff:
       return "broken-off";
+    case AttemptEnd::kNotAnswered:
+      return "not-answered";
     case AttemptEnd::kSilent:
       return "silent";
     case AttemptEnd::kWithdrawn:
--- a/src/relay/attempt_plan.h
+++ b/src/relay/attempt_plan.h
@@ -15,6 +15,7 @@
   kServerError,  // complete answer with a 5xx status: the request ran
   kNoAnswer,     // the connection ended before an answer: may have run
   kBrokenOff,    // the answer was truncated: the request ran
+  kNotAnswered,  // what came was no answer to the request: may have run
   kSilent,       // this entry gave up waiting for an answer: may have run
   kWithdrawn,    // this entry closed the connection before the answer began: may have run
 };
--- a/src/relay/attempt_plan_test.cc
+++ b/src/relay/attempt_plan_test.cc
@@ -17,8 +17,8 @@
   EXPECT_EQ(PlanNext(history, AttemptEnd::kNotRun, true), NextStep::kRetry);
   history.not_run = 0;
   history.may_have_run = 1;
-  for (const AttemptEnd end :
-       {AttemptEnd::kNoAnswer, AttemptEnd::kBrokenOff, AttemptEnd::kSilent}) {
+  for (const AttemptEnd end : {AttemptEnd::kNoAnswer, AttemptEnd::kBrokenOff, AttemptEnd::kSilent,
+                               AttemptEnd::kNotAnswered}) {
     EXPECT_EQ(PlanNext(history, end, true), NextStep::kAnswerUnknown);
   }
   EXPECT_EQ(PlanNext(history, AttemptEnd::kServerError, true), NextStep::kForwardError);
@@ -94,9 +94,9 @@
   history.not_run = *rc::gen::inRange<std::uint32_t>(0, 6);
   history.may_return = *rc::gen::arbitrary<bool>();
   history.delivered = history.may_have_run > 0 && *rc::gen::arbitrary<bool>();
-  const AttemptEnd end =
-      *rc::gen::element(AttemptEnd::kNotSent, AttemptEnd::kNotRun, AttemptEnd::kServerError,
-                        AttemptEnd::kNoAnswer, AttemptEnd::kBrokenOff, AttemptEnd::kSilent);
+  const AttemptEnd end = *rc::gen::element(
+      AttemptEnd::kNotSent, AttemptEnd::kNotRun, AttemptEnd::kServerError, AttemptEnd::kNoAnswer,
+      AttemptEnd::kBrokenOff, AttemptEnd::kSilent, AttemptEnd::kNotAnswered);
   const bool certainly_not_run = end == AttemptEnd::kNotSent || end == AttemptEnd::kNotRun;
   if (certainly_not_run) {
     ++history.not_run;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -68,6 +68,7 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kNoAnswer:
     case AttemptEnd::kBrokenOff:
+    case AttemptEnd::kNotAnswered:
       return AttemptResult::kErrored;
   }
   return AttemptResult::kErrored;
@@ -338,7 +339,7 @@
                                                      : AttemptEnd::kBrokenOff);
       case CallFailure::kMalformed:
       case CallFailure::kUnmatched:
-        return this->EndAttempt(AttemptEnd::kNoAnswer);
+        return this->EndAttempt(AttemptEnd::kNotAnswered);
     }
   }
 
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -63,7 +63,8 @@
   // Returns the complete request head for an upstream, including the empty line.
   virtual std::string EncodeRequest(const HttpHead& head,
                                     const UpstreamMetadata& metadata) const = 0;
-  // Whether the answer belongs to the request `attempt_id`.
+  // Whether the answer belongs to the request `attempt_id`. A success that lacks what the format
+  // asks of one belongs to none, whatever it names.
   virtual AnswerMatch MatchAnswer(const HttpHead& answer, std::string_view attempt_id) const = 0;
   virtual UpstreamAnswer DecodeAnswer(const HttpHead& answer) const = 0;
   // Whether callers take `status` to mean that the request has not run and never will. An answer
--- a/src/runtime/http_call.h
+++ b/src/runtime/http_call.h
@@ -19,7 +19,7 @@
   kNoAnswer,   // sent, but no byte of an answer was received: the call may have arrived
   kBrokenOff,  // the answer ended early, or its body is malformed
   kMalformed,  // the received bytes are not an HTTP response
-  kUnmatched,  // an answer that may belong to an earlier call: the call may have arrived
+  kUnmatched,  // an answer to an earlier call, maybe, or to none: the call may have arrived
 };
 
 // Name of `failure` in logs.
@@ -30,8 +30,12 @@
   kThisCall,
   kOtherCall,  // an earlier one on the connection
   kUnknown,    // nothing in it tells
+  kNoCall,     // it lacks what every answer to a call has
 };
 
+// Name of `match` in logs.
+std::string_view AnswerMatchName(AnswerMatch match);
+
 // Receives the answer. A handler may destroy its call in any of these functions; no further one is
 // called then.
 class HttpCallHandler {
@@ -54,7 +58,8 @@
   Duration max_idle = Duration::max();
   bool answer_has_body = true;  // false for HEAD
   // Answers to other calls are discarded. One that nothing identifies is accepted as the first
-  // answer on a connection. After another answer it may be a copy of that one, so the call fails.
+  // answer on a connection. After another answer it may be a copy of that one, so the call fails,
+  // as it does at an answer to no call: what follows can't be told from the rest of that.
   std::function<AnswerMatch(const HttpHead& head)> match = {};
 };
 
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -90,7 +90,7 @@
   bool DeliverHead(const std::weak_ptr<bool>& guard);
   bool DeliverBody(const std::weak_ptr<bool>& guard);
   bool HandleDone();
-  void RejectUnmatched(const HttpHead& head);
+  void RejectUnmatched(const HttpHead& head, AnswerMatch match);
   bool DiscardsTooMuch() const {
     return this->discarded_answers > kMaxDiscardedAnswers ||
            this->discarded_bytes > kMaxDiscardedBytes;
@@ -197,8 +197,9 @@
   const HttpHead& head = this->connection->parser.Head();
   const bool interim = head.status < 200;
   const AnswerMatch match = !interim && this->match ? this->match(head) : AnswerMatch::kThisCall;
-  if (match == AnswerMatch::kUnknown && this->connection->has_answered) {
-    this->RejectUnmatched(head);
+  const bool may_be_earlier = match == AnswerMatch::kUnknown && this->connection->has_answered;
+  if (may_be_earlier || match == AnswerMatch::kNoCall) {
+    this->RejectUnmatched(head, match);
     return false;
   }
   if (match == AnswerMatch::kUnknown) {
@@ -218,10 +219,13 @@
   return !guard.expired();
 }
 
-void HttpCall::Impl::RejectUnmatched(const HttpHead& head) {
+void HttpCall::Impl::RejectUnmatched(const HttpHead& head, AnswerMatch match) {
   if (const auto owner = this->pool.lock()) owner->stray.Add();
   Log(LogLevel::kWarn, "upstream_answer_unmatched",
-      {{"address", this->connection->address}, {"status", head.status}});
+      {{"address", this->connection->address},
+       {"status", head.status},
+       {"match", AnswerMatchName(match)},
+       {"first_on_connection", !this->connection->has_answered}});
   this->Fail(CallFailure::kUnmatched);
 }
 
@@ -354,6 +358,20 @@
   return total;
 }
 
+std::string_view AnswerMatchName(AnswerMatch match) {
+  switch (match) {
+    case AnswerMatch::kThisCall:
+      return "this-call";
+    case AnswerMatch::kOtherCall:
+      return "other-call";
+    case AnswerMatch::kUnknown:
+      return "unknown";
+    case AnswerMatch::kNoCall:
+      return "no-call";
+  }
+  return "unknown";
+}
+
 std::string_view CallFailureName(CallFailure failure) {
   switch (failure) {
     case CallFailure::kNotSent:
