Bound each answer that agents and entries keep by what it may be

Cause: every call of the engine's client might have the 64 MiB of the largest chunk, a report of 300 bytes, too, and a growing text counts twice while it is copied.

Change: each call states what its answer may have; more is given up as soon as it is announced or read (answer_too_long). The blocking client has a bound, too. An engine whose report can't be read keeps its requests: its last report holds but for the load. An upload whose answer was too long counted as not stored; it may be.

Tests that changed: calls of StartBufferedCall and ReadChunk name their options, no expectation changed. A report with another status than 200 is 'not found' in place of 'malformed' and counts as before.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <optional>
+#include <utility>
 
 #include "base/digest.h"
 #include "base/log.h"
@@ -41,6 +42,8 @@
 constexpr Duration kProcessLoadPeriod = std::chrono::seconds(10);
 // Smaller corrections of the time since when a version is wanted come from message delays.
 constexpr Duration kMinLoggedCorrection = milliseconds(100);
+// Longest frame without a chunk: lists of digests, and news of the whole fleet.
+constexpr std::size_t kFrameReserve = std::size_t{4} * 1024 * 1024;
 // The engine counts as unreachable after this many consecutive failed reads of its state.
 constexpr int kFailuresUntilUnreachable = 2;
 
@@ -63,6 +66,7 @@
       {};  // for `view`; cached because computing it takes one hash per agent
   std::optional<EngineState> engine = {};
   int failed_reads = 0;
+  bool report_unreadable = false;
   bool polling = false;
   Instant next_poll = {};
   EngineReport last_report = {};
@@ -75,7 +79,8 @@
         peers(loop, metrics,
               {.listen = this->settings.process.peer,
                .vm = this->settings.process.vm,
-               .incarnation = MakeIncarnation()}),
+               .incarnation = MakeIncarnation(),
+               .max_frame_bytes = kFrameReserve + this->settings.max_chunk_bytes}),
         process_load(loop, metrics, this->peers),
         links(loop, this->peers, metrics,
               {.region = this->settings.process.region,
@@ -168,7 +173,21 @@
     });
   }
 
+  // The engine answers, but not with a report. It goes on with what it does, and its requests with
+  // it: what it reported last holds, but for its load, which entries learn from its answers.
+  void OnUnreadableReport(const Error& error) {
+    this->failed_reads = 0;
+    if (std::exchange(this->report_unreadable, true)) return;
+    Log(LogLevel::kWarn, "engine_report_unreadable",
+        {{"reason", Describe(error)}, {"weights", this->engine->weights_version}});
+    this->engine->running = 0;
+    this->engine->waiting = 0;
+    this->engine->kv_used = 0;
+    this->Report(true);
+  }
+
   void OnStateError(const Error& error) {
+    if (error.kind == ErrorKind::kMalformed && this->engine) return this->OnUnreadableReport(error);
     // A refused connection proves that the engine is down; a late answer may come from a short
     // overload.
     this->failed_reads += error.kind == ErrorKind::kUnavailable ? kFailuresUntilUnreachable : 1;
@@ -185,6 +204,9 @@
     const bool newly_reachable = !this->engine;
     const std::uint64_t before = newly_reachable ? 0 : this->engine->weights_version;
     this->failed_reads = 0;
+    if (std::exchange(this->report_unreadable, false)) {
+      Log(LogLevel::kInfo, "engine_report_readable", {{"weights", state.weights_version}});
+    }
     this->engine = state;
     if (newly_reachable || before != state.weights_version) {
       Log(LogLevel::kInfo, newly_reachable ? "engine_seen" : "engine_weights",
--- a/src/direct/engine_loader.cc
+++ b/src/direct/engine_loader.cc
@@ -27,10 +27,14 @@
   return "unknown";
 }
 
+// Whether the engine may still carry out the call, or has done so.
+bool MayBeCarriedOut(const Error& error) {
+  return error.kind == ErrorKind::kTimeout || error.kind == ErrorKind::kMalformed;
+}
+
 StageResult StageResultOf(const Result<void>& stored) {
   if (stored) return StageResult::kStored;
-  return stored.error().kind == ErrorKind::kTimeout ? StageResult::kUnknown
-                                                    : StageResult::kNotStored;
+  return MayBeCarriedOut(stored.error()) ? StageResult::kUnknown : StageResult::kNotStored;
 }
 
 ReadBackResult ReadBackResultOf(const Result<std::string>& bytes, const Digest& expected) {
@@ -179,8 +183,7 @@
     const auto done = [this, version, chunk = action.chunk,
                        sent = this->loop.Now()](const Result<void>& stored) {
       const CallTimes times = this->TimesSince(sent);
-      this->OnCallDone("upload", chunk, times,
-                       !stored && stored.error().kind == ErrorKind::kTimeout);
+      this->OnCallDone("upload", chunk, times, !stored && MayBeCarriedOut(stored.error()));
       if (!stored) {
         Log(LogLevel::kWarn, "stage_failed",
             {{"version", version}, {"piece", chunk}, {"reason", Describe(stored.error())}});
@@ -197,8 +200,7 @@
                        chunk = action.chunk,
                        sent = this->loop.Now()](const Result<std::string>& bytes) {
       const CallTimes times = this->TimesSince(sent);
-      this->OnCallDone("read-back", chunk, times,
-                       !bytes && bytes.error().kind == ErrorKind::kTimeout);
+      this->OnCallDone("read-back", chunk, times, !bytes && MayBeCarriedOut(bytes.error()));
       const ReadBackResult read_back = ReadBackResultOf(bytes, source->DigestOf(chunk));
       if (read_back != ReadBackResult::kIntact) {
         Log(LogLevel::kWarn, "staged_piece_bad",
@@ -210,7 +212,8 @@
       this->rollout.OnStagedChunkVerified(version, chunk, read_back, times);
       this->Advance(this->position);
     };
-    this->engine.ReadStaged(this->target.model, action.chunk, this->Guarded(done));
+    this->engine.ReadStaged(this->target.model, action.chunk, this->target.manifest->ChunkSize(),
+                            this->Guarded(done));
   }
 
   void Execute(const SendLoadRequest& action) {
--- a/src/direct/weights_copier.cc
+++ b/src/direct/weights_copier.cc
@@ -377,7 +377,8 @@
         if (bytes) this->OnReadBack(*source, chunk, bytes.value(), sent);
         this->ReadBack();
       };
-      this->engine.ReadStaged(this->newest->model, chunk, this->Guarded(done));
+      this->engine.ReadStaged(this->newest->model, chunk, this->newest->manifest->ChunkSize(),
+                              this->Guarded(done));
     }
   }
 
@@ -426,7 +427,7 @@
       this->OnOriginRead(*source, chunk, bytes);
     };
     this->origin.ReadChunk(this->newest->model, this->newest->version, action.chunk,
-                           this->Guarded(done));
+                           this->newest->manifest->ChunkSize(), this->Guarded(done));
   }
 
   void OnOriginRead(const Manifest& source, std::uint32_t chunk, const Result<std::string>& bytes) {
--- a/src/distribution/engine_client.cc
+++ b/src/distribution/engine_client.cc
@@ -10,6 +10,7 @@
 
 using nlohmann::json;
 
+constexpr std::size_t kMaxStateBytes = std::size_t{256} * 1024;
 constexpr Duration kStateTimeout = std::chrono::seconds(1);
 constexpr Duration kLoadTimeout = std::chrono::seconds(3);
 
@@ -23,7 +24,8 @@
 
 std::optional<EngineReported> FetchState(HttpClient& client) {
   EngineReported state{.asked = MonotonicClock::now()};
-  const auto answer = client.Call({.target = "/v1/state", .read_timeout = kStateTimeout});
+  const auto answer = client.Call(
+      {.target = "/v1/state", .read_timeout = kStateTimeout, .max_answer_bytes = kMaxStateBytes});
   if (!answer || answer.value().status != 200) return std::nullopt;
   const json body = json::parse(answer.value().body, nullptr, false);
   if (!body.is_object()) return std::nullopt;
--- a/src/distribution/engine_control.h
+++ b/src/distribution/engine_control.h
@@ -64,7 +64,8 @@
 class EngineControl {
  public:
   virtual ~EngineControl() = default;
-  // Errors: kUnavailable when the engine cannot be reached, kTimeout, kMalformed.
+  // Errors: kUnavailable when the engine cannot be reached, kTimeout, kNotFound when it answers
+  // without a report, kMalformed when its report can't be read or is far too long.
   virtual void ReadState(std::function<void(Result<EngineState>)> done) = 0;
   // Stores a chunk in the engine's staging area; replaces an earlier one with the same number.
   virtual void Stage(const std::string& model, std::uint32_t chunk, std::string bytes,
@@ -72,8 +73,8 @@
   // Numbers of the staged chunks.
   virtual void ListStaged(const std::string& model,
                           std::function<void(Result<std::vector<std::uint32_t>>)> done) = 0;
-  // Reads a staged chunk back. Errors: kNotFound.
-  virtual void ReadStaged(const std::string& model, std::uint32_t chunk,
+  // Reads a staged chunk of at most `max_bytes` back. Errors: kNotFound; kMalformed: it is larger.
+  virtual void ReadStaged(const std::string& model, std::uint32_t chunk, std::size_t max_bytes,
                           std::function<void(Result<std::string>)> done) = 0;
   // Asks the engine to load the staged weights.
   virtual void RequestLoad(const EngineLoadRequest& request,
@@ -105,8 +106,9 @@
   // (the version no longer exists), kMalformed.
   virtual void ReadChunkList(const std::string& model, std::uint64_t version,
                              std::function<void(Result<ChunkList>)> done) = 0;
+  // Errors: as above; kMalformed also for a chunk of more than `max_bytes`.
   virtual void ReadChunk(const std::string& model, std::uint64_t version, std::uint32_t chunk,
-                         std::function<void(Result<std::string>)> done) = 0;
+                         std::size_t max_bytes, std::function<void(Result<std::string>)> done) = 0;
 };
 
 }  // namespace savory
--- a/src/distribution/manifest.h
+++ b/src/distribution/manifest.h
@@ -23,6 +23,8 @@
   static constexpr std::uint32_t kMaxChunkBytes = 64u << 20;
   // Limits the memory that a malformed manifest can allocate; 2^22 chunks of 1 MiB are 4 TiB.
   static constexpr std::uint64_t kMaxChunks = 1u << 22;
+  // Of a manifest with as many chunks, whose digests have 32 bytes each.
+  static constexpr std::size_t kMaxContentBytes = kMaxChunks * 32 + 64 * 1024;
 
   // Describes `weights`, which must not be empty. `chunk_size` is in bytes, from 1 to
   // kMaxChunkBytes; `weights_name` is the path below /weights/ at the origin.
--- a/src/distribution/origin_client.cc
+++ b/src/distribution/origin_client.cc
@@ -87,8 +87,10 @@
 }
 
 Result<Manifest> FetchManifest(HttpClient& client, const Digest& digest) {
-  BOOST_OUTCOME_TRY(answer, client.Call(BlockingHttpCall{.target = "/manifests/" + digest.Hex(),
-                                                         .read_timeout = kReadTimeout}));
+  BOOST_OUTCOME_TRY(answer,
+                    client.Call(BlockingHttpCall{.target = "/manifests/" + digest.Hex(),
+                                                 .read_timeout = kReadTimeout,
+                                                 .max_answer_bytes = Manifest::kMaxContentBytes}));
   if (answer.status != 200) return StatusError(answer);
   return Manifest::Parse(answer.body, digest);
 }
--- a/src/runtime/async_http_test.cc
+++ b/src/runtime/async_http_test.cc
@@ -933,7 +933,7 @@
   EndlessPeer peer(26922, "HTTP/1.1 200 OK\r\n\r\n", "bytes without end ");
   std::optional<Result<BufferedAnswer>> answer;
   StartBufferedCall(this->loop, this->pool, this->CallTo("127.0.0.1:26922", "/"),
-                    std::chrono::seconds(20), [&](Result<BufferedAnswer> result) {
+                    {.timeout = std::chrono::seconds(20)}, [&](Result<BufferedAnswer> result) {
                       answer = std::move(result);
                       this->loop.Stop();
                     });
@@ -959,7 +959,8 @@
     std::this_thread::sleep_for(timeout);
   };
   for (const char* address : {"127.0.0.1:26929", "127.0.0.1:26930"}) {
-    StartBufferedCall(this->loop, this->pool, this->CallTo(address, "/"), timeout, done);
+    StartBufferedCall(this->loop, this->pool, this->CallTo(address, "/"), {.timeout = timeout},
+                      done);
   }
   // Both answers arrive meanwhile and are read in one turn of the loop.
   this->loop.After(delay / 2, [delay] { std::this_thread::sleep_for(2 * delay); });
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -35,6 +35,8 @@
   std::string content_type = "application/octet-stream";
   Duration connect_timeout = std::chrono::seconds(1);
   Duration read_timeout = std::chrono::seconds(10);  // maximum time between two reads
+  // Of a body that is not streamed. The call is given up when the answer has more.
+  std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
 };
 
 // An answer received by HttpClient.
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -80,18 +80,25 @@
       return IsHttpStatus(response.status) && stream.on_head(HeadOf(response));
     };
   }
-  if (stream.on_part) {
-    request.content_receiver = [&stream](const char* data, std::size_t size, std::uint64_t,
-                                         std::uint64_t) {
-      return stream.on_part(std::as_bytes(std::span(data, size)));
-    };
-  }
+  std::string body;
+  bool too_long = false;
+  request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+    if (stream.on_part) return stream.on_part(std::as_bytes(std::span(data, size)));
+    too_long = body.size() + size > call.max_answer_bytes;
+    if (!too_long) body.append(data, size);
+    return !too_long;
+  };
   const httplib::Result result = client.send(request);
   if (result && IsHttpStatus(result->status)) {
     HttpAnswer answer = HeadOf(*result);
-    answer.body = result->body;
+    answer.body = std::move(body);
     return answer;
   }
+  if (too_long) {
+    return Error{
+        .kind = ErrorKind::kMalformed,
+        .detail = "the answer is larger than " + std::to_string(call.max_answer_bytes) + " bytes"};
+  }
   if (result) return Error{.kind = ErrorKind::kTimeout, .detail = "status outside 100 to 599"};
   const std::string reason = httplib::to_string(result.error());
   if (result.error() == httplib::Error::Connection ||
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -19,9 +19,9 @@
   HttpClient& operator=(HttpClient&&) noexcept;
 
   // Performs `call`. With `stream`, the body is passed to it and not stored.
-  // Errors: kUnavailable when no connection could be made (the call was
-  // certainly not sent), kTimeout when the connection failed or no answer came
-  // in time, kCancelled when `stream` returned false.
+  // Errors: kUnavailable when no connection could be made (the call was certainly not sent),
+  // kTimeout when the connection failed or no answer came in time, kMalformed when the answer is
+  // longer than allowed, kCancelled when `stream` returned false.
   Result<HttpAnswer> Call(const BlockingHttpCall& call, const HttpStream& stream = {});
 
   // Aborts a running Call() from another thread.
--- a/src/runtime/http_test.cc
+++ b/src/runtime/http_test.cc
@@ -55,6 +55,16 @@
   EXPECT_EQ(answer.error().kind, ErrorKind::kCancelled);
 }
 
+// Guards against an answer without end that is kept in memory.
+TEST_F(HttpTest, AnswerLongerThanAllowedIsGivenUp) {
+  const BlockingHttpCall fitting{.target = "/complete", .max_answer_bytes = 15};
+  EXPECT_TRUE(HttpClient(kAddress).Call(fitting));
+  const BlockingHttpCall tight{.target = "/complete", .max_answer_bytes = 14};
+  const auto answer = HttpClient(kAddress).Call(tight);
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().kind, ErrorKind::kMalformed);
+}
+
 // Guards against header lookups that depend on the case of the name.
 TEST(HttpHeadersTest, NamesIgnoreCase) {
   const HttpHeaders headers = {{"Retry-After", "2"}};
