Play stray answers and answers without end in the soak, and check memory

Plan 11: upstreams send pages with status 200 that lack id or proof in place of every third answer, and engines' answers to their agents have no end, at one engine, half or all, beside planned work, impaired upstreams and new weights. Every run checks the peak memory of entries (160 MB) and agents (128 MB).

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,7 +15,7 @@
 };
 
 // Planned changes are more frequent than failures, as on the users' platform.
-constexpr std::array<FaultSpec, 61> kFaultSpecs = {{
+constexpr std::array<FaultSpec, 63> kFaultSpecs = {{
     {FaultKind::kStoreRefusing, "store-refusing", 2},
     {FaultKind::kStoreSilent, "store-silent", 2},
     {FaultKind::kStoreResetting, "store-resetting", 2},
@@ -77,6 +77,8 @@
     {FaultKind::kStoreFromOlderCopy, "store-from-older-copy", 30},
     {FaultKind::kWeightsPublishedMachinesStandStill, "weights-named-machines-stand-still", 30},
     {FaultKind::kWeightsPublishedAgentsStandStill, "weights-named-agents-stand-still", 10},
+    {FaultKind::kUpstreamStrayAnswers, "upstream-stray-answers", 30},
+    {FaultKind::kEndlessAgentAnswers, "endless-agent-answers", 30},
 }};
 
 // Of plan 7 without unplanned disruption of entry VMs, the store and links.
@@ -135,6 +137,22 @@
     FaultKind::kEngineHangs,
     FaultKind::kRouteChanged,
     FaultKind::kBurst};
+// Of plan 11: what else happens to the upstreams and processes that get answers that are none.
+constexpr std::array<FaultKind, 15> kNoAnswerKinds = {FaultKind::kUpstreamStrayAnswers,
+                                                      FaultKind::kEndlessAgentAnswers,
+                                                      FaultKind::kEntryStopped,
+                                                      FaultKind::kEntryKilled,
+                                                      FaultKind::kEntryPaused,
+                                                      FaultKind::kAgentKilled,
+                                                      FaultKind::kAgentPaused,
+                                                      FaultKind::kUpstreamCrashed,
+                                                      FaultKind::kUpstreamErrors,
+                                                      FaultKind::kUpstreamTruncatesAnswers,
+                                                      FaultKind::kUpstreamDrained,
+                                                      FaultKind::kLinkReset,
+                                                      FaultKind::kStagedChunkCorrupted,
+                                                      FaultKind::kRouteChanged,
+                                                      FaultKind::kBurst};
 // One seed in so many draws from all kinds instead.
 constexpr std::uint64_t kAllKindsEverySeeds = 4;
 
@@ -148,6 +166,7 @@
 constexpr std::size_t kSeventhPlanKinds = 49;
 constexpr std::size_t kEighthPlanKinds = 58;
 constexpr std::size_t kNinthPlanKinds = 59;
+constexpr std::size_t kTenthPlanKinds = 61;
 
 std::vector<FaultSpec> SpecsOfKinds(std::span<const FaultKind> kinds) {
   std::vector<FaultSpec> specs;
@@ -163,6 +182,7 @@
   static const std::vector<FaultSpec> kLoads = SpecsOfKinds(kLoadKinds);
   static const std::vector<FaultSpec> kOlderCopies = SpecsOfKinds(kOlderCopyKinds);
   static const std::vector<FaultSpec> kStandStill = SpecsOfKinds(kStandStillKinds);
+  static const std::vector<FaultSpec> kNoAnswers = SpecsOfKinds(kNoAnswerKinds);
   const bool all_kinds = seed % kAllKindsEverySeeds == 0;
   switch (version) {
     case PlanVersion::kFirst:
@@ -184,9 +204,11 @@
     case PlanVersion::kNinth:
       return all_kinds ? all.first(kNinthPlanKinds) : kOlderCopies;
     case PlanVersion::kTenth:
+      return all_kinds ? all.first(kTenthPlanKinds) : kStandStill;
+    case PlanVersion::kEleventh:
       break;
   }
-  return all_kinds ? all : kStandStill;
+  return all_kinds ? all : kNoAnswers;
 }
 
 // Mean time between the starts of two series.
@@ -290,7 +312,8 @@
   if (version == PlanVersion::kSeventh && seed % kAllKindsEverySeeds != 0) {
     AddStopsInTurn(random, end, plan);
   }
-  if (version == PlanVersion::kEighth || version == PlanVersion::kNinth) {
+  if (version == PlanVersion::kEighth || version == PlanVersion::kNinth ||
+      version == PlanVersion::kEleventh) {
     AddPublications(random, end, plan);
   }
   if (version == PlanVersion::kTenth) AddStandStill(random, end, plan);
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -92,6 +92,9 @@
   // its end stand still:
   kWeightsPublishedMachinesStandStill,  // engines with their agents, whose records are removed
   kWeightsPublishedAgentsStandStill,    // agents alone
+  // Since plan 11.
+  kUpstreamStrayAnswers,  // in place of some answers, pages with a success status and no proof
+  kEndlessAgentAnswers,   // an engine's answers to its agent have no end; or those of several
 };
 
 std::string_view FaultName(FaultKind kind);
@@ -116,7 +119,8 @@
   kEighth = 8,
   kNinth = 9,
   kTenth = 10,
-  kNewest = kTenth
+  kEleventh = 11,
+  kNewest = kEleventh
 };
 
 // The same seed and version give the same plan. Faults come in series of one kind, and series may
@@ -125,7 +129,8 @@
 // seeds impair staged chunks, engines and agents only, and new weights are published regularly, as
 // in plan 9, in most of whose seeds the store comes back from older copies beside changes of
 // records. In most seeds of plan 10 machines stand still across the end of the rollout limit,
-// beside impaired upstreams and agents.
+// beside impaired upstreams and agents. In most seeds of plan 11 upstreams give answers that are
+// none, to callers or to their agents, beside planned work, impaired upstreams and new weights.
 std::vector<Fault> MakeFaultPlan(std::uint64_t seed, Duration length,
                                  PlanVersion version = PlanVersion::kNewest);
 
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -74,6 +74,14 @@
   ASSERT_EQ(ninth_of_all.size(), 21u);
   EXPECT_EQ(ninth_of_all.back().kind, FaultKind::kWeightsPublished);
   EXPECT_EQ(ninth_of_all.back().at, std::chrono::microseconds(17391303));
+  const auto tenth = MakeFaultPlan(2105, seconds(20), PlanVersion::kTenth);
+  ASSERT_EQ(tenth.size(), 16u);
+  EXPECT_EQ(tenth.back().at, std::chrono::microseconds(17730640));
+  EXPECT_EQ(tenth.back().target, 648u);
+  const auto tenth_of_all = MakeFaultPlan(2104, seconds(20), PlanVersion::kTenth);
+  ASSERT_EQ(tenth_of_all.size(), 23u);
+  EXPECT_EQ(tenth_of_all.back().kind, FaultKind::kWeightsPublishedEngineSlow);
+  EXPECT_EQ(tenth_of_all.back().duration, std::chrono::microseconds(1576436));
 }
 
 // Guards against runs without loads, which show nothing about the chunks that engines load.
@@ -105,6 +113,20 @@
   EXPECT_GE(seconds_before, 10);
 }
 
+// Guards against runs of plan 11 in which no answer is a stray one, or none to an agent lacks an
+// end.
+TEST(FaultPlan, MostSeedsOfPlan11GiveAnswersThatAreNone) {
+  int strays = 0;
+  int endless = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto plan = MakeFaultPlan(seed, seconds(20), PlanVersion::kEleventh);
+    if (std::ranges::count(plan, FaultKind::kUpstreamStrayAnswers, &Fault::kind) > 0) ++strays;
+    if (std::ranges::count(plan, FaultKind::kEndlessAgentAnswers, &Fault::kind) > 0) ++endless;
+  }
+  EXPECT_GE(strays, 30);
+  EXPECT_GE(endless, 30);
+}
+
 // Guards against fault kinds that are never injected, and against plans without overlapping faults.
 TEST(FaultPlan, SeedsCoverEveryKindWithOverlaps) {
   std::set<FaultKind> drawn;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <map>
+#include <set>
 
 #include "apps/process_group.h"
 #include "platform/record_decoder.h"
@@ -92,6 +93,17 @@
 constexpr Duration kAwayBeforeReturn = milliseconds(300);
 constexpr double kWrittenAgainShare = 0.7;  // of the fault's duration: 0.2 to 2.8 s
 
+// Memory of the smallest machines of the users' deployments.
+constexpr std::uint64_t kMaxEntryBytes = 160'000'000;
+constexpr std::uint64_t kMaxAgentBytes = 128'000'000;
+constexpr Duration kMemoryCheckPeriod = milliseconds(250);
+// The memory of sanitizers counts, too.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool kIsInstrumented = true;
+#else
+constexpr bool kIsInstrumented = false;
+#endif
+
 Duration Share(Duration duration, double share) { return FromSeconds(share * ToSeconds(duration)); }
 
 Duration HangOf(const Fault& fault) { return std::max(fault.duration, kMinHang); }
@@ -123,6 +135,7 @@
     });
     BOOST_OUTCOME_TRY(this->processes.StartAll());
     this->callers.Start(this->options.requests_per_second);
+    this->loop.Every(kMemoryCheckPeriod, [this] { this->CheckMemory(); });
     this->start_deadline = this->loop.Now() + kStartTimeout;
     this->AwaitStart();
     this->loop.Run();
@@ -281,6 +294,33 @@
                       [this, upstream] { this->upstreams.SetFault(upstream, EngineFault::kNone); });
   }
 
+  // Requests go on at these engines meanwhile.
+  void SendAgentsWithoutEnd(const Fault& fault) {
+    for (const std::size_t engine : this->EnginesOf(fault, fault.target % 3 == 0)) {
+      this->upstreams.SetFault(engine, EngineFault::kEndlessReports);
+      this->RevertAfter(fault.duration, "fault " + std::to_string(engine),
+                        [this, engine] { this->upstreams.SetFault(engine, EngineFault::kNone); });
+    }
+  }
+
+  // As the platform, which ends a process that exceeds the memory of its machine.
+  void CheckMemory() {
+    if (kIsInstrumented) return;
+    const auto check = [this](const std::string& vm, std::uint64_t limit) {
+      const auto usage = this->group.Usage(vm);
+      if (!usage || usage->peak_resident_bytes <= limit) return;
+      if (!this->over_memory.insert(vm).second) return;
+      this->checker.AddViolation(
+          "memory", vm + " has used " + std::to_string(usage->peak_resident_bytes) + " bytes");
+    };
+    for (std::size_t i = 0; i < this->layout.entries; ++i) {
+      check(this->layout.EntryVm(i), kMaxEntryBytes);
+    }
+    for (std::size_t i = 0; i < this->layout.engines; ++i) {
+      check(this->layout.AgentVm(i), kMaxAgentBytes);
+    }
+  }
+
   void ImpairLink(std::size_t upstream, LinkCondition condition, Duration duration) {
     this->checker.MarkLinkDisturbed(this->upstreams.UpstreamId(upstream), this->loop.Now(),
                                     duration);
@@ -565,6 +605,10 @@
         return this->ImpairUpstream(upstream, EngineFault::kTruncatesAnswers, fault.duration);
       case FaultKind::kUpstreamSilent:
         return this->ImpairUpstream(upstream, EngineFault::kSilent, fault.duration);
+      case FaultKind::kUpstreamStrayAnswers:
+        return this->ImpairUpstream(upstream, EngineFault::kStrayAnswers, fault.duration);
+      case FaultKind::kEndlessAgentAnswers:
+        return this->SendAgentsWithoutEnd(fault);
       case FaultKind::kUpstreamDrained:
         return this->upstreams.Drain(upstream, fault.duration);
       case FaultKind::kStagedChunkCorrupted:
@@ -702,6 +746,7 @@
   std::map<std::string, int> fault_generations = {};
   int crashing_requests = 0;
   std::uint64_t corruptions = 0;
+  std::set<std::string> over_memory = {};  // VMs whose process has used too much
   Instant last_publication = {};
   Instant late_publication = {};  // of weights that the origin lacks, before machines stand still
   Instant start_deadline = {};
