Report no load of an engine whose reports can't be read

With several entries requests would pile up there.

Cause: the report of an agent always sets the engine's load, whatever its answers say. Change: EngineStatus says that the load is unknown, and entries go by the load in the engine's answers and their own requests. The field is 0 for all others.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -180,9 +180,6 @@
     if (std::exchange(this->report_unreadable, true)) return;
     Log(LogLevel::kWarn, "engine_report_unreadable",
         {{"reason", Describe(error)}, {"weights", this->engine->weights_version}});
-    this->engine->running = 0;
-    this->engine->waiting = 0;
-    this->engine->kv_used = 0;
     this->Report(true);
   }
 
@@ -230,6 +227,7 @@
   // version or whether it accepts requests changed; with the next periodic report otherwise.
   void Report(bool urgent) {
     EngineReport report{.address = this->settings.engine,
+                        .load_known = !this->report_unreadable,
                         .reachable = this->engine.has_value(),
                         .accepting = this->loader.Accepting()};
     if (this->engine) {
--- a/src/fleet/agent_links.cc
+++ b/src/fleet/agent_links.cc
@@ -144,6 +144,7 @@
     status.set_running(this->report.load.running);
     status.set_waiting(this->report.load.waiting);
     status.set_slots(this->report.load.slots);
+    status.set_load_unknown(!this->report.load_known);
     status.set_unreachable(!this->report.reachable);
     status.set_refusing(!this->report.accepting);
     status.set_weights_version(this->report.weights_version);
--- a/src/fleet/entry_links.cc
+++ b/src/fleet/entry_links.cc
@@ -324,6 +324,7 @@
     this->on_report(EngineReport{
         .address = engine,
         .load = {.running = status.running(), .waiting = status.waiting(), .slots = status.slots()},
+        .load_known = !status.load_unknown(),
         .reachable = availability.reachable,
         .accepting = availability.accepting,
         .weights_version = status.weights_version(),
--- a/src/relay/dispatcher.cc
+++ b/src/relay/dispatcher.cc
@@ -162,7 +162,7 @@
   state.reported_at = now;
   state.silence.OnReport(now);
   state.pace.OnReported(report.pace);
-  if (report.reachable) this->UpdateLoad(state, report.load, now);
+  if (report.reachable && report.load_known) this->UpdateLoad(state, report.load, now);
 }
 
 void Dispatcher::AddAvailability(const EngineAvailability& passed_on, Instant now) {
--- a/src/relay/dispatcher_test.cc
+++ b/src/relay/dispatcher_test.cc
@@ -546,6 +546,18 @@
   EXPECT_EQ(std::get<SendTo>(later.decision).load, 5);
 }
 
+// The agent can't read its engine's reports. Guards against an engine that seems idle then, so that
+// requests pile up there.
+TEST_F(DispatcherTest, ReportWithoutLoadKeepsTheLoadOfAnswers) {
+  this->AddEngine(1);
+  this->Report(1, 2);
+  this->dispatcher.AddLoad("engine-1", {.running = 5, .slots = 12}, this->now);
+  this->dispatcher.AddReport({.address = "10.0.0.1:80", .load_known = false, .weights_version = 1},
+                             this->now);
+  const auto verdict = this->dispatcher.Submit(this->Chat(), this->now);
+  EXPECT_EQ(std::get<SendTo>(verdict.decision).load, 5);
+}
+
 // A low, steady request rate to a service that reports no load. Guards against estimating
 // the other entries' load from requests that ended long ago, until the service looks full.
 TEST_F(DispatcherTest, PastRequestsDoNotCountWithoutLoadReports) {
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -36,7 +36,8 @@
 struct EngineReport {
   std::string address;  // IP:PORT of the engine
   UpstreamLoad load = {};
-  bool reachable = true;  // the engine answered its agent
+  bool load_known = true;  // otherwise `load` is old
+  bool reachable = true;   // the engine answered its agent
   // No weights load is about to start or in progress, and the way is not too slow for requests.
   bool accepting = true;
   std::uint64_t weights_version = 0;
